Lay out the workspace and the messages that its parts share

Cause: the parts of the system are written side by side and must agree on names, times, the messages between entries and brokers, the links between hosts and the platform's protocol.

Ruled out: one crate for all, since the state machines must not be able to reach for I/O; they stand in borageladder-kernel, which has neither actix nor tokio among its dependencies.

Conclusion: formatter, linter, documentation and tests pass on the empty frame; nothing serves a request yet.

--- /dev/null
+++ b/kernel/benches/kernel.rs
@@ -0,0 +1,3 @@
+//! Benchmark, to be written.
+
+fn main() {}
--- /dev/null
+++ b/kernel/src/change.rs
@@ -0,0 +1,1 @@
+//! Changes that operators make to a configuration.
--- /dev/null
+++ b/kernel/src/claim.rs
@@ -0,0 +1,1 @@
+//! The claim protocol, which lets a non-idempotent request run at most once.
--- /dev/null
+++ b/kernel/src/estimate.rs
@@ -0,0 +1,1 @@
+//! Estimates of answer lengths and worker speeds, learned as quantiles.
--- /dev/null
+++ b/kernel/src/lib.rs
@@ -0,0 +1,23 @@
+//! The state machines of borageladder.
+//!
+//! Nothing in this crate performs I/O or reads a clock. Each state machine takes an event together
+//! with the time at which it happened and returns the actions that the caller has to carry out, so
+//! every rule can be tested at exact times.
+
+pub mod ask;
+pub mod broker;
+pub mod change;
+pub mod claim;
+pub mod clock;
+pub mod configuration;
+pub mod estimate;
+pub mod lifecycle;
+pub mod limit;
+pub mod membership;
+pub mod name;
+pub mod policy;
+pub mod prefix;
+pub mod quarantine;
+pub mod queue;
+pub mod rollout;
+pub mod rule;
--- /dev/null
+++ b/kernel/src/lifecycle.rs
@@ -0,0 +1,1 @@
+//! The life of one request, as a typestate.
--- /dev/null
+++ b/kernel/src/prefix.rs
@@ -0,0 +1,1 @@
+//! What is known about the prefix caches of workers.
--- /dev/null
+++ b/kernel/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests that crash the workers that run them.
--- /dev/null
+++ b/kernel/src/queue.rs
@@ -0,0 +1,1 @@
+//! The waiting work of one cell, by tier and deadline.
--- /dev/null
+++ b/kernel/src/rollout.rs
@@ -0,0 +1,1 @@
+//! The spread of a configuration version over all hosts.
--- /dev/null
+++ b/src/bin/borageladderd.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every host.
+
+fn main() {}
--- /dev/null
+++ b/src/claims.rs
@@ -0,0 +1,1 @@
+//! Claims of non-idempotent requests in the platform's table.
--- /dev/null
+++ b/src/context.rs
@@ -0,0 +1,1 @@
+//! What the tasks of one host share.
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,1 @@
+//! Start and stop of the daemon's tasks.
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,1 @@
+//! The one dispatch of a request to a worker.
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,1 @@
+//! The callers' interface: reads requests and streams answers.
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,1 @@
+//! The numbered events that the daemon logs.
--- /dev/null
+++ b/src/language/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' query and command language.
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,1 @@
+//! Links between hosts: authentication, queues and reconnection.
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,1 @@
+//! Set-up of structured logs.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,1 @@
+//! The other hosts: heartbeats, liveness and the choice of brokers.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,1 @@
+//! The metrics of one host.
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,1 @@
+//! A client of the platform's table, object store and host list.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! The settings of one host, read from a TOML file.
--- /dev/null
+++ b/src/watch.rs
@@ -0,0 +1,1 @@
+//! Polls of worker load, cache events and the host list.
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,125 @@
+//! The messages that hosts send each other over links.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::kernel::ask::Ask;
+use crate::kernel::ask::Grant;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RunningWork;
+use crate::kernel::ask::WorkReport;
+use crate::kernel::configuration::ConfigVersion;
+use crate::kernel::configuration::Configuration;
+use crate::kernel::name::DatacenterName;
+use crate::kernel::name::HostName;
+use crate::kernel::name::RequestId;
+use crate::kernel::name::ServiceName;
+
+/// A message from one host to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum LinkMessage {
+    /// The sender is alive.
+    Heartbeat(Heartbeat),
+    /// The sender's entry asks the receiver's broker for a slot.
+    Ask(Box<Ask>),
+    /// The sender's entry no longer wants a slot.
+    Withdraw {
+        /// The service of the cell.
+        service: ServiceName,
+        /// The request.
+        request: RequestId,
+    },
+    /// The sender's broker grants a slot.
+    Grant(Grant),
+    /// The sender's broker refuses a request.
+    Refuse(Refusal),
+    /// The sender's broker names another broker that can finish the request in time.
+    Refer(Referral),
+    /// The sender's entry reports about a grant.
+    Report {
+        /// The service of the cell.
+        service: ServiceName,
+        /// The report.
+        report: WorkReport,
+    },
+    /// The sender's entry declares what it runs in a cell whose broker changed.
+    Declare {
+        /// The service of the cell.
+        service: ServiceName,
+        /// All of the sender's running work in the cell.
+        running: Vec<RunningWork>,
+    },
+    /// The sender's broker describes the room in its cell to brokers of other data centres.
+    Summary(CellSummary),
+    /// A configuration version, pushed or asked for.
+    Configuration(Box<Configuration>),
+    /// The sender wants configurations newer than the version.
+    ConfigurationWanted(ConfigVersion),
+    /// The sender's data centre has every live host at the version.
+    ConfigurationConfirmed {
+        /// The data centre for which the sender speaks.
+        datacenter: DatacenterName,
+        /// The version that is in force there.
+        version: ConfigVersion,
+    },
+    /// A request crashed a worker.
+    Strike {
+        /// The digest of the request's content.
+        digest: u64,
+        /// How many crashes the sender knows of.
+        strikes: u8,
+    },
+    /// The sender runs an operator's query and wants the receiver's rows.
+    Query {
+        /// The number by which the answer names the query.
+        number: u64,
+        /// The query, in the operators' language.
+        text: String,
+    },
+    /// The rows of the sender for a query.
+    QueryAnswer {
+        /// The number of the query.
+        number: u64,
+        /// The rows, as JSON.
+        rows: String,
+    },
+}
+
+/// The sign of life of a host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// The data centre of the sender.
+    pub datacenter: DatacenterName,
+    /// The random number that the sender drew when it started.
+    pub incarnation: u64,
+    /// The configuration version in force on the sender.
+    pub applied: ConfigVersion,
+    /// The highest configuration version that the sender knows to exist.
+    pub known: ConfigVersion,
+    /// Whether the sender is stopping and must get no broker role.
+    pub stopping: bool,
+}
+
+/// The broker of another data centre that has room for a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Referral {
+    /// The request that is referred.
+    pub request: RequestId,
+    /// The data centre of the other broker.
+    pub datacenter: DatacenterName,
+    /// The host of the other broker.
+    pub host: HostName,
+}
+
+/// The room in a cell, as its broker tells brokers of other data centres.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CellSummary {
+    /// The service of the cell.
+    pub service: ServiceName,
+    /// The data centre of the cell.
+    pub datacenter: DatacenterName,
+    /// The slots that are free now.
+    pub free_slots: u32,
+    /// The requests that wait, by tier rank.
+    pub waiting: Vec<u32>,
+}
--- /dev/null
+++ b/standin/src/control.rs
@@ -0,0 +1,1 @@
+//! Faults that tests switch on at run time, and the log of received requests.
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,1 @@
+//! A model engine behind its HTTP interface.
--- /dev/null
+++ b/standin/src/experiment.rs
@@ -0,0 +1,1 @@
+//! Policies against engine models under virtual time.
--- /dev/null
+++ b/standin/src/hosts.rs
@@ -0,0 +1,1 @@
+//! The platform's lagging list of upstream hosts.
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the systems that borageladder serves and uses, for tests and trials.
+
+pub mod control;
+pub mod engine;
+pub mod experiment;
+pub mod hosts;
+pub mod load;
+pub mod model;
+pub mod plain;
+pub mod platform;
+pub mod trace;
--- /dev/null
+++ b/standin/src/load.rs
@@ -0,0 +1,1 @@
+//! A load tool that measures goodput by tier.
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of the stand-ins.
+
+fn main() {}
--- /dev/null
+++ b/standin/src/plain.rs
@@ -0,0 +1,1 @@
+//! A plain service that must not run a call twice.
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,1 @@
+//! The platform: a transactional table and an object store.
--- /dev/null
+++ b/standin/src/trace.rs
@@ -0,0 +1,1 @@
+//! Request traces shaped like the two deployments, made from a seed.
