--- a/src/keeper.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The configuration in force on this host, and how newer versions reach it.
--- /dev/null
+++ b/src/keeper/change.rs
@@ -0,0 +1,210 @@
+//! The write of one change, from the version before to the row in the table.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::audit::AuditRecord;
+use super::audit::StoredConfiguration;
+use super::audit::changed_parts;
+use super::error::ChangeError;
+use super::store::CURRENT_KEY;
+use super::store::ConfigurationStore;
+use super::store::StoreError;
+use super::store::StoreRow;
+use super::store::VersionWrite;
+use super::store::WriteOutcome;
+use super::store::audit_key;
+use crate::kernel::configuration::ConfigVersion;
+use crate::kernel::configuration::Configuration;
+use crate::kernel::name::OperatorName;
+
+/// The most attempts to find out how a write ended whose answer was lost.
+const SETTLE_ATTEMPTS: u32 = 12;
+
+/// The time between two such attempts.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The longest configuration that is kept, in bytes of JSON.
+const MAX_CONFIGURATION_BYTES: usize = 4 << 20;
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeRequest {
+    /// The operator.
+    pub operator: OperatorName,
+    /// The command, as the operator gave it.
+    pub text: String,
+    /// The version to which the change must apply, if the operator named one.
+    pub expected: Option<ConfigVersion>,
+}
+
+/// A version that was written to the table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WrittenVersion {
+    /// The version before.
+    pub before: ConfigVersion,
+    /// The new configuration.
+    pub configuration: Configuration,
+}
+
+/// Reads the configuration in force and its row, if there is one.
+///
+/// # Errors
+///
+/// Returns an error if the table does not answer or the row can't be read.
+pub async fn read_current(
+    store: &dyn ConfigurationStore,
+) -> Result<(StoredConfiguration, Option<StoreRow>), StoreError> {
+    let Some(row) = store.row(CURRENT_KEY).await? else {
+        let empty = StoredConfiguration {
+            change: 0,
+            configuration: Configuration::default(),
+        };
+        return Ok((empty, None));
+    };
+    let stored = serde_json::from_str(&row.value);
+    let stored = stored.map_err(|error| StoreError::Protocol(error.to_string()))?;
+    Ok((stored, Some(row)))
+}
+
+/// Reads the audit record of a version, if the version exists.
+///
+/// # Errors
+///
+/// Returns an error if the table does not answer or the record can't be read.
+pub async fn read_audit(
+    store: &dyn ConfigurationStore,
+    version: ConfigVersion,
+) -> Result<Option<AuditRecord>, StoreError> {
+    let Some(row) = store.row(&audit_key(version.0)).await? else {
+        return Ok(None);
+    };
+    let record = serde_json::from_str(&row.value);
+    record.map_err(|error| StoreError::Protocol(error.to_string()))
+}
+
+/// Applies a change to the configuration in the table by compare-and-set.
+///
+/// # Errors
+///
+/// Returns an error if the change was not applied, or if it is unknown whether it was.
+pub async fn write_change(
+    store: &dyn ConfigurationStore,
+    request: &ChangeRequest,
+    at: u64,
+    apply: impl Fn(&Configuration) -> Result<Configuration, String>,
+) -> Result<WrittenVersion, ChangeError> {
+    let (stored, row) = read_current(store).await?;
+    let current = stored.configuration;
+    if request
+        .expected
+        .is_some_and(|expected| expected != current.version)
+    {
+        return Err(conflict(current.version, request));
+    }
+    let mut configuration = apply(&current).map_err(ChangeError::Rejected)?;
+    let version = ConfigVersion(current.version.0 + 1);
+    configuration.version = version;
+    let change = rand::random();
+    let audit = audit_record(&current, &configuration, request, at, change)?;
+    let stored = StoredConfiguration {
+        change,
+        configuration,
+    };
+    let write = VersionWrite {
+        expected: row.map(|row| row.revision),
+        current: encode(&stored)?,
+        audit_key: audit_key(version.0),
+        audit: encode(&audit)?,
+    };
+    commit(store, &write, version, change, request).await?;
+    Ok(WrittenVersion {
+        before: current.version,
+        configuration: stored.configuration,
+    })
+}
+
+/// Carries out a write; if its answer is lost, the same write is tried again, which takes effect
+/// at most once, and a conflict is settled by the change number in the audit record.
+async fn commit(
+    store: &dyn ConfigurationStore,
+    write: &VersionWrite,
+    version: ConfigVersion,
+    change: u64,
+    request: &ChangeRequest,
+) -> Result<(), ChangeError> {
+    let mut uncertain = false;
+    let mut attempt = 0;
+    loop {
+        let error = match store.write(write).await {
+            Ok(WriteOutcome::Committed) => return Ok(()),
+            Ok(WriteOutcome::Conflict) => match read_audit(store, version).await {
+                Ok(Some(record)) if record.change == change => return Ok(()),
+                Ok(_) => return Err(conflict(newest(store, version).await, request)),
+                Err(error) => {
+                    uncertain = true;
+                    error
+                }
+            },
+            Err(StoreError::Unreachable(reason)) if !uncertain => {
+                return Err(StoreError::Unreachable(reason).into());
+            }
+            Err(error) => {
+                uncertain = true;
+                error
+            }
+        };
+        attempt += 1;
+        if attempt == SETTLE_ATTEMPTS {
+            return Err(ChangeError::Unknown { version, error });
+        }
+        sleep(SETTLE_INTERVAL).await;
+    }
+}
+
+/// Returns the newest version, which is at least the given one.
+async fn newest(store: &dyn ConfigurationStore, version: ConfigVersion) -> ConfigVersion {
+    let current = read_current(store).await;
+    let current = current.map(|(stored, _)| stored.configuration.version);
+    current.unwrap_or(version).max(version)
+}
+
+fn conflict(newest: ConfigVersion, request: &ChangeRequest) -> ChangeError {
+    ChangeError::Conflict {
+        newest,
+        text: request.text.clone(),
+    }
+}
+
+fn audit_record(
+    before: &Configuration,
+    after: &Configuration,
+    request: &ChangeRequest,
+    at: u64,
+    change: u64,
+) -> Result<AuditRecord, ChangeError> {
+    let parts = changed_parts(before, after);
+    let parts = parts.map_err(|error| ChangeError::Encoding(error.to_string()))?;
+    Ok(AuditRecord {
+        version: after.version,
+        operator: request.operator.clone(),
+        at,
+        text: request.text.clone(),
+        before: parts.before,
+        after: parts.after,
+        change,
+    })
+}
+
+fn encode(value: &impl serde::Serialize) -> Result<String, ChangeError> {
+    let text = serde_json::to_string(value);
+    let text = text.map_err(|error| ChangeError::Encoding(error.to_string()))?;
+    if text.len() > MAX_CONFIGURATION_BYTES {
+        let length = text.len();
+        return Err(ChangeError::Encoding(format!(
+            "{length} bytes are too many"
+        )));
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/src/keeper/mod.rs
@@ -0,0 +1,368 @@
+//! The configuration in force on this host: learning, spreading and changing it.
+
+mod audit;
+mod change;
+mod error;
+mod store;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::kernel::clock::ClockTime;
+use crate::kernel::configuration::ConfigVersion;
+use crate::kernel::configuration::Configuration;
+use crate::kernel::name::DatacenterName;
+use crate::kernel::name::HostName;
+use crate::kernel::rollout::ChangeProgress;
+use crate::kernel::rollout::HostReport;
+use crate::kernel::rollout::Rollout;
+use crate::kernel::rollout::RolloutAction;
+use crate::kernel::rollout::RolloutTimes;
+use crate::link::LinkSet;
+use crate::member::ClockSource;
+use crate::member::MemberService;
+use crate::wire::Heartbeat;
+use crate::wire::LinkMessage;
+use change::WrittenVersion;
+use change::read_audit;
+use change::read_current;
+use change::write_change;
+
+pub use crate::kernel::rollout::RolloutLack;
+pub use audit::AuditRecord;
+pub use audit::ChangedParts;
+pub use audit::StoredConfiguration;
+pub use audit::changed_parts;
+pub use change::ChangeRequest;
+pub use error::ChangeError;
+pub use store::CURRENT_KEY;
+pub use store::ConfigurationStore;
+pub use store::StoreError;
+pub use store::StoreRow;
+pub use store::VersionWrite;
+pub use store::WriteOutcome;
+pub use store::audit_key;
+
+/// The time between two looks at the state of the rollout.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time between two looks for a newer version in the table.
+const TABLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How an operator's change ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeOutcome {
+    /// The version that the change made.
+    pub version: ConfigVersion,
+    /// The version before.
+    pub before: ConfigVersion,
+    /// How far the version has come.
+    pub state: ChangeState,
+}
+
+/// How far a change has come when the operator is answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ChangeState {
+    /// The version is in force wherever work is taken.
+    Accepted,
+    /// The version is in the table and will come into force, but was not yet confirmed everywhere.
+    Recorded {
+        /// The data centres and hosts that lack it; empty if only the wait for silent hosts is not
+        /// over.
+        lacking: Vec<RolloutLack>,
+    },
+}
+
+/// Holds the configuration in force.
+pub struct Keeper {
+    datacenter: DatacenterName,
+    links: Rc<LinkSet>,
+    members: Rc<MemberService>,
+    store: Rc<dyn ConfigurationStore>,
+    clock: ClockSource,
+    log: Logger,
+    rollout: RefCell<Rollout>,
+    current: watch::Sender<Arc<Configuration>>,
+    waiting: RefCell<BTreeMap<ConfigVersion, oneshot::Sender<ChangeProgress>>>,
+    fetching: RefCell<bool>,
+}
+
+impl fmt::Debug for Keeper {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Keeper")
+            .field("datacenter", &self.datacenter)
+            .field("version", &self.current.borrow().version)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Keeper {
+    /// Starts to learn the configuration from the table and from other hosts.
+    #[must_use]
+    pub fn start(
+        datacenter: DatacenterName,
+        links: Rc<LinkSet>,
+        members: Rc<MemberService>,
+        store: Rc<dyn ConfigurationStore>,
+        clock: ClockSource,
+        log: &Logger,
+    ) -> Rc<Self> {
+        let now = clock();
+        let rollout = Rollout::new(datacenter.clone(), RolloutTimes::default(), now);
+        let keeper = Rc::new(Self {
+            datacenter,
+            links,
+            members,
+            store,
+            clock,
+            log: log.clone(),
+            rollout: RefCell::new(rollout),
+            current: watch::Sender::new(Arc::new(Configuration::default())),
+            waiting: RefCell::default(),
+            fetching: RefCell::new(false),
+        });
+        let this = Rc::downgrade(&keeper);
+        let own = keeper.rollout.borrow().report(now);
+        keeper.members.set_report(Rc::new(move |now| {
+            let keeper = this.upgrade();
+            keeper.map_or(own, |keeper| keeper.rollout.borrow().report(now))
+        }));
+        actix_rt::spawn(Rc::clone(&keeper).run_ticks());
+        actix_rt::spawn(Rc::clone(&keeper).run_table());
+        keeper
+    }
+
+    /// Returns the configuration in force on this host.
+    #[must_use]
+    pub fn configuration(&self) -> Arc<Configuration> {
+        Arc::clone(&self.current.borrow())
+    }
+
+    /// Returns a receiver that sees each configuration that comes into force on this host.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Configuration>> {
+        self.current.subscribe()
+    }
+
+    /// Returns whether new work may be taken; to be asked right before each dispatch.
+    #[must_use]
+    pub fn may_take_work(&self, now: ClockTime) -> bool {
+        self.rollout.borrow().may_take_work(now)
+    }
+
+    /// Makes a change and waits until it is accepted, at most about seven seconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the change was not applied, or if it is unknown whether it was.
+    pub async fn change(
+        &self,
+        request: ChangeRequest,
+        apply: impl Fn(&Configuration) -> Result<Configuration, String>,
+    ) -> Result<ChangeOutcome, ChangeError> {
+        let written = write_change(self.store.as_ref(), &request, unix_millis(), apply).await?;
+        let WrittenVersion {
+            before,
+            configuration,
+        } = written;
+        let version = configuration.version;
+        info!(self.log, "configuration changed"; "version" => version.0,
+            "operator" => %request.operator, "text" => &request.text);
+        let (sender, progress) = oneshot::channel();
+        self.waiting.borrow_mut().insert(version, sender);
+        self.adopt(Arc::new(configuration));
+        let actions = self.rollout.borrow_mut().watch((self.clock)(), version);
+        self.perform(actions);
+        let progress = progress.await;
+        Ok(ChangeOutcome {
+            version,
+            before,
+            state: progress.map_or_else(|_closed| unwatched(), change_state),
+        })
+    }
+
+    /// Reads the newest audit records, newest first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the table does not answer.
+    pub async fn changes(&self, limit: usize) -> Result<Vec<AuditRecord>, StoreError> {
+        let store = self.store.as_ref();
+        let (stored, _) = read_current(store).await?;
+        let mut version = stored.configuration.version.0;
+        let mut records = Vec::new();
+        while version > 0 && records.len() < limit {
+            records.extend(read_audit(store, ConfigVersion(version)).await?);
+            version -= 1;
+        }
+        Ok(records)
+    }
+
+    /// Takes a message from another host; messages of other modules are ignored.
+    pub fn receive(&self, from: &HostName, message: &LinkMessage) {
+        match message {
+            LinkMessage::Heartbeat(heartbeat) => self.receive_heartbeat(from, heartbeat),
+            LinkMessage::Configuration(configuration) => self.adopt(Arc::clone(configuration)),
+            LinkMessage::ConfigurationWanted(version) => self.offer(from, *version),
+            _ => {}
+        }
+    }
+
+    fn receive_heartbeat(&self, from: &HostName, heartbeat: &Heartbeat) {
+        let report = HostReport {
+            datacenter: heartbeat.datacenter.clone(),
+            applied: heartbeat.applied,
+            known: heartbeat.known,
+            confirmed: heartbeat.confirmed,
+            fresh: heartbeat.fresh,
+            echo: heartbeat.echo,
+        };
+        let now = (self.clock)();
+        let actions = self.rollout.borrow_mut().heard(now, from, report);
+        self.perform(actions);
+    }
+
+    fn offer(&self, to: &HostName, version: ConfigVersion) {
+        let configuration = self.configuration();
+        if configuration.version > version {
+            // An answer that can't be queued is made up for when the other host asks again.
+            let _ = self
+                .links
+                .send(to, LinkMessage::Configuration(configuration));
+        }
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is.
+    fn adopt(&self, configuration: Arc<Configuration>) {
+        let now = (self.clock)();
+        let datacenters = |gone: bool| -> BTreeSet<DatacenterName> {
+            let datacenters = configuration.datacenters.iter();
+            let datacenters = datacenters.filter(|(_, spec)| spec.gone == gone);
+            datacenters.map(|(name, _)| name.clone()).collect()
+        };
+        let version = configuration.version;
+        let mut rollout = self.rollout.borrow_mut();
+        let (newer, actions) =
+            rollout.obtained(now, version, datacenters(false), datacenters(true));
+        drop(rollout);
+        if newer {
+            info!(self.log, "configuration in force"; "version" => version.0);
+            self.current.send_replace(configuration);
+        }
+        self.perform(actions);
+    }
+
+    fn perform(&self, actions: Vec<RolloutAction>) {
+        for action in actions {
+            match action {
+                RolloutAction::Announce => self.members.send_heartbeats(),
+                RolloutAction::FetchFrom(host) => {
+                    let applied = self.rollout.borrow().applied();
+                    // A lost question is asked again elsewhere.
+                    let _ = self
+                        .links
+                        .send(&host, LinkMessage::ConfigurationWanted(applied));
+                }
+                RolloutAction::FetchFromTable => *self.fetching.borrow_mut() = true,
+                RolloutAction::Report { version, progress } => {
+                    let waiting = self.waiting.borrow_mut().remove(&version);
+                    // The operator may have gone.
+                    let _ = waiting.map(|waiting| waiting.send(progress));
+                }
+            }
+        }
+    }
+
+    async fn run_ticks(self: Rc<Self>) {
+        loop {
+            self.tick();
+            sleep(TICK_INTERVAL).await;
+        }
+    }
+
+    fn tick(&self) {
+        let now = (self.clock)();
+        let alone = self.members.is_alone();
+        let mut rollout = self.rollout.borrow_mut();
+        rollout.set_alone(alone);
+        let actions = rollout.tick(now);
+        drop(rollout);
+        self.perform(actions);
+    }
+
+    async fn run_table(self: Rc<Self>) {
+        let mut looked = None;
+        loop {
+            let now = (self.clock)();
+            let due = looked.is_none_or(|looked| now.since(looked) >= TABLE_INTERVAL);
+            let fetching = self.fetching.take();
+            if fetching || (due && self.must_look(now)) {
+                looked = Some(now);
+                if let Err(error) = self.look(now, fetching).await {
+                    warn!(self.log, "table not read"; "error" => %error);
+                }
+            }
+            sleep(TICK_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether this host has to look into the table: one host of each data centre does,
+    /// and every host that no other keeps up to date.
+    fn must_look(&self, now: ClockTime) -> bool {
+        let alive = self.members.alive(&self.datacenter);
+        let first = alive.first() == Some(self.links.host());
+        first || !self.rollout.borrow().may_take_work(now + TABLE_INTERVAL)
+    }
+
+    async fn look(&self, asked: ClockTime, fetching: bool) -> Result<(), StoreError> {
+        let store = self.store.as_ref();
+        let known = self.rollout.borrow().known();
+        let next = ConfigVersion(known.0 + 1);
+        // A version comes with its audit record, which is much smaller.
+        let read_whole = fetching || known.0 == 0 || read_audit(store, next).await?.is_some();
+        let version = if read_whole {
+            let (stored, _) = read_current(store).await?;
+            let version = stored.configuration.version;
+            self.adopt(Arc::new(stored.configuration));
+            version
+        } else {
+            known
+        };
+        let now = (self.clock)();
+        let actions = self.rollout.borrow_mut().table_read(now, asked, version);
+        self.perform(actions);
+        Ok(())
+    }
+}
+
+fn change_state(progress: ChangeProgress) -> ChangeState {
+    match progress {
+        ChangeProgress::Accepted => ChangeState::Accepted,
+        ChangeProgress::Recorded { lacking } => ChangeState::Recorded { lacking },
+    }
+}
+
+fn unwatched() -> ChangeState {
+    ChangeState::Recorded {
+        lacking: Vec::new(),
+    }
+}
+
+fn unix_millis() -> u64 {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let millis = elapsed.unwrap_or(Duration::ZERO).as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
--- a/src/link.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Links between hosts: authentication, queues and reconnection.
--- /dev/null
+++ b/src/link/connection.rs
@@ -0,0 +1,174 @@
+//! One established link: it sends what is queued and hands over what arrives.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message;
+
+use super::error::LinkError;
+use super::handshake::LinkStream;
+use super::handshake::ProvenPeer;
+use super::queue::SendQueue;
+use crate::kernel::name::HostName;
+use crate::wire::CodecError;
+use crate::wire::FrameDecoder;
+use crate::wire::FrameEncoder;
+use crate::wire::LinkIncarnations;
+use crate::wire::LinkMessage;
+use crate::wire::MAX_FRAME_MESSAGES;
+
+/// The length from which a frame takes no further message, in bytes.
+const FULL_FRAME_BYTES: usize = 64 << 10;
+
+/// What a link needs to be found and used by its host.
+#[derive(Debug)]
+pub struct LinkHandle {
+    /// The other end.
+    pub peer: ProvenPeer,
+    /// The host that opened the connection.
+    pub dialer: HostName,
+    /// The messages that wait to be sent.
+    pub queue: SendQueue,
+    /// Wakes the link to close it.
+    pub close: Notify,
+}
+
+impl LinkHandle {
+    /// Creates the handle of a link to a proven peer.
+    pub fn new(peer: ProvenPeer, dialer: HostName) -> Self {
+        Self {
+            peer,
+            dialer,
+            queue: SendQueue::default(),
+            close: Notify::new(),
+        }
+    }
+
+    /// Returns the address at which the other end accepts links.
+    pub fn address(&self) -> SocketAddr {
+        self.peer.address
+    }
+}
+
+/// The time bounds of one link.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkTimes {
+    /// The time without anything to send after which an empty ping is sent.
+    pub ping_interval: Duration,
+    /// The time without anything received after which the link is closed.
+    pub silence_timeout: Duration,
+}
+
+/// Takes the messages that arrive.
+pub type MessageReceiver = Rc<dyn Fn(&HostName, LinkMessage)>;
+
+/// Runs an established link until it ends, and returns the reason.
+pub async fn run_link(
+    stream: LinkStream,
+    handle: &LinkHandle,
+    own_incarnation: u64,
+    times: LinkTimes,
+    receiver: &MessageReceiver,
+) -> LinkError {
+    let peer_incarnation = handle.peer.incarnation;
+    let encoder = FrameEncoder::new(LinkIncarnations {
+        sender: own_incarnation,
+        receiver: peer_incarnation,
+    });
+    let decoder = FrameDecoder::new(LinkIncarnations {
+        sender: peer_incarnation,
+        receiver: own_incarnation,
+    });
+    let (sink, stream) = stream.split();
+    tokio::select! {
+        error = send_all(sink, handle, encoder, times.ping_interval) => error,
+        error = receive_all(stream, handle, decoder, times.silence_timeout, receiver) => error,
+        () = handle.close.notified() => LinkError::Closed,
+    }
+}
+
+async fn send_all(
+    mut sink: SplitSink<LinkStream, Message>,
+    handle: &LinkHandle,
+    mut encoder: FrameEncoder,
+    ping_interval: Duration,
+) -> LinkError {
+    loop {
+        let filled = timeout(ping_interval, handle.queue.filled()).await;
+        let message = match filled {
+            Ok(()) => match next_frame(&handle.queue, &mut encoder) {
+                Ok(frame) => Message::binary(frame),
+                Err(error) => return error.into(),
+            },
+            Err(_) => Message::Ping(bytes::Bytes::new()),
+        };
+        if let Err(error) = sink.send(message).await {
+            return LinkError::Socket(error.to_string());
+        }
+    }
+}
+
+fn next_frame(queue: &SendQueue, encoder: &mut FrameEncoder) -> Result<Vec<u8>, CodecError> {
+    let mut frame = Vec::new();
+    for _ in 0..MAX_FRAME_MESSAGES {
+        if frame.len() >= FULL_FRAME_BYTES {
+            break;
+        }
+        let Some(message) = queue.pop() else {
+            break;
+        };
+        if matches!(message, LinkMessage::Configuration(_)) && !frame.is_empty() {
+            // A configuration may fill a frame, so it starts one.
+            queue.push_front(message);
+            break;
+        }
+        match encoder.encode(&message, &mut frame) {
+            Err(CodecError::MessageTooLong { .. }) if is_self_contained(&message) => {}
+            outcome => outcome?,
+        }
+    }
+    Ok(frame)
+}
+
+/// Returns whether a message that was not sent leaves the tables of the encoder as they were.
+fn is_self_contained(message: &LinkMessage) -> bool {
+    matches!(
+        message,
+        LinkMessage::Configuration(_) | LinkMessage::Query { .. } | LinkMessage::QueryAnswer { .. }
+    )
+}
+
+async fn receive_all(
+    mut stream: SplitStream<LinkStream>,
+    handle: &LinkHandle,
+    mut decoder: FrameDecoder,
+    silence_timeout: Duration,
+    receiver: &MessageReceiver,
+) -> LinkError {
+    loop {
+        let Ok(next) = timeout(silence_timeout, stream.next()).await else {
+            return LinkError::Silent;
+        };
+        let frame = match next {
+            Some(Ok(Message::Binary(frame))) => frame,
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => continue,
+            Some(Ok(_)) | None => return LinkError::Closed,
+            Some(Err(error)) => return LinkError::Socket(error.to_string()),
+        };
+        match decoder.decode(&frame) {
+            Ok(messages) => {
+                for message in messages {
+                    receiver(&handle.peer.host, message);
+                }
+            }
+            Err(error) => return error.into(),
+        }
+    }
+}
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,351 @@
+//! Links between hosts: authentication, queues and reconnection.
+//!
+//! A link is one WebSocket connection between two hosts. Both ends prove a shared key when it is
+//! opened. What waits to be sent goes into one frame, queues and frames are bounded, a link on
+//! which nothing arrives is closed, and a link that was dialed is opened again with backoff.
+
+mod connection;
+mod dial;
+mod error;
+mod handshake;
+mod queue;
+mod settings;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::rc::Weak;
+
+use slog::Logger;
+use slog::info;
+use slog::o;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::kernel::name::HostName;
+use crate::wire::LinkMessage;
+use crate::wire::MAX_MESSAGE_BYTES;
+use connection::LinkHandle;
+use connection::LinkTimes;
+use connection::run_link;
+use handshake::LinkEnd;
+use handshake::LinkStream;
+use handshake::ProvenPeer;
+use handshake::shake_hands;
+
+pub use connection::MessageReceiver;
+pub use error::HandshakeFault;
+pub use error::LinkError;
+pub use handshake::HANDSHAKE_TIMEOUT;
+pub use queue::MAX_QUEUED_MESSAGES;
+pub use queue::MAX_QUEUED_TEXT_BYTES;
+pub use settings::LinkSettings;
+pub use settings::PING_INTERVAL;
+pub use settings::SILENCE_TIMEOUT;
+pub use settings::SharedKey;
+
+/// The most connections whose handshake is not complete.
+const MAX_HANDSHAKES: usize = 16;
+
+/// The most links of one host.
+const MAX_LINKS: usize = 1_024;
+
+/// The room that a message's text leaves for its other fields, in bytes.
+const MAX_TEXT_BYTES: usize = MAX_MESSAGE_BYTES - 64;
+
+/// Called with the name of a host to which a link was established.
+pub type ConnectListener = Rc<dyn Fn(&HostName)>;
+
+/// All links of one host.
+pub struct LinkSet {
+    settings: LinkSettings,
+    address: SocketAddr,
+    log: Logger,
+    receiver: MessageReceiver,
+    links: RefCell<BTreeMap<HostName, Rc<LinkHandle>>>,
+    dialed: RefCell<BTreeSet<SocketAddr>>,
+    listeners: RefCell<Vec<ConnectListener>>,
+    own_messages: RefCell<VecDeque<LinkMessage>>,
+    handshakes: Cell<usize>,
+    stopped: watch::Sender<bool>,
+    this: Weak<Self>,
+}
+
+impl fmt::Debug for LinkSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LinkSet")
+            .field("host", &self.settings.host)
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl LinkSet {
+    /// Opens the listening socket and accepts links until [`LinkSet::stop`] is called.
+    ///
+    /// Must be called on a `LocalSet`, as every task of an `actix_rt` system is.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError::Listen`] if the address can't be listened at.
+    pub async fn start(
+        settings: LinkSettings,
+        log: &Logger,
+        receive: MessageReceiver,
+    ) -> Result<Rc<Self>, LinkError> {
+        let listener = TcpListener::bind(settings.listen).await;
+        let listener = listener.map_err(LinkError::Listen)?;
+        let local = listener.local_addr().map_err(LinkError::Listen)?;
+        let address = settings.advertise.unwrap_or(local);
+        let log = log.new(o!("host" => settings.host.to_string()));
+        let set = Rc::new_cyclic(|this| Self {
+            settings,
+            address,
+            log,
+            receiver: receive,
+            links: RefCell::default(),
+            dialed: RefCell::default(),
+            listeners: RefCell::default(),
+            own_messages: RefCell::default(),
+            handshakes: Cell::new(0),
+            stopped: watch::Sender::new(false),
+            this: Weak::clone(this),
+        });
+        actix_rt::spawn(Rc::clone(&set).accept_all(listener));
+        Ok(set)
+    }
+
+    /// Returns the name of this host.
+    #[must_use]
+    pub fn host(&self) -> &HostName {
+        &self.settings.host
+    }
+
+    /// Returns the incarnation of this process.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.settings.incarnation
+    }
+
+    /// Returns the address at which other hosts reach this one.
+    #[must_use]
+    pub fn own_address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Keeps a link to the host at an address, whose name the handshake tells.
+    ///
+    /// Calling it again for the same address does nothing.
+    pub fn dial(&self, address: SocketAddr) {
+        let own = address == self.address;
+        if own || self.is_stopped() || !self.dialed.borrow_mut().insert(address) {
+            return;
+        }
+        if let Some(set) = self.this.upgrade() {
+            actix_rt::spawn(dial::keep_dialing(set, address));
+        }
+    }
+
+    /// Stops dialing an address; a link that is up stays up.
+    pub fn forget(&self, address: SocketAddr) {
+        self.dialed.borrow_mut().remove(&address);
+    }
+
+    /// Queues a message to a host; a message to this host itself is delivered later.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no link to the host is up, its queue is full or the text of the message
+    /// is too long.
+    pub fn send(&self, to: &HostName, message: LinkMessage) -> Result<(), LinkError> {
+        let length = queue::text_bytes(&message);
+        if length > MAX_TEXT_BYTES {
+            return Err(LinkError::TooLong { length });
+        }
+        if *to == self.settings.host {
+            return self.send_to_self(message);
+        }
+        let links = self.links.borrow();
+        let Some(handle) = links.get(to) else {
+            return Err(LinkError::NotConnected(to.clone()));
+        };
+        let queued = handle.queue.push(message);
+        queued.map_err(|queue::QueueFull| LinkError::QueueFull(to.clone()))
+    }
+
+    /// Returns the hosts to which a link is up.
+    #[must_use]
+    pub fn connected(&self) -> Vec<HostName> {
+        self.links.borrow().keys().cloned().collect()
+    }
+
+    /// Returns whether a link to the host is up.
+    #[must_use]
+    pub fn is_connected(&self, host: &HostName) -> bool {
+        self.links.borrow().contains_key(host)
+    }
+
+    /// Returns the address at which a linked host accepts links.
+    #[must_use]
+    pub fn address(&self, host: &HostName) -> Option<SocketAddr> {
+        self.links.borrow().get(host).map(|link| link.address())
+    }
+
+    /// Returns the incarnation of a linked host.
+    #[must_use]
+    pub fn peer_incarnation(&self, host: &HostName) -> Option<u64> {
+        let links = self.links.borrow();
+        links.get(host).map(|link| link.peer.incarnation)
+    }
+
+    /// Registers a function that is called for each link that is established.
+    pub fn on_connect(&self, listener: ConnectListener) {
+        self.listeners.borrow_mut().push(listener);
+    }
+
+    /// Closes all links and the listening socket.
+    pub fn stop(&self) {
+        self.stopped.send_replace(true);
+        for handle in self.links.borrow().values() {
+            handle.close.notify_one();
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        *self.stopped.borrow()
+    }
+
+    async fn until_stopped(&self) {
+        let mut stopped = self.stopped.subscribe();
+        // The sender lives in this set, so waiting can't fail.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    }
+
+    fn send_to_self(&self, message: LinkMessage) -> Result<(), LinkError> {
+        let mut messages = self.own_messages.borrow_mut();
+        if messages.len() >= MAX_QUEUED_MESSAGES {
+            return Err(LinkError::QueueFull(self.settings.host.clone()));
+        }
+        messages.push_back(message);
+        if messages.len() == 1
+            && let Some(set) = self.this.upgrade()
+        {
+            actix_rt::spawn(async move { set.deliver_own() });
+        }
+        Ok(())
+    }
+
+    fn deliver_own(&self) {
+        // Messages that are sent during the delivery are left to the next one.
+        let messages = self.own_messages.take();
+        for message in messages {
+            (self.receiver)(&self.settings.host, message);
+        }
+    }
+
+    async fn accept_all(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.until_stopped() => return,
+            };
+            match accepted {
+                Ok((connection, _)) => self.admit(connection),
+                Err(error) => {
+                    warn!(self.log, "link not accepted"; "error" => %error);
+                    tokio::time::sleep(dial::MIN_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    fn admit(&self, connection: TcpStream) {
+        if self.handshakes.get() >= MAX_HANDSHAKES {
+            return;
+        }
+        let Some(set) = self.this.upgrade() else {
+            return;
+        };
+        self.handshakes.set(self.handshakes.get() + 1);
+        actix_rt::spawn(async move {
+            let outcome = set.greet(connection, LinkEnd::Listener).await;
+            set.handshakes.set(set.handshakes.get() - 1);
+            match outcome {
+                Ok((stream, peer)) => {
+                    let dialer = peer.host.clone();
+                    set.run(stream, peer, dialer).await;
+                }
+                Err(error) => warn!(set.log, "link refused"; "error" => %error),
+            }
+        });
+    }
+
+    async fn greet(
+        &self,
+        connection: TcpStream,
+        end: LinkEnd,
+    ) -> Result<(LinkStream, ProvenPeer), LinkError> {
+        tokio::select! {
+            outcome = shake_hands(connection, end, &self.settings, self.address) => outcome,
+            () = self.until_stopped() => Err(LinkError::Closed),
+        }
+    }
+
+    /// Runs a link whose handshake is complete until it ends.
+    async fn run(&self, stream: LinkStream, peer: ProvenPeer, dialer: HostName) {
+        let handle = Rc::new(LinkHandle::new(peer, dialer));
+        if self.is_stopped() || !self.register(&handle) {
+            return;
+        }
+        let host = handle.peer.host.clone();
+        info!(self.log, "link established"; "peer" => %host);
+        let listeners = self.listeners.borrow().clone();
+        for listener in listeners {
+            listener(&host);
+        }
+        let times = LinkTimes {
+            ping_interval: self.settings.ping_interval,
+            silence_timeout: self.settings.silence_timeout,
+        };
+        let incarnation = self.settings.incarnation;
+        let error = run_link(stream, &handle, incarnation, times, &self.receiver).await;
+        info!(self.log, "link closed"; "peer" => %host, "reason" => %error);
+        self.unregister(&handle);
+    }
+
+    /// Registers a link unless a better one to the same host is up.
+    ///
+    /// Of two links to the same process both ends keep the one dialed by the smaller name, and of
+    /// two with the same dialer the newer one.
+    fn register(&self, handle: &Rc<LinkHandle>) -> bool {
+        let mut links = self.links.borrow_mut();
+        let host = &handle.peer.host;
+        if links.len() >= MAX_LINKS && !links.contains_key(host) {
+            return false;
+        }
+        if let Some(other) = links.get(host) {
+            let same_process = other.peer.incarnation == handle.peer.incarnation;
+            if same_process && other.dialer < handle.dialer {
+                return false;
+            }
+            other.close.notify_one();
+        }
+        links.insert(host.clone(), Rc::clone(handle));
+        true
+    }
+
+    fn unregister(&self, handle: &Rc<LinkHandle>) {
+        let mut links = self.links.borrow_mut();
+        let host = &handle.peer.host;
+        if links.get(host).is_some_and(|link| Rc::ptr_eq(link, handle)) {
+            links.remove(host);
+        }
+    }
+}
--- a/src/member.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The other hosts: heartbeats, liveness and the choice of brokers.
--- /dev/null
+++ b/src/member/mod.rs
@@ -0,0 +1,323 @@
+//! Heartbeats between hosts and the choice of brokers.
+
+mod dialing;
+
+use std::cell::RefCell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::kernel::clock::ClockTime;
+use crate::kernel::configuration::ConfigVersion;
+use crate::kernel::membership::HEARTBEAT_INTERVAL;
+use crate::kernel::membership::LifeSign;
+use crate::kernel::membership::ListedMember;
+use crate::kernel::membership::Membership;
+use crate::kernel::name::DatacenterName;
+use crate::kernel::name::HostName;
+use crate::kernel::name::ServiceName;
+use crate::kernel::rollout::OwnReport;
+use crate::link::LinkSet;
+use crate::wire::Heartbeat;
+use crate::wire::LinkMessage;
+use crate::wire::MemberEntry;
+use crate::wire::MemberList;
+use dialing::PeerDialer;
+
+pub use crate::kernel::membership::MemberChange;
+
+/// The time between two repetitions of the list of members to every linked host.
+const LIST_INTERVAL: Duration = Duration::from_mins(1);
+
+/// Reads the monotonic clock of the process.
+pub type ClockSource = Rc<dyn Fn() -> ClockTime>;
+
+/// Returns the versions that heartbeats have to report.
+pub type ReportSource = Rc<dyn Fn(ClockTime) -> OwnReport>;
+
+/// Called for each change of the live hosts.
+pub type ChangeListener = Rc<dyn Fn(MemberChange)>;
+
+/// The settings of the membership of one host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberSettings {
+    /// The data centre of this host.
+    pub datacenter: DatacenterName,
+    /// The addresses of the hosts to link to first.
+    pub first_peers: Vec<SocketAddr>,
+}
+
+/// Knows the live hosts, tells them that this one is alive and links to them.
+pub struct MemberService {
+    settings: MemberSettings,
+    links: Rc<LinkSet>,
+    clock: ClockSource,
+    membership: RefCell<Membership>,
+    dialer: RefCell<PeerDialer>,
+    report: RefCell<Option<ReportSource>>,
+    listeners: RefCell<Vec<ChangeListener>>,
+}
+
+impl fmt::Debug for MemberService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MemberService")
+            .field("settings", &self.settings)
+            .field("membership", &self.membership)
+            .finish_non_exhaustive()
+    }
+}
+
+impl MemberService {
+    /// Dials the first peers and sends heartbeats from now on.
+    #[must_use]
+    pub fn start(settings: MemberSettings, links: Rc<LinkSet>, clock: ClockSource) -> Rc<Self> {
+        let host = links.host().clone();
+        let dialer = PeerDialer::new(&settings, links.own_address());
+        let service = Rc::new(Self {
+            membership: RefCell::new(Membership::new(host, settings.datacenter.clone())),
+            dialer: RefCell::new(dialer),
+            settings,
+            links,
+            clock,
+            report: RefCell::default(),
+            listeners: RefCell::default(),
+        });
+        for address in &service.settings.first_peers {
+            service.links.dial(*address);
+        }
+        let this = Rc::downgrade(&service);
+        service.links.on_connect(Rc::new(move |host| {
+            if let Some(service) = this.upgrade() {
+                service.send_heartbeat(host);
+                service.send_lists(host);
+            }
+        }));
+        actix_rt::spawn(Rc::clone(&service).run());
+        service
+    }
+
+    /// Sets the source of the versions that heartbeats report.
+    pub fn set_report(&self, report: ReportSource) {
+        *self.report.borrow_mut() = Some(report);
+    }
+
+    /// Registers a function that is called for each change of the live hosts.
+    pub fn on_change(&self, listener: ChangeListener) {
+        self.listeners.borrow_mut().push(listener);
+    }
+
+    /// Returns the broker of the cell of a service in a data centre.
+    #[must_use]
+    pub fn broker(&self, service: &ServiceName, datacenter: &DatacenterName) -> Option<HostName> {
+        let membership = self.membership.borrow();
+        membership.broker(service, datacenter).cloned()
+    }
+
+    /// Returns the live hosts of a data centre, this one included.
+    #[must_use]
+    pub fn alive(&self, datacenter: &DatacenterName) -> Vec<HostName> {
+        self.membership.borrow().alive(datacenter)
+    }
+
+    /// Returns all live hosts, this one included.
+    #[must_use]
+    pub fn all_alive(&self) -> Vec<HostName> {
+        self.membership.borrow().all_alive()
+    }
+
+    /// Returns the data centre of a live host.
+    #[must_use]
+    pub fn datacenter(&self, host: &HostName) -> Option<DatacenterName> {
+        self.membership.borrow().datacenter(host).cloned()
+    }
+
+    /// Returns whether this host is the only one that was ever known in its data centre, and every
+    /// first peer turned out to be elsewhere.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.dialer.borrow().is_alone()
+    }
+
+    /// Sets whether this host is stopping, which gives up its broker roles.
+    pub fn set_stopping(&self, stopping: bool) {
+        self.membership.borrow_mut().set_stopping(stopping);
+        self.send_heartbeats();
+        self.send_all_lists();
+    }
+
+    /// Sends a heartbeat to every linked host now.
+    pub fn send_heartbeats(&self) {
+        for host in self.links.connected() {
+            self.send_heartbeat(&host);
+        }
+    }
+
+    /// Takes a message from another host; messages of other modules are ignored.
+    pub fn receive(&self, from: &HostName, message: &LinkMessage) {
+        match message {
+            LinkMessage::Heartbeat(heartbeat) => self.receive_heartbeat(from, heartbeat),
+            LinkMessage::Members(list) => self.receive_list(from, list),
+            _ => {}
+        }
+    }
+
+    async fn run(self: Rc<Self>) {
+        let mut listed = (self.clock)();
+        loop {
+            sleep(HEARTBEAT_INTERVAL).await;
+            let now = (self.clock)();
+            let changes = self.membership.borrow_mut().tick(now);
+            self.apply(changes);
+            self.send_heartbeats();
+            self.maintain_links(now);
+            if now.since(listed) >= LIST_INTERVAL {
+                listed = now;
+                self.send_all_lists();
+            }
+        }
+    }
+
+    fn receive_heartbeat(&self, from: &HostName, heartbeat: &Heartbeat) {
+        let Some(address) = self.links.address(from) else {
+            return;
+        };
+        let sign = LifeSign {
+            datacenter: heartbeat.datacenter.clone(),
+            incarnation: heartbeat.incarnation,
+            stopping: heartbeat.stopping,
+            address,
+            sent: heartbeat.sent,
+        };
+        let now = (self.clock)();
+        let mut dialer = self.dialer.borrow_mut();
+        dialer.note(&heartbeat.datacenter, from, address);
+        drop(dialer);
+        let changes = self.membership.borrow_mut().heard(now, from, sign);
+        self.apply(changes);
+    }
+
+    fn receive_list(&self, from: &HostName, list: &MemberList) {
+        let now = (self.clock)();
+        let mut dialer = self.dialer.borrow_mut();
+        for entry in list
+            .members
+            .iter()
+            .filter(|entry| entry.host != *self.links.host())
+        {
+            dialer.note(&list.datacenter, &entry.host, entry.address);
+        }
+        drop(dialer);
+        let membership = self.membership.borrow();
+        let own_list = membership.datacenter(from) == Some(&list.datacenter);
+        drop(membership);
+        if own_list && list.datacenter != self.settings.datacenter {
+            let members = list.members.iter().map(listed_member).collect();
+            let mut membership = self.membership.borrow_mut();
+            let changes = membership.listed(now, from, members);
+            drop(membership);
+            self.apply(changes);
+        }
+        self.maintain_links(now);
+    }
+
+    fn apply(&self, changes: Vec<MemberChange>) {
+        if changes.is_empty() {
+            return;
+        }
+        self.send_all_lists();
+        let listeners = self.listeners.borrow().clone();
+        for change in changes {
+            for listener in &listeners {
+                listener(change.clone());
+            }
+        }
+    }
+
+    fn maintain_links(&self, now: ClockTime) {
+        let membership = self.membership.borrow();
+        let mut dialer = self.dialer.borrow_mut();
+        dialer.maintain(now, &self.links, &membership);
+    }
+
+    fn send_heartbeat(&self, host: &HostName) {
+        let Some(incarnation) = self.links.peer_incarnation(host) else {
+            return;
+        };
+        let now = (self.clock)();
+        let report = self.report.borrow().clone();
+        let report = report.map_or_else(unknown_report, |report| report(now));
+        let membership = self.membership.borrow();
+        let heartbeat = Heartbeat {
+            datacenter: self.settings.datacenter.clone(),
+            incarnation: self.links.incarnation(),
+            applied: report.applied,
+            known: report.known,
+            confirmed: report.confirmed,
+            fresh: report.fresh,
+            stopping: membership.is_stopping(),
+            // The wire carries whole milliseconds.
+            sent: ClockTime::from_millis(now.as_micros() / 1_000),
+            echo: membership.last_sent(host, incarnation),
+        };
+        // A heartbeat that can't be queued is made up for by the next one.
+        let _ = self.links.send(host, LinkMessage::Heartbeat(heartbeat));
+    }
+
+    fn send_all_lists(&self) {
+        for host in self.links.connected() {
+            self.send_lists(&host);
+        }
+    }
+
+    fn send_lists(&self, host: &HostName) {
+        let own = self.own_list();
+        let hints = self.dialer.borrow().hints(&self.membership.borrow());
+        for list in std::iter::once(own).chain(hints) {
+            // A list that can't be queued is made up for by the next one.
+            let _ = self.links.send(host, LinkMessage::Members(list));
+        }
+    }
+
+    fn own_list(&self) -> MemberList {
+        let membership = self.membership.borrow();
+        let others = membership.others().iter();
+        let others = others.filter(|(_, live)| live.datacenter == self.settings.datacenter);
+        let others = others.map(|(host, live)| MemberEntry {
+            host: host.clone(),
+            address: live.address,
+            incarnation: live.incarnation,
+            stopping: live.stopping,
+        });
+        let own = MemberEntry {
+            host: self.links.host().clone(),
+            address: self.links.own_address(),
+            incarnation: self.links.incarnation(),
+            stopping: membership.is_stopping(),
+        };
+        MemberList {
+            datacenter: self.settings.datacenter.clone(),
+            members: others.chain(std::iter::once(own)).collect(),
+        }
+    }
+}
+
+fn listed_member(entry: &MemberEntry) -> ListedMember {
+    ListedMember {
+        host: entry.host.clone(),
+        incarnation: entry.incarnation,
+        stopping: entry.stopping,
+        address: entry.address,
+    }
+}
+
+fn unknown_report() -> OwnReport {
+    OwnReport {
+        applied: ConfigVersion(0),
+        known: ConfigVersion(0),
+        confirmed: ConfigVersion(0),
+        fresh: false,
+    }
+}
--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,213 @@
+//! Encoder and decoder of the frames of one link.
+//!
+//! A frame is a sequence of CBOR items, two for each message: its kind and its row of fields.
+//! Durations are sent in whole milliseconds, token gaps in whole microseconds.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::LinkMessage;
+use super::error::CodecError;
+use super::state::CodeState;
+use super::state::LinkIncarnations;
+
+/// The longest frame, in bytes; only a configuration may need that much.
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
+
+/// The longest message other than a configuration, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 256 << 10;
+
+/// The most messages in one frame.
+pub const MAX_FRAME_MESSAGES: usize = 1024;
+
+const HEARTBEAT: u8 = 0;
+const ASK: u8 = 1;
+const WITHDRAW: u8 = 2;
+const GRANT: u8 = 3;
+const REFUSE: u8 = 4;
+const REFER: u8 = 5;
+const REPORT: u8 = 6;
+const DECLARE: u8 = 7;
+const SUMMARY: u8 = 8;
+const CONFIGURATION: u8 = 9;
+const CONFIGURATION_WANTED: u8 = 10;
+const STRIKE: u8 = 11;
+const QUERY: u8 = 12;
+const QUERY_ANSWER: u8 = 13;
+const MEMBERS: u8 = 14;
+
+fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
+    frame.push(kind);
+    ciborium::into_writer(row, frame).map_err(|error| CodecError::Cbor(error.to_string()))
+}
+
+fn read<T: DeserializeOwned>(rest: &mut &[u8], limit: usize) -> Result<T, CodecError> {
+    let length = rest.len().min(limit);
+    let mut bytes = &rest[..length];
+    let value = ciborium::from_reader(&mut bytes);
+    let value = value.map_err(|error| CodecError::Cbor(error.to_string()))?;
+    *rest = &rest[length - bytes.len()..];
+    Ok(value)
+}
+
+/// Encodes the messages that one end of a link sends.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder::kernel::configuration::ConfigVersion;
+/// use borageladder::wire::FrameDecoder;
+/// use borageladder::wire::FrameEncoder;
+/// use borageladder::wire::LinkIncarnations;
+/// use borageladder::wire::LinkMessage;
+///
+/// let incarnations = LinkIncarnations { sender: 1, receiver: 2 };
+/// let message = LinkMessage::ConfigurationWanted(ConfigVersion(7));
+/// let mut frame = Vec::new();
+/// FrameEncoder::new(incarnations).encode(&message, &mut frame)?;
+/// assert_eq!(FrameDecoder::new(incarnations).decode(&frame)?, [message]);
+/// # Ok::<(), borageladder::wire::CodecError>(())
+/// ```
+#[derive(Debug)]
+pub struct FrameEncoder(CodeState);
+
+impl FrameEncoder {
+    /// Creates the encoder of a new link.
+    #[must_use]
+    pub fn new(incarnations: LinkIncarnations) -> Self {
+        Self(CodeState::new(incarnations))
+    }
+
+    /// Appends a message to a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::MessageTooLong`] and leaves the frame as it was if a configuration or
+    /// a query is too long. After any other error the link must be closed.
+    pub fn encode(&mut self, message: &LinkMessage, frame: &mut Vec<u8>) -> Result<(), CodecError> {
+        let start = frame.len();
+        self.append(message, frame)?;
+        let length = frame.len() - start;
+        let limit = match message {
+            LinkMessage::Configuration(_) => MAX_FRAME_BYTES,
+            _ => MAX_MESSAGE_BYTES,
+        };
+        if length > limit {
+            frame.truncate(start);
+            return Err(CodecError::MessageTooLong { length });
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, message: &LinkMessage, frame: &mut Vec<u8>) -> Result<(), CodecError> {
+        let state = &mut self.0;
+        match message {
+            LinkMessage::Heartbeat(beat) => write(frame, HEARTBEAT, &state.encode_heartbeat(beat)),
+            LinkMessage::Members(list) => write(frame, MEMBERS, &state.encode_members(list)),
+            LinkMessage::Ask(ask) => write(frame, ASK, &state.encode_ask(ask)),
+            LinkMessage::Withdraw { service, request } => {
+                let row = state.encode_withdrawal(service, *request);
+                write(frame, WITHDRAW, &row)
+            }
+            LinkMessage::Grant(grant) => write(frame, GRANT, &state.encode_permission(grant)),
+            LinkMessage::Refuse(refusal) => write(frame, REFUSE, &state.encode_refusal(refusal)),
+            LinkMessage::Refer(referral) => write(frame, REFER, &state.encode_referral(referral)),
+            LinkMessage::Report { service, report } => {
+                write(frame, REPORT, &state.encode_report(service, report))
+            }
+            LinkMessage::Declare { service, running } => {
+                write(frame, DECLARE, &state.encode_declaration(service, running))
+            }
+            LinkMessage::Summary(summary) => write(frame, SUMMARY, &state.encode_summary(summary)),
+            LinkMessage::Configuration(configuration) => {
+                write(frame, CONFIGURATION, configuration.as_ref())
+            }
+            LinkMessage::ConfigurationWanted(version) => {
+                write(frame, CONFIGURATION_WANTED, version)
+            }
+            LinkMessage::Strike { digest, strikes } => write(frame, STRIKE, &(digest, strikes)),
+            LinkMessage::Query { number, text } => write(frame, QUERY, &(number, text)),
+            LinkMessage::QueryAnswer { number, rows } => {
+                write(frame, QUERY_ANSWER, &(number, rows))
+            }
+        }
+    }
+}
+
+/// Decodes the messages that one end of a link receives.
+#[derive(Debug)]
+pub struct FrameDecoder(CodeState);
+
+impl FrameDecoder {
+    /// Creates the decoder of a new link; the incarnations are those of its encoder.
+    #[must_use]
+    pub fn new(incarnations: LinkIncarnations) -> Self {
+        Self(CodeState::new(incarnations))
+    }
+
+    /// Decodes all messages of a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the frame is too long or is not a sequence of valid messages; then the
+    /// link must be closed.
+    pub fn decode(&mut self, frame: &[u8]) -> Result<Vec<LinkMessage>, CodecError> {
+        if frame.len() > MAX_FRAME_BYTES {
+            let length = frame.len();
+            return Err(CodecError::FrameTooLong { length });
+        }
+        let mut rest = frame;
+        let mut messages = Vec::new();
+        while let Some((kind, row)) = rest.split_first() {
+            if messages.len() == MAX_FRAME_MESSAGES {
+                return Err(CodecError::TooManyMessages);
+            }
+            rest = row;
+            messages.push(self.message(*kind, &mut rest)?);
+        }
+        Ok(messages)
+    }
+
+    fn message(&mut self, kind: u8, rest: &mut &[u8]) -> Result<LinkMessage, CodecError> {
+        let state = &mut self.0;
+        let limit = MAX_MESSAGE_BYTES;
+        Ok(match kind {
+            HEARTBEAT => LinkMessage::Heartbeat(state.decode_heartbeat(read(rest, limit)?)?),
+            MEMBERS => LinkMessage::Members(state.decode_members(read(rest, limit)?)?),
+            ASK => LinkMessage::Ask(Box::new(state.decode_ask(read(rest, limit)?)?)),
+            WITHDRAW => {
+                let (service, request) = state.decode_withdrawal(read(rest, limit)?)?;
+                LinkMessage::Withdraw { service, request }
+            }
+            GRANT => LinkMessage::Grant(state.decode_permission(read(rest, limit)?)?),
+            REFUSE => LinkMessage::Refuse(state.decode_refusal(&read(rest, limit)?)?),
+            REFER => LinkMessage::Refer(state.decode_referral(read(rest, limit)?)?),
+            REPORT => {
+                let (service, report) = state.decode_report(read(rest, limit)?)?;
+                LinkMessage::Report { service, report }
+            }
+            DECLARE => {
+                let (service, running) = state.decode_declaration(read(rest, limit)?)?;
+                LinkMessage::Declare { service, running }
+            }
+            SUMMARY => LinkMessage::Summary(state.decode_summary(read(rest, limit)?)?),
+            CONFIGURATION => LinkMessage::Configuration(Arc::new(read(rest, MAX_FRAME_BYTES)?)),
+            CONFIGURATION_WANTED => LinkMessage::ConfigurationWanted(read(rest, limit)?),
+            STRIKE => {
+                let (digest, strikes) = read(rest, limit)?;
+                LinkMessage::Strike { digest, strikes }
+            }
+            QUERY => {
+                let (number, text) = read(rest, limit)?;
+                LinkMessage::Query { number, text }
+            }
+            QUERY_ANSWER => {
+                let (number, rows) = read(rest, limit)?;
+                LinkMessage::QueryAnswer { number, rows }
+            }
+            _ => return Err(CodecError::Kind { kind }),
+        })
+    }
+}
--- /dev/null
+++ b/src/wire/host.rs
@@ -0,0 +1,97 @@
+//! Rows of the messages about hosts and their versions.
+
+use std::net::SocketAddr;
+
+use super::Heartbeat;
+use super::MemberEntry;
+use super::MemberList;
+use super::code::NameCode;
+use super::error::CodecError;
+use super::state::CodeState;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::configuration::ConfigVersion;
+
+const FRESH_FLAG: u8 = 1;
+const STOPPING_FLAG: u8 = 2;
+
+/// Data centre, flags, known version, versions behind it (applied, confirmed), time sent, echo.
+pub type HeartbeatRow = (NameCode, u8, i64, u64, u64, i64, Option<i64>);
+
+/// Host, address, incarnation, whether it is stopping.
+pub type EntryRow = (NameCode, SocketAddr, u64, bool);
+
+/// Data centre, hosts.
+pub type ListRow = (NameCode, Vec<EntryRow>);
+
+fn whole_millis(time: ClockTime) -> u64 {
+    time.as_micros() / 1_000
+}
+
+impl CodeState {
+    /// Returns the row of a heartbeat.
+    pub fn encode_heartbeat(&mut self, heartbeat: &Heartbeat) -> HeartbeatRow {
+        let fresh = if heartbeat.fresh { FRESH_FLAG } else { 0 };
+        let stopping = if heartbeat.stopping { STOPPING_FLAG } else { 0 };
+        let known = heartbeat.known.0;
+        (
+            self.names.encode(heartbeat.datacenter.as_str()),
+            fresh | stopping,
+            self.versions.encode(known),
+            known.wrapping_sub(heartbeat.applied.0),
+            known.wrapping_sub(heartbeat.confirmed.0),
+            self.sent.encode(whole_millis(heartbeat.sent)),
+            heartbeat
+                .echo
+                .map(|echo| self.echoes.encode(whole_millis(echo))),
+        )
+    }
+
+    /// Returns the heartbeat of a row.
+    pub fn decode_heartbeat(&mut self, row: HeartbeatRow) -> Result<Heartbeat, CodecError> {
+        let (datacenter, flags, known, applied, confirmed, sent, echo) = row;
+        let datacenter = self.names.decode(datacenter)?;
+        let known = self.versions.decode(known);
+        let sent = ClockTime::from_millis(self.sent.decode(sent));
+        let echo = echo.map(|echo| ClockTime::from_millis(self.echoes.decode(echo)));
+        Ok(Heartbeat {
+            datacenter,
+            incarnation: self.incarnations.sender,
+            applied: ConfigVersion(known.wrapping_sub(applied)),
+            known: ConfigVersion(known),
+            confirmed: ConfigVersion(known.wrapping_sub(confirmed)),
+            fresh: flags & FRESH_FLAG != 0,
+            stopping: flags & STOPPING_FLAG != 0,
+            sent,
+            echo,
+        })
+    }
+
+    /// Returns the row of a list of members.
+    pub fn encode_members(&mut self, list: &MemberList) -> ListRow {
+        let datacenter = self.names.encode(list.datacenter.as_str());
+        let members = list.members.iter().map(|entry| {
+            let host = self.names.encode(entry.host.as_str());
+            (host, entry.address, entry.incarnation, entry.stopping)
+        });
+        (datacenter, members.collect())
+    }
+
+    /// Returns the list of members of a row.
+    pub fn decode_members(&mut self, row: ListRow) -> Result<MemberList, CodecError> {
+        let (datacenter, entries) = row;
+        let datacenter = self.names.decode(datacenter)?;
+        let mut members = Vec::new();
+        for (host, address, incarnation, stopping) in entries {
+            members.push(MemberEntry {
+                host: self.names.decode(host)?,
+                address,
+                incarnation,
+                stopping,
+            });
+        }
+        Ok(MemberList {
+            datacenter,
+            members,
+        })
+    }
+}
--- a/src/wire.rs
+++ b/src/wire/mod.rs
@@ -1,4 +1,14 @@
-//! The messages that hosts send each other over links.
+//! The messages that hosts send each other over links, and their encoding.
+
+mod code;
+mod codec;
+mod error;
+mod host;
+mod state;
+mod work;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -8,6 +18,7 @@
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RunningWork;
 use crate::kernel::ask::WorkReport;
+use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::name::DatacenterName;
@@ -15,11 +26,21 @@
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 
+pub use codec::FrameDecoder;
+pub use codec::FrameEncoder;
+pub use codec::MAX_FRAME_BYTES;
+pub use codec::MAX_FRAME_MESSAGES;
+pub use codec::MAX_MESSAGE_BYTES;
+pub use error::CodecError;
+pub use state::LinkIncarnations;
+
 /// A message from one host to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum LinkMessage {
     /// The sender is alive.
     Heartbeat(Heartbeat),
+    /// The live hosts of a data centre, as the sender knows them.
+    Members(MemberList),
     /// The sender's entry asks the receiver's broker for a slot.
     Ask(Box<Ask>),
     /// The sender's entry no longer wants a slot.
@@ -51,17 +72,10 @@
     },
     /// The sender's broker describes the room in its cell to brokers of other data centres.
     Summary(CellSummary),
-    /// A configuration version, pushed or asked for.
-    Configuration(Box<Configuration>),
-    /// The sender wants configurations newer than the version.
+    /// A whole configuration version, which the receiver asked for.
+    Configuration(Arc<Configuration>),
+    /// The sender wants a configuration newer than the version.
     ConfigurationWanted(ConfigVersion),
-    /// The sender's data centre has every live host at the version.
-    ConfigurationConfirmed {
-        /// The data centre for which the sender speaks.
-        datacenter: DatacenterName,
-        /// The version that is in force there.
-        version: ConfigVersion,
-    },
     /// A request crashed a worker.
     Strike {
         /// The digest of the request's content.
@@ -96,8 +110,38 @@
     pub applied: ConfigVersion,
     /// The highest configuration version that the sender knows to exist.
     pub known: ConfigVersion,
+    /// The highest version that every live host of the sender's data centre has applied.
+    pub confirmed: ConfigVersion,
+    /// Whether the sender knows that its versions are not outdated.
+    pub fresh: bool,
     /// Whether the sender is stopping and must get no broker role.
     pub stopping: bool,
+    /// The sender's clock when it sent this heartbeat, in whole milliseconds.
+    pub sent: ClockTime,
+    /// The receiver's own `sent` of the last heartbeat that the sender got from it.
+    pub echo: Option<ClockTime>,
+}
+
+/// The live hosts of one data centre.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberList {
+    /// The data centre.
+    pub datacenter: DatacenterName,
+    /// Its live hosts, or a few of them if the sender is elsewhere.
+    pub members: Vec<MemberEntry>,
+}
+
+/// One live host in a list of members.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberEntry {
+    /// The name of the host.
+    pub host: HostName,
+    /// The address at which it accepts links.
+    pub address: SocketAddr,
+    /// The random number that it drew when it started.
+    pub incarnation: u64,
+    /// Whether it is stopping and must get no broker role.
+    pub stopping: bool,
 }
 
 /// The broker of another data centre that has room for a request.
--- /dev/null
+++ b/src/wire/work.rs
@@ -0,0 +1,342 @@
+//! Rows of the messages about requests and cells.
+
+use std::time::Duration;
+
+use super::CellSummary;
+use super::Referral;
+use super::code::NameCode;
+use super::code::NumberCode;
+use super::error::CodecError;
+use super::state::CodeState;
+use super::state::GrantCode;
+use super::state::RequestCode;
+use super::state::RequestOwner;
+use super::state::micros;
+use super::state::millis;
+use crate::kernel::ask::Ask;
+use crate::kernel::ask::Grant;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RefusalReason;
+use crate::kernel::ask::RunningWork;
+use crate::kernel::ask::WorkProgress;
+use crate::kernel::ask::WorkReport;
+use crate::kernel::name::BlockDigest;
+use crate::kernel::name::RequestId;
+use crate::kernel::name::ServiceName;
+use crate::kernel::name::TierRank;
+
+/// Request, service, model, workspace, tier, budget in ms, prompt tokens, most answer tokens,
+/// prefix, whether it is a suspect.
+pub type AskRow = (
+    RequestCode,
+    NameCode,
+    Option<NameCode>,
+    NameCode,
+    u8,
+    u64,
+    u32,
+    u32,
+    Vec<NumberCode>,
+    bool,
+);
+
+/// Service, request.
+pub type WithdrawRow = (NameCode, RequestCode);
+
+/// Grant, request, worker, expiry in ms, choice.
+pub type GrantRow = (GrantCode, RequestCode, NameCode, u64, String);
+
+/// Request, reason, retry time in ms.
+pub type RefusalRow = (RequestCode, u8, u64);
+
+/// Request, data centre, host.
+pub type ReferralRow = (RequestCode, NameCode, NameCode);
+
+/// Service, request, grant, worker, kind of progress, its numbers.
+pub type ReportRow = (
+    NameCode,
+    RequestCode,
+    NumberCode,
+    i64,
+    NameCode,
+    u8,
+    u64,
+    u64,
+);
+
+/// Request, grant, worker, tier, prompt tokens.
+pub type RunningRow = (RequestCode, GrantCode, NameCode, u8, u32);
+
+/// Service, running work.
+pub type DeclareRow = (NameCode, Vec<RunningRow>);
+
+/// Service, data centre, free slots, waiting requests by tier.
+pub type SummaryRow = (NameCode, NameCode, u32, Vec<u32>);
+
+const REASONS: [RefusalReason; 7] = [
+    RefusalReason::Capacity,
+    RefusalReason::Deadline,
+    RefusalReason::Dropped,
+    RefusalReason::NoWorker,
+    RefusalReason::Platform,
+    RefusalReason::Quarantined,
+    RefusalReason::Stale,
+];
+
+fn encode_progress(progress: WorkProgress) -> (u8, u64, u64) {
+    match progress {
+        WorkProgress::Dispatched => (0, 0, 0),
+        WorkProgress::FirstToken { after } => (1, millis(after), 0),
+        WorkProgress::Finished {
+            answer_tokens,
+            token_gap,
+        } => (2, u64::from(answer_tokens), micros(token_gap)),
+        WorkProgress::Stopped => (3, 0, 0),
+        WorkProgress::Failed => (4, 0, 0),
+        WorkProgress::Released => (5, 0, 0),
+    }
+}
+
+fn decode_progress(kind: u8, first: u64, second: u64) -> Result<WorkProgress, CodecError> {
+    let error = CodecError::Field { field: "progress" };
+    match kind {
+        0 => Ok(WorkProgress::Dispatched),
+        1 => Ok(WorkProgress::FirstToken {
+            after: Duration::from_millis(first),
+        }),
+        2 => {
+            let Ok(answer_tokens) = u32::try_from(first) else {
+                return Err(error);
+            };
+            Ok(WorkProgress::Finished {
+                answer_tokens,
+                token_gap: Duration::from_micros(second),
+            })
+        }
+        3 => Ok(WorkProgress::Stopped),
+        4 => Ok(WorkProgress::Failed),
+        5 => Ok(WorkProgress::Released),
+        _ => Err(error),
+    }
+}
+
+impl CodeState {
+    /// Returns the row of an ask.
+    pub fn encode_ask(&mut self, ask: &Ask) -> AskRow {
+        let digests = &mut self.digests;
+        let prefix = ask.prefix.iter().map(|digest| digests.encode(digest.0));
+        let prefix = prefix.collect();
+        (
+            self.encode_request(ask.request, RequestOwner::Sender),
+            self.names.encode(ask.service.as_str()),
+            ask.model
+                .as_ref()
+                .map(|model| self.names.encode(model.as_str())),
+            self.names.encode(ask.workspace.as_str()),
+            ask.tier.0,
+            millis(ask.budget),
+            ask.prompt_tokens,
+            ask.max_answer_tokens,
+            prefix,
+            ask.suspect,
+        )
+    }
+
+    /// Returns the ask of a row.
+    pub fn decode_ask(&mut self, row: AskRow) -> Result<Ask, CodecError> {
+        let (request, service, model, workspace, tier, budget, prompt, answer, codes, suspect) =
+            row;
+        let mut prefix = Vec::new();
+        for code in &codes {
+            prefix.push(BlockDigest(self.digests.decode(code)?));
+        }
+        let request = self.decode_request(&request, RequestOwner::Sender);
+        let service = self.names.decode(service)?;
+        let model = match model {
+            Some(model) => Some(self.names.decode(model)?),
+            None => None,
+        };
+        Ok(Ask {
+            request,
+            service,
+            model,
+            workspace: self.names.decode(workspace)?,
+            tier: TierRank(tier),
+            budget: Duration::from_millis(budget),
+            prompt_tokens: prompt,
+            max_answer_tokens: answer,
+            prefix,
+            suspect,
+        })
+    }
+
+    /// Returns the row of a withdrawal.
+    pub fn encode_withdrawal(&mut self, service: &ServiceName, request: RequestId) -> WithdrawRow {
+        let service = self.names.encode(service.as_str());
+        (service, self.encode_request(request, RequestOwner::Sender))
+    }
+
+    /// Returns the service and the request of a withdrawal.
+    pub fn decode_withdrawal(
+        &mut self,
+        row: WithdrawRow,
+    ) -> Result<(ServiceName, RequestId), CodecError> {
+        let (service, request) = row;
+        let service = self.names.decode(service)?;
+        let request = self.decode_request(&request, RequestOwner::Sender);
+        Ok((service, request))
+    }
+
+    /// Returns the row of a grant.
+    pub fn encode_permission(&mut self, grant: &Grant) -> GrantRow {
+        (
+            self.encode_grant(grant.grant),
+            self.encode_request(grant.request, RequestOwner::Receiver),
+            self.names.encode(grant.worker.as_str()),
+            millis(grant.expires_in),
+            grant.choice.clone(),
+        )
+    }
+
+    /// Returns the grant of a row.
+    pub fn decode_permission(&mut self, row: GrantRow) -> Result<Grant, CodecError> {
+        let (grant, request, worker, expires_in, choice) = row;
+        Ok(Grant {
+            grant: self.decode_grant(&grant)?,
+            request: self.decode_request(&request, RequestOwner::Receiver),
+            worker: self.names.decode(worker)?,
+            expires_in: Duration::from_millis(expires_in),
+            choice,
+        })
+    }
+
+    /// Returns the row of a refusal.
+    pub fn encode_refusal(&mut self, refusal: &Refusal) -> RefusalRow {
+        let reason = REASONS.iter().position(|reason| *reason == refusal.reason);
+        let reason = reason.and_then(|reason| u8::try_from(reason).ok());
+        (
+            self.encode_request(refusal.request, RequestOwner::Receiver),
+            reason.unwrap_or_default(),
+            millis(refusal.retry_after),
+        )
+    }
+
+    /// Returns the refusal of a row.
+    pub fn decode_refusal(&mut self, row: &RefusalRow) -> Result<Refusal, CodecError> {
+        let (request, reason, retry_after) = row;
+        let reason = REASONS.get(usize::from(*reason));
+        let reason = reason.ok_or(CodecError::Field { field: "reason" })?;
+        Ok(Refusal {
+            request: self.decode_request(request, RequestOwner::Receiver),
+            reason: *reason,
+            retry_after: Duration::from_millis(*retry_after),
+        })
+    }
+
+    /// Returns the row of a referral.
+    pub fn encode_referral(&mut self, referral: &Referral) -> ReferralRow {
+        (
+            self.encode_request(referral.request, RequestOwner::Receiver),
+            self.names.encode(referral.datacenter.as_str()),
+            self.names.encode(referral.host.as_str()),
+        )
+    }
+
+    /// Returns the referral of a row.
+    pub fn decode_referral(&mut self, row: ReferralRow) -> Result<Referral, CodecError> {
+        let (request, datacenter, host) = row;
+        Ok(Referral {
+            request: self.decode_request(&request, RequestOwner::Receiver),
+            datacenter: self.names.decode(datacenter)?,
+            host: self.names.decode(host)?,
+        })
+    }
+
+    /// Returns the row of a report.
+    pub fn encode_report(&mut self, service: &ServiceName, report: &WorkReport) -> ReportRow {
+        let service = self.names.encode(service.as_str());
+        let request = self.encode_request(report.request, RequestOwner::Sender);
+        let (broker, sequence) = self.encode_grant(report.grant);
+        let worker = self.names.encode(report.worker.as_str());
+        let (kind, first, second) = encode_progress(report.progress);
+        (
+            service, request, broker, sequence, worker, kind, first, second,
+        )
+    }
+
+    /// Returns the service and the report of a row.
+    pub fn decode_report(
+        &mut self,
+        row: ReportRow,
+    ) -> Result<(ServiceName, WorkReport), CodecError> {
+        let (service, request, broker, sequence, worker, kind, first, second) = row;
+        let service = self.names.decode(service)?;
+        let report = WorkReport {
+            request: self.decode_request(&request, RequestOwner::Sender),
+            grant: self.decode_grant(&(broker, sequence))?,
+            worker: self.names.decode(worker)?,
+            progress: decode_progress(kind, first, second)?,
+        };
+        Ok((service, report))
+    }
+
+    /// Returns the row of a declaration.
+    pub fn encode_declaration(
+        &mut self,
+        service: &ServiceName,
+        running: &[RunningWork],
+    ) -> DeclareRow {
+        let service = self.names.encode(service.as_str());
+        let running = running.iter().map(|work| {
+            (
+                self.encode_request(work.request, RequestOwner::Sender),
+                self.encode_grant(work.grant),
+                self.names.encode(work.worker.as_str()),
+                work.tier.0,
+                work.prompt_tokens,
+            )
+        });
+        (service, running.collect())
+    }
+
+    /// Returns the service and the running work of a row.
+    pub fn decode_declaration(
+        &mut self,
+        row: DeclareRow,
+    ) -> Result<(ServiceName, Vec<RunningWork>), CodecError> {
+        let (service, rows) = row;
+        let service = self.names.decode(service)?;
+        let mut running = Vec::new();
+        for (request, grant, worker, tier, prompt_tokens) in rows {
+            running.push(RunningWork {
+                request: self.decode_request(&request, RequestOwner::Sender),
+                grant: self.decode_grant(&grant)?,
+                worker: self.names.decode(worker)?,
+                tier: TierRank(tier),
+                prompt_tokens,
+            });
+        }
+        Ok((service, running))
+    }
+
+    /// Returns the row of a summary.
+    pub fn encode_summary(&mut self, summary: &CellSummary) -> SummaryRow {
+        (
+            self.names.encode(summary.service.as_str()),
+            self.names.encode(summary.datacenter.as_str()),
+            summary.free_slots,
+            summary.waiting.clone(),
+        )
+    }
+
+    /// Returns the summary of a row.
+    pub fn decode_summary(&mut self, row: SummaryRow) -> Result<CellSummary, CodecError> {
+        let (service, datacenter, free_slots, waiting) = row;
+        Ok(CellSummary {
+            service: self.names.decode(service)?,
+            datacenter: self.names.decode(datacenter)?,
+            free_slots,
+            waiting,
+        })
+    }
+}
--- /dev/null
+++ b/tests/link_support/mod.rs
@@ -0,0 +1,227 @@
+//! Hosts, relays and a table in memory for the tests of links, members and keepers.
+#![allow(dead_code, reason = "each test file uses a part of these")]
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use borageladder::keeper::CURRENT_KEY;
+use borageladder::keeper::ConfigurationStore;
+use borageladder::keeper::StoreError;
+use borageladder::keeper::StoreRow;
+use borageladder::keeper::VersionWrite;
+use borageladder::keeper::WriteOutcome;
+use borageladder::kernel::name::HostName;
+use borageladder::link::LinkSettings;
+use borageladder::link::SharedKey;
+use futures_util::future::LocalBoxFuture;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+pub const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// The time after which a test that waits in vain is given up; it bounds no verdict.
+const GIVE_UP: Duration = Duration::from_secs(60);
+
+pub fn host(name: &str) -> HostName {
+    HostName::try_from(name).expect("a valid name")
+}
+
+pub fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+pub fn settings(name: &str, incarnation: u64) -> LinkSettings {
+    LinkSettings::new(host(name), incarnation, LOOPBACK, SharedKey::new([7; 32]))
+}
+
+/// Runs a test on the runtime of the daemon.
+pub fn run(test: impl Future<Output = ()>) {
+    let system = actix_rt::System::new();
+    let outcome = system.block_on(async { tokio::time::timeout(GIVE_UP, test).await });
+    outcome.expect("the test ends");
+}
+
+/// Waits until a condition holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// What a relay does with the connections through it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RelayMode {
+    /// Passes everything on.
+    Open,
+    /// Reads and keeps everything, and keeps the connections open.
+    Silent,
+    /// Closes all connections and refuses new ones.
+    Cut,
+}
+
+/// A relay between hosts.
+pub struct Relay {
+    pub address: SocketAddr,
+    mode: watch::Sender<RelayMode>,
+    pub accepted: Rc<Cell<u32>>,
+}
+
+impl Relay {
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(LOOPBACK).await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let mode = watch::Sender::new(RelayMode::Open);
+        let accepted = Rc::new(Cell::new(0));
+        let seen = Rc::clone(&accepted);
+        let modes = mode.subscribe();
+        actix_rt::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                if *modes.borrow() == RelayMode::Cut {
+                    continue;
+                }
+                seen.set(seen.get() + 1);
+                actix_rt::spawn(pass(client, target, modes.clone()));
+            }
+        });
+        Self {
+            address,
+            mode,
+            accepted,
+        }
+    }
+
+    pub fn set(&self, mode: RelayMode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn pass(mut client: TcpStream, target: SocketAddr, mut modes: watch::Receiver<RelayMode>) {
+    let Ok(mut server) = TcpStream::connect(target).await else {
+        return;
+    };
+    let mut up = vec![0; 4096];
+    let mut down = vec![0; 4096];
+    // A connection that was silenced stays so, as if something between had lost track of it.
+    let mut silent = false;
+    loop {
+        let mode = *modes.borrow_and_update();
+        silent |= mode == RelayMode::Silent;
+        if mode == RelayMode::Cut {
+            return;
+        }
+        if silent {
+            if modes.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        tokio::select! {
+            read = client.read(&mut up) => match read {
+                Ok(length) if length > 0 => {
+                    if server.write_all(&up[..length]).await.is_err() {
+                        return;
+                    }
+                }
+                _ => return,
+            },
+            read = server.read(&mut down) => match read {
+                Ok(length) if length > 0 => {
+                    if client.write_all(&down[..length]).await.is_err() {
+                        return;
+                    }
+                }
+                _ => return,
+            },
+            changed = modes.changed() => if changed.is_err() {
+                return;
+            },
+        }
+    }
+}
+
+/// The faults of a table in memory.
+#[derive(Debug, Default)]
+pub struct StoreFaults {
+    /// Whether it does not answer.
+    pub down: Cell<bool>,
+    /// The number of writes whose answers are still to be lost after they took effect.
+    pub lost_replies: Cell<u32>,
+    /// The number of writes that are still to be lost before they take effect.
+    pub lost_writes: Cell<u32>,
+}
+
+/// A table in memory.
+#[derive(Debug, Default)]
+pub struct MemoryStore {
+    pub faults: StoreFaults,
+    rows: RefCell<BTreeMap<String, StoreRow>>,
+    revision: Cell<u64>,
+    pub writes: Cell<u32>,
+}
+
+impl MemoryStore {
+    fn read(&self, key: &str) -> Result<Option<StoreRow>, StoreError> {
+        if self.faults.down.get() {
+            return Err(StoreError::Unreachable("down".to_owned()));
+        }
+        Ok(self.rows.borrow().get(key).cloned())
+    }
+
+    fn put(&self, key: &str, value: &str) {
+        let row = StoreRow {
+            value: value.to_owned(),
+            revision: self.revision.get(),
+        };
+        self.rows.borrow_mut().insert(key.to_owned(), row);
+    }
+
+    fn transact(&self, write: &VersionWrite) -> Result<WriteOutcome, StoreError> {
+        if self.faults.down.get() {
+            return Err(StoreError::Unreachable("down".to_owned()));
+        }
+        let lost = self.faults.lost_writes.get();
+        if lost > 0 {
+            self.faults.lost_writes.set(lost - 1);
+            return Err(StoreError::Unknown("lost".to_owned()));
+        }
+        let revision = self.read(CURRENT_KEY)?.map(|row| row.revision);
+        if revision != write.expected || self.read(&write.audit_key)?.is_some() {
+            return Ok(WriteOutcome::Conflict);
+        }
+        self.writes.set(self.writes.get() + 1);
+        self.revision.set(self.revision.get() + 1);
+        self.put(CURRENT_KEY, &write.current);
+        self.put(&write.audit_key, &write.audit);
+        let lost = self.faults.lost_replies.get();
+        if lost > 0 {
+            self.faults.lost_replies.set(lost - 1);
+            return Err(StoreError::Unknown("lost".to_owned()));
+        }
+        Ok(WriteOutcome::Committed)
+    }
+}
+
+impl ConfigurationStore for MemoryStore {
+    fn row<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<StoreRow>, StoreError>> {
+        Box::pin(async move { self.read(key) })
+    }
+
+    fn write<'a>(
+        &'a self,
+        write: &'a VersionWrite,
+    ) -> LocalBoxFuture<'a, Result<WriteOutcome, StoreError>> {
+        Box::pin(async move { self.transact(write) })
+    }
+}
