Model an engine that batches continuously in arrival order

Ruled out: one event per token with a float rate per request, since it hides that a prefill delays the tokens of the whole batch. The model runs in steps of one prefill chunk and one token for each decoding request.

--- /dev/null
+++ b/standin/src/model/cache.rs
@@ -0,0 +1,104 @@
+//! The bounded prefix cache of an engine and the log of its changes.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use borageladder_kernel::ask::CacheBatch;
+use borageladder_kernel::ask::CacheChange;
+use borageladder_kernel::name::BlockDigest;
+
+/// The most cache changes that are kept for readers.
+const MAX_CHANGES: usize = 8_192;
+
+/// The numbers that a crash leaves out, so that readers see a gap.
+const CRASH_GAP: u64 = 1_000;
+
+/// Blocks in the order of their last use, up to a bound.
+#[derive(Clone, Debug)]
+pub(super) struct PrefixCache {
+    capacity: usize,
+    uses: u64,
+    used_at: HashMap<BlockDigest, u64>,
+    by_use: BTreeMap<u64, BlockDigest>,
+    first: u64,
+    changes: VecDeque<CacheChange>,
+}
+
+impl PrefixCache {
+    pub(super) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            uses: 0,
+            used_at: HashMap::new(),
+            by_use: BTreeMap::new(),
+            first: 1,
+            changes: VecDeque::new(),
+        }
+    }
+
+    /// Returns how many of the blocks, from the first on, are cached.
+    pub(super) fn leading(&self, blocks: &[BlockDigest]) -> usize {
+        blocks
+            .iter()
+            .take_while(|block| self.used_at.contains_key(block))
+            .count()
+    }
+
+    /// Stores the blocks or marks them as used, so that the last block is evicted first.
+    pub(super) fn touch(&mut self, blocks: &[BlockDigest]) {
+        let kept = blocks.len().min(self.capacity);
+        for block in &blocks[..kept] {
+            if !self.used_at.contains_key(block) {
+                self.record(CacheChange::Stored(*block));
+            }
+        }
+        for block in blocks[..kept].iter().rev() {
+            self.uses += 1;
+            if let Some(use_before) = self.used_at.insert(*block, self.uses) {
+                self.by_use.remove(&use_before);
+            }
+            self.by_use.insert(self.uses, *block);
+        }
+        self.evict();
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.used_at.clear();
+        self.by_use.clear();
+        self.first = self.next_number() + CRASH_GAP;
+        self.changes.clear();
+    }
+
+    pub(super) fn events(&self, after: u64) -> CacheBatch {
+        let first = self.first.max(after.saturating_add(1));
+        let skipped = usize::try_from(first - self.first).unwrap_or(usize::MAX);
+        CacheBatch {
+            first,
+            changes: self.changes.iter().skip(skipped).copied().collect(),
+        }
+    }
+
+    fn evict(&mut self) {
+        while self.by_use.len() > self.capacity {
+            let Some((_, block)) = self.by_use.pop_first() else {
+                break;
+            };
+            self.used_at.remove(&block);
+            self.record(CacheChange::Evicted(block));
+        }
+    }
+
+    fn record(&mut self, change: CacheChange) {
+        self.changes.push_back(change);
+        if self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+            self.first += 1;
+        }
+    }
+
+    fn next_number(&self) -> u64 {
+        let count = u64::try_from(self.changes.len()).unwrap_or(u64::MAX);
+        self.first.saturating_add(count)
+    }
+}
--- /dev/null
+++ b/standin/src/model/mod.rs
@@ -0,0 +1,311 @@
+//! A model of an engine: continuous batching, arrival order and a bounded prefix cache.
+//!
+//! The model reads no clock and performs no I/O. It runs in steps: each step computes one chunk of
+//! the earliest unfinished prompt and one token for every request that decodes, so a long prompt
+//! slows the tokens of the whole batch.
+
+mod batch;
+mod cache;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use borageladder_kernel::ask::CacheBatch;
+use borageladder_kernel::ask::LoadReport;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::BlockDigest;
+use borageladder_kernel::name::RequestId;
+
+use self::batch::BatchJob;
+use self::cache::PrefixCache;
+
+/// The length of a block of the prefix cache, in tokens.
+pub const BLOCK_TOKENS: u32 = 64;
+
+/// The most prompt tokens that one step computes.
+const CHUNK_TOKENS: u32 = 512;
+
+/// The speed and the bounds of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineProfile {
+    /// The prompt tokens computed in a second.
+    pub prefill_tokens_per_second: f64,
+    /// The time between two tokens of a request that runs alone.
+    pub decode_gap: Duration,
+    /// The share of the gap that each further request in the batch adds.
+    pub batch_slowdown: f64,
+    /// The most requests in the running batch.
+    pub max_batch: usize,
+    /// The most blocks that the prefix cache holds.
+    pub cache_blocks: usize,
+}
+
+/// A request as the engine runs it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineJob {
+    /// The request.
+    pub request: RequestId,
+    /// The length of the prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// The digests of the whole blocks of the prompt, first block first.
+    pub blocks: Vec<BlockDigest>,
+    /// The length of the answer, in tokens; at least one is produced.
+    pub answer_tokens: u32,
+}
+
+/// What an engine did for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EngineOutput {
+    /// The prefill of the request began.
+    Started {
+        /// The request.
+        request: RequestId,
+        /// The prompt tokens found in the prefix cache.
+        cached_tokens: u32,
+        /// The prompt tokens that have to be computed.
+        computed_tokens: u32,
+    },
+    /// A token of the answer was produced.
+    Token {
+        /// The request.
+        request: RequestId,
+        /// The position of the token in the answer, counted from 1.
+        index: u32,
+        /// The time at which it was produced.
+        at: ClockTime,
+    },
+    /// The last token of the answer was produced.
+    Finished {
+        /// The request.
+        request: RequestId,
+        /// The time at which it was produced.
+        at: ClockTime,
+    },
+}
+
+/// A step that is under way.
+#[derive(Clone, Copy, Debug)]
+struct BatchStep {
+    end: ClockTime,
+    prefill: Option<PrefillChunk>,
+}
+
+/// The part of a prompt that a step computes.
+#[derive(Clone, Copy, Debug)]
+struct PrefillChunk {
+    request: RequestId,
+    tokens: u32,
+}
+
+/// An engine that batches continuously and admits requests in arrival order.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use borageladder_kernel::clock::ClockTime;
+/// use borageladder_kernel::name::RequestId;
+/// use borageladder_standin::model::EngineJob;
+/// use borageladder_standin::model::EngineModel;
+/// use borageladder_standin::model::EngineOutput;
+/// use borageladder_standin::model::EngineProfile;
+///
+/// let mut model = EngineModel::new(EngineProfile {
+///     prefill_tokens_per_second: 1_000.0,
+///     decode_gap: Duration::from_millis(10),
+///     batch_slowdown: 0.0,
+///     max_batch: 8,
+///     cache_blocks: 100,
+/// });
+/// let request = RequestId { incarnation: 1, sequence: 1 };
+/// let job = EngineJob { request, prompt_tokens: 100, blocks: Vec::new(), answer_tokens: 2 };
+/// model.admit(ClockTime::ZERO, job);
+/// assert_eq!(model.next_wake(), Some(ClockTime::from_millis(100)));
+///
+/// let outputs = model.advance(ClockTime::from_millis(110));
+/// let at = ClockTime::from_millis(110);
+/// assert_eq!(outputs.last(), Some(&EngineOutput::Finished { request, at }));
+/// ```
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    profile: EngineProfile,
+    slowdown: f64,
+    waiting: VecDeque<EngineJob>,
+    running: Vec<BatchJob>,
+    step: Option<BatchStep>,
+    cache: PrefixCache,
+    outputs: Vec<EngineOutput>,
+}
+
+impl EngineModel {
+    /// Creates an idle engine with an empty cache.
+    #[must_use]
+    pub fn new(profile: EngineProfile) -> Self {
+        let cache = PrefixCache::new(profile.cache_blocks);
+        Self {
+            profile,
+            slowdown: 1.0,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            step: None,
+            cache,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Puts a request behind all that arrived before it.
+    pub fn admit(&mut self, now: ClockTime, job: EngineJob) {
+        self.run_until(now);
+        self.waiting.push_back(job);
+        if self.step.is_none() {
+            self.begin_step(now);
+        }
+    }
+
+    /// Drops a request, whether it waits or runs; does nothing if the engine has no such request.
+    pub fn cancel(&mut self, now: ClockTime, request: RequestId) {
+        self.run_until(now);
+        self.waiting.retain(|job| job.request != request);
+        self.running.retain(|job| job.request() != request);
+    }
+
+    /// Runs all steps that end at or before `now` and returns their outputs in order.
+    pub fn advance(&mut self, now: ClockTime) -> Vec<EngineOutput> {
+        self.run_until(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Returns the time at which the step under way ends, or `None` if the engine is idle.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<ClockTime> {
+        self.step.map(|step| step.end)
+    }
+
+    /// Returns the load at the time of the last call that carried one.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            leaving: false,
+        }
+    }
+
+    /// Returns the kept cache changes that are numbered after `after`.
+    ///
+    /// The batch's first number is greater than `after + 1` if changes in between were lost.
+    #[must_use]
+    pub fn cache_events(&self, after: u64) -> CacheBatch {
+        self.cache.events(after)
+    }
+
+    /// Returns the prompt tokens that were computed so far for a running request, in tokens.
+    #[must_use]
+    pub fn computed_tokens(&self, request: RequestId) -> u32 {
+        self.running
+            .iter()
+            .find(|job| job.request() == request)
+            .map_or(0, BatchJob::computed_tokens)
+    }
+
+    /// Returns whether the leading blocks are all in the prefix cache.
+    #[must_use]
+    pub fn holds(&self, blocks: &[BlockDigest]) -> bool {
+        self.cache.leading(blocks) == blocks.len()
+    }
+
+    /// Returns how many of the leading blocks are in the prefix cache.
+    #[must_use]
+    pub fn cached_blocks(&self, blocks: &[BlockDigest]) -> usize {
+        self.cache.leading(blocks)
+    }
+
+    /// Makes every step after the one under way take `factor` times as long.
+    pub fn set_slowdown(&mut self, now: ClockTime, factor: f64) {
+        self.run_until(now);
+        self.slowdown = factor;
+    }
+
+    /// Loses all requests and the cache, and returns the requests in arrival order.
+    pub fn crash(&mut self, now: ClockTime) -> Vec<RequestId> {
+        self.run_until(now);
+        let running = self.running.drain(..).map(|job| job.request());
+        let mut lost: Vec<RequestId> = running.collect();
+        lost.extend(self.waiting.drain(..).map(|job| job.request));
+        self.cache.clear();
+        self.step = None;
+        lost
+    }
+
+    fn run_until(&mut self, now: ClockTime) {
+        while let Some(step) = self.step {
+            if step.end > now {
+                break;
+            }
+            self.finish_step(step);
+            self.begin_step(step.end);
+        }
+    }
+
+    fn begin_step(&mut self, at: ClockTime) {
+        self.fill_batch();
+        let prefill = self.next_chunk();
+        let decoding = self.running.iter().filter(|job| job.decodes()).count();
+        self.step = if prefill.is_none() && decoding == 0 {
+            None
+        } else {
+            let end = at + self.step_time(prefill, decoding);
+            Some(BatchStep { end, prefill })
+        };
+    }
+
+    fn fill_batch(&mut self) {
+        while self.running.len() < self.profile.max_batch {
+            let Some(job) = self.waiting.pop_front() else {
+                break;
+            };
+            self.running.push(BatchJob::new(job));
+        }
+    }
+
+    fn next_chunk(&mut self) -> Option<PrefillChunk> {
+        let job = self.running.iter_mut().find(|job| !job.decodes())?;
+        if !job.started() {
+            let output = job.start(&mut self.cache);
+            self.outputs.push(output);
+        }
+        Some(PrefillChunk {
+            request: job.request(),
+            tokens: job.left_tokens().min(CHUNK_TOKENS),
+        })
+    }
+
+    fn step_time(&self, prefill: Option<PrefillChunk>, decoding: usize) -> Duration {
+        let tokens = prefill.map_or(0, |chunk| chunk.tokens);
+        let mut seconds = f64::from(tokens) / self.profile.prefill_tokens_per_second;
+        if let Some(others) = decoding.checked_sub(1) {
+            let others = f64::from(u32::try_from(others).unwrap_or(u32::MAX));
+            let gap = self.profile.decode_gap.as_secs_f64();
+            seconds += gap * self.profile.batch_slowdown.mul_add(others, 1.0);
+        }
+        let time = Duration::from_secs_f64(seconds * self.slowdown);
+        time.max(Duration::from_micros(1))
+    }
+
+    fn finish_step(&mut self, step: BatchStep) {
+        let chunk = step.prefill;
+        for job in &mut self.running {
+            if job.decodes() {
+                job.decode(step.end, &mut self.outputs);
+            }
+            if let Some(chunk) = chunk.filter(|chunk| chunk.request == job.request()) {
+                job.compute(chunk.tokens, &mut self.cache);
+                if job.decodes() {
+                    job.decode(step.end, &mut self.outputs);
+                }
+            }
+        }
+        self.running.retain(|job| !job.finished());
+    }
+}
