Add the prompt's text, length and block digests to the kernel

Cause: entries, engines and the prefix estimates must agree on what a block of a prompt is, and docs/UPSTREAMS.md fixes it. A function in each of the three places was ruled out because the chained digests would drift apart unseen.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod name;
 pub mod policy;
 pub mod prefix;
+pub mod prompt;
 pub mod quarantine;
 pub mod queue;
 pub mod rollout;
