Serve the platform, the host list, an engine and a plain service as stand-ins

Cause: tests and the demonstration need small processes in the place of what the operators run, with faults on command.

What was ruled out: one thread per connection with hand-written HTTP (the actix libraries do it); faults inside each handler (a connection that must go silent or be reset is below HTTP, so the stream itself carries those faults); a log of resumed streams (the log shows dispatches, so that a double one can be seen).

Conclusion: they speak docs/UPSTREAMS.md and docs/PLATFORM.md.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod queue;
 pub mod rollout;
 pub mod rule;
+pub mod table;
--- /dev/null
+++ b/standin/src/arguments.rs
@@ -0,0 +1,228 @@
+//! The arguments of the stand-ins' command line.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use borageladder_kernel::name::ModelName;
+use borageladder_kernel::name::RegionName;
+use borageladder_kernel::name::WorkerName;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use thiserror::Error;
+
+use crate::engine::EngineSpec;
+use crate::model::EngineProfile;
+
+/// What `--help` prints.
+pub const USAGE: &str = "\
+Usage: borageladder-standin <stand-in> [options]
+
+  platform --listen ADDR [--region NAME] [--workers NAME,NAME] [--lag-ms N]
+           the table, the object store and the host list
+  hosts    --listen ADDR [--workers NAME,NAME] [--lag-ms N]
+           the host list alone
+  engine   --listen ADDR --name NAME --model NAME[,NAME] [--prefill TOKENS_PER_SECOND]
+           [--gap-ms N] [--batch-slowdown SHARE] [--max-batch N] [--cache-blocks N]
+           a model engine
+  plain    --listen ADDR --name NAME
+           a plain service
+
+A stand-in prints `listening on ADDR` once it answers; port 0 takes a free port.
+";
+
+/// The reason why the arguments can't be used.
+#[derive(Debug, Error)]
+pub enum ArgumentError {
+    /// An argument is unknown, malformed or lacks its value.
+    #[error(transparent)]
+    Syntax(#[from] lexopt::Error),
+    /// No stand-in was named, or an unknown one.
+    #[error("{0:?} is not a stand-in; see --help")]
+    UnknownStandin(String),
+    /// An argument that the stand-in needs is missing.
+    #[error("the argument {0} is missing; see --help")]
+    Missing(&'static str),
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StandinCommand {
+    /// Print the usage.
+    Help,
+    /// Serve the platform.
+    Platform(HostsArguments),
+    /// Serve the host list.
+    Hosts(HostsArguments),
+    /// Serve an engine.
+    Engine(EngineArguments),
+    /// Serve a plain service.
+    Plain(PlainArguments),
+}
+
+/// The arguments of the stand-ins that serve a host list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostsArguments {
+    /// The address to listen on.
+    pub listen: SocketAddr,
+    /// The region in which the stand-in stands.
+    pub region: Option<RegionName>,
+    /// The workers on the list.
+    pub workers: Vec<WorkerName>,
+    /// How late the list shows a leaving worker.
+    pub lag: Duration,
+}
+
+/// The arguments of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineArguments {
+    /// The address to listen on.
+    pub listen: SocketAddr,
+    /// The engine.
+    pub spec: EngineSpec,
+}
+
+/// The arguments of a plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlainArguments {
+    /// The address to listen on.
+    pub listen: SocketAddr,
+    /// The name of the instance.
+    pub name: WorkerName,
+}
+
+impl StandinCommand {
+    /// Reads the arguments of this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first argument that can't be used.
+    pub fn from_env() -> Result<Self, ArgumentError> {
+        Self::parse(Parser::from_env())
+    }
+
+    /// Reads arguments.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first argument that can't be used.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use borageladder_standin::arguments::StandinCommand;
+    ///
+    /// let parser = lexopt::Parser::from_args(["--help"]);
+    /// assert_eq!(StandinCommand::parse(parser)?, StandinCommand::Help);
+    /// # Ok::<(), borageladder_standin::arguments::ArgumentError>(())
+    /// ```
+    pub fn parse(mut parser: Parser) -> Result<Self, ArgumentError> {
+        let name = match parser.next()? {
+            Some(Arg::Value(name)) => name.string()?,
+            Some(Arg::Long("help") | Arg::Short('h')) => return Ok(Self::Help),
+            Some(other) => return Err(other.unexpected().into()),
+            None => String::new(),
+        };
+        match name.as_str() {
+            "platform" => Ok(Self::Platform(parse_hosts(&mut parser)?)),
+            "hosts" => Ok(Self::Hosts(parse_hosts(&mut parser)?)),
+            "engine" => Ok(Self::Engine(parse_engine(&mut parser)?)),
+            "plain" => Ok(Self::Plain(parse_plain(&mut parser)?)),
+            _ => Err(ArgumentError::UnknownStandin(name)),
+        }
+    }
+}
+
+fn parse_hosts(parser: &mut Parser) -> Result<HostsArguments, ArgumentError> {
+    let mut listen = None;
+    let mut region = None;
+    let mut workers = Vec::new();
+    let mut lag = Duration::ZERO;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("listen") => listen = Some(parser.value()?.parse()?),
+            Arg::Long("region") => region = Some(parser.value()?.parse()?),
+            Arg::Long("workers") => workers = parse_list(parser)?,
+            Arg::Long("lag-ms") => lag = Duration::from_millis(parser.value()?.parse()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(HostsArguments {
+        listen: required(listen, "--listen")?,
+        region,
+        workers,
+        lag,
+    })
+}
+
+fn parse_engine(parser: &mut Parser) -> Result<EngineArguments, ArgumentError> {
+    let mut listen = None;
+    let mut name = None;
+    let mut models = Vec::<ModelName>::new();
+    let mut profile = EngineProfile {
+        prefill_tokens_per_second: 8_000.0,
+        decode_gap: Duration::from_millis(20),
+        batch_slowdown: 0.02,
+        max_batch: 16,
+        cache_blocks: 4_096,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("listen") => listen = Some(parser.value()?.parse()?),
+            Arg::Long("name") => name = Some(parser.value()?.parse()?),
+            Arg::Long("model") => models = parse_list(parser)?,
+            Arg::Long("prefill") => profile.prefill_tokens_per_second = parser.value()?.parse()?,
+            Arg::Long("gap-ms") => {
+                let millis: f64 = parser.value()?.parse()?;
+                profile.decode_gap = Duration::from_secs_f64(millis / 1_000.0);
+            }
+            Arg::Long("batch-slowdown") => profile.batch_slowdown = parser.value()?.parse()?,
+            Arg::Long("max-batch") => profile.max_batch = parser.value()?.parse()?,
+            Arg::Long("cache-blocks") => profile.cache_blocks = parser.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if models.is_empty() {
+        return Err(ArgumentError::Missing("--model"));
+    }
+    Ok(EngineArguments {
+        listen: required(listen, "--listen")?,
+        spec: EngineSpec {
+            name: required(name, "--name")?,
+            models,
+            profile,
+        },
+    })
+}
+
+fn parse_plain(parser: &mut Parser) -> Result<PlainArguments, ArgumentError> {
+    let mut listen = None;
+    let mut name = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("listen") => listen = Some(parser.value()?.parse()?),
+            Arg::Long("name") => name = Some(parser.value()?.parse()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(PlainArguments {
+        listen: required(listen, "--listen")?,
+        name: required(name, "--name")?,
+    })
+}
+
+fn parse_list<T>(parser: &mut Parser) -> Result<Vec<T>, lexopt::Error>
+where
+    T: FromStr,
+    T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    parser.value()?.parse_with(|text| {
+        let items = text.split(',');
+        items.map(str::parse).collect::<Result<Vec<T>, T::Err>>()
+    })
+}
+
+fn required<T>(value: Option<T>, name: &'static str) -> Result<T, ArgumentError> {
+    value.ok_or(ArgumentError::Missing(name))
+}
--- a/standin/src/engine.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! A model engine behind its HTTP interface.
--- /dev/null
+++ b/standin/src/engine/cache.rs
@@ -0,0 +1,37 @@
+//! Cache events as an engine answers them.
+
+use borageladder_kernel::ask::CacheBatch;
+use borageladder_kernel::ask::CacheChange;
+use serde::Serialize;
+
+/// The answer to `GET /cache/events`.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct CacheAnswer {
+    /// The number of the first change.
+    pub first: u64,
+    /// The changes.
+    pub changes: Vec<ChangeAnswer>,
+}
+
+/// One change, its block digest in hexadecimal.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChangeAnswer {
+    /// The block was stored.
+    Stored(String),
+    /// The block was evicted.
+    Evicted(String),
+}
+
+impl From<&CacheBatch> for CacheAnswer {
+    fn from(batch: &CacheBatch) -> Self {
+        let changes = batch.changes.iter().map(|change| match change {
+            CacheChange::Stored(digest) => ChangeAnswer::Stored(format!("{:016x}", digest.0)),
+            CacheChange::Evicted(digest) => ChangeAnswer::Evicted(format!("{:016x}", digest.0)),
+        });
+        Self {
+            first: batch.first,
+            changes: changes.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/engine/completion.rs
@@ -0,0 +1,196 @@
+//! Completion requests and the events and answers that an engine makes for them.
+
+use borageladder_kernel::name::RequestId;
+use borageladder_kernel::prompt::block_digests;
+use borageladder_kernel::prompt::prompt_text;
+use borageladder_kernel::prompt::prompt_tokens;
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+use thiserror::Error;
+
+use crate::model::EngineJob;
+
+/// The tokens of an answer whose length the request does not state.
+const DEFAULT_ANSWER_TOKENS: u32 = 16;
+
+/// The most tokens that an answer has.
+const MAX_ANSWER_TOKENS: u32 = 100_000;
+
+/// The mark in a prompt after which the length of the answer stands.
+const ANSWER_MARK: &str = "answer=";
+
+/// The reason why a body is no completion request.
+#[derive(Debug, Error)]
+pub enum CompletionError {
+    /// The body is not JSON.
+    #[error("the body is not JSON: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+/// Which of the completion calls was made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CompletionKind {
+    /// `POST /v1/chat/completions`.
+    Chat,
+    /// `POST /v1/completions`.
+    Text,
+}
+
+/// The tokens that an answer cost.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TokenUsage {
+    /// The length of the prompt.
+    pub prompt: u32,
+    /// The tokens of the prompt that were found in the cache.
+    pub cached: u32,
+    /// The length of the answer.
+    pub answer: u32,
+}
+
+/// A completion request.
+#[derive(Clone, Debug)]
+pub struct CompletionRequest {
+    /// Which call was made.
+    pub kind: CompletionKind,
+    /// The identifier that the answer's text repeats.
+    pub label: String,
+    /// The model, where the request names one.
+    pub model: Option<String>,
+    /// The prompt text.
+    pub prompt: String,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// The length of the answer, in tokens.
+    pub answer_tokens: u32,
+}
+
+impl CompletionRequest {
+    /// Reads a request from its body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is not JSON.
+    pub fn parse(
+        kind: CompletionKind,
+        label: String,
+        body: &[u8],
+    ) -> Result<Self, CompletionError> {
+        let body: Value = serde_json::from_slice(body)?;
+        let prompt = prompt_text(&body);
+        let answer_tokens = answer_length(&body, &prompt);
+        let model = body.get("model").and_then(Value::as_str);
+        Ok(Self {
+            kind,
+            label,
+            model: model.map(str::to_owned),
+            prompt,
+            stream: body.get("stream").and_then(Value::as_bool) == Some(true),
+            answer_tokens,
+        })
+    }
+
+    /// Returns the request as the model of the engine takes it.
+    #[must_use]
+    pub fn job(&self, request: RequestId) -> EngineJob {
+        EngineJob {
+            request,
+            prompt_tokens: prompt_tokens(&self.prompt),
+            blocks: block_digests(&self.prompt, usize::MAX),
+            answer_tokens: self.answer_tokens,
+        }
+    }
+
+    /// Returns the server-sent event of one token.
+    #[must_use]
+    pub fn token_event(&self, index: u32) -> Bytes {
+        let text = self.token_text(index);
+        let choice = match self.kind {
+            CompletionKind::Chat => {
+                json!({"index": 0, "delta": {"content": text}, "finish_reason": null})
+            }
+            CompletionKind::Text => json!({"index": 0, "text": text, "finish_reason": null}),
+        };
+        server_event(index, &self.frame(&choice, None).to_string())
+    }
+
+    /// Returns the two server-sent events after the last token.
+    #[must_use]
+    pub fn end_events(&self, usage: TokenUsage) -> [Bytes; 2] {
+        let choice = match self.kind {
+            CompletionKind::Chat => json!({"index": 0, "delta": {}, "finish_reason": "length"}),
+            CompletionKind::Text => json!({"index": 0, "text": "", "finish_reason": "length"}),
+        };
+        let frame = self.frame(&choice, Some(usage)).to_string();
+        [
+            server_event(usage.answer + 1, &frame),
+            server_event(usage.answer + 2, "[DONE]"),
+        ]
+    }
+
+    /// Returns the whole answer of a request that is not streamed.
+    #[must_use]
+    pub fn whole_answer(&self, usage: TokenUsage) -> Value {
+        let text: String = (1..=usage.answer)
+            .map(|index| self.token_text(index))
+            .collect();
+        let choice = match self.kind {
+            CompletionKind::Chat => json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "length",
+            }),
+            CompletionKind::Text => json!({"index": 0, "text": text, "finish_reason": "length"}),
+        };
+        self.frame(&choice, Some(usage))
+    }
+
+    fn token_text(&self, index: u32) -> String {
+        let space = if index > 1 { " " } else { "" };
+        format!("{space}{}:{index}", self.label)
+    }
+
+    fn frame(&self, choice: &Value, usage: Option<TokenUsage>) -> Value {
+        let object = match (self.kind, self.stream) {
+            (CompletionKind::Chat, true) => "chat.completion.chunk",
+            (CompletionKind::Chat, false) => "chat.completion",
+            (CompletionKind::Text, _) => "text_completion",
+        };
+        let mut frame = json!({
+            "id": self.label,
+            "object": object,
+            "model": self.model,
+            "choices": [choice],
+        });
+        if let Some(usage) = usage {
+            frame["usage"] = json!({
+                "prompt_tokens": usage.prompt,
+                "completion_tokens": usage.answer,
+                "total_tokens": usage.prompt + usage.answer,
+                "prompt_tokens_details": {"cached_tokens": usage.cached},
+            });
+        }
+        frame
+    }
+}
+
+fn server_event(number: u32, data: &str) -> Bytes {
+    Bytes::from(format!("id: {number}\ndata: {data}\n\n"))
+}
+
+fn answer_length(body: &Value, prompt: &str) -> u32 {
+    let stated = || {
+        let limit = body.get("max_completion_tokens");
+        let limit = limit.or_else(|| body.get("max_tokens"))?.as_u64()?;
+        u32::try_from(limit).ok()
+    };
+    let length = marked_length(prompt).or_else(stated);
+    let length = length.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    length.clamp(1, MAX_ANSWER_TOKENS)
+}
+
+fn marked_length(prompt: &str) -> Option<u32> {
+    let (_, rest) = prompt.split_once(ANSWER_MARK)?;
+    let end = rest.find(|c: char| !c.is_ascii_digit());
+    rest[..end.unwrap_or(rest.len())].parse().ok()
+}
--- /dev/null
+++ b/standin/src/engine/runner.rs
@@ -0,0 +1,188 @@
+//! Runs the model of an engine by the clock and keeps the streams of its requests.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use borageladder_kernel::ask::CacheBatch;
+use borageladder_kernel::ask::LoadReport;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::RequestId;
+use tokio::sync::Notify;
+
+use crate::engine::completion::CompletionRequest;
+use crate::engine::completion::TokenUsage;
+use crate::engine::stream::StreamRecord;
+use crate::model::EngineModel;
+use crate::model::EngineOutput;
+use crate::model::EngineProfile;
+
+/// The time for which a stream that nobody reads goes on, and an ended one is kept.
+pub const RESUME_WINDOW: Duration = Duration::from_secs(15);
+
+/// The longest pause between two looks for streams that nobody reads.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The incarnation under which the model knows the requests.
+const MODEL_INCARNATION: u64 = 0;
+
+/// The model of an engine and the streams of its requests.
+#[derive(Debug)]
+pub struct EngineRunner {
+    start: Instant,
+    model: RefCell<EngineModel>,
+    records: RefCell<BTreeMap<RequestId, Rc<StreamRecord>>>,
+    sequence: Cell<u64>,
+    changed: Notify,
+}
+
+impl EngineRunner {
+    /// Creates an idle engine.
+    #[must_use]
+    pub fn new(profile: EngineProfile) -> Self {
+        Self {
+            start: Instant::now(),
+            model: RefCell::new(EngineModel::new(profile)),
+            records: RefCell::default(),
+            sequence: Cell::new(0),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns a label for a request that came without an identifier.
+    #[must_use]
+    pub fn next_label(&self) -> String {
+        format!("unnamed-{}", self.sequence.get() + 1)
+    }
+
+    /// Puts a request behind all that arrived before it and returns its stream.
+    #[must_use]
+    pub fn admit(&self, completion: CompletionRequest) -> Rc<StreamRecord> {
+        let request = self.next_request();
+        let job = completion.job(request);
+        let usage = TokenUsage {
+            prompt: job.prompt_tokens,
+            ..TokenUsage::default()
+        };
+        let record = Rc::new(StreamRecord::new(completion, usage));
+        self.records
+            .borrow_mut()
+            .insert(request, Rc::clone(&record));
+        self.model.borrow_mut().admit(self.now(), job);
+        self.changed.notify_one();
+        record
+    }
+
+    /// Returns the latest stream of the request with the label.
+    #[must_use]
+    pub fn record(&self, label: &str) -> Option<Rc<StreamRecord>> {
+        let records = self.records.borrow();
+        let mut records = records.values().rev();
+        records
+            .find(|record| record.completion.label == label)
+            .cloned()
+    }
+
+    /// Cancels all requests with the label.
+    pub fn cancel(&self, label: &str) {
+        let records = self.records.borrow();
+        for (request, record) in records.iter() {
+            if record.completion.label == label {
+                self.cut(*request, record);
+            }
+        }
+    }
+
+    /// Returns the load.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        self.model.borrow().load()
+    }
+
+    /// Returns the cache changes after a number.
+    #[must_use]
+    pub fn cache_events(&self, after: u64) -> CacheBatch {
+        self.model.borrow().cache_events(after)
+    }
+
+    /// Makes the engine slower by a factor.
+    pub fn set_slowdown(&self, factor: f64) {
+        self.model.borrow_mut().set_slowdown(self.now(), factor);
+        self.changed.notify_one();
+    }
+
+    fn now(&self) -> ClockTime {
+        ClockTime::ZERO + self.start.elapsed()
+    }
+
+    fn next_request(&self) -> RequestId {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        RequestId {
+            incarnation: MODEL_INCARNATION,
+            sequence,
+        }
+    }
+
+    fn cut(&self, request: RequestId, record: &StreamRecord) {
+        self.model.borrow_mut().cancel(self.now(), request);
+        record.cut();
+    }
+
+    fn advance(&self) {
+        let outputs = self.model.borrow_mut().advance(self.now());
+        let records = self.records.borrow();
+        for output in outputs {
+            deliver(&records, output);
+        }
+    }
+
+    fn sweep(&self) {
+        let mut records = self.records.borrow_mut();
+        records.retain(|request, record| {
+            if record.idle_time() < RESUME_WINDOW {
+                return true;
+            }
+            self.cut(*request, record);
+            false
+        });
+    }
+
+    fn pause(&self) -> Duration {
+        let wake = self.model.borrow().next_wake();
+        let pause = wake.map_or(SWEEP_INTERVAL, |wake| wake.since(self.now()));
+        pause.min(SWEEP_INTERVAL)
+    }
+}
+
+fn deliver(records: &BTreeMap<RequestId, Rc<StreamRecord>>, output: EngineOutput) {
+    let (EngineOutput::Started { request, .. }
+    | EngineOutput::Token { request, .. }
+    | EngineOutput::Finished { request, .. }) = output;
+    let Some(record) = records.get(&request).filter(|record| record.is_open()) else {
+        return;
+    };
+    match output {
+        EngineOutput::Started { cached_tokens, .. } => record.note_cached(cached_tokens),
+        EngineOutput::Token { index, .. } => record.push_token(index),
+        EngineOutput::Finished { .. } => record.finish(),
+    }
+}
+
+/// Advances the engine until the runtime ends.
+pub async fn run(runner: Rc<EngineRunner>) {
+    let mut swept = Instant::now();
+    loop {
+        runner.advance();
+        if swept.elapsed() >= SWEEP_INTERVAL {
+            runner.sweep();
+            swept = Instant::now();
+        }
+        let pause = actix_rt::time::timeout(runner.pause(), runner.changed.notified());
+        // Either end of the pause leads to the next round.
+        let _ = pause.await;
+    }
+}
--- a/standin/src/hosts.rs
+++ b/standin/src/hosts.rs
@@ -1,1 +1,122 @@
 //! The platform's lagging list of upstream hosts.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use borageladder_kernel::name::WorkerName;
+use borageladder_kernel::table::HostList;
+use borageladder_kernel::table::ListedHost;
+use borageladder_kernel::table::ListedState;
+use futures_util::future::LocalBoxFuture;
+
+use crate::control::FaultState;
+use crate::server;
+use crate::server::CallHandler;
+use crate::server::ServerState;
+use crate::server::ServiceCall;
+use crate::server::json_answer;
+use crate::server::text_answer;
+
+/// The list of hosts, and how late it shows that one is leaving.
+#[derive(Debug, Default)]
+pub struct HostListing {
+    workers: Vec<WorkerName>,
+    lag: Duration,
+    leaving_since: RefCell<BTreeMap<WorkerName, Instant>>,
+}
+
+impl HostListing {
+    /// Creates a list of live hosts that shows a leaving one after the lag.
+    #[must_use]
+    pub fn new(workers: Vec<WorkerName>, lag: Duration) -> Self {
+        Self {
+            workers,
+            lag,
+            leaving_since: RefCell::default(),
+        }
+    }
+
+    /// Notes since when each worker has been leaving.
+    pub fn note_leaving(&self, faults: &FaultState) {
+        let workers = faults.leaving_workers();
+        let mut leaving_since = self.leaving_since.borrow_mut();
+        leaving_since.retain(|worker, _| workers.contains(worker));
+        for worker in workers {
+            leaving_since.entry(worker).or_insert_with(Instant::now);
+        }
+    }
+
+    /// Answers `GET /hosts`.
+    #[must_use]
+    pub fn answer(&self, faults: &FaultState) -> Response<BoxBody> {
+        self.note_leaving(faults);
+        json_answer(StatusCode::OK, &self.list())
+    }
+
+    fn list(&self) -> HostList {
+        let leaving_since = self.leaving_since.borrow();
+        let live = self
+            .workers
+            .iter()
+            .map(|worker| (worker, ListedState::Live));
+        let mut states: BTreeMap<&WorkerName, ListedState> = live.collect();
+        for (worker, since) in leaving_since.iter() {
+            if since.elapsed() >= self.lag {
+                states.insert(worker, ListedState::Leaving);
+            }
+        }
+        let hosts = states.into_iter().map(|(worker, state)| ListedHost {
+            worker: worker.clone(),
+            state,
+        });
+        HostList {
+            hosts: hosts.collect(),
+        }
+    }
+}
+
+/// The host list behind its HTTP interface, apart from the rest of the platform.
+#[derive(Debug)]
+pub struct HostsService {
+    state: Rc<ServerState>,
+    hosts: HostListing,
+}
+
+impl HostsService {
+    /// Serves the list on the current thread and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the bind.
+    pub fn start(address: SocketAddr, hosts: HostListing) -> io::Result<SocketAddr> {
+        let state = Rc::new(ServerState::default());
+        let service = Rc::new(Self {
+            state: Rc::clone(&state),
+            hosts,
+        });
+        server::start(address, state, service)
+    }
+}
+
+impl CallHandler for HostsService {
+    fn answer(self: Rc<Self>, call: ServiceCall) -> LocalBoxFuture<'static, Response<BoxBody>> {
+        Box::pin(async move {
+            match (call.method.as_str(), call.path.as_str()) {
+                ("GET", "/hosts") => self.hosts.answer(&self.state.faults),
+                _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
+            }
+        })
+    }
+
+    fn faults_changed(&self) {
+        self.hosts.note_leaving(&self.state.faults);
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems that borageladder serves and uses, for tests and trials.
 
+pub mod arguments;
 pub mod control;
 pub mod engine;
 pub mod experiment;
@@ -8,4 +9,6 @@
 pub mod model;
 pub mod plain;
 pub mod platform;
+pub mod server;
 pub mod trace;
+pub mod transport;
