Place requests by compiled rules and apply operators' changes

Cause: the entry needs a tier for each request from what the request carries, and operators' commands need to become a next configuration version that is consistent.

Checking references change by change, since a script may name things before it adds them.

Change: matchers register themselves, one file each; PlacementRules compiles a version once and finds rules by workspace; apply() makes all changes or none and checks the result; difference() shows it as lines of the operators' language.

--- a/kernel/src/change.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Changes that operators make to a configuration.
--- /dev/null
+++ b/kernel/src/rule/hour.rs
@@ -0,0 +1,36 @@
+//! Matches the time of day of a request.
+
+use crate::configuration::ConditionSpec;
+use crate::rule::ConditionMatcher;
+use crate::rule::NumberTest;
+use crate::rule::RequestFacts;
+use crate::rule::RuleCondition;
+use crate::rule::RuleError;
+use crate::rule::check_field;
+
+/// The last hour of the day.
+const LAST_HOUR: u32 = 23;
+
+#[derive(Debug)]
+struct HourCondition(NumberTest);
+
+impl RuleCondition for HourCondition {
+    fn holds(&self, facts: &RequestFacts<'_>) -> bool {
+        self.0.holds(u32::from(facts.hour))
+    }
+}
+
+fn compile(condition: &ConditionSpec) -> Result<Box<dyn RuleCondition>, RuleError> {
+    check_field(condition)?;
+    Ok(Box::new(HourCondition(NumberTest::bounded(
+        condition, LAST_HOUR,
+    )?)))
+}
+
+inventory::submit! {
+    ConditionMatcher {
+        field: "hour",
+        meaning: "The hour of the day in UTC, from 0 to 23.",
+        compile,
+    }
+}
--- /dev/null
+++ b/kernel/src/rule/method.rs
@@ -0,0 +1,31 @@
+//! Matches the method of a request.
+
+use crate::configuration::ConditionSpec;
+use crate::rule::ConditionMatcher;
+use crate::rule::RequestFacts;
+use crate::rule::RuleCondition;
+use crate::rule::RuleError;
+use crate::rule::TextTest;
+use crate::rule::check_field;
+
+#[derive(Debug)]
+struct MethodCondition(TextTest);
+
+impl RuleCondition for MethodCondition {
+    fn holds(&self, facts: &RequestFacts<'_>) -> bool {
+        self.0.holds(facts.method)
+    }
+}
+
+fn compile(condition: &ConditionSpec) -> Result<Box<dyn RuleCondition>, RuleError> {
+    check_field(condition)?;
+    Ok(Box::new(MethodCondition(TextTest::try_from(condition)?)))
+}
+
+inventory::submit! {
+    ConditionMatcher {
+        field: "method",
+        meaning: "The HTTP method, in capitals.",
+        compile,
+    }
+}
--- /dev/null
+++ b/kernel/src/rule/prompt.rs
@@ -0,0 +1,34 @@
+//! Matches the prompt length of a request.
+
+use crate::configuration::ConditionSpec;
+use crate::rule::ConditionMatcher;
+use crate::rule::NumberTest;
+use crate::rule::RequestFacts;
+use crate::rule::RuleCondition;
+use crate::rule::RuleError;
+use crate::rule::check_field;
+
+#[derive(Debug)]
+struct PromptCondition(NumberTest);
+
+impl RuleCondition for PromptCondition {
+    fn holds(&self, facts: &RequestFacts<'_>) -> bool {
+        self.0.holds(facts.prompt_tokens)
+    }
+}
+
+fn compile(condition: &ConditionSpec) -> Result<Box<dyn RuleCondition>, RuleError> {
+    check_field(condition)?;
+    Ok(Box::new(PromptCondition(NumberTest::bounded(
+        condition,
+        u32::MAX,
+    )?)))
+}
+
+inventory::submit! {
+    ConditionMatcher {
+        field: "prompt",
+        meaning: "The length of the prompt, in tokens.",
+        compile,
+    }
+}
--- /dev/null
+++ b/kernel/src/rule/workspace.rs
@@ -0,0 +1,31 @@
+//! Matches the workspace of a request.
+
+use crate::configuration::ConditionSpec;
+use crate::rule::ConditionMatcher;
+use crate::rule::RequestFacts;
+use crate::rule::RuleCondition;
+use crate::rule::RuleError;
+use crate::rule::TextTest;
+use crate::rule::check_field;
+
+#[derive(Debug)]
+struct WorkspaceCondition(TextTest);
+
+impl RuleCondition for WorkspaceCondition {
+    fn holds(&self, facts: &RequestFacts<'_>) -> bool {
+        self.0.holds(facts.workspace)
+    }
+}
+
+fn compile(condition: &ConditionSpec) -> Result<Box<dyn RuleCondition>, RuleError> {
+    check_field(condition)?;
+    Ok(Box::new(WorkspaceCondition(TextTest::try_from(condition)?)))
+}
+
+inventory::submit! {
+    ConditionMatcher {
+        field: "workspace",
+        meaning: "The workspace of the caller.",
+        compile,
+    }
+}
--- a/src/settings.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The settings of one host, read from a TOML file.
