--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`borageladder_kernel`], which this crate re-exports as [`kernel`].
 
 pub use borageladder_kernel as kernel;
+pub use slog;
 
 pub mod cell;
 pub mod claims;
--- /dev/null
+++ b/tests/events.rs
@@ -0,0 +1,79 @@
+//! Tests of the numbered events and their catalogue.
+
+use std::fs;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use borageladder::event::LogEvent;
+use borageladder::log_event;
+use slog::Drain;
+use slog::Level;
+use slog::Logger;
+use slog::Never;
+use slog::OwnedKVList;
+use slog::Record;
+
+/// The rows of a table before its first entry.
+const TABLE_HEAD_ROWS: usize = 2;
+
+fn catalogue() -> Vec<String> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/EVENTS.md");
+    let text = fs::read_to_string(path).expect("the catalogue is readable");
+    let rows = text.lines().filter(|line| line.starts_with("| "));
+    rows.skip(TABLE_HEAD_ROWS).map(str::to_owned).collect()
+}
+
+#[test]
+fn code_and_catalogue_agree() {
+    let catalogue = catalogue();
+    assert_eq!(catalogue.len(), LogEvent::ALL.len());
+    for (row, event) in catalogue.iter().zip(LogEvent::ALL) {
+        let (number, name) = (event.number(), event.name());
+        let level = format!("{:?}", event.level()).to_lowercase();
+        let meaning = event.meaning();
+        assert_eq!(
+            *row,
+            format!("| {number} | {level} | `{name}` | {meaning} |")
+        );
+    }
+}
+
+#[test]
+fn numbers_grow_and_names_differ() {
+    let numbers: Vec<u16> = LogEvent::ALL.iter().map(|event| event.number()).collect();
+    assert!(numbers.is_sorted_by(|one, next| one < next));
+    let mut names: Vec<&str> = LogEvent::ALL.iter().map(|event| event.name()).collect();
+    names.sort_unstable();
+    assert!(names.is_sorted_by(|one, next| one < next));
+}
+
+#[derive(Clone, Default)]
+struct RecordSink(Arc<Mutex<Vec<(Level, String)>>>);
+
+impl Drain for RecordSink {
+    type Err = Never;
+    type Ok = ();
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let mut records = self
+            .0
+            .lock()
+            .expect("no test panics while it holds the lock");
+        records.push((record.level(), record.msg().to_string()));
+        Ok(())
+    }
+}
+
+#[test]
+fn events_are_logged_at_their_level() {
+    let sink = RecordSink::default();
+    let logger = Logger::root(sink.clone().fuse(), slog::o!());
+    log_event!(logger, LogEvent::MemberLost, "member" => "kushiro-1");
+    let records = sink
+        .0
+        .lock()
+        .expect("no test panics while it holds the lock");
+    let expected = (Level::Warning, LogEvent::MemberLost.meaning().to_owned());
+    assert_eq!(*records, [expected]);
+}
