--- a/tests/link_support/mod.rs
+++ b/tests/link_support/mod.rs
@@ -32,7 +32,7 @@
 pub const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// The time after which a test that waits in vain is given up; it bounds no verdict.
-const GIVE_UP: Duration = Duration::from_secs(60);
+const GIVE_UP: Duration = Duration::from_mins(1);
 
 pub fn host(name: &str) -> HostName {
     HostName::try_from(name).expect("a valid name")
