Order, refuse and grant in the broker of a cell

Cause: engines keep arrival order and their load reports are late, so tiers mean nothing unless waiting is done where tiers are known.

The broker keeps tier queues with a tally of the work before each request, learned limits, speeds and answer lengths, prefix knowledge corrected by cache events, and a ledger of grants. Policies register themselves; predicted-finish is the project's, round-robin, least-loaded, arrival-order and prefix-hash are baselines.

Ruled out: a tally in buckets of a quarter of a second. A burst that falls into one bucket counted as no work ahead, so the test of the wait in the deadline ended in a refusal for capacity; buckets are now a millisecond and the request's own bucket counts. Ruled out too: comparing bare predicted finishes when a prefix is being computed; an idle worker then won by the few tokens after the prefix and the prefix was computed twice, so both sides now weigh the prefill.

--- a/kernel/src/broker.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The broker of one cell: orders what waits and grants slots on workers.
--- /dev/null
+++ b/kernel/src/broker/settings.rs
@@ -0,0 +1,105 @@
+//! Settings of a broker and the errors in them.
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::policy::DEFAULT_POLICY;
+
+/// The settings of the broker of one cell.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use borageladder_kernel::broker::BrokerSettings;
+///
+/// let settings = BrokerSettings::default()
+///     .with_incarnation(0x51)
+///     .with_takeover_time(Duration::ZERO);
+/// assert_eq!(settings.policy, "predicted-finish");
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BrokerSettings {
+    /// The random number that the broker drew when it took over the cell.
+    pub incarnation: u64,
+    /// The name of a registered policy.
+    pub policy: &'static str,
+    /// The time after which an unused grant lapses.
+    pub grant_lifetime: Duration,
+    /// The most requests that may wait in the cell.
+    pub max_waiting: usize,
+    /// The time during which a new broker only collects what runs in the cell.
+    pub takeover_time: Duration,
+    /// The seed of whatever a policy draws at random.
+    pub seed: u64,
+}
+
+impl Default for BrokerSettings {
+    fn default() -> Self {
+        Self {
+            incarnation: 0,
+            policy: DEFAULT_POLICY,
+            grant_lifetime: Duration::from_secs(2),
+            max_waiting: 100_000,
+            takeover_time: Duration::from_secs(1),
+            seed: 0,
+        }
+    }
+}
+
+impl BrokerSettings {
+    /// Sets the incarnation of the broker.
+    #[must_use]
+    pub const fn with_incarnation(mut self, incarnation: u64) -> Self {
+        self.incarnation = incarnation;
+        self
+    }
+
+    /// Sets the policy.
+    #[must_use]
+    pub const fn with_policy(mut self, policy: &'static str) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Sets the time after which an unused grant lapses.
+    #[must_use]
+    pub const fn with_grant_lifetime(mut self, lifetime: Duration) -> Self {
+        self.grant_lifetime = lifetime;
+        self
+    }
+
+    /// Sets the most requests that may wait.
+    #[must_use]
+    pub const fn with_max_waiting(mut self, waiting: usize) -> Self {
+        self.max_waiting = waiting;
+        self
+    }
+
+    /// Sets the time during which a new broker only collects what runs.
+    #[must_use]
+    pub const fn with_takeover_time(mut self, time: Duration) -> Self {
+        self.takeover_time = time;
+        self
+    }
+
+    /// Sets the seed.
+    #[must_use]
+    pub const fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
+
+/// The reason why a broker can't be created.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum BrokerError {
+    /// No policy with the name is registered.
+    #[error("no policy is named {name:?}")]
+    UnknownPolicy {
+        /// The name in the settings.
+        name: String,
+    },
+}
--- a/kernel/src/estimate.rs
+++ b/kernel/src/estimate.rs
@@ -1,1 +1,289 @@
-//! Estimates of answer lengths and worker speeds, learned as quantiles.
+//! Estimates of answer lengths and of worker speeds, learned from what finished.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::name::TierRank;
+use crate::name::WorkspaceName;
+
+/// The largest value that a histogram tells apart.
+const LARGEST_VALUE: u64 = 1 << 20;
+
+/// The number of samples from which on a histogram is used.
+const SAMPLES_NEEDED: u64 = 8;
+
+/// The number of samples at which the weight of older samples is halved.
+const SAMPLES_KEPT: u64 = 1_024;
+
+/// The number of workspaces whose lengths are kept apart.
+const WORKSPACES_KEPT: usize = 1_024;
+
+/// The quantile of the lengths that the cautious estimate uses.
+const CAUTIOUS_QUANTILE: f64 = 0.7;
+
+/// The estimated length of one answer: tokens for engines, milliseconds for plain services.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerEstimate {
+    /// The mean length.
+    pub likely: u32,
+    /// A length that most answers stay under.
+    pub cautious: u32,
+}
+
+impl AnswerEstimate {
+    /// Returns the estimate with both lengths held at or below `most`.
+    #[must_use]
+    pub fn capped(self, most: u32) -> Self {
+        Self {
+            likely: self.likely.min(most),
+            cautious: self.cautious.min(most),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct LengthHistogram {
+    counts: Histogram<u16>,
+    estimate: AnswerEstimate,
+}
+
+impl LengthHistogram {
+    fn new() -> Option<Self> {
+        let counts = Histogram::new_with_bounds(1, LARGEST_VALUE, 1).ok()?;
+        let estimate = AnswerEstimate {
+            likely: 0,
+            cautious: 0,
+        };
+        Some(Self { counts, estimate })
+    }
+
+    fn record(&mut self, length: u32) {
+        self.counts.saturating_record(u64::from(length.max(1)));
+        if self.counts.len() >= SAMPLES_KEPT {
+            self.halve();
+        }
+        let count = self.counts.len();
+        if count < 64 || count.is_multiple_of(8) {
+            self.refresh();
+        }
+    }
+
+    fn halve(&mut self) {
+        let mut halved = self.counts.clone();
+        halved.reset();
+        for step in self.counts.iter_recorded() {
+            let kept = step.count_at_value() / 2;
+            halved.saturating_record_n(step.value_iterated_to(), kept);
+        }
+        self.counts = halved;
+    }
+
+    fn refresh(&mut self) {
+        let mut weighted = 0;
+        let mut count = 0;
+        for step in self.counts.iter_recorded() {
+            let here = u64::from(step.count_at_value());
+            weighted += here * step.value_iterated_to();
+            count += here;
+        }
+        let mean = weighted / count.max(1);
+        let cautious = self.counts.value_at_quantile(CAUTIOUS_QUANTILE);
+        self.estimate = AnswerEstimate {
+            likely: u32::try_from(mean).unwrap_or(u32::MAX),
+            cautious: u32::try_from(cautious).unwrap_or(u32::MAX),
+        };
+    }
+
+    fn ready(&self) -> Option<AnswerEstimate> {
+        (self.counts.len() >= SAMPLES_NEEDED).then_some(self.estimate)
+    }
+}
+
+/// Answer lengths by workspace and tier, with those of the whole tier where few are known.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder_kernel::estimate::AnswerEstimator;
+/// use borageladder_kernel::name::TierRank;
+/// use borageladder_kernel::name::WorkspaceName;
+///
+/// # fn main() -> Result<(), borageladder_kernel::name::NameError> {
+/// let mut estimator = AnswerEstimator::new(256);
+/// let union = WorkspaceName::try_from("union")?;
+/// assert_eq!(estimator.estimate(&union, TierRank(0)).likely, 256);
+/// for _ in 0..20 {
+///     estimator.record(&union, TierRank(0), 30);
+/// }
+/// assert!(estimator.estimate(&union, TierRank(0)).cautious <= 31);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct AnswerEstimator {
+    unknown: u32,
+    tiers: BTreeMap<TierRank, LengthHistogram>,
+    workspaces: BTreeMap<WorkspaceName, BTreeMap<TierRank, LengthHistogram>>,
+}
+
+impl AnswerEstimator {
+    /// Creates an estimator that answers `unknown` until it has learned a tier.
+    #[must_use]
+    pub const fn new(unknown: u32) -> Self {
+        Self {
+            unknown,
+            tiers: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
+        }
+    }
+
+    /// Learns the length of one whole answer.
+    pub fn record(&mut self, workspace: &WorkspaceName, tier: TierRank, length: u32) {
+        record_in(&mut self.tiers, tier, length);
+        if let Some(tiers) = self.workspaces.get_mut(workspace) {
+            record_in(tiers, tier, length);
+        } else if self.workspaces.len() < WORKSPACES_KEPT {
+            let tiers = self.workspaces.entry(workspace.clone()).or_default();
+            record_in(tiers, tier, length);
+        }
+    }
+
+    /// Returns the estimate for a workspace and tier.
+    #[must_use]
+    pub fn estimate(&self, workspace: &WorkspaceName, tier: TierRank) -> AnswerEstimate {
+        let own = self
+            .workspaces
+            .get(workspace)
+            .and_then(|tiers| tiers.get(&tier))
+            .and_then(LengthHistogram::ready);
+        let common = || self.tiers.get(&tier).and_then(LengthHistogram::ready);
+        own.or_else(common).unwrap_or(AnswerEstimate {
+            likely: self.unknown,
+            cautious: self.unknown,
+        })
+    }
+}
+
+fn record_in(tiers: &mut BTreeMap<TierRank, LengthHistogram>, tier: TierRank, length: u32) {
+    if let Entry::Vacant(vacant) = tiers.entry(tier) {
+        let Some(histogram) = LengthHistogram::new() else {
+            return;
+        };
+        vacant.insert(histogram);
+    }
+    if let Some(histogram) = tiers.get_mut(&tier) {
+        histogram.record(length);
+    }
+}
+
+/// The speed of a worker or the typical speed of a cell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WorkerSpeed {
+    /// The time to prefill one prompt token, in nanoseconds.
+    pub prefill_nanos: u64,
+    /// The time between two answer tokens, in microseconds.
+    pub gap_micros: u64,
+}
+
+impl Default for WorkerSpeed {
+    fn default() -> Self {
+        Self {
+            prefill_nanos: 200_000,
+            gap_micros: 25_000,
+        }
+    }
+}
+
+impl WorkerSpeed {
+    /// Returns the time to prefill `tokens` prompt tokens.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use borageladder_kernel::estimate::WorkerSpeed;
+    ///
+    /// let speed = WorkerSpeed { prefill_nanos: 100_000, gap_micros: 20_000 };
+    /// assert_eq!(speed.prefill(1_000), Duration::from_millis(100));
+    /// assert_eq!(speed.decode(10), Duration::from_millis(200));
+    /// ```
+    #[must_use]
+    pub const fn prefill(&self, tokens: u32) -> Duration {
+        Duration::from_nanos(self.prefill_nanos.saturating_mul(tokens as u64))
+    }
+
+    /// Returns the time to generate `tokens` answer tokens.
+    #[must_use]
+    pub const fn decode(&self, tokens: u32) -> Duration {
+        Duration::from_micros(self.gap_micros.saturating_mul(tokens as u64))
+    }
+}
+
+/// The speed of one worker, learned from its first tokens and token gaps.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SpeedEstimate {
+    prefill_nanos: Option<u64>,
+    gap_micros: Option<u64>,
+    lowest_gap_micros: Option<u64>,
+}
+
+impl SpeedEstimate {
+    /// Returns the learned speed, with what is not known taken from `typical`.
+    #[must_use]
+    pub fn speed(&self, typical: WorkerSpeed) -> WorkerSpeed {
+        WorkerSpeed {
+            prefill_nanos: self.prefill_nanos.unwrap_or(typical.prefill_nanos),
+            gap_micros: self.gap_micros.unwrap_or(typical.gap_micros),
+        }
+    }
+
+    /// Returns the learned time between two tokens, in microseconds.
+    #[must_use]
+    pub const fn gap_micros(&self) -> Option<u64> {
+        self.gap_micros
+    }
+
+    /// Returns the learned time to prefill a token, in nanoseconds.
+    #[must_use]
+    pub const fn prefill_nanos(&self) -> Option<u64> {
+        self.prefill_nanos
+    }
+
+    /// Returns the lowest time between two tokens seen lately, in microseconds.
+    #[must_use]
+    pub const fn lowest_gap_micros(&self) -> Option<u64> {
+        self.lowest_gap_micros
+    }
+
+    /// Learns from a first token that came `after` the dispatch of `tokens` uncached tokens.
+    pub fn record_prefill(&mut self, tokens: u32, after: Duration) {
+        let nanos = u64::try_from(after.as_nanos()).unwrap_or(u64::MAX);
+        let sample = nanos / u64::from(tokens.max(1));
+        self.prefill_nanos = Some(smoothed(self.prefill_nanos, sample));
+    }
+
+    /// Learns the mean time between two tokens of one answer.
+    pub fn record_gap(&mut self, gap: Duration) {
+        let sample = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX).max(1);
+        self.gap_micros = Some(smoothed(self.gap_micros, sample));
+        let lowest = self.lowest_gap_micros.map_or(sample, |lowest| {
+            let raised = lowest + lowest / 256;
+            raised.min(sample)
+        });
+        self.lowest_gap_micros = Some(lowest);
+    }
+
+    /// Replaces the learned time between two tokens, as after a change of state.
+    pub fn replace_gap(&mut self, gap: Duration) {
+        self.gap_micros = None;
+        self.record_gap(gap);
+    }
+}
+
+fn smoothed(old: Option<u64>, sample: u64) -> u64 {
+    old.map_or(sample, |old| old - old / 8 + sample / 8)
+}
--- /dev/null
+++ b/kernel/src/policy/arrival_order.rs
@@ -0,0 +1,43 @@
+//! Baseline: first come, first served without tiers, with the same limit for every worker.
+
+use super::Choice;
+use super::ChoiceReason;
+use super::ChoiceView;
+use super::PolicyEntry;
+use super::WorkerPolicy;
+use crate::limit::LimitMode;
+use crate::queue::QueueOrder;
+
+/// The number of requests that each worker runs at once.
+const SLOTS: u32 = 16;
+
+struct ArrivalOrder;
+
+impl WorkerPolicy for ArrivalOrder {
+    fn name(&self) -> &'static str {
+        "arrival-order"
+    }
+
+    fn order(&self) -> QueueOrder {
+        QueueOrder::Arrival
+    }
+
+    fn limits(&self) -> LimitMode {
+        LimitMode::Fixed(SLOTS)
+    }
+
+    fn refuses_early(&self) -> bool {
+        false
+    }
+
+    fn choose(&self, view: &ChoiceView<'_>) -> Choice {
+        let least = view.open().min_by_key(|open| open.candidate.running);
+        let candidate = least.map_or(0, |open| open.position);
+        let reason = ChoiceReason::LeastLoaded;
+        Choice::Worker { candidate, reason }
+    }
+}
+
+inventory::submit! {
+    PolicyEntry { policy: &ArrivalOrder }
+}
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -1,1 +1,144 @@
 //! Policies that choose a worker for a request, registered by themselves.
+//!
+//! Each policy stands in a file of its own and submits a [`PolicyEntry`]; nothing else has to change
+//! when one is added.
+
+mod arrival_order;
+mod least_loaded;
+mod predicted_finish;
+mod prefix_hash;
+mod round_robin;
+mod view;
+
+use std::fmt;
+use std::time::Duration;
+
+pub use self::view::ChoiceView;
+pub use self::view::OpenCandidate;
+pub use self::view::WorkerCandidate;
+use crate::limit::LimitMode;
+use crate::queue::QueueOrder;
+
+/// The name of the policy that is used unless another one is set.
+pub const DEFAULT_POLICY: &str = "predicted-finish";
+
+/// A way to order what waits and to choose a worker.
+pub trait WorkerPolicy: Sync {
+    /// Returns the name by which settings refer to the policy.
+    fn name(&self) -> &'static str;
+
+    /// Returns the order in which waiting requests are served.
+    fn order(&self) -> QueueOrder;
+
+    /// Returns how the limits of workers come about.
+    fn limits(&self) -> LimitMode;
+
+    /// Returns whether a request is refused as soon as its deadline can't be met.
+    fn refuses_early(&self) -> bool;
+
+    /// Chooses a worker for a request; at least one candidate has room.
+    fn choose(&self, view: &ChoiceView<'_>) -> Choice;
+}
+
+/// What a policy decided for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Choice {
+    /// The request goes to the candidate now.
+    Worker {
+        /// The position of the candidate in the view.
+        candidate: usize,
+        /// The reason, for `explain`.
+        reason: ChoiceReason,
+    },
+    /// The request waits for the candidate: for a free slot there, or for a prefix that the
+    /// candidate is computing.
+    Wait {
+        /// The position of the candidate in the view.
+        candidate: usize,
+        /// The longest time to wait; afterwards the request does not wait for a candidate again.
+        patience: Duration,
+    },
+}
+
+/// The reason why a worker was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ChoiceReason {
+    /// The worker was idle and the request must run alone.
+    Alone,
+    /// The worker comes first for the request's prefix among those below the bound on their load.
+    Hashed,
+    /// The worker had the least load.
+    LeastLoaded,
+    /// It was the worker's turn.
+    Turn,
+    /// The worker is predicted to finish first, counting the weight of its cached prefix.
+    Soonest {
+        /// The predicted time until the answer is whole.
+        finish: Duration,
+        /// The prompt tokens that the worker has cached.
+        cached_tokens: u32,
+        /// The number of workers that had room.
+        open: usize,
+    },
+}
+
+impl fmt::Display for ChoiceReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Alone => f.write_str("idle worker for a request that must run alone"),
+            Self::Hashed => f.write_str("first worker for the prefix below the load bound"),
+            Self::LeastLoaded => f.write_str("least load"),
+            Self::Turn => f.write_str("its turn"),
+            Self::Soonest {
+                finish,
+                cached_tokens,
+                open,
+            } => write!(
+                f,
+                "best of {open} with room: finish in {} ms, {cached_tokens} prompt tokens cached",
+                finish.as_millis()
+            ),
+        }
+    }
+}
+
+/// The registration of a policy.
+pub struct PolicyEntry {
+    /// The policy.
+    pub policy: &'static dyn WorkerPolicy,
+}
+
+impl fmt::Debug for PolicyEntry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("PolicyEntry")
+            .field(&self.policy.name())
+            .finish()
+    }
+}
+
+inventory::collect!(PolicyEntry);
+
+/// Returns the registered policy with the name.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder_kernel::policy;
+///
+/// assert!(policy::find("predicted-finish").is_some());
+/// assert!(policy::find("coin-toss").is_none());
+/// ```
+#[must_use]
+pub fn find(name: &str) -> Option<&'static dyn WorkerPolicy> {
+    all().into_iter().find(|policy| policy.name() == name)
+}
+
+/// Returns all registered policies in the order of their names.
+#[must_use]
+pub fn all() -> Vec<&'static dyn WorkerPolicy> {
+    let mut policies: Vec<_> = inventory::iter::<PolicyEntry>()
+        .map(|entry| entry.policy)
+        .collect();
+    policies.sort_by_key(|policy| policy.name());
+    policies
+}
--- /dev/null
+++ b/kernel/src/policy/prefix_hash.rs
@@ -0,0 +1,71 @@
+//! Baseline: rendezvous hashing of the prompt prefix with bounded loads.
+
+use super::Choice;
+use super::ChoiceReason;
+use super::ChoiceView;
+use super::OpenCandidate;
+use super::PolicyEntry;
+use super::WorkerCandidate;
+use super::WorkerPolicy;
+use crate::limit::LimitMode;
+use crate::queue::QueueOrder;
+
+/// The most load of a worker over the mean load, in percent.
+const BOUND_PERCENT: u64 = 125;
+
+struct PrefixHash;
+
+impl WorkerPolicy for PrefixHash {
+    fn name(&self) -> &'static str {
+        "prefix-hash"
+    }
+
+    fn order(&self) -> QueueOrder {
+        QueueOrder::Arrival
+    }
+
+    fn limits(&self) -> LimitMode {
+        LimitMode::Unlimited
+    }
+
+    fn refuses_early(&self) -> bool {
+        false
+    }
+
+    fn choose(&self, view: &ChoiceView<'_>) -> Choice {
+        let key = view
+            .ask
+            .prefix
+            .first()
+            .map_or(view.grants, |digest| digest.0);
+        let bound = load_bound(view.candidates);
+        let below = |open: &OpenCandidate<'_>| open.candidate.running < bound;
+        let weight = |open: &OpenCandidate<'_>| mixed(open.candidate.identity ^ mixed(key));
+        let first = view.open().filter(below).max_by_key(weight);
+        let candidate = first.map_or(0, |open| open.position);
+        let reason = ChoiceReason::Hashed;
+        Choice::Worker { candidate, reason }
+    }
+}
+
+inventory::submit! {
+    PolicyEntry { policy: &PrefixHash }
+}
+
+/// Returns the number of running requests that no worker may exceed.
+fn load_bound(candidates: &[WorkerCandidate]) -> u32 {
+    let running: u64 = candidates
+        .iter()
+        .map(|candidate| u64::from(candidate.running))
+        .sum();
+    let count = u64::try_from(candidates.len()).unwrap_or(1).max(1);
+    let bound = ((running + 1) * BOUND_PERCENT).div_ceil(count * 100);
+    u32::try_from(bound).unwrap_or(u32::MAX)
+}
+
+/// Spreads the bits of a number over the whole word.
+const fn mixed(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
--- a/kernel/src/queue.rs
+++ b/kernel/src/queue.rs
@@ -1,1 +1,230 @@
-//! The waiting work of one cell, by tier and deadline.
+//! Order of waiting requests and the work that stands before each of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::ClockTime;
+use crate::name::RequestId;
+use crate::name::TierRank;
+
+/// The width of the finest bucket of a [`WorkTally`], in microseconds.
+const BUCKET_MICROS: u64 = 1_000;
+
+/// The number of bits by which one level of a [`WorkTally`] is coarser than the level below.
+const LEVEL_BITS: u32 = 4;
+
+/// The number of levels of a [`WorkTally`].
+const LEVEL_COUNT: usize = 8;
+
+/// The order in which a policy serves waiting requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueueOrder {
+    /// First come, first served, whatever the tier.
+    Arrival,
+    /// By tier, and within a tier by deadline.
+    TierDeadline,
+}
+
+/// The position of a request in its queue; smaller keys are served first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct QueueKey {
+    /// The tier, or zero where the order is by arrival.
+    pub tier: TierRank,
+    /// The deadline, or zero where the order is by arrival.
+    pub due: ClockTime,
+    /// The position among all requests that arrived.
+    pub sequence: u64,
+}
+
+impl QueueKey {
+    /// Creates the key of a request under an order.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use borageladder_kernel::clock::ClockTime;
+    /// use borageladder_kernel::name::TierRank;
+    /// use borageladder_kernel::queue::QueueKey;
+    /// use borageladder_kernel::queue::QueueOrder;
+    ///
+    /// let order = QueueOrder::TierDeadline;
+    /// let urgent = QueueKey::new(order, TierRank(0), ClockTime::from_millis(900), 2);
+    /// let batch = QueueKey::new(order, TierRank(3), ClockTime::from_millis(100), 1);
+    /// assert!(urgent < batch);
+    /// ```
+    #[must_use]
+    pub const fn new(order: QueueOrder, tier: TierRank, due: ClockTime, sequence: u64) -> Self {
+        match order {
+            QueueOrder::Arrival => Self {
+                tier: TierRank(0),
+                due: ClockTime::ZERO,
+                sequence,
+            },
+            QueueOrder::TierDeadline => Self {
+                tier,
+                due,
+                sequence,
+            },
+        }
+    }
+}
+
+/// Waiting requests in the order of their keys.
+#[derive(Clone, Debug, Default)]
+pub struct TierQueue {
+    requests: BTreeMap<QueueKey, RequestId>,
+}
+
+impl TierQueue {
+    /// Adds a request.
+    pub fn insert(&mut self, key: QueueKey, request: RequestId) {
+        self.requests.insert(key, request);
+    }
+
+    /// Removes the request with the key.
+    pub fn remove(&mut self, key: &QueueKey) {
+        self.requests.remove(key);
+    }
+
+    /// Returns the key and the request that is served first.
+    #[must_use]
+    pub fn first(&self) -> Option<QueueEntry> {
+        self.requests.first_key_value().map(QueueEntry::of)
+    }
+
+    /// Returns the key and the request that is served last.
+    #[must_use]
+    pub fn last(&self) -> Option<QueueEntry> {
+        self.requests.last_key_value().map(QueueEntry::of)
+    }
+
+    /// Returns the request before a key, or the last one if there is none.
+    #[must_use]
+    pub fn before_or_last(&self, key: Option<QueueKey>) -> Option<QueueEntry> {
+        let before = key.and_then(|key| self.requests.range(..key).next_back());
+        before.map(QueueEntry::of).or_else(|| self.last())
+    }
+
+    /// Returns the number of requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns whether the queue holds no request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Iterates over the requests in their order.
+    pub fn iter(&self) -> impl Iterator<Item = QueueEntry> {
+        self.requests.iter().map(QueueEntry::of)
+    }
+}
+
+/// A request and its key in a queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QueueEntry {
+    /// The key.
+    pub key: QueueKey,
+    /// The request.
+    pub request: RequestId,
+}
+
+impl QueueEntry {
+    const fn of(pair: (&QueueKey, &RequestId)) -> Self {
+        Self {
+            key: *pair.0,
+            request: *pair.1,
+        }
+    }
+}
+
+/// The work of waiting requests by tier and deadline, with sums in logarithmic time.
+///
+/// Deadlines fall into buckets of a millisecond; each level above sums sixteen buckets of
+/// the level below.
+#[derive(Clone, Debug, Default)]
+pub struct WorkTally {
+    tiers: BTreeMap<TierRank, TierTally>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TierTally {
+    total: u64,
+    levels: [BTreeMap<u64, u64>; LEVEL_COUNT],
+}
+
+impl WorkTally {
+    /// Adds the work of a request.
+    pub fn add(&mut self, key: &QueueKey, work: Duration) {
+        let tally = self.tiers.entry(key.tier).or_default();
+        let work = micros(work);
+        tally.total += work;
+        let mut bucket = key.due.as_micros() / BUCKET_MICROS;
+        for level in &mut tally.levels {
+            *level.entry(bucket).or_default() += work;
+            bucket >>= LEVEL_BITS;
+        }
+    }
+
+    /// Removes the work of a request, which must have been added with the same values.
+    pub fn remove(&mut self, key: &QueueKey, work: Duration) {
+        let Some(tally) = self.tiers.get_mut(&key.tier) else {
+            return;
+        };
+        let work = micros(work);
+        tally.total = tally.total.saturating_sub(work);
+        let mut bucket = key.due.as_micros() / BUCKET_MICROS;
+        for level in &mut tally.levels {
+            if let Some(sum) = level.get_mut(&bucket) {
+                *sum = sum.saturating_sub(work);
+                if *sum == 0 {
+                    level.remove(&bucket);
+                }
+            }
+            bucket >>= LEVEL_BITS;
+        }
+    }
+
+    /// Returns the work that is served before a request with the key, with all work that is due in
+    /// the same millisecond.
+    #[must_use]
+    pub fn before(&self, key: &QueueKey) -> Duration {
+        let higher: u64 = self
+            .tiers
+            .range(..key.tier)
+            .map(|(_, tally)| tally.total)
+            .sum();
+        let same = self
+            .tiers
+            .get(&key.tier)
+            .map_or(0, |tally| tally.before(key.due));
+        Duration::from_micros(higher + same)
+    }
+}
+
+impl TierTally {
+    fn before(&self, due: ClockTime) -> u64 {
+        let mut bucket = due.as_micros() / BUCKET_MICROS;
+        let mut sum = self.levels[0].get(&bucket).copied().unwrap_or(0);
+        for (position, level) in self.levels.iter().enumerate() {
+            let first = if position + 1 == LEVEL_COUNT {
+                0
+            } else {
+                (bucket >> LEVEL_BITS) << LEVEL_BITS
+            };
+            sum += level
+                .range(first..bucket)
+                .map(|(_, work)| work)
+                .sum::<u64>();
+            bucket >>= LEVEL_BITS;
+        }
+        sum
+    }
+}
+
+fn micros(work: Duration) -> u64 {
+    u64::try_from(work.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/kernel/tests/broker/faults.rs
@@ -0,0 +1,161 @@
+//! Takeovers, lost hosts, suspects, stragglers and failing workers.
+
+use std::time::Duration;
+
+use borageladder_kernel::ask::BrokerEvent;
+use borageladder_kernel::ask::Grant;
+use borageladder_kernel::ask::LoadReport;
+use borageladder_kernel::ask::RunningWork;
+use borageladder_kernel::ask::WorkProgress;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::GrantId;
+use borageladder_kernel::name::TierRank;
+
+use crate::harness::BrokerBench;
+use crate::harness::LIFETIME;
+use crate::harness::grants;
+use crate::harness::host;
+use crate::harness::only_grant;
+use crate::harness::request;
+use crate::harness::settings;
+
+#[test]
+fn no_grant_before_the_takeover_ends() {
+    let takeover = Duration::from_secs(1);
+    let settings = settings().with_takeover_time(takeover);
+    let mut bench = BrokerBench::new(settings, &[("a", 2)]);
+    assert_eq!(bench.submit(0, 60), []);
+    assert_eq!(bench.submit(0, 60), []);
+    let work = RunningWork {
+        request: request(77),
+        grant: GrantId {
+            broker: 8,
+            sequence: 3,
+        },
+        worker: "a".parse().expect("a valid name"),
+        tier: TierRank(0),
+        prompt_tokens: 100,
+    };
+    let running = vec![work.clone()];
+    let event = BrokerEvent::Declared {
+        host: host(),
+        running,
+    };
+    assert_eq!(bench.handle(event), []);
+    assert!(bench.broker.next_wake() <= Some(ClockTime::ZERO + takeover));
+    assert_eq!(bench.pass(Duration::from_micros(999_999)), []);
+    assert_eq!(bench.pass(Duration::from_micros(1)).len(), 1);
+    assert_eq!(bench.running("a"), 2);
+    let earlier = Grant {
+        grant: work.grant,
+        request: work.request,
+        worker: work.worker,
+        expires_in: LIFETIME,
+        choice: String::new(),
+    };
+    assert_eq!(grants(&bench.finish(&earlier, 20)).len(), 1);
+}
+
+#[test]
+fn a_lost_host_frees_its_slots_after_the_grants_expired() {
+    let mut bench = BrokerBench::calm(&[("a", 1)]);
+    only_grant(&bench.submit(0, 60));
+    assert_eq!(bench.submit(0, 60), []);
+    bench.handle(BrokerEvent::HostLost { host: host() });
+    assert_eq!(bench.broker.waiting().count(), 0);
+    bench.pass(LIFETIME);
+    assert_eq!(bench.running("a"), 1);
+    bench.pass(LIFETIME);
+    assert_eq!(bench.running("a"), 0);
+}
+
+#[test]
+fn a_suspect_runs_alone() {
+    let mut bench = BrokerBench::calm(&[("a", 4), ("b", 4)]);
+    let mut held = Vec::new();
+    for _ in 0..8 {
+        held.push(only_grant(&bench.submit(0, 60)));
+    }
+    let mut ask = bench.ask(0, Duration::from_mins(1));
+    ask.suspect = true;
+    assert_eq!(bench.send(&ask), []);
+    let mut granted = Vec::new();
+    while granted.is_empty() {
+        let grant = held.remove(0);
+        granted = grants(&bench.finish(&grant, 20));
+    }
+    let suspect = granted.remove(0);
+    assert_eq!(suspect.request, ask.request);
+    assert_eq!(bench.running(suspect.worker.as_str()), 1);
+    while let Some(grant) = grants(&bench.submit(1, 60)).pop() {
+        assert_ne!(grant.worker, suspect.worker);
+    }
+    assert_eq!(grants(&bench.finish(&suspect, 20)).len(), 1);
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_new() {
+    let mut bench = BrokerBench::calm(&[("a", 4), ("b", 4)]);
+    let load = LoadReport {
+        leaving: true,
+        ..LoadReport::default()
+    };
+    let worker = "a".parse().expect("a valid name");
+    bench.handle(BrokerEvent::LoadReported { worker, load });
+    for _ in 0..4 {
+        assert_eq!(only_grant(&bench.submit(0, 60)).worker.as_str(), "b");
+    }
+    assert_eq!(bench.submit(0, 60), []);
+}
+
+#[test]
+fn a_straggler_gets_no_work_until_it_recovers() {
+    let mut bench = BrokerBench::calm(&[("a", 4), ("b", 4), ("c", 4), ("d", 4)]);
+    let held: Vec<Grant> = (0..16).map(|_| only_grant(&bench.submit(0, 600))).collect();
+    for grant in &held {
+        let gap = if grant.worker.as_str() == "a" {
+            200
+        } else {
+            20
+        };
+        bench.finish(grant, gap);
+    }
+    bench.pass(Duration::from_millis(100));
+    let straggler = |bench: &BrokerBench| {
+        let mut views = bench.broker.workers();
+        views.any(|view| view.worker.as_str() == "a" && view.straggler)
+    };
+    assert!(straggler(&bench));
+    let mut workers = Vec::new();
+    for _ in 0..6 {
+        workers.push(only_grant(&bench.submit(0, 600)).worker);
+    }
+    assert!(workers.iter().all(|worker| worker.as_str() != "a"));
+    let mut probes = Vec::new();
+    for _ in 0..20 {
+        probes.extend(grants(&bench.submit(2, 600)));
+    }
+    for _ in 0..20 {
+        probes.extend(grants(&bench.pass(Duration::from_secs(1))));
+    }
+    probes.retain(|grant| grant.worker.as_str() == "a");
+    assert_eq!(probes.len(), 1, "one request probes the straggler");
+    bench.finish(&probes[0], 20);
+    assert!(!straggler(&bench));
+}
+
+#[test]
+fn a_failed_worker_is_held_back() {
+    let mut bench = BrokerBench::calm(&[("a", 4)]);
+    let grant = only_grant(&bench.submit(0, 60));
+    bench.report(&grant, WorkProgress::Failed);
+    assert_eq!(bench.submit(0, 60), []);
+    assert_eq!(bench.submit(0, 60), []);
+    assert_eq!(bench.pass(Duration::from_millis(999)), []);
+    let probe = only_grant(&bench.pass(Duration::from_millis(1)));
+    let after = Duration::from_millis(50);
+    assert_eq!(
+        grants(&bench.report(&probe, WorkProgress::FirstToken { after })).len(),
+        1
+    );
+}
--- /dev/null
+++ b/kernel/tests/broker/harness.rs
@@ -0,0 +1,167 @@
+//! A broker, the time that it is told, and short forms of the events that tests send.
+
+use std::time::Duration;
+
+use borageladder_kernel::ask::Ask;
+use borageladder_kernel::ask::BrokerAction;
+use borageladder_kernel::ask::BrokerEvent;
+use borageladder_kernel::ask::CellWorker;
+use borageladder_kernel::ask::Grant;
+use borageladder_kernel::ask::Refusal;
+use borageladder_kernel::ask::WorkProgress;
+use borageladder_kernel::ask::WorkReport;
+use borageladder_kernel::broker::BrokerSettings;
+use borageladder_kernel::broker::CellBroker;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::HostName;
+use borageladder_kernel::name::RequestId;
+use borageladder_kernel::name::TierRank;
+
+const MODEL: &str = "drafter-8b";
+pub(crate) const LIFETIME: Duration = Duration::from_secs(2);
+
+/// A broker and the time that it is told.
+pub(crate) struct BrokerBench {
+    pub(crate) broker: CellBroker,
+    pub(crate) now: ClockTime,
+    pub(crate) sequence: u64,
+}
+
+impl BrokerBench {
+    pub(crate) fn new(settings: BrokerSettings, workers: &[(&str, u32)]) -> Self {
+        let now = ClockTime::ZERO;
+        let broker = CellBroker::new(settings, now).expect("the policy is registered");
+        let mut bench = Self {
+            broker,
+            now,
+            sequence: 0,
+        };
+        assert_eq!(bench.set_workers(workers), []);
+        bench
+    }
+
+    pub(crate) fn calm(workers: &[(&str, u32)]) -> Self {
+        Self::new(settings(), workers)
+    }
+
+    pub(crate) fn handle(&mut self, event: BrokerEvent) -> Vec<BrokerAction> {
+        self.broker.handle(self.now, event)
+    }
+
+    pub(crate) fn pass(&mut self, time: Duration) -> Vec<BrokerAction> {
+        self.now = self.now + time;
+        self.broker.tick(self.now)
+    }
+
+    pub(crate) fn set_workers(&mut self, workers: &[(&str, u32)]) -> Vec<BrokerAction> {
+        let workers = workers
+            .iter()
+            .map(|(worker, max_running)| CellWorker {
+                worker: worker.parse().expect("a valid name"),
+                models: vec![MODEL.parse().expect("a valid name")],
+                max_running: *max_running,
+            })
+            .collect();
+        self.handle(BrokerEvent::WorkersChanged { workers })
+    }
+
+    pub(crate) fn ask(&mut self, tier: u8, budget: Duration) -> Ask {
+        self.sequence += 1;
+        Ask {
+            request: request(self.sequence),
+            service: "drafter".parse().expect("a valid name"),
+            model: Some(MODEL.parse().expect("a valid name")),
+            workspace: "union".parse().expect("a valid name"),
+            tier: TierRank(tier),
+            budget,
+            prompt_tokens: 200,
+            max_answer_tokens: 40,
+            prefix: Vec::new(),
+            suspect: false,
+        }
+    }
+
+    pub(crate) fn send(&mut self, ask: &Ask) -> Vec<BrokerAction> {
+        let ask = ask.clone();
+        self.handle(BrokerEvent::Asked { host: host(), ask })
+    }
+
+    pub(crate) fn submit(&mut self, tier: u8, seconds: u64) -> Vec<BrokerAction> {
+        let ask = self.ask(tier, Duration::from_secs(seconds));
+        self.send(&ask)
+    }
+
+    pub(crate) fn report(&mut self, grant: &Grant, progress: WorkProgress) -> Vec<BrokerAction> {
+        let report = WorkReport {
+            request: grant.request,
+            grant: grant.grant,
+            worker: grant.worker.clone(),
+            progress,
+        };
+        self.handle(BrokerEvent::Reported {
+            host: host(),
+            report,
+        })
+    }
+
+    pub(crate) fn finish(&mut self, grant: &Grant, gap_millis: u64) -> Vec<BrokerAction> {
+        let token_gap = Duration::from_millis(gap_millis);
+        self.report(
+            grant,
+            WorkProgress::Finished {
+                answer_tokens: 20,
+                token_gap,
+            },
+        )
+    }
+
+    pub(crate) fn running(&self, worker: &str) -> u32 {
+        let views = self.broker.workers();
+        let mut matching = views.filter(|view| view.worker.as_str() == worker);
+        matching.next().map_or(0, |view| view.running)
+    }
+}
+
+pub(crate) fn settings() -> BrokerSettings {
+    BrokerSettings::default()
+        .with_incarnation(9)
+        .with_grant_lifetime(LIFETIME)
+        .with_takeover_time(Duration::ZERO)
+}
+
+pub(crate) fn host() -> HostName {
+    "sapporo-1".parse().expect("a valid name")
+}
+
+pub(crate) fn request(sequence: u64) -> RequestId {
+    RequestId {
+        incarnation: 1,
+        sequence,
+    }
+}
+
+pub(crate) fn grants(actions: &[BrokerAction]) -> Vec<Grant> {
+    let grant = |action: &BrokerAction| match action {
+        BrokerAction::Grant { grant, .. } => Some(grant.clone()),
+        BrokerAction::Refuse { .. } => None,
+    };
+    actions.iter().filter_map(grant).collect()
+}
+
+pub(crate) fn refusals(actions: &[BrokerAction]) -> Vec<Refusal> {
+    let refusal = |action: &BrokerAction| match action {
+        BrokerAction::Grant { .. } => None,
+        BrokerAction::Refuse { refusal, .. } => Some(refusal.clone()),
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+pub(crate) fn only_grant(actions: &[BrokerAction]) -> Grant {
+    assert_eq!(actions.len(), 1, "{actions:?}");
+    grants(actions).remove(0)
+}
+
+pub(crate) fn only_refusal(actions: &[BrokerAction]) -> Refusal {
+    assert_eq!(actions.len(), 1, "{actions:?}");
+    refusals(actions).remove(0)
+}
