Add the client of the platform

Cause: claims and the configuration need the table, the object store and the host list, each call in a bounded time, and an error that says whether a write may have been applied.

What was ruled out: to trust awc's kind of error. A reset while the answer is awaited comes as Response(Io), and a peer that read the request and closed as Connect(Disconnected); both are Unknown here.

Conclusion: Unreachable is said only when no connection was opened.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,1 +1,355 @@
 //! A client of the platform's table, object store and host list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::error::ParseError;
+use awc::Client;
+use awc::ClientRequest;
+use awc::ClientResponse;
+use awc::Connector;
+use awc::error::ConnectError;
+use awc::error::PayloadError;
+use awc::error::SendRequestError;
+use awc::http::StatusCode;
+use awc::http::header::CONTENT_LENGTH;
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::kernel::table::HostList;
+use crate::kernel::table::RowConflict;
+use crate::kernel::table::RowPage;
+use crate::kernel::table::RowRevision;
+use crate::kernel::table::TableRow;
+use crate::kernel::table::TableTransaction;
+use crate::kernel::table::TransactReceipt;
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// The bounds on the times of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlatformTimeouts {
+    /// The longest time in which a connection is opened.
+    pub connect: Duration,
+    /// The longest time of a whole call.
+    pub call: Duration,
+}
+
+impl Default for PlatformTimeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            call: Duration::from_secs(2),
+        }
+    }
+}
+
+/// The reason why a call to the platform brought no answer.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum PlatformError {
+    /// No connection could be opened, so nothing was applied.
+    #[error("the platform can't be reached: {reason}")]
+    Unreachable {
+        /// What kept the connection from being opened.
+        reason: String,
+    },
+    /// The answer was late or lost, so a write may have been applied.
+    #[error("the platform's answer was lost: {reason}")]
+    Unknown {
+        /// What happened to the answer.
+        reason: String,
+    },
+    /// The platform answered what it must not.
+    #[error("the platform's answer can't be used: {reason}")]
+    Protocol {
+        /// What is wrong with the answer.
+        reason: String,
+    },
+}
+
+impl From<SendRequestError> for PlatformError {
+    fn from(error: SendRequestError) -> Self {
+        let reason = error.to_string();
+        match error {
+            // The client also says `Disconnected` when the peer read the request and closed.
+            SendRequestError::Connect(ConnectError::Disconnected) => Self::Unknown { reason },
+            SendRequestError::Connect(_) | SendRequestError::Url(_) => Self::Unreachable { reason },
+            // A reset while the answer is awaited counts as a response that can't be parsed.
+            SendRequestError::Response(ParseError::Io(_)) => Self::Unknown { reason },
+            SendRequestError::Response(_) => Self::Protocol { reason },
+            _ => Self::Unknown { reason },
+        }
+    }
+}
+
+impl From<PayloadError> for PlatformError {
+    fn from(error: PayloadError) -> Self {
+        Self::Unknown {
+            reason: error.to_string(),
+        }
+    }
+}
+
+impl From<serde_json::Error> for PlatformError {
+    fn from(error: serde_json::Error) -> Self {
+        Self::Protocol {
+            reason: error.to_string(),
+        }
+    }
+}
+
+/// What became of a transaction that the platform answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TransactOutcome {
+    /// The transaction was applied.
+    Committed {
+        /// The revision of the rows that it wrote.
+        revision: RowRevision,
+    },
+    /// A check failed, and nothing was applied.
+    Conflict {
+        /// The key of the first check that failed.
+        key: String,
+        /// The row as it stands, or `None` if it is absent.
+        row: Option<TableRow>,
+    },
+}
+
+/// A client of the platform; every call ends within a bounded time.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder::platform::PlatformClient;
+/// use borageladder::platform::PlatformTimeouts;
+///
+/// let address = "127.0.0.1:7000".parse()?;
+/// let client = PlatformClient::new(address, PlatformTimeouts::default());
+/// assert_eq!(client.address(), address);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Clone)]
+pub struct PlatformClient {
+    address: SocketAddr,
+    timeouts: PlatformTimeouts,
+    client: Client,
+}
+
+impl std::fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformClient")
+            .field("address", &self.address)
+            .field("timeouts", &self.timeouts)
+            .finish_non_exhaustive()
+    }
+}
+
+#[derive(Serialize)]
+struct RowQuery<'a> {
+    key: &'a str,
+}
+
+#[derive(Serialize)]
+struct RowsQuery<'a> {
+    prefix: &'a str,
+    after: &'a str,
+    limit: usize,
+}
+
+struct PlatformAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl PlatformClient {
+    /// Creates a client; no connection is opened yet.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeouts: PlatformTimeouts) -> Self {
+        let connector = Connector::new().timeout(timeouts.connect);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
+        Self {
+            address,
+            timeouts,
+            client,
+        }
+    }
+
+    /// Returns the address of the platform.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Reads a row; `None` means that it is absent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer as it should.
+    pub async fn row(&self, key: &str) -> Result<Option<TableRow>, PlatformError> {
+        let request = self.client.get(self.url("/table/row"));
+        let request = with_query(request, &RowQuery { key })?;
+        let answer = self.call(request, Bytes::new()).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        answer.json(StatusCode::OK).map(Some)
+    }
+
+    /// Reads at most `limit` rows whose keys start with the prefix and come after the key `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer as it should.
+    pub async fn rows(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<TableRow>, PlatformError> {
+        let query = RowsQuery {
+            prefix,
+            after,
+            limit,
+        };
+        let request = self.client.get(self.url("/table/rows"));
+        let request = with_query(request, &query)?;
+        let answer = self.call(request, Bytes::new()).await?;
+        let page: RowPage = answer.json(StatusCode::OK)?;
+        Ok(page.rows)
+    }
+
+    /// Applies a transaction, all or nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Unreachable`] only if the transaction was certainly not applied;
+    /// after any other error it may have been.
+    pub async fn transact(
+        &self,
+        transaction: &TableTransaction,
+    ) -> Result<TransactOutcome, PlatformError> {
+        let request = self.client.post(self.url("/table/transact"));
+        let body = serde_json::to_vec(transaction)?;
+        let answer = self.call(request, body.into()).await?;
+        if answer.status == StatusCode::CONFLICT {
+            let RowConflict { key, row } = answer.json(StatusCode::CONFLICT)?;
+            return Ok(TransactOutcome::Conflict { key, row });
+        }
+        let TransactReceipt { revision } = answer.json(StatusCode::OK)?;
+        Ok(TransactOutcome::Committed { revision })
+    }
+
+    /// Stores an object, in place of an older one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not say that it stored the object.
+    pub async fn put_object(&self, key: &str, bytes: Bytes) -> Result<(), PlatformError> {
+        let request = self.client.put(self.object_url(key));
+        let answer = self.call(request, bytes).await?;
+        answer.check(answer.status.is_success())
+    }
+
+    /// Reads an object; `None` means that it is absent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer as it should.
+    pub async fn object(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        let request = self.client.get(self.object_url(key));
+        let answer = self.call(request, Bytes::new()).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        answer.check(answer.status == StatusCode::OK)?;
+        Ok(Some(answer.body))
+    }
+
+    /// Reads the list of upstream hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer as it should.
+    pub async fn hosts(&self) -> Result<HostList, PlatformError> {
+        let request = self.client.get(self.url("/hosts"));
+        let answer = self.call(request, Bytes::new()).await?;
+        answer.json(StatusCode::OK)
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    fn object_url(&self, key: &str) -> String {
+        self.url(&format!("/objects/{key}"))
+    }
+
+    async fn call(
+        &self,
+        request: ClientRequest,
+        body: Bytes,
+    ) -> Result<PlatformAnswer, PlatformError> {
+        let exchange = exchange(request, body);
+        match actix_rt::time::timeout(self.timeouts.call, exchange).await {
+            Ok(answer) => answer,
+            Err(elapsed) => Err(PlatformError::Unknown {
+                reason: elapsed.to_string(),
+            }),
+        }
+    }
+}
+
+impl PlatformAnswer {
+    fn check(&self, fits: bool) -> Result<(), PlatformError> {
+        if fits {
+            return Ok(());
+        }
+        let reason = format!("status {}", self.status);
+        // A server error can come from a part in front of the table that lost the reply.
+        if self.status.is_server_error() {
+            return Err(PlatformError::Unknown { reason });
+        }
+        Err(PlatformError::Protocol { reason })
+    }
+
+    fn json<T: DeserializeOwned>(&self, status: StatusCode) -> Result<T, PlatformError> {
+        self.check(self.status == status)?;
+        Ok(serde_json::from_slice(&self.body)?)
+    }
+}
+
+async fn exchange(request: ClientRequest, body: Bytes) -> Result<PlatformAnswer, PlatformError> {
+    let mut response = request.send_body(body).await?;
+    let status = response.status();
+    let length = content_length(&response);
+    let body = response.body().limit(MAX_ANSWER_BYTES).await?;
+    if length.is_some_and(|length| length != body.len()) {
+        return Err(PlatformError::Unknown {
+            reason: "the answer was cut".to_owned(),
+        });
+    }
+    Ok(PlatformAnswer { status, body })
+}
+
+fn content_length<S>(response: &ClientResponse<S>) -> Option<usize> {
+    let length = response.headers().get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
+
+fn with_query<T: Serialize>(
+    request: ClientRequest,
+    query: &T,
+) -> Result<ClientRequest, PlatformError> {
+    request
+        .query(query)
+        .map_err(|error| PlatformError::Protocol {
+            reason: error.to_string(),
+        })
+}
