--- a/src/platform.rs
+++ b/src/platform.rs
@@ -74,11 +74,10 @@
     fn from(error: SendRequestError) -> Self {
         let reason = error.to_string();
         match error {
-            // The client also says `Disconnected` when the peer read the request and closed.
-            SendRequestError::Connect(ConnectError::Disconnected) => Self::Unknown { reason },
+            // Both also mean that the peer read the request and closed the connection.
+            SendRequestError::Connect(ConnectError::Disconnected)
+            | SendRequestError::Response(ParseError::Io(_)) => Self::Unknown { reason },
             SendRequestError::Connect(_) | SendRequestError::Url(_) => Self::Unreachable { reason },
-            // A reset while the answer is awaited counts as a response that can't be parsed.
-            SendRequestError::Response(ParseError::Io(_)) => Self::Unknown { reason },
             SendRequestError::Response(_) => Self::Protocol { reason },
             _ => Self::Unknown { reason },
         }
