--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -29,7 +29,7 @@
 
 fn client(address: SocketAddr) -> PlatformClient {
     let timeouts = PlatformTimeouts {
-        connect: Duration::from_secs(60),
+        connect: Duration::from_mins(1),
         call: Duration::from_secs(3),
     };
     PlatformClient::new(address, timeouts)
