--- /dev/null
+++ b/kernel/tests/rollout.rs
@@ -0,0 +1,56 @@
+//! The rollout of configuration versions, searched exhaustively.
+
+mod rollout_model;
+
+use borageladder_kernel::rollout::RolloutTimes;
+use rollout_model::Mutation;
+use rollout_model::Scenario;
+use rollout_model::TIMES;
+use rollout_model::scenarios;
+use rollout_model::units;
+
+#[yare::parameterized(
+    racing_operators = { scenarios::racing_operators() },
+    lost_reply = { scenarios::lost_reply() },
+    frozen_host = { scenarios::frozen_host() },
+    frozen_confirmer = { scenarios::frozen_confirmer() },
+    frozen_without_table = { scenarios::frozen_without_table() },
+    cut_datacenter = { scenarios::cut_datacenter() },
+    cut_with_operator = { scenarios::cut_with_operator() },
+    start_without_table = { scenarios::start_without_table() },
+    start_beside_frozen = { scenarios::start_beside_frozen() },
+    accepting_host_killed = { scenarios::accepting_host_killed() },
+    table_outage = { scenarios::table_outage() },
+)]
+fn no_host_serves_less_than_what_was_accepted(scenario: Scenario) {
+    let result = scenario.search();
+    println!("{result:?}");
+    assert_eq!(result.violation, None);
+    assert!(result.accepted >= 2, "a change can be accepted");
+    assert!(
+        result.served_older,
+        "hosts can serve while a change is under way"
+    );
+}
+
+#[yare::parameterized(
+    settle_at_once = { scenarios::frozen_host(), RolloutTimes { settle: units(0), ..TIMES }, Mutation::None },
+    longer_freshness = { scenarios::frozen_host(), RolloutTimes { freshness: units(9), ..TIMES }, Mutation::None },
+    no_freeze_noticed = { scenarios::frozen_confirmer(), RolloutTimes { freeze_gap: units(99), ..TIMES }, Mutation::None },
+    arrival_counts = { scenarios::frozen_host(), TIMES, Mutation::ArrivalCounts },
+    anyone_vouches = { scenarios::start_beside_frozen(), TIMES, Mutation::AnyoneVouches },
+)]
+fn the_search_finds_what_a_broken_rule_allows(
+    scenario: Scenario,
+    times: RolloutTimes,
+    mutation: Mutation,
+) {
+    let scenario = Scenario {
+        times,
+        mutation,
+        ..scenario
+    };
+    let result = scenario.search();
+    println!("{result:?}");
+    assert!(result.violation.is_some());
+}
--- /dev/null
+++ b/kernel/tests/rollout_model/mod.rs
@@ -0,0 +1,518 @@
+//! A small model of hosts, links and a table round the real rollout state machine, and a
+//! breadth-first search through everything that can happen to it.
+
+pub mod scenarios;
+
+use std::collections::BTreeSet;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::configuration::ConfigVersion;
+use borageladder_kernel::name::DatacenterName;
+use borageladder_kernel::name::HostName;
+use borageladder_kernel::rollout::ChangeProgress;
+use borageladder_kernel::rollout::HostReport;
+use borageladder_kernel::rollout::Rollout;
+use borageladder_kernel::rollout::RolloutAction;
+use borageladder_kernel::rollout::RolloutTimes;
+
+/// One unit of time, in which every host sends one heartbeat to every other.
+pub const UNIT: Duration = Duration::from_millis(500);
+
+/// The units that pass before the first event.
+const WARM_UP_UNITS: u32 = 7;
+
+/// Returns a whole number of units.
+pub const fn units(count: u32) -> Duration {
+    Duration::from_millis(500 * count as u64)
+}
+
+/// The bounds of the product in units, rounded so that few units are enough for every rule.
+pub const TIMES: RolloutTimes = RolloutTimes {
+    freshness: units(3),
+    silence: units(4),
+    settle: units(4),
+    freeze_gap: units(2),
+    fetch: units(1),
+    deadline: units(13),
+};
+
+/// Something that happens besides the passing of time, each at most as often as listed.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum FaultEvent {
+    /// The operator at a host reads the version to change.
+    Read(usize),
+    /// The operator at a host writes a change by compare-and-set, and hears the outcome.
+    Write(usize),
+    /// The same, but the answer is lost.
+    WriteUnheard(usize),
+    /// The operator at a host finds out how a write ended whose answer was lost.
+    Settle(usize),
+    /// A host is frozen; what is sent to it waits.
+    Freeze(usize),
+    /// A frozen host goes on.
+    Thaw(usize),
+    /// A host dies.
+    Kill(usize),
+    /// A new process of the host starts.
+    Start(usize),
+    /// The data centre with this number loses all others and the table.
+    Cut(usize),
+    /// The data centre is reached again.
+    Heal(usize),
+    /// The table stops answering.
+    TableDown,
+    /// The table answers again.
+    TableUp,
+}
+
+/// A rule that is broken on purpose, to show that the model finds what the rule prevents.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mutation {
+    /// No rule is broken.
+    None,
+    /// A heartbeat counts as fresh from its arrival on, not from the question that it answers.
+    ArrivalCounts,
+    /// Hosts that may be outdated vouch for others.
+    AnyoneVouches,
+}
+
+/// What the hosts are and what can happen to them.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// The number of the data centre of each host.
+    pub hosts: Vec<usize>,
+    /// The hosts that do not run at first.
+    pub stopped: Vec<usize>,
+    /// The hosts that look into the table by themselves.
+    pub readers: Vec<usize>,
+    /// What can happen, each entry once and in any order that makes sense.
+    pub events: Vec<FaultEvent>,
+    /// The units of time after the warm-up.
+    pub horizon: u32,
+    /// The bounds.
+    pub times: RolloutTimes,
+    /// The rule that is broken on purpose.
+    pub mutation: Mutation,
+}
+
+/// What a search found.
+#[derive(Debug, Default)]
+pub struct SearchResult {
+    /// The number of different states.
+    pub states: usize,
+    /// The events on the way to the first state that breaks the invariant.
+    pub violation: Option<Vec<Option<FaultEvent>>>,
+    /// The highest version that was accepted in any state.
+    pub accepted: u64,
+    /// Whether a change was reported as recorded in any state.
+    pub recorded: bool,
+    /// Whether a host refused work in any state because it may be outdated.
+    pub refused: bool,
+    /// Whether, in any state, a host served a version below one that is in the table.
+    pub served_older: bool,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Heartbeat {
+    from: usize,
+    to_incarnation: u8,
+    report: HostReport,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct ModelHost {
+    datacenter: usize,
+    incarnation: u8,
+    process: Option<Rollout>,
+    frozen: bool,
+    inbox: VecDeque<Heartbeat>,
+    /// The time of the last heartbeat of each host that this one received, and its incarnation.
+    heard: Vec<Option<(u8, ClockTime)>>,
+    read: Option<u64>,
+    unheard: Option<u64>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct ModelState {
+    now: ClockTime,
+    hosts: Vec<ModelHost>,
+    table: u64,
+    table_up: bool,
+    cut: BTreeSet<usize>,
+    left: Vec<FaultEvent>,
+    accepted: u64,
+    recorded: bool,
+}
+
+fn host_name(number: usize) -> HostName {
+    HostName::try_from(format!("h{number}")).expect("a valid name")
+}
+
+fn datacenter_name(number: usize) -> DatacenterName {
+    DatacenterName::try_from(format!("d{number}")).expect("a valid name")
+}
+
+impl Scenario {
+    /// Searches all states, nearest first, until the invariant is broken: after a version was
+    /// accepted, no host that serves has a lower one.
+    pub fn search(&self) -> SearchResult {
+        let mut result = SearchResult::default();
+        let mut seen = HashSet::new();
+        let mut paths: Vec<(usize, Option<FaultEvent>)> = Vec::new();
+        let mut queue = VecDeque::new();
+        let start = self.warm_up();
+        seen.insert(start.clone());
+        paths.push((0, None));
+        queue.push_back((0, start));
+        while let Some((index, state)) = queue.pop_front() {
+            result.states += 1;
+            for step in self.steps(&state) {
+                let mut next = state.clone();
+                let sound = self.apply(&mut next, step);
+                paths.push((index, step));
+                let at = paths.len() - 1;
+                if !sound {
+                    result.violation = Some(path(&paths, at));
+                    return result;
+                }
+                self.observe(&next, &mut result);
+                if seen.insert(next.clone()) {
+                    queue.push_back((at, next));
+                }
+            }
+        }
+        result
+    }
+
+    fn observe(&self, state: &ModelState, result: &mut SearchResult) {
+        result.accepted = result.accepted.max(state.accepted);
+        result.recorded |= state.recorded;
+        for host in &state.hosts {
+            let Some(process) = host.process.as_ref().filter(|_| !host.frozen) else {
+                continue;
+            };
+            let serves = process.may_take_work(state.now);
+            result.refused |= !serves;
+            result.served_older |= serves && process.applied().0 < state.table;
+        }
+    }
+
+    fn warm_up(&self) -> ModelState {
+        let hosts = self.hosts.iter().enumerate().map(|(number, datacenter)| {
+            let runs = !self.stopped.contains(&number);
+            ModelHost {
+                datacenter: *datacenter,
+                incarnation: 1,
+                process: runs.then(|| self.process(*datacenter, ClockTime::ZERO)),
+                frozen: false,
+                inbox: VecDeque::new(),
+                heard: vec![None; self.hosts.len()],
+                read: None,
+                unheard: None,
+            }
+        });
+        let mut state = ModelState {
+            now: ClockTime::ZERO,
+            hosts: hosts.collect(),
+            table: 1,
+            table_up: true,
+            cut: BTreeSet::new(),
+            left: self.events.clone(),
+            accepted: 0,
+            recorded: false,
+        };
+        // Every host reads the table once when it starts.
+        for number in 0..state.hosts.len() {
+            self.read_table(&mut state, number);
+        }
+        for _ in 0..WARM_UP_UNITS {
+            assert!(self.pass_time(&mut state), "the warm-up is sound");
+        }
+        let runs = |host: &&ModelHost| host.process.is_some();
+        let ready = state.hosts.iter().filter(runs).all(|host| {
+            let process = host.process.as_ref();
+            process.is_some_and(|process| process.may_take_work(state.now))
+        });
+        assert!(ready, "every host serves after the warm-up");
+        state
+    }
+
+    fn process(&self, datacenter: usize, now: ClockTime) -> Rollout {
+        let mut process = Rollout::new(datacenter_name(datacenter), self.times, now);
+        let members = self.hosts.iter().filter(|other| **other == datacenter);
+        process.set_alone(members.count() == 1);
+        process
+    }
+
+    fn steps(&self, state: &ModelState) -> Vec<Option<FaultEvent>> {
+        let end = ClockTime::ZERO + units(WARM_UP_UNITS + self.horizon);
+        let mut steps = Vec::new();
+        if state.now < end {
+            steps.push(None);
+        }
+        let events: BTreeSet<FaultEvent> = state.left.iter().copied().collect();
+        let events = events
+            .into_iter()
+            .filter(|event| is_possible(state, *event));
+        steps.extend(events.map(Some));
+        steps
+    }
+
+    /// Carries out a step and returns whether the invariant held all the time.
+    fn apply(&self, state: &mut ModelState, step: Option<FaultEvent>) -> bool {
+        let Some(event) = step else {
+            return self.pass_time(state);
+        };
+        let place = state.left.iter().position(|left| *left == event);
+        state.left.remove(place.expect("the event is left"));
+        self.happen(state, event);
+        is_sound(state)
+    }
+
+    fn happen(&self, state: &mut ModelState, event: FaultEvent) {
+        match event {
+            FaultEvent::Read(host) => state.hosts[host].read = Some(state.table),
+            FaultEvent::Write(host) => {
+                if let Some(version) = write(state, host) {
+                    self.hear_of_write(state, host, version);
+                }
+            }
+            FaultEvent::WriteUnheard(host) => state.hosts[host].unheard = write(state, host),
+            FaultEvent::Settle(host) => {
+                if let Some(version) = state.hosts[host].unheard.take() {
+                    self.hear_of_write(state, host, version);
+                }
+            }
+            FaultEvent::Freeze(host) => state.hosts[host].frozen = true,
+            FaultEvent::Thaw(host) => state.hosts[host].frozen = false,
+            FaultEvent::Kill(host) => kill(&mut state.hosts[host]),
+            FaultEvent::Start(host) => {
+                let process = self.process(state.hosts[host].datacenter, state.now);
+                state.hosts[host].process = Some(process);
+                self.read_table(state, host);
+            }
+            FaultEvent::Cut(datacenter) => {
+                state.cut.insert(datacenter);
+            }
+            FaultEvent::Heal(datacenter) => {
+                state.cut.remove(&datacenter);
+            }
+            FaultEvent::TableDown => state.table_up = false,
+            FaultEvent::TableUp => state.table_up = true,
+        }
+    }
+
+    fn hear_of_write(&self, state: &mut ModelState, host: usize, version: u64) {
+        self.obtain(state, host, version);
+        let now = state.now;
+        let process = state.hosts[host].process.as_mut();
+        let process = process.expect("only hosts that run hear answers");
+        let actions = process.watch(now, ConfigVersion(version));
+        self.perform(state, host, actions);
+    }
+
+    fn pass_time(&self, state: &mut ModelState) -> bool {
+        state.now = state.now + UNIT;
+        // Whoever was frozen may take work before it looks at the clock or at its messages.
+        let mut sound = is_sound(state);
+        for from in 0..state.hosts.len() {
+            self.send_heartbeats(state, from);
+        }
+        for host in 0..state.hosts.len() {
+            while let Some(heartbeat) = next_heartbeat(&mut state.hosts[host]) {
+                self.deliver(state, host, heartbeat);
+                sound &= is_sound(state);
+            }
+            if self.readers.contains(&host) {
+                self.read_table(state, host);
+                sound &= is_sound(state);
+            }
+            let now = state.now;
+            if let Some(process) = running(state, host) {
+                let actions = process.tick(now);
+                self.perform(state, host, actions);
+                sound &= is_sound(state);
+            }
+        }
+        sound
+    }
+
+    fn send_heartbeats(&self, state: &mut ModelState, from: usize) {
+        let now = state.now;
+        let Some(process) = running(state, from) else {
+            return;
+        };
+        let own = process.report(now);
+        for to in 0..state.hosts.len() {
+            if to == from || !reaches(state, from, to) || state.hosts[to].process.is_none() {
+                continue;
+            }
+            let incarnation = state.hosts[to].incarnation;
+            let echo = state.hosts[from].heard[to];
+            let echo = echo.filter(|(heard, _)| *heard == incarnation);
+            let report = HostReport {
+                datacenter: datacenter_name(state.hosts[from].datacenter),
+                applied: own.applied,
+                known: own.known,
+                confirmed: own.confirmed,
+                fresh: own.fresh || self.mutation == Mutation::AnyoneVouches,
+                echo: echo.map(|(_, sent)| sent),
+            };
+            state.hosts[to].inbox.push_back(Heartbeat {
+                from,
+                to_incarnation: incarnation,
+                report,
+            });
+        }
+    }
+
+    fn deliver(&self, state: &mut ModelState, to: usize, heartbeat: Heartbeat) {
+        let now = state.now;
+        let from = heartbeat.from;
+        let sender = state.hosts[from].incarnation;
+        if heartbeat.to_incarnation != state.hosts[to].incarnation {
+            return;
+        }
+        state.hosts[to].heard[from] = Some((sender, now));
+        let mut report = heartbeat.report;
+        if self.mutation == Mutation::ArrivalCounts {
+            report.echo = Some(now);
+        }
+        if let Some(process) = running(state, to) {
+            let actions = process.heard(now, &host_name(from), report);
+            self.perform(state, to, actions);
+        }
+    }
+
+    fn perform(&self, state: &mut ModelState, host: usize, actions: Vec<RolloutAction>) {
+        for action in actions {
+            match action {
+                // Heartbeats go out in every unit anyway.
+                RolloutAction::Announce => {}
+                RolloutAction::FetchFrom(name) => {
+                    let from = (0..state.hosts.len()).find(|from| host_name(*from) == name);
+                    let from = from.expect("a known host");
+                    if reaches(state, from, host)
+                        && let Some(process) = running(state, from)
+                    {
+                        let version = process.applied().0;
+                        self.obtain(state, host, version);
+                    }
+                }
+                RolloutAction::FetchFromTable => self.read_table(state, host),
+                RolloutAction::Report { version, progress } => match progress {
+                    ChangeProgress::Accepted => state.accepted = state.accepted.max(version.0),
+                    ChangeProgress::Recorded { .. } => state.recorded = true,
+                },
+            }
+        }
+    }
+
+    fn obtain(&self, state: &mut ModelState, host: usize, version: u64) {
+        let now = state.now;
+        let required = self.hosts.iter().map(|number| datacenter_name(*number));
+        let required = required.collect();
+        if let Some(process) = running(state, host) {
+            let version = ConfigVersion(version);
+            let (_, actions) = process.obtained(now, version, required, BTreeSet::new());
+            self.perform(state, host, actions);
+        }
+    }
+
+    fn read_table(&self, state: &mut ModelState, host: usize) {
+        let reached = state.table_up && !state.cut.contains(&state.hosts[host].datacenter);
+        if !reached || running(state, host).is_none() {
+            return;
+        }
+        let (now, version) = (state.now, state.table);
+        self.obtain(state, host, version);
+        if let Some(process) = running(state, host) {
+            let actions = process.table_read(now, now, ConfigVersion(version));
+            self.perform(state, host, actions);
+        }
+    }
+}
+
+fn path(paths: &[(usize, Option<FaultEvent>)], end: usize) -> Vec<Option<FaultEvent>> {
+    let mut steps = Vec::new();
+    let mut at = end;
+    while at != 0 {
+        let (before, step) = paths[at];
+        steps.push(step);
+        at = before;
+    }
+    steps.reverse();
+    steps
+}
+
+fn running(state: &mut ModelState, host: usize) -> Option<&mut Rollout> {
+    let host = &mut state.hosts[host];
+    host.process.as_mut().filter(|_| !host.frozen)
+}
+
+fn reaches(state: &ModelState, from: usize, to: usize) -> bool {
+    let from = state.hosts[from].datacenter;
+    let to = state.hosts[to].datacenter;
+    from == to || !(state.cut.contains(&from) || state.cut.contains(&to))
+}
+
+fn next_heartbeat(host: &mut ModelHost) -> Option<Heartbeat> {
+    if host.frozen {
+        return None;
+    }
+    host.inbox.pop_front()
+}
+
+fn write(state: &mut ModelState, host: usize) -> Option<u64> {
+    let read = state.hosts[host].read.take();
+    let won = read == Some(state.table);
+    if won {
+        state.table += 1;
+    }
+    won.then_some(state.table)
+}
+
+fn kill(host: &mut ModelHost) {
+    host.process = None;
+    host.incarnation += 1;
+    host.frozen = false;
+    host.inbox.clear();
+    host.heard.fill(None);
+    host.read = None;
+    host.unheard = None;
+}
+
+fn is_possible(state: &ModelState, event: FaultEvent) -> bool {
+    let host = |number: usize| &state.hosts[number];
+    let runs = |number: usize| host(number).process.is_some() && !host(number).frozen;
+    let reaches_table = |number: usize| {
+        runs(number) && state.table_up && !state.cut.contains(&host(number).datacenter)
+    };
+    match event {
+        FaultEvent::Read(number) => reaches_table(number) && host(number).read.is_none(),
+        FaultEvent::Write(number) | FaultEvent::WriteUnheard(number) => {
+            reaches_table(number) && host(number).read.is_some()
+        }
+        FaultEvent::Settle(number) => reaches_table(number) && host(number).unheard.is_some(),
+        FaultEvent::Freeze(number) => runs(number),
+        FaultEvent::Thaw(number) => host(number).frozen,
+        FaultEvent::Kill(number) => host(number).process.is_some(),
+        FaultEvent::Start(number) => host(number).process.is_none(),
+        FaultEvent::Cut(datacenter) => !state.cut.contains(&datacenter),
+        FaultEvent::Heal(datacenter) => state.cut.contains(&datacenter),
+        FaultEvent::TableDown => state.table_up,
+        FaultEvent::TableUp => !state.table_up,
+    }
+}
+
+/// Returns whether no host that takes work has a lower version than one that was accepted.
+fn is_sound(state: &ModelState) -> bool {
+    state.hosts.iter().filter(|host| !host.frozen).all(|host| {
+        host.process.as_ref().is_none_or(|process| {
+            !process.may_take_work(state.now) || process.applied().0 >= state.accepted
+        })
+    })
+}
--- /dev/null
+++ b/kernel/tests/rollout_model/scenarios.rs
@@ -0,0 +1,95 @@
+//! The scenarios that are searched.
+
+use super::FaultEvent;
+use super::FaultEvent::Cut;
+use super::FaultEvent::Freeze;
+use super::FaultEvent::Heal;
+use super::FaultEvent::Kill;
+use super::FaultEvent::Read;
+use super::FaultEvent::Settle;
+use super::FaultEvent::Start;
+use super::FaultEvent::TableDown;
+use super::FaultEvent::TableUp;
+use super::FaultEvent::Thaw;
+use super::FaultEvent::Write;
+use super::FaultEvent::WriteUnheard;
+use super::Mutation;
+use super::Scenario;
+use super::TIMES;
+
+fn scenario(events: Vec<FaultEvent>) -> Scenario {
+    Scenario {
+        hosts: vec![0, 0, 1],
+        stopped: Vec::new(),
+        readers: vec![0, 2],
+        events,
+        horizon: 12,
+        times: TIMES,
+        mutation: Mutation::None,
+    }
+}
+
+pub fn racing_operators() -> Scenario {
+    scenario(vec![Read(0), Read(1), Write(0), Write(1)])
+}
+
+pub fn lost_reply() -> Scenario {
+    scenario(vec![Read(0), WriteUnheard(0), Settle(0), Kill(0), Start(0)])
+}
+
+pub fn frozen_host() -> Scenario {
+    scenario(vec![Read(0), Write(0), Freeze(1), Thaw(1)])
+}
+
+pub fn frozen_confirmer() -> Scenario {
+    let mut scenario = scenario(vec![Read(2), Write(2), Freeze(0), Thaw(0)]);
+    scenario.readers = vec![0, 1, 2];
+    scenario
+}
+
+pub fn frozen_without_table() -> Scenario {
+    let mut scenario = scenario(vec![Read(0), Write(0), TableDown, Freeze(1), Thaw(1)]);
+    scenario.readers = vec![0];
+    scenario.horizon = 10;
+    scenario
+}
+
+pub fn cut_datacenter() -> Scenario {
+    scenario(vec![Read(0), Write(0), Cut(1), Heal(1)])
+}
+
+pub fn cut_with_operator() -> Scenario {
+    let mut scenario = scenario(vec![Read(0), Write(0), Cut(0), Heal(0), Read(2), Write(2)]);
+    scenario.horizon = 9;
+    scenario
+}
+
+pub fn start_without_table() -> Scenario {
+    let mut scenario = scenario(vec![Read(0), Write(0), TableDown, Start(1)]);
+    scenario.stopped = vec![1];
+    scenario
+}
+
+pub fn start_beside_frozen() -> Scenario {
+    let events = vec![Read(0), Write(0), TableDown, Start(1), Freeze(3), Thaw(3)];
+    let mut scenario = scenario(events);
+    scenario.hosts = vec![0, 0, 1, 0];
+    scenario.stopped = vec![1];
+    scenario.horizon = 9;
+    scenario
+}
+
+pub fn accepting_host_killed() -> Scenario {
+    scenario(vec![Read(0), Write(0), Kill(0), Start(0), TableDown])
+}
+
+pub fn table_outage() -> Scenario {
+    scenario(vec![
+        Read(1),
+        Write(1),
+        TableDown,
+        TableUp,
+        Kill(2),
+        Start(2),
+    ])
+}
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod change;
 mod error;
+mod platform;
 mod store;
 
 use std::cell::RefCell;
@@ -15,12 +16,11 @@
 use std::time::SystemTime;
 
 use slog::Logger;
-use slog::info;
-use slog::warn;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::configuration::Configuration;
@@ -32,6 +32,7 @@
 use crate::kernel::rollout::RolloutAction;
 use crate::kernel::rollout::RolloutTimes;
 use crate::link::LinkSet;
+use crate::log_event;
 use crate::member::ClockSource;
 use crate::member::MemberService;
 use crate::wire::Heartbeat;
@@ -179,18 +180,31 @@
             configuration,
         } = written;
         let version = configuration.version;
-        info!(self.log, "configuration changed"; "version" => version.0,
-            "operator" => %request.operator, "text" => &request.text);
+        log_event!(
+            self.log,
+            LogEvent::ChangeRecorded,
+            "version" => version.0,
+            "operator" => request.operator.as_str(),
+        );
         let (sender, progress) = oneshot::channel();
         self.waiting.borrow_mut().insert(version, sender);
         self.adopt(Arc::new(configuration));
         let actions = self.rollout.borrow_mut().watch((self.clock)(), version);
         self.perform(actions);
         let progress = progress.await;
+        let state = progress.map_or_else(|_closed| unwatched(), change_state);
+        match state {
+            ChangeState::Accepted => {
+                log_event!(self.log, LogEvent::ChangeAccepted, "version" => version.0);
+            }
+            ChangeState::Recorded { .. } => {
+                log_event!(self.log, LogEvent::ChangeLacking, "version" => version.0);
+            }
+        }
         Ok(ChangeOutcome {
             version,
             before,
-            state: progress.map_or_else(|_closed| unwatched(), change_state),
+            state,
         })
     }
 
@@ -259,7 +273,7 @@
             rollout.obtained(now, version, datacenters(false), datacenters(true));
         drop(rollout);
         if newer {
-            info!(self.log, "configuration in force"; "version" => version.0);
+            log_event!(self.log, LogEvent::ConfigurationApplied, "version" => version.0);
             self.current.send_replace(configuration);
         }
         self.perform(actions);
@@ -312,13 +326,25 @@
             if fetching || (due && self.must_look(now)) {
                 looked = Some(now);
                 if let Err(error) = self.look(now, fetching).await {
-                    warn!(self.log, "table not read"; "error" => %error);
+                    self.log_store_error(&error);
                 }
             }
             sleep(TICK_INTERVAL).await;
         }
     }
 
+    fn log_store_error(&self, error: &StoreError) {
+        let text = error.to_string();
+        match error {
+            StoreError::Protocol(_) => {
+                log_event!(self.log, LogEvent::ConfigurationInvalid, "error" => text);
+            }
+            StoreError::Unreachable(_) | StoreError::Unknown(_) => {
+                log_event!(self.log, LogEvent::PlatformFailed, "error" => text);
+            }
+        }
+    }
+
     /// Returns whether this host has to look into the table: one host of each data centre does,
     /// and every host that no other keeps up to date.
     fn must_look(&self, now: ClockTime) -> bool {
--- a/src/link/dial.rs
+++ b/src/link/dial.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::debug;
-use slog::warn;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -34,12 +32,7 @@
             match dial_once(&set, address, &mut name).await {
                 Ok(()) => backoff = MIN_BACKOFF,
                 Err(LinkError::Handshake(HandshakeFault::SameName)) => break,
-                Err(error @ LinkError::Handshake(_)) => {
-                    warn!(set.log, "link refused"; "address" => %address, "error" => %error);
-                }
-                Err(error) => {
-                    debug!(set.log, "link not opened"; "address" => %address, "error" => %error);
-                }
+                Err(error) => set.log_refusal(&error),
             }
         }
         tokio::select! {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -22,14 +22,13 @@
 use std::rc::Weak;
 
 use slog::Logger;
-use slog::info;
-use slog::o;
-use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::event::LogEvent;
 use crate::kernel::name::HostName;
+use crate::log_event;
 use crate::wire::LinkMessage;
 use crate::wire::MAX_MESSAGE_BYTES;
 use connection::LinkHandle;
@@ -104,11 +103,10 @@
         let listener = listener.map_err(LinkError::Listen)?;
         let local = listener.local_addr().map_err(LinkError::Listen)?;
         let address = settings.advertise.unwrap_or(local);
-        let log = log.new(o!("host" => settings.host.to_string()));
         let set = Rc::new_cyclic(|this| Self {
             settings,
             address,
-            log,
+            log: log.clone(),
             receiver: receive,
             links: RefCell::default(),
             dialed: RefCell::default(),
@@ -259,7 +257,8 @@
             match accepted {
                 Ok((connection, _)) => self.admit(connection),
                 Err(error) => {
-                    warn!(self.log, "link not accepted"; "error" => %error);
+                    let error = error.to_string();
+                    log_event!(self.log, LogEvent::LinkRejected, "error" => error);
                     tokio::time::sleep(dial::MIN_BACKOFF).await;
                 }
             }
@@ -282,7 +281,7 @@
                     let dialer = peer.host.clone();
                     set.run(stream, peer, dialer).await;
                 }
-                Err(error) => warn!(set.log, "link refused"; "error" => %error),
+                Err(error) => set.log_refusal(&error),
             }
         });
     }
@@ -305,7 +304,7 @@
             return;
         }
         let host = handle.peer.host.clone();
-        info!(self.log, "link established"; "peer" => %host);
+        log_event!(self.log, LogEvent::LinkOpened, "peer" => host.as_str());
         let listeners = self.listeners.borrow().clone();
         for listener in listeners {
             listener(&host);
@@ -316,10 +315,29 @@
         };
         let incarnation = self.settings.incarnation;
         let error = run_link(stream, &handle, incarnation, times, &self.receiver).await;
-        info!(self.log, "link closed"; "peer" => %host, "reason" => %error);
+        self.log_end(&host, &error);
         self.unregister(&handle);
     }
 
+    fn log_end(&self, host: &HostName, error: &LinkError) {
+        let peer = host.as_str();
+        let reason = error.to_string();
+        match error {
+            LinkError::Silent => log_event!(self.log, LogEvent::LinkSilent, "peer" => peer),
+            LinkError::Codec(_) => {
+                log_event!(self.log, LogEvent::FrameRejected, "peer" => peer, "reason" => reason);
+            }
+            _ => log_event!(self.log, LogEvent::LinkClosed, "peer" => peer, "reason" => reason),
+        }
+    }
+
+    /// Logs a failed handshake, unless the connection just broke.
+    fn log_refusal(&self, error: &LinkError) {
+        if matches!(error, LinkError::Handshake(_)) {
+            log_event!(self.log, LogEvent::LinkRejected, "error" => error.to_string());
+        }
+    }
+
     /// Registers a link unless a better one to the same host is up.
     ///
     /// Of two links to the same process both ends keep the one dialed by the smaller name, and of
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -8,8 +8,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use slog::Logger;
 use tokio::time::sleep;
 
+use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::membership::HEARTBEAT_INTERVAL;
@@ -21,6 +23,7 @@
 use crate::kernel::name::ServiceName;
 use crate::kernel::rollout::OwnReport;
 use crate::link::LinkSet;
+use crate::log_event;
 use crate::wire::Heartbeat;
 use crate::wire::LinkMessage;
 use crate::wire::MemberEntry;
@@ -55,6 +58,7 @@
     settings: MemberSettings,
     links: Rc<LinkSet>,
     clock: ClockSource,
+    log: Logger,
     membership: RefCell<Membership>,
     dialer: RefCell<PeerDialer>,
     report: RefCell<Option<ReportSource>>,
@@ -73,7 +77,12 @@
 impl MemberService {
     /// Dials the first peers and sends heartbeats from now on.
     #[must_use]
-    pub fn start(settings: MemberSettings, links: Rc<LinkSet>, clock: ClockSource) -> Rc<Self> {
+    pub fn start(
+        settings: MemberSettings,
+        links: Rc<LinkSet>,
+        clock: ClockSource,
+        log: &Logger,
+    ) -> Rc<Self> {
         let host = links.host().clone();
         let dialer = PeerDialer::new(&settings, links.own_address());
         let service = Rc::new(Self {
@@ -82,6 +91,7 @@
             settings,
             links,
             clock,
+            log: log.clone(),
             report: RefCell::default(),
             listeners: RefCell::default(),
         });
@@ -230,12 +240,24 @@
         self.send_all_lists();
         let listeners = self.listeners.borrow().clone();
         for change in changes {
+            self.log_change(&change);
             for listener in &listeners {
                 listener(change.clone());
             }
         }
     }
 
+    fn log_change(&self, change: &MemberChange) {
+        match change {
+            MemberChange::HostAlive(host) => {
+                log_event!(self.log, LogEvent::MemberJoined, "peer" => host.as_str());
+            }
+            MemberChange::HostLost(host) => {
+                log_event!(self.log, LogEvent::MemberLost, "peer" => host.as_str());
+            }
+        }
+    }
+
     fn maintain_links(&self, now: ClockTime) {
         let membership = self.membership.borrow();
         let mut dialer = self.dialer.borrow_mut();
--- a/src/wire/code.rs
+++ b/src/wire/code.rs
@@ -167,3 +167,102 @@
         self.0
     }
 }
+
+/// The longest text whose words are remembered, in bytes.
+const MAX_WORDS_BYTES: usize = 128;
+
+/// The most digits of a number that is taken out of a text.
+const MAX_DIGITS: usize = 9;
+
+/// Stands in the words of a text for a number that was taken out.
+const NUMBER_MARK: char = '\0';
+
+/// A text: the code of its words and the numbers that were taken out of them.
+pub type TextCode = (NameCode, Vec<u32>);
+
+/// The texts of one direction of a link, which often differ in numbers only.
+#[derive(Debug, Default)]
+pub struct TextTable(ValueTable<String>);
+
+impl TextTable {
+    /// Returns the code of a text and remembers its words.
+    pub fn encode(&mut self, text: &str) -> TextCode {
+        let (words, numbers) = split_numbers(text);
+        if let Some(place) = self.0.place(words.as_str()) {
+            return (NameCode::Place(place), numbers);
+        }
+        self.remember(&words);
+        (NameCode::Text(words), numbers)
+    }
+
+    /// Returns the text of a code and remembers its words.
+    pub fn decode(&mut self, code: TextCode) -> Result<String, CodecError> {
+        let (words, numbers) = code;
+        match words {
+            NameCode::Place(place) => {
+                let words = self.0.value(place);
+                let words = words.ok_or(CodecError::Field { field: "text" })?;
+                Ok(join_numbers(words, &numbers))
+            }
+            NameCode::Text(words) => {
+                self.remember(&words);
+                Ok(join_numbers(&words, &numbers))
+            }
+        }
+    }
+
+    fn remember(&mut self, words: &str) {
+        if words.len() <= MAX_WORDS_BYTES {
+            self.0.insert(words.to_owned());
+        }
+    }
+}
+
+fn split_numbers(text: &str) -> (String, Vec<u32>) {
+    if text.contains(NUMBER_MARK) {
+        return (text.to_owned(), Vec::new());
+    }
+    let mut words = String::new();
+    let mut numbers = Vec::new();
+    let mut rest = text;
+    while let Some(start) = rest.find(|letter: char| letter.is_ascii_digit()) {
+        let (before, tail) = rest.split_at(start);
+        let end = tail.find(|letter: char| !letter.is_ascii_digit());
+        let (digits, after) = tail.split_at(end.unwrap_or(tail.len()));
+        words.push_str(before);
+        match short_number(digits) {
+            Some(number) => {
+                numbers.push(number);
+                words.push(NUMBER_MARK);
+            }
+            None => words.push_str(digits),
+        }
+        rest = after;
+    }
+    words.push_str(rest);
+    (words, numbers)
+}
+
+/// Returns the number that digits stand for, unless it would be written in another way.
+fn short_number(digits: &str) -> Option<u32> {
+    let padded = digits.len() > 1 && digits.starts_with('0');
+    if padded || digits.len() > MAX_DIGITS {
+        return None;
+    }
+    digits.parse().ok()
+}
+
+fn join_numbers(words: &str, numbers: &[u32]) -> String {
+    let mut numbers = numbers.iter();
+    let mut text = String::new();
+    for letter in words.chars() {
+        match numbers.as_slice().first() {
+            Some(number) if letter == NUMBER_MARK => {
+                text.push_str(&number.to_string());
+                numbers.next();
+            }
+            _ => text.push(letter),
+        }
+    }
+    text
+}
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -12,6 +12,7 @@
 use super::error::CodecError;
 use super::state::CodeState;
 use super::state::LinkIncarnations;
+use super::work::ProgressKind;
 
 /// The longest frame, in bytes; only a configuration may need that much.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -28,7 +29,6 @@
 const GRANT: u8 = 3;
 const REFUSE: u8 = 4;
 const REFER: u8 = 5;
-const REPORT: u8 = 6;
 const DECLARE: u8 = 7;
 const SUMMARY: u8 = 8;
 const CONFIGURATION: u8 = 9;
@@ -38,6 +38,9 @@
 const QUERY_ANSWER: u8 = 13;
 const MEMBERS: u8 = 14;
 
+/// The kind of the first of the reports, which have one kind for each kind of progress.
+const REPORT: u8 = 16;
+
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
     ciborium::into_writer(row, frame).map_err(|error| CodecError::Cbor(error.to_string()))
@@ -115,7 +118,8 @@
             LinkMessage::Refuse(refusal) => write(frame, REFUSE, &state.encode_refusal(refusal)),
             LinkMessage::Refer(referral) => write(frame, REFER, &state.encode_referral(referral)),
             LinkMessage::Report { service, report } => {
-                write(frame, REPORT, &state.encode_report(service, report))
+                let kind = REPORT + ProgressKind::of(report.progress) as u8;
+                write(frame, kind, &state.encode_report(service, report))
             }
             LinkMessage::Declare { service, running } => {
                 write(frame, DECLARE, &state.encode_declaration(service, running))
@@ -184,10 +188,6 @@
             GRANT => LinkMessage::Grant(state.decode_permission(read(rest, limit)?)?),
             REFUSE => LinkMessage::Refuse(state.decode_refusal(&read(rest, limit)?)?),
             REFER => LinkMessage::Refer(state.decode_referral(read(rest, limit)?)?),
-            REPORT => {
-                let (service, report) = state.decode_report(read(rest, limit)?)?;
-                LinkMessage::Report { service, report }
-            }
             DECLARE => {
                 let (service, running) = state.decode_declaration(read(rest, limit)?)?;
                 LinkMessage::Declare { service, running }
@@ -207,7 +207,13 @@
                 let (number, rows) = read(rest, limit)?;
                 LinkMessage::QueryAnswer { number, rows }
             }
-            _ => return Err(CodecError::Kind { kind }),
+            _ => {
+                let progress = usize::from(kind.wrapping_sub(REPORT));
+                let progress = ProgressKind::ALL.get(progress).copied();
+                let progress = progress.ok_or(CodecError::Kind { kind })?;
+                let (service, report) = state.decode_report(progress, read(rest, limit)?)?;
+                LinkMessage::Report { service, report }
+            }
         })
     }
 }
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -9,6 +9,7 @@
 use super::code::NameTable;
 use super::code::NumberCode;
 use super::code::NumberTable;
+use super::code::TextTable;
 use super::error::CodecError;
 use crate::kernel::name::GrantId;
 use crate::kernel::name::RequestId;
@@ -51,6 +52,8 @@
     pub incarnations: LinkIncarnations,
     /// The names sent so far.
     pub names: NameTable,
+    /// The words of the texts sent so far.
+    pub texts: TextTable,
     /// The block digests sent so far.
     pub digests: NumberTable,
     /// The broker numbers sent so far.
@@ -73,6 +76,7 @@
         Self {
             incarnations,
             names: NameTable::default(),
+            texts: TextTable::default(),
             digests: NumberTable::default(),
             brokers: NumberTable::default(),
             grants: DeltaCounter::default(),
--- a/src/wire/work.rs
+++ b/src/wire/work.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::CellSummary;
 use super::Referral;
 use super::code::NameCode;
@@ -25,26 +28,33 @@
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::TierRank;
 
-/// Request, service, model, workspace, tier, budget in ms, prompt tokens, most answer tokens,
-/// prefix, whether it is a suspect.
+/// Request, service, model, workspace, tier and suspect flag, budget in ms, prompt tokens, most
+/// answer tokens, prefix.
 pub type AskRow = (
     RequestCode,
     NameCode,
     Option<NameCode>,
     NameCode,
-    u8,
+    u16,
     u64,
     u32,
     u32,
     Vec<NumberCode>,
-    bool,
 );
 
 /// Service, request.
 pub type WithdrawRow = (NameCode, RequestCode);
 
-/// Grant, request, worker, expiry in ms, choice.
-pub type GrantRow = (GrantCode, RequestCode, NameCode, u64, String);
+/// Broker and sequence of the grant, request, worker, expiry in ms, choice.
+pub type GrantRow = (
+    NumberCode,
+    i64,
+    RequestCode,
+    NameCode,
+    u64,
+    NameCode,
+    Vec<u32>,
+);
 
 /// Request, reason, retry time in ms.
 pub type RefusalRow = (RequestCode, u8, u64);
@@ -52,17 +62,17 @@
 /// Request, data centre, host.
 pub type ReferralRow = (RequestCode, NameCode, NameCode);
 
-/// Service, request, grant, worker, kind of progress, its numbers.
-pub type ReportRow = (
-    NameCode,
-    RequestCode,
-    NumberCode,
-    i64,
-    NameCode,
-    u8,
-    u64,
-    u64,
-);
+/// Service, request, broker and sequence of the grant, worker, as many numbers as the progress has.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(untagged)]
+pub enum ReportRow {
+    /// No number.
+    Plain(NameCode, RequestCode, NumberCode, i64, NameCode),
+    /// One number.
+    One(NameCode, RequestCode, NumberCode, i64, NameCode, u64),
+    /// Two numbers.
+    Two(NameCode, RequestCode, NumberCode, i64, NameCode, u64, u64),
+}
 
 /// Request, grant, worker, tier, prompt tokens.
 pub type RunningRow = (RequestCode, GrantCode, NameCode, u8, u32);
@@ -83,40 +93,65 @@
     RefusalReason::Stale,
 ];
 
-fn encode_progress(progress: WorkProgress) -> (u8, u64, u64) {
-    match progress {
-        WorkProgress::Dispatched => (0, 0, 0),
-        WorkProgress::FirstToken { after } => (1, millis(after), 0),
-        WorkProgress::Finished {
-            answer_tokens,
-            token_gap,
-        } => (2, u64::from(answer_tokens), micros(token_gap)),
-        WorkProgress::Stopped => (3, 0, 0),
-        WorkProgress::Failed => (4, 0, 0),
-        WorkProgress::Released => (5, 0, 0),
-    }
+/// The kinds of progress, in the order of their numbers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProgressKind {
+    /// [`WorkProgress::Dispatched`].
+    Dispatched,
+    /// [`WorkProgress::FirstToken`], with the milliseconds since the dispatch.
+    FirstToken,
+    /// [`WorkProgress::Finished`], with the tokens and the microseconds between two of them.
+    Finished,
+    /// [`WorkProgress::Stopped`].
+    Stopped,
+    /// [`WorkProgress::Failed`].
+    Failed,
+    /// [`WorkProgress::Released`].
+    Released,
 }
 
-fn decode_progress(kind: u8, first: u64, second: u64) -> Result<WorkProgress, CodecError> {
-    let error = CodecError::Field { field: "progress" };
-    match kind {
-        0 => Ok(WorkProgress::Dispatched),
-        1 => Ok(WorkProgress::FirstToken {
-            after: Duration::from_millis(first),
-        }),
-        2 => {
-            let Ok(answer_tokens) = u32::try_from(first) else {
-                return Err(error);
-            };
-            Ok(WorkProgress::Finished {
-                answer_tokens,
-                token_gap: Duration::from_micros(second),
-            })
+impl ProgressKind {
+    /// All kinds; the position is the number of the kind.
+    pub const ALL: [Self; 6] = [
+        Self::Dispatched,
+        Self::FirstToken,
+        Self::Finished,
+        Self::Stopped,
+        Self::Failed,
+        Self::Released,
+    ];
+
+    /// Returns the kind of a progress.
+    pub const fn of(progress: WorkProgress) -> Self {
+        match progress {
+            WorkProgress::Dispatched => Self::Dispatched,
+            WorkProgress::FirstToken { .. } => Self::FirstToken,
+            WorkProgress::Finished { .. } => Self::Finished,
+            WorkProgress::Stopped => Self::Stopped,
+            WorkProgress::Failed => Self::Failed,
+            WorkProgress::Released => Self::Released,
         }
-        3 => Ok(WorkProgress::Stopped),
-        4 => Ok(WorkProgress::Failed),
-        5 => Ok(WorkProgress::Released),
-        _ => Err(error),
+    }
+
+    /// Returns the progress of this kind with the given numbers.
+    fn progress(self, first: u64, second: u64) -> Result<WorkProgress, CodecError> {
+        Ok(match self {
+            Self::Dispatched => WorkProgress::Dispatched,
+            Self::FirstToken => WorkProgress::FirstToken {
+                after: Duration::from_millis(first),
+            },
+            Self::Finished => {
+                let tokens = u32::try_from(first);
+                WorkProgress::Finished {
+                    answer_tokens: tokens
+                        .map_err(|_large| CodecError::Field { field: "tokens" })?,
+                    token_gap: Duration::from_micros(second),
+                }
+            }
+            Self::Stopped => WorkProgress::Stopped,
+            Self::Failed => WorkProgress::Failed,
+            Self::Released => WorkProgress::Released,
+        })
     }
 }
 
@@ -133,19 +168,20 @@
                 .as_ref()
                 .map(|model| self.names.encode(model.as_str())),
             self.names.encode(ask.workspace.as_str()),
-            ask.tier.0,
+            u16::from(ask.tier.0) << 1 | u16::from(ask.suspect),
             millis(ask.budget),
             ask.prompt_tokens,
             ask.max_answer_tokens,
             prefix,
-            ask.suspect,
         )
     }
 
     /// Returns the ask of a row.
     pub fn decode_ask(&mut self, row: AskRow) -> Result<Ask, CodecError> {
-        let (request, service, model, workspace, tier, budget, prompt, answer, codes, suspect) =
-            row;
+        let (request, service, model, workspace, tier, budget, prompt, answer, codes) = row;
+        let suspect = tier & 1 == 1;
+        let tier = u8::try_from(tier >> 1);
+        let tier = tier.map_err(|_large| CodecError::Field { field: "tier" })?;
         let mut prefix = Vec::new();
         for code in &codes {
             prefix.push(BlockDigest(self.digests.decode(code)?));
@@ -189,24 +225,25 @@
 
     /// Returns the row of a grant.
     pub fn encode_permission(&mut self, grant: &Grant) -> GrantRow {
+        let (broker, sequence) = self.encode_grant(grant.grant);
+        let request = self.encode_request(grant.request, RequestOwner::Receiver);
+        let worker = self.names.encode(grant.worker.as_str());
+        let (words, numbers) = self.texts.encode(&grant.choice);
+        let expires_in = millis(grant.expires_in);
         (
-            self.encode_grant(grant.grant),
-            self.encode_request(grant.request, RequestOwner::Receiver),
-            self.names.encode(grant.worker.as_str()),
-            millis(grant.expires_in),
-            grant.choice.clone(),
+            broker, sequence, request, worker, expires_in, words, numbers,
         )
     }
 
     /// Returns the grant of a row.
     pub fn decode_permission(&mut self, row: GrantRow) -> Result<Grant, CodecError> {
-        let (grant, request, worker, expires_in, choice) = row;
+        let (broker, sequence, request, worker, expires_in, words, numbers) = row;
         Ok(Grant {
-            grant: self.decode_grant(&grant)?,
+            grant: self.decode_grant(&(broker, sequence))?,
             request: self.decode_request(&request, RequestOwner::Receiver),
             worker: self.names.decode(worker)?,
             expires_in: Duration::from_millis(expires_in),
-            choice,
+            choice: self.texts.decode((words, numbers))?,
         })
     }
 
@@ -258,24 +295,46 @@
         let request = self.encode_request(report.request, RequestOwner::Sender);
         let (broker, sequence) = self.encode_grant(report.grant);
         let worker = self.names.encode(report.worker.as_str());
-        let (kind, first, second) = encode_progress(report.progress);
-        (
-            service, request, broker, sequence, worker, kind, first, second,
-        )
+        match report.progress {
+            WorkProgress::FirstToken { after } => {
+                let after = millis(after);
+                ReportRow::One(service, request, broker, sequence, worker, after)
+            }
+            WorkProgress::Finished {
+                answer_tokens,
+                token_gap,
+            } => {
+                let tokens = u64::from(answer_tokens);
+                let gap = micros(token_gap);
+                ReportRow::Two(service, request, broker, sequence, worker, tokens, gap)
+            }
+            _ => ReportRow::Plain(service, request, broker, sequence, worker),
+        }
     }
 
     /// Returns the service and the report of a row.
     pub fn decode_report(
         &mut self,
+        kind: ProgressKind,
         row: ReportRow,
     ) -> Result<(ServiceName, WorkReport), CodecError> {
-        let (service, request, broker, sequence, worker, kind, first, second) = row;
+        let (service, request, broker, sequence, worker, first, second) = match row {
+            ReportRow::Plain(service, request, broker, sequence, worker) => {
+                (service, request, broker, sequence, worker, 0, 0)
+            }
+            ReportRow::One(service, request, broker, sequence, worker, first) => {
+                (service, request, broker, sequence, worker, first, 0)
+            }
+            ReportRow::Two(service, request, broker, sequence, worker, first, second) => {
+                (service, request, broker, sequence, worker, first, second)
+            }
+        };
         let service = self.names.decode(service)?;
         let report = WorkReport {
             request: self.decode_request(&request, RequestOwner::Sender),
             grant: self.decode_grant(&(broker, sequence))?,
             worker: self.names.decode(worker)?,
-            progress: decode_progress(kind, first, second)?,
+            progress: kind.progress(first, second)?,
         };
         Ok((service, report))
     }
--- a/tests/keeper.rs
+++ b/tests/keeper.rs
@@ -77,6 +77,7 @@
             },
             Rc::clone(&links),
             Rc::clone(&clock),
+            &log(),
         );
         let keeper = Keeper::start(
             datacenter(place),
