Search the rollout exhaustively and confirm nothing while two hosts are missing

Cause: the rule that no host serves less than what was accepted needs more than examples. A breadth-first search now runs the real state machine with racing operators, a lost reply, frozen hosts, a cut data centre, broken links, a host that starts without the table, and the accepting host killed at every step.

Ruled out were a lease rooted in the table, which stops every host in a long outage, and majorities, which stop data centres of two hosts. A data centre now confirms nothing while two or more of its hosts fell silent without having said that they stop; the change stays recorded.

--- a/kernel/src/rollout.rs
+++ b/kernel/src/rollout/mod.rs
@@ -6,135 +6,35 @@
 //! clock, so an answer that waited in a buffer while the host was frozen proves nothing.
 //!
 //! A host confirms a version for its data centre once every host there whose heartbeats arrive has
-//! applied it. Silent hosts are waited out: a change is accepted only [`RolloutTimes::settle`] after
-//! the last data centre confirmed it, when no silent host can take work any more.
+//! applied it. A silent host is waited out: a change is accepted only [`RolloutTimes::settle`] after
+//! the last data centre confirmed it, when no host that is cut off by itself can take work any more.
+//! Two silent hosts may be cut off together and keep each other up to date, so a data centre confirms
+//! nothing while two or more of its hosts fell silent without having said that they stop, until they
+//! are heard again, were started anew, or stayed silent for [`RolloutTimes::memory`].
+
+mod confirm;
+mod report;
+mod times;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use crate::clock::ClockTime;
 use crate::configuration::ConfigVersion;
-use crate::membership::HEARTBEAT_TIMEOUT;
 use crate::name::DatacenterName;
 use crate::name::HostName;
 
-/// The time without news from the table or a host after which no new work is taken.
-pub const FRESHNESS_BOUND: Duration = Duration::from_secs(2);
-
-/// The time after which a change that is not accepted is reported as recorded.
-pub const CHANGE_DEADLINE: Duration = Duration::from_millis(6_800);
-
-/// The time between two events from which on this host counts as having been frozen.
-pub const FREEZE_GAP: Duration = Duration::from_secs(1);
-
-/// The time after which a version that was asked for is asked for again elsewhere.
-pub const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// The time bounds of a rollout.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RolloutTimes {
-    /// The time without news after which no new work is taken.
-    pub freshness: Duration,
-    /// The time without a heartbeat after which a host counts as silent.
-    pub silence: Duration,
-    /// The time from the last confirmation to the acceptance; longer than `freshness`.
-    pub settle: Duration,
-    /// The time between two events from which on this host counts as having been frozen.
-    pub freeze_gap: Duration,
-    /// The time after which a version is asked for again.
-    pub fetch: Duration,
-    /// The time after which a change that is not accepted is reported as recorded.
-    pub deadline: Duration,
-}
-
-impl Default for RolloutTimes {
-    fn default() -> Self {
-        Self {
-            freshness: FRESHNESS_BOUND,
-            silence: HEARTBEAT_TIMEOUT,
-            settle: HEARTBEAT_TIMEOUT,
-            freeze_gap: FREEZE_GAP,
-            fetch: FETCH_TIMEOUT,
-            deadline: CHANGE_DEADLINE,
-        }
-    }
-}
-
-/// What a heartbeat says about the versions of its sender.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct HostReport {
-    /// The data centre of the sender.
-    pub datacenter: DatacenterName,
-    /// The version in force on the sender.
-    pub applied: ConfigVersion,
-    /// The highest version that the sender knows to exist.
-    pub known: ConfigVersion,
-    /// The highest version that every live host of the sender's data centre has applied.
-    pub confirmed: ConfigVersion,
-    /// Whether the sender knows that `known` is not outdated.
-    pub fresh: bool,
-    /// The time of this host's last heartbeat that the sender received.
-    pub echo: Option<ClockTime>,
-}
-
-/// The versions that this host reports in its heartbeats.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct OwnReport {
-    /// The version in force on this host.
-    pub applied: ConfigVersion,
-    /// The highest version that this host knows to exist.
-    pub known: ConfigVersion,
-    /// The highest version that every live host of this data centre has applied.
-    pub confirmed: ConfigVersion,
-    /// Whether this host knows that `known` is not outdated.
-    pub fresh: bool,
-}
-
-/// What a change still lacks when it is reported as recorded.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum RolloutLack {
-    /// The data centre has not confirmed the version.
-    Datacenter(DatacenterName),
-    /// The host has not applied the version.
-    Host {
-        /// The data centre of the host.
-        datacenter: DatacenterName,
-        /// The host.
-        host: HostName,
-    },
-}
-
-/// How far a change has come.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum ChangeProgress {
-    /// The version is in force wherever work is taken.
-    Accepted,
-    /// The version is in the table and will come into force, but was not yet confirmed everywhere.
-    Recorded {
-        /// The data centres and hosts that have not confirmed it; empty if only the wait for
-        /// silent hosts is not over.
-        lacking: Vec<RolloutLack>,
-    },
-}
-
-/// What the caller has to do.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum RolloutAction {
-    /// Send a heartbeat with the new versions to every linked host now.
-    Announce,
-    /// Ask a host for its configuration.
-    FetchFrom(HostName),
-    /// Read the configuration from the table.
-    FetchFromTable,
-    /// Tell the operator how far the change has come; it is not watched any more.
-    Report {
-        /// The version that the change made.
-        version: ConfigVersion,
-        /// How far it has come.
-        progress: ChangeProgress,
-    },
-}
+pub use report::ChangeProgress;
+pub use report::HostReport;
+pub use report::OwnReport;
+pub use report::RolloutAction;
+pub use report::RolloutLack;
+pub use times::CHANGE_DEADLINE;
+pub use times::FETCH_TIMEOUT;
+pub use times::FREEZE_GAP;
+pub use times::FRESHNESS_BOUND;
+pub use times::RolloutTimes;
+pub use times::SILENT_MEMORY;
 
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 struct PeerVersions {
@@ -333,14 +233,10 @@
         if self.alone && self.is_fresh(now) {
             self.prove(now);
         }
+        self.forget_dead(now);
         self.conclude(now, before)
     }
 
-    /// Forgets a host that is dead for good.
-    pub fn forget(&mut self, host: &HostName) {
-        self.peers.remove(host);
-    }
-
     fn is_fresh(&self, now: ClockTime) -> bool {
         self.proven
             .is_some_and(|proven| now.since(proven) < self.times.freshness)
@@ -393,21 +289,6 @@
         actions
     }
 
-    /// Confirms for the own data centre what all of its hosts have applied that are not silent.
-    fn confirm_own(&mut self, now: ClockTime) {
-        let settled = now.since(self.awake) >= self.times.silence || self.alone;
-        if !settled || !self.is_fresh(now) {
-            return;
-        }
-        let peers = self.peers.values();
-        let peers = peers.filter(|peer| peer.report.datacenter == self.datacenter);
-        let peers = peers.filter(|peer| !self.is_silent(now, peer));
-        let lowest = peers.map(|peer| peer.report.applied).min();
-        let version = lowest.map_or(self.applied, |lowest| lowest.min(self.applied));
-        let confirmed = self.confirmed.entry(self.datacenter.clone()).or_default();
-        *confirmed = version.max(*confirmed);
-    }
-
     fn fetch(&mut self, now: ClockTime) -> Option<RolloutAction> {
         if self.applied >= self.known {
             return None;
@@ -436,78 +317,4 @@
         self.known_from.clone_from(&next);
         next.map_or(RolloutAction::FetchFromTable, RolloutAction::FetchFrom)
     }
-
-    fn settle(&mut self, now: ClockTime, actions: &mut Vec<RolloutAction>) {
-        let mut pending = std::mem::take(&mut self.pending);
-        pending.retain(|version, change| {
-            let progress = self.progress(now, *version, change);
-            let Some(progress) = progress else {
-                return true;
-            };
-            let version = *version;
-            actions.push(RolloutAction::Report { version, progress });
-            false
-        });
-        self.pending = pending;
-    }
-
-    fn progress(
-        &self,
-        now: ClockTime,
-        version: ConfigVersion,
-        change: &mut PendingChange,
-    ) -> Option<ChangeProgress> {
-        let needed = self.needed();
-        let missing = needed.into_iter();
-        let missing = missing.filter(|datacenter| self.confirmed_by(datacenter) < version);
-        let missing: Vec<DatacenterName> = missing.collect();
-        if missing.is_empty() {
-            let complete = *change.complete.get_or_insert(now);
-            let only_host = self.alone && self.peers.is_empty();
-            if only_host || now.since(complete) >= self.times.settle {
-                return Some(ChangeProgress::Accepted);
-            }
-        } else {
-            change.complete = None;
-        }
-        (now >= change.deadline).then(|| ChangeProgress::Recorded {
-            lacking: self.lacking(now, version, missing),
-        })
-    }
-
-    /// Returns the data centres that must confirm: all that are configured or were heard and that
-    /// are not declared gone.
-    fn needed(&self) -> BTreeSet<DatacenterName> {
-        let mut needed = self.required.clone();
-        let heard = self.peers.values();
-        needed.extend(heard.map(|peer| peer.report.datacenter.clone()));
-        needed.extend(self.confirmed.keys().cloned());
-        needed.insert(self.datacenter.clone());
-        needed.retain(|datacenter| !self.gone.contains(datacenter));
-        needed
-    }
-
-    fn lacking(
-        &self,
-        now: ClockTime,
-        version: ConfigVersion,
-        missing: Vec<DatacenterName>,
-    ) -> Vec<RolloutLack> {
-        let mut lacking = Vec::new();
-        for datacenter in missing {
-            let hosts = self.peers.iter();
-            let hosts = hosts.filter(|(_, peer)| peer.report.datacenter == datacenter);
-            let hosts = hosts.filter(|(_, peer)| peer.report.applied < version);
-            let hosts = hosts.filter(|(_, peer)| !self.is_silent(now, peer));
-            let hosts: Vec<RolloutLack> = hosts
-                .map(|(host, _)| RolloutLack::Host {
-                    datacenter: datacenter.clone(),
-                    host: host.clone(),
-                })
-                .collect();
-            lacking.push(RolloutLack::Datacenter(datacenter));
-            lacking.extend(hosts);
-        }
-        lacking
-    }
 }
--- a/kernel/tests/rollout_model/scenarios.rs
+++ b/kernel/tests/rollout_model/scenarios.rs
@@ -2,6 +2,7 @@
 
 use super::FaultEvent;
 use super::FaultEvent::Cut;
+use super::FaultEvent::CutLink;
 use super::FaultEvent::Freeze;
 use super::FaultEvent::Heal;
 use super::FaultEvent::Kill;
@@ -21,6 +22,7 @@
     Scenario {
         hosts: vec![0, 0, 1],
         stopped: Vec::new(),
+        broken: Vec::new(),
         readers: vec![0, 2],
         events,
         horizon: 12,
@@ -74,8 +76,25 @@
     let events = vec![Read(0), Write(0), TableDown, Start(1), Freeze(3), Thaw(3)];
     let mut scenario = scenario(events);
     scenario.hosts = vec![0, 0, 1, 0];
-    scenario.stopped = vec![1];
     scenario.horizon = 9;
+    scenario.stopped = vec![1];
+    scenario.broken = vec![(0, 1), (1, 2), (2, 3)];
+    scenario
+}
+
+pub fn half_broken_host() -> Scenario {
+    let mut scenario = scenario(vec![Read(0), Write(0), CutLink(0, 1), CutLink(1, 2)]);
+    scenario.hosts = vec![0, 0, 1, 0];
+    scenario.readers = vec![0];
+    scenario
+}
+
+pub fn split_datacenter() -> Scenario {
+    let events = vec![Read(0), Write(0), CutLink(0, 1), CutLink(0, 3)];
+    let mut scenario = scenario(events);
+    scenario.hosts = vec![0, 0, 1, 0];
+    scenario.broken = vec![(1, 2), (2, 3)];
+    scenario.readers = vec![0, 2];
     scenario
 }
 
--- /dev/null
+++ b/kernel/tests/rollout_model/state.rs
@@ -0,0 +1,126 @@
+//! The state of the model: hosts, what is on its way between them, and the table.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::DatacenterName;
+use borageladder_kernel::name::HostName;
+use borageladder_kernel::rollout::HostReport;
+use borageladder_kernel::rollout::Rollout;
+
+use super::FaultEvent;
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Heartbeat {
+    pub from: usize,
+    pub from_incarnation: u8,
+    pub to_incarnation: u8,
+    pub sent: ClockTime,
+    pub report: HostReport,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct ModelHost {
+    pub datacenter: usize,
+    pub incarnation: u8,
+    pub process: Option<Rollout>,
+    pub frozen: bool,
+    pub inbox: VecDeque<Heartbeat>,
+    /// The time of the last heartbeat of each host that this one received, and its incarnation.
+    pub heard: Vec<Option<(u8, ClockTime)>>,
+    pub read: Option<u64>,
+    pub unheard: Option<u64>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct ModelState {
+    pub now: ClockTime,
+    pub hosts: Vec<ModelHost>,
+    pub table: u64,
+    pub table_up: bool,
+    pub cut: BTreeSet<usize>,
+    pub broken: BTreeSet<(usize, usize)>,
+    pub left: Vec<FaultEvent>,
+    pub accepted: u64,
+    pub recorded: bool,
+}
+
+impl ModelHost {
+    /// Returns whether more waits to be read than what arrives in one unit of time.
+    pub fn has_backlog(&self) -> bool {
+        !self.frozen && !self.inbox.is_empty()
+    }
+}
+
+pub fn host_name(number: usize) -> HostName {
+    HostName::try_from(format!("h{number}")).expect("a valid name")
+}
+
+pub fn datacenter_name(number: usize) -> DatacenterName {
+    DatacenterName::try_from(format!("d{number}")).expect("a valid name")
+}
+
+pub fn running(state: &mut ModelState, host: usize) -> Option<&mut Rollout> {
+    let host = &mut state.hosts[host];
+    host.process.as_mut().filter(|_| !host.frozen)
+}
+
+pub fn reaches(state: &ModelState, from: usize, to: usize) -> bool {
+    let broken = state.broken.contains(&(from, to)) || state.broken.contains(&(to, from));
+    let from = state.hosts[from].datacenter;
+    let to = state.hosts[to].datacenter;
+    !broken && (from == to || !(state.cut.contains(&from) || state.cut.contains(&to)))
+}
+
+pub fn write(state: &mut ModelState, host: usize) -> Option<u64> {
+    let read = state.hosts[host].read.take();
+    let won = read == Some(state.table);
+    if won {
+        state.table += 1;
+    }
+    won.then_some(state.table)
+}
+
+pub fn kill(host: &mut ModelHost) {
+    host.process = None;
+    host.incarnation += 1;
+    host.frozen = false;
+    host.inbox.clear();
+    host.heard.fill(None);
+    host.read = None;
+    host.unheard = None;
+}
+
+pub fn is_possible(state: &ModelState, event: FaultEvent) -> bool {
+    let host = |number: usize| &state.hosts[number];
+    let runs = |number: usize| host(number).process.is_some() && !host(number).frozen;
+    let reaches_table = |number: usize| {
+        runs(number) && state.table_up && !state.cut.contains(&host(number).datacenter)
+    };
+    match event {
+        FaultEvent::Read(number) => reaches_table(number) && host(number).read.is_none(),
+        FaultEvent::Write(number) | FaultEvent::WriteUnheard(number) => {
+            reaches_table(number) && host(number).read.is_some()
+        }
+        FaultEvent::Settle(number) => reaches_table(number) && host(number).unheard.is_some(),
+        FaultEvent::Freeze(number) => runs(number),
+        FaultEvent::Thaw(number) => host(number).frozen,
+        FaultEvent::Kill(number) => host(number).process.is_some(),
+        FaultEvent::Start(number) => host(number).process.is_none(),
+        FaultEvent::Cut(datacenter) => !state.cut.contains(&datacenter),
+        FaultEvent::Heal(datacenter) => state.cut.contains(&datacenter),
+        FaultEvent::CutLink(one, other) => !state.broken.contains(&(one, other)),
+        FaultEvent::TableDown => state.table_up,
+        FaultEvent::TableUp => !state.table_up,
+    }
+}
+
+/// Returns whether no host that takes work has a lower version than one that was accepted.
+pub fn is_sound(state: &ModelState) -> bool {
+    state.hosts.iter().filter(|host| !host.frozen).all(|host| {
+        host.process.as_ref().is_none_or(|process| {
+            !process.may_take_work(state.now) || process.applied().0 >= state.accepted
+        })
+    })
+}
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -243,6 +243,7 @@
             confirmed: heartbeat.confirmed,
             fresh: heartbeat.fresh,
             echo: heartbeat.echo,
+            stopping: heartbeat.stopping,
         };
         let now = (self.clock)();
         let actions = self.rollout.borrow_mut().heard(now, from, report);
