--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod membership;
 pub mod name;
+pub mod pause;
 pub mod policy;
 pub mod prefix;
 pub mod quarantine;
--- /dev/null
+++ b/src/body.rs
@@ -0,0 +1,52 @@
+//! Request bodies, read up to a bound.
+
+use actix_http::HttpMessage;
+use actix_http::Request;
+use actix_http::header;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use thiserror::Error;
+
+/// The reason why a body was not read.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum BodyError {
+    /// The body is larger than the bound.
+    #[error("the body is larger than {limit} bytes")]
+    TooLarge {
+        /// The bound, in bytes.
+        limit: usize,
+    },
+    /// The connection ended or broke the protocol before the body was complete.
+    #[error("the body ended before it was complete")]
+    Incomplete,
+}
+
+/// Reads the whole body of a request.
+///
+/// # Errors
+///
+/// Returns an error if the body is larger than `limit` bytes or is not complete. A body whose
+/// declared length is too large is rejected before any of it is read.
+pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
+    if declared_length(request).is_some_and(|length| length > limit) {
+        return Err(BodyError::TooLarge { limit });
+    }
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let Ok(chunk) = chunk else {
+            return Err(BodyError::Incomplete);
+        };
+        if body.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge { limit });
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn declared_length(request: &Request) -> Option<usize> {
+    let value = request.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/src/journal.rs
@@ -0,0 +1,190 @@
+//! What this host knows about its own requests, for `show` and `explain`.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::kernel::clock::ClockTime;
+use crate::kernel::lifecycle::RunOutcome;
+use crate::kernel::name::ModelName;
+use crate::kernel::name::RequestId;
+use crate::kernel::name::RuleName;
+use crate::kernel::name::ServiceName;
+use crate::kernel::name::TierName;
+use crate::kernel::name::WorkerName;
+use crate::kernel::name::WorkspaceName;
+
+/// The most ended requests that are remembered.
+pub const MAX_ENDED: usize = 2_000;
+
+/// The most steps that are remembered of one request.
+pub const MAX_STEPS: usize = 32;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestPhase {
+    /// It waits for a slot.
+    Waiting,
+    /// It was dispatched.
+    Running,
+    /// Its whole answer went to the caller.
+    Finished,
+    /// It was refused before it ran.
+    Refused,
+    /// It ended after its dispatch without a whole answer.
+    Failed,
+    /// Its caller left.
+    Abandoned,
+}
+
+impl RequestPhase {
+    /// Returns the phase as operators read it.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Running => "running",
+            Self::Finished => "finished",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Abandoned => "abandoned",
+        }
+    }
+
+    const fn is_ended(self) -> bool {
+        !matches!(self, Self::Waiting | Self::Running)
+    }
+}
+
+/// One thing that happened to a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestStep {
+    /// The time since the request arrived.
+    pub after: Duration,
+    /// What happened.
+    pub text: String,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    /// The identifier of the request.
+    pub request: RequestId,
+    /// The workspace of the caller.
+    pub workspace: WorkspaceName,
+    /// The service that the request is for.
+    pub service: ServiceName,
+    /// The model that the request names.
+    pub model: Option<ModelName>,
+    /// The tier in which it was placed.
+    pub tier: TierName,
+    /// The rule that placed it; `None` if no rule matched.
+    pub rule: Option<RuleName>,
+    /// Where it stands.
+    pub phase: RequestPhase,
+    /// The time of its arrival on the monotonic clock.
+    pub received: ClockTime,
+    /// The time of its arrival in milliseconds since the Unix epoch.
+    pub received_unix_ms: u64,
+    /// The worker to which it was dispatched.
+    pub worker: Option<WorkerName>,
+    /// The code of the error that the caller was told.
+    pub code: Option<&'static str>,
+    /// Whether it ran, as the caller was told.
+    pub ran: Option<RunOutcome>,
+    /// What happened, oldest first.
+    pub steps: Vec<RequestStep>,
+}
+
+/// The records of the requests that this host holds, and of the last ones that ended.
+#[derive(Debug, Default)]
+pub struct RequestJournal {
+    active: BTreeMap<RequestId, RequestRecord>,
+    ended: VecDeque<RequestRecord>,
+}
+
+impl RequestJournal {
+    /// Adds a request that arrived.
+    pub fn open(&mut self, record: RequestRecord) {
+        self.active.insert(record.request, record);
+    }
+
+    /// Returns the number of requests that have not ended.
+    #[must_use]
+    pub fn active_count(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Returns the number of active requests of a workspace.
+    #[must_use]
+    pub fn workspace_count(&self, workspace: &WorkspaceName) -> usize {
+        self.active
+            .values()
+            .filter(|record| record.workspace == *workspace)
+            .count()
+    }
+
+    /// Adds a step to an active request.
+    pub fn step(&mut self, request: RequestId, now: ClockTime, text: impl Into<String>) {
+        let Some(record) = self.active.get_mut(&request) else {
+            return;
+        };
+        if record.steps.len() >= MAX_STEPS {
+            // The first steps tell how the request was placed, the last how it ended.
+            record.steps.remove(MAX_STEPS / 2);
+        }
+        let after = now.since(record.received);
+        record.steps.push(RequestStep {
+            after,
+            text: text.into(),
+        });
+    }
+
+    /// Records that a request was dispatched to a worker.
+    pub fn dispatched(&mut self, request: RequestId, worker: &WorkerName) {
+        let Some(record) = self.active.get_mut(&request) else {
+            return;
+        };
+        record.phase = RequestPhase::Running;
+        record.worker = Some(worker.clone());
+    }
+
+    /// Records the end of a request; a second end is ignored.
+    pub fn end(
+        &mut self,
+        request: RequestId,
+        phase: RequestPhase,
+        code: Option<&'static str>,
+        ran: RunOutcome,
+    ) {
+        debug_assert!(phase.is_ended(), "{phase:?} is not an end");
+        let Some(mut record) = self.active.remove(&request) else {
+            return;
+        };
+        record.phase = phase;
+        record.code = code;
+        record.ran = Some(ran);
+        if self.ended.len() >= MAX_ENDED {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(record);
+    }
+
+    /// Returns the record of a request that is active or ended lately.
+    #[must_use]
+    pub fn find(&self, request: RequestId) -> Option<&RequestRecord> {
+        let ended = || {
+            self.ended
+                .iter()
+                .rev()
+                .find(|record| record.request == request)
+        };
+        self.active.get(&request).or_else(ended)
+    }
+
+    /// Returns the records in a phase, in order of arrival.
+    pub fn in_phase(&self, phase: RequestPhase) -> impl Iterator<Item = &RequestRecord> {
+        let records = self.ended.iter().chain(self.active.values());
+        records.filter(move |record| record.phase == phase)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,14 +6,18 @@
 
 pub use borageladder_kernel as kernel;
 
+pub mod body;
 pub mod cell;
 pub mod claims;
 pub mod cli;
+pub mod clock;
+pub mod connection;
 pub mod context;
 pub mod daemon;
 pub mod dispatch;
 pub mod entry;
 pub mod event;
+pub mod journal;
 pub mod keeper;
 pub mod language;
 pub mod link;
@@ -22,6 +26,8 @@
 pub mod metrics;
 pub mod operator;
 pub mod platform;
+pub mod reply;
+pub mod server;
 pub mod settings;
 pub mod watch;
 pub mod wire;
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,210 @@
+//! An HTTP server on the daemon's own thread, with bounds on connections and a graceful stop.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::HttpService;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::body::BoxBody;
+use actix_rt::net::TcpListener;
+use actix_rt::net::TcpStream;
+use actix_service::Service;
+use actix_service::ServiceFactory;
+use actix_service::fn_service;
+use thiserror::Error;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+/// The time that a client has to send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The time for which an idle connection is kept open.
+const KEEP_ALIVE: Duration = Duration::from_mins(1);
+
+/// The pause after a failed accept, such as when file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A failure to start a server.
+#[derive(Debug, Error)]
+pub enum ServerError {
+    /// The address can't be listened on.
+    #[error("can't listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The HTTP service could not be created.
+    #[error("can't create the HTTP service")]
+    Service,
+}
+
+/// A signal that tells servers to stop, which many tasks can wait for.
+#[derive(Clone, Debug)]
+pub struct StopSignal {
+    sender: Rc<watch::Sender<bool>>,
+}
+
+impl Default for StopSignal {
+    fn default() -> Self {
+        Self {
+            sender: Rc::new(watch::Sender::new(false)),
+        }
+    }
+}
+
+impl StopSignal {
+    /// Gives the signal.
+    pub fn stop(&self) {
+        self.sender.send_replace(true);
+    }
+
+    /// Returns whether the signal was given.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        *self.sender.borrow()
+    }
+
+    /// Waits until the signal is given.
+    pub async fn stopped(&self) {
+        let mut receiver = self.sender.subscribe();
+        // The sender lives in self, so waiting can't fail.
+        let _ = receiver.wait_for(|stopped| *stopped).await;
+    }
+}
+
+/// Counts open connections and tells when the last one closed.
+#[derive(Debug, Default)]
+struct ConnectionCount {
+    open: Cell<usize>,
+    closed: Notify,
+}
+
+/// Lowers the count when a connection ends in whatever way.
+#[derive(Debug)]
+struct ConnectionGuard(Rc<ConnectionCount>);
+
+impl ConnectionGuard {
+    fn new(count: &Rc<ConnectionCount>) -> Self {
+        count.open.set(count.open.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+        self.0.closed.notify_waiters();
+    }
+}
+
+/// A listening HTTP server.
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    count: Rc<ConnectionCount>,
+    stop: StopSignal,
+}
+
+impl HttpServer {
+    /// Listens on the address and serves requests on the current thread.
+    ///
+    /// Connections above `max_connections` are closed at once. When the signal is given no new
+    /// connection is accepted, and each open one ends after the answer that it carries.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened on.
+    pub async fn start<H, F>(
+        address: SocketAddr,
+        max_connections: usize,
+        stop: StopSignal,
+        handler: H,
+    ) -> Result<Self, ServerError>
+    where
+        H: Fn(Request) -> F + Clone + 'static,
+        F: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let listen_error = |source| ServerError::Listen { address, source };
+        let listener = TcpListener::bind(address).await.map_err(listen_error)?;
+        let address = listener.local_addr().map_err(listen_error)?;
+        let signal = stop.clone();
+        let factory = HttpService::build()
+            .keep_alive(KEEP_ALIVE)
+            .client_request_timeout(HEAD_TIMEOUT)
+            // A caller who leaves must end the handler, also while the request waits.
+            .h1_allow_half_closed(false)
+            .graceful_shutdown_signal(move || {
+                let signal = signal.clone();
+                async move { signal.stopped().await }
+            })
+            .h1(fn_service(move |request| {
+                let answer = handler(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            }));
+        let service = factory
+            .new_service(())
+            .await
+            .map_err(|()| ServerError::Service)?;
+        let service = Rc::new(service);
+        let count = Rc::new(ConnectionCount::default());
+        let accept = accept_loop(listener, service, Rc::clone(&count), max_connections);
+        let signal = stop.clone();
+        actix_rt::spawn(async move {
+            tokio::select! {
+                () = signal.stopped() => (),
+                () = accept => (),
+            }
+        });
+        Ok(Self {
+            address,
+            count,
+            stop,
+        })
+    }
+
+    /// Returns the address on which the server listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the stop signal was given and every connection has ended.
+    pub async fn finished(&self) {
+        self.stop.stopped().await;
+        while self.count.open.get() > 0 {
+            self.count.closed.notified().await;
+        }
+    }
+}
+
+async fn accept_loop<S>(
+    listener: TcpListener,
+    service: Rc<S>,
+    count: Rc<ConnectionCount>,
+    max_connections: usize,
+) where
+    S: Service<(TcpStream, Option<SocketAddr>), Response = ()> + 'static,
+{
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if count.open.get() >= max_connections || stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let guard = ConnectionGuard::new(&count);
+        let service = Rc::clone(&service);
+        actix_rt::spawn(async move {
+            // An error here is a client that broke the connection or the protocol.
+            let _ = service.call((stream, Some(peer))).await;
+            drop(guard);
+        });
+    }
+}
