--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pause;
 pub mod policy;
 pub mod prefix;
+pub mod prompt;
 pub mod quarantine;
 pub mod queue;
 pub mod rollout;
