--- a/src/bin/borageladderd.rs
+++ b/src/bin/borageladderd.rs
@@ -1,3 +1,84 @@
 //! The daemon that runs on every host.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use borageladder::daemon;
+use borageladder::settings;
+use lexopt::Arg;
+
+const USAGE: &str = "\
+borageladderd: the request scheduler's daemon
+
+Usage: borageladderd [OPTIONS] SETTINGS
+
+Arguments:
+  SETTINGS           the settings file of this host, in TOML
+
+Options:
+  --check-settings   check the settings file and exit
+  -h, --help         print this text
+  -V, --version      print the version
+";
+
+/// What the command line asks for.
+enum DaemonCommand {
+    CheckSettings(PathBuf),
+    Help,
+    Run(PathBuf),
+    Version,
+}
+
+fn parse_arguments() -> Result<DaemonCommand, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut path = None;
+    let mut only_check = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("check-settings") => only_check = true,
+            Arg::Long("help") | Arg::Short('h') => return Ok(DaemonCommand::Help),
+            Arg::Long("version") | Arg::Short('V') => return Ok(DaemonCommand::Version),
+            Arg::Value(value) if path.is_none() => path = Some(PathBuf::from(value)),
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let path = path.ok_or("missing argument SETTINGS; see --help")?;
+    if only_check {
+        return Ok(DaemonCommand::CheckSettings(path));
+    }
+    Ok(DaemonCommand::Run(path))
+}
+
+fn run(command: DaemonCommand) -> anyhow::Result<()> {
+    match command {
+        DaemonCommand::CheckSettings(path) => {
+            settings::load(&path).context("the settings can't be used")?;
+            println!("{}: settings are valid", path.display());
+        }
+        DaemonCommand::Help => print!("{USAGE}"),
+        DaemonCommand::Run(path) => {
+            let settings = settings::load(&path).context("the settings can't be used")?;
+            daemon::run(settings)?;
+        }
+        DaemonCommand::Version => println!("borageladderd {}", env!("CARGO_PKG_VERSION")),
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let outcome = match parse_arguments() {
+        Ok(command) => run(command),
+        Err(error) => {
+            eprintln!("borageladderd: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("borageladderd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/mod.rs
@@ -0,0 +1,19 @@
+//! The cells of this host: the brokers that run here and the asks of its own entry.
+//!
+//! A cell is one service in one data centre. [`AskTable`] holds what this host's entry waits for and
+//! runs; [`BrokerTable`] holds the brokers that run here; [`CellService`] joins both with the other
+//! hosts.
+
+mod asks;
+mod brokers;
+mod service;
+mod slot;
+
+pub use self::asks::AskTable;
+pub use self::asks::CellId;
+pub use self::brokers::BrokerTable;
+pub use self::service::CellNetwork;
+pub use self::service::CellService;
+pub use self::slot::SlotAnswer;
+pub use self::slot::SlotLease;
+pub use self::slot::SlotWait;
--- /dev/null
+++ b/src/cell/service.rs
@@ -0,0 +1,394 @@
+//! The cells of this host, joined with the other hosts.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::asks::AskTable;
+use super::asks::CellId;
+use super::asks::REASK_INTERVAL;
+use super::brokers::BrokerTable;
+use super::brokers::CellAction;
+use super::slot::SlotAnswer;
+use super::slot::SlotWait;
+use crate::clock::ProcessClock;
+use crate::kernel::ask::Ask;
+use crate::kernel::ask::BrokerAction;
+use crate::kernel::ask::BrokerEvent;
+use crate::kernel::ask::CacheBatch;
+use crate::kernel::ask::Grant;
+use crate::kernel::ask::LoadReport;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RefusalReason;
+use crate::kernel::ask::WorkProgress;
+use crate::kernel::ask::WorkReport;
+use crate::kernel::broker::CellBroker;
+use crate::kernel::broker::BrokerSettings;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::configuration::Configuration;
+use crate::kernel::name::DatacenterName;
+use crate::kernel::name::HostName;
+use crate::kernel::name::RegionName;
+use crate::kernel::name::RequestId;
+use crate::kernel::name::ServiceName;
+use crate::kernel::name::WorkerName;
+use crate::kernel::pause::PauseDetector;
+use crate::wire::CellSummary;
+use crate::wire::LinkMessage;
+use crate::wire::Referral;
+
+/// What the cells need of the other hosts.
+pub trait CellNetwork {
+    /// Returns the name of this host.
+    fn host(&self) -> &HostName;
+
+    /// Returns the data centre of this host.
+    fn datacenter(&self) -> &DatacenterName;
+
+    /// Returns the host that is the broker of a cell, if one is alive.
+    fn broker(&self, cell: &CellId) -> Option<HostName>;
+
+    /// Sends a message; a message that can't be sent is lost and asked for again.
+    fn send(&self, host: &HostName, message: LinkMessage);
+
+    /// Returns the configuration in force.
+    fn configuration(&self) -> Arc<Configuration>;
+}
+
+/// The brokers of this host and the asks of its entry.
+pub struct CellService {
+    network: Box<dyn CellNetwork>,
+    clock: ProcessClock,
+    asks: RefCell<AskTable>,
+    brokers: RefCell<BrokerTable>,
+    pauses: RefCell<PauseDetector>,
+    known_brokers: RefCell<Vec<(CellId, HostName)>>,
+}
+
+impl fmt::Debug for CellService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CellService").field("asks", &self.asks).finish_non_exhaustive()
+    }
+}
+
+impl CellService {
+    /// Creates the service; brokers that start here get the settings.
+    #[must_use]
+    pub fn new(network: Box<dyn CellNetwork>, clock: ProcessClock, settings: BrokerSettings) -> Self {
+        Self {
+            network,
+            clock,
+            asks: RefCell::default(),
+            brokers: RefCell::new(BrokerTable::new(settings)),
+            pauses: RefCell::new(PauseDetector::new(clock.now())),
+            known_brokers: RefCell::default(),
+        }
+    }
+
+    /// Asks for a slot until the deadline.
+    #[must_use]
+    pub fn ask(self: &Rc<Self>, ask: Ask, deadline: ClockTime) -> SlotWait {
+        let request = ask.request;
+        let datacenter = self.home(&ask.service);
+        let cell = CellId { service: ask.service.clone(), datacenter };
+        let receiver = self.asks.borrow_mut().open(ask, cell, deadline);
+        self.send_due();
+        SlotWait::new(Rc::clone(self), request, receiver)
+    }
+
+    /// Withdraws an ask that nobody waits for any more.
+    pub fn withdraw(&self, request: RequestId) {
+        let closed = self.asks.borrow_mut().close(request);
+        if let Some((cell, host)) = closed {
+            self.network.send(&host, LinkMessage::Withdraw { service: cell.service, request });
+        }
+    }
+
+    /// Sends a report to the broker of the cell that granted the slot.
+    pub fn report(&self, report: WorkReport) {
+        let cell = self.asks.borrow().held_cell(report.request).cloned();
+        let Some(cell) = cell else { return };
+        if let Some(host) = self.network.broker(&cell) {
+            self.network.send(&host, LinkMessage::Report { service: cell.service, report });
+        }
+    }
+
+    /// Forgets a slot whose use has ended.
+    pub fn release(&self, request: RequestId) {
+        self.asks.borrow_mut().release(request);
+    }
+
+    /// Refuses an ask of this host on the word of an operator; returns whether it was waiting.
+    pub fn drop_ask(&self, refusal: Refusal) -> bool {
+        let request = refusal.request;
+        let known = self.asks.borrow_mut().close(request);
+        if let Some((cell, host)) = known {
+            let service = cell.service;
+            self.network.send(&host, LinkMessage::Withdraw { service, request });
+            return true;
+        }
+        false
+    }
+
+    /// Handles a message from another host or from this one.
+    pub fn receive(self: &Rc<Self>, from: &HostName, message: LinkMessage) {
+        match message {
+            LinkMessage::Ask(ask) => {
+                let service = ask.service.clone();
+                let event = BrokerEvent::Asked { host: from.clone(), ask: *ask };
+                self.broker_event(service, event);
+            }
+            LinkMessage::Withdraw { service, request } => {
+                self.broker_event(service, BrokerEvent::Withdrawn { host: from.clone(), request });
+            }
+            LinkMessage::Report { service, report } => {
+                self.broker_event(service, BrokerEvent::Reported { host: from.clone(), report });
+            }
+            LinkMessage::Declare { service, running } => {
+                self.broker_event(service, BrokerEvent::Declared { host: from.clone(), running });
+            }
+            LinkMessage::Grant(grant) => self.granted(from, grant),
+            LinkMessage::Refuse(refusal) => {
+                let request = refusal.request;
+                self.asks.borrow_mut().answer(request, SlotAnswer::Refused(refusal));
+            }
+            LinkMessage::Refer(referral) => self.referred(&referral),
+            LinkMessage::Summary(summary) => {
+                self.brokers.borrow_mut().learn(self.clock.now(), from, summary);
+            }
+            _ => (),
+        }
+    }
+
+    /// Acts on everything whose time has come; call it every `TICK_INTERVAL` or more often.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        self.pauses.borrow_mut().tick(now);
+        let actions = self.brokers.borrow_mut().tick(now);
+        self.act(actions);
+        self.asks.borrow_mut().expire(now);
+        self.declare_to_new_brokers();
+        self.send_due();
+    }
+
+    /// Returns the time at which a broker wants to act, if any does.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<ClockTime> {
+        self.brokers.borrow().next_wake()
+    }
+
+    /// Tells the brokers that a host is dead.
+    pub fn host_lost(&self, host: &HostName) {
+        let event = BrokerEvent::HostLost { host: host.clone() };
+        let actions = self.brokers.borrow_mut().handle_all(self.clock.now(), &event);
+        self.act(actions);
+        self.declare_to_new_brokers();
+        self.send_due();
+    }
+
+    /// Gives the brokers the workers of a new configuration or a new set of leaving workers.
+    pub fn reconfigure(&self, leaving: BTreeSet<WorkerName>) {
+        let configuration = self.network.configuration();
+        let mut brokers = self.brokers.borrow_mut();
+        brokers.set_leaving(leaving);
+        let actions = brokers.reconfigure(self.clock.now(), &configuration);
+        drop(brokers);
+        self.act(actions);
+    }
+
+    /// Gives a cell's broker a load report of one of its workers.
+    pub fn load_reported(&self, cell: &CellId, worker: &WorkerName, load: LoadReport) {
+        let event = BrokerEvent::LoadReported { worker: worker.clone(), load };
+        self.cell_event(cell, event);
+    }
+
+    /// Gives a cell's broker cache events of one of its workers.
+    pub fn cache_reported(&self, cell: &CellId, worker: &WorkerName, batch: CacheBatch) {
+        let event = BrokerEvent::CacheReported { worker: worker.clone(), batch };
+        self.cell_event(cell, event);
+    }
+
+    /// Calls a function with the brokers that run here.
+    pub fn with_brokers<T>(&self, read: impl FnOnce(&BrokerTable) -> T) -> T {
+        read(&self.brokers.borrow())
+    }
+
+    /// Returns the cells whose broker this host is.
+    #[must_use]
+    pub fn own_cells(&self) -> Vec<CellId> {
+        self.brokers.borrow().iter().map(|(cell, _)| cell.clone()).collect()
+    }
+
+    /// Sends the summaries of this host's cells to the brokers of other data centres.
+    pub fn send_summaries(&self) {
+        let configuration = self.network.configuration();
+        let summaries = self.with_brokers(|brokers| {
+            brokers.iter().map(|(cell, broker)| summarize(cell, broker)).collect::<Vec<_>>()
+        });
+        for summary in summaries {
+            for datacenter in configuration.datacenters.keys() {
+                if *datacenter == summary.datacenter {
+                    continue;
+                }
+                let service = summary.service.clone();
+                let cell = CellId { service, datacenter: datacenter.clone() };
+                if let Some(host) = self.network.broker(&cell) {
+                    self.network.send(&host, LinkMessage::Summary(summary.clone()));
+                }
+            }
+        }
+    }
+
+    fn granted(&self, from: &HostName, grant: Grant) {
+        let now = self.clock.now();
+        // After a pause the grant may be older than it looks; the ask is sent again later.
+        let stale = self.pauses.borrow().is_suspect(now);
+        let answer = SlotAnswer::Granted { grant: grant.clone(), received: now };
+        if !stale && self.asks.borrow_mut().answer(grant.request, answer) {
+            return;
+        }
+        if !self.asks.borrow().holds(&grant) {
+            self.give_back(from, grant);
+        }
+    }
+
+    fn give_back(&self, broker: &HostName, grant: Grant) {
+        let configuration = self.network.configuration();
+        let Some(spec) = configuration.workers.get(&grant.worker) else { return };
+        let report = WorkReport {
+            request: grant.request,
+            grant: grant.grant,
+            worker: grant.worker,
+            progress: WorkProgress::Released,
+        };
+        let service = spec.service.clone();
+        self.network.send(broker, LinkMessage::Report { service, report });
+    }
+
+    fn referred(&self, referral: &Referral) {
+        let moved = self.asks.borrow_mut().refer(referral.request, &referral.datacenter);
+        if moved {
+            self.send_due();
+            return;
+        }
+        let refusal = Refusal {
+            request: referral.request,
+            reason: RefusalReason::Deadline,
+            retry_after: REASK_INTERVAL,
+        };
+        self.asks.borrow_mut().answer(referral.request, SlotAnswer::Refused(refusal));
+    }
+
+    fn broker_event(&self, service: ServiceName, event: BrokerEvent) {
+        let datacenter = self.network.datacenter().clone();
+        self.cell_event(&CellId { service, datacenter }, event);
+    }
+
+    fn cell_event(&self, cell: &CellId, event: BrokerEvent) {
+        let configuration = self.network.configuration();
+        let now = self.clock.now();
+        let handled = self.brokers.borrow_mut().handle(now, cell, event, &configuration);
+        // The policy's name was checked when the settings were read.
+        self.act(handled.unwrap_or_default());
+    }
+
+    fn act(&self, actions: Vec<CellAction>) {
+        for CellAction { cell, action } in actions {
+            match action {
+                BrokerAction::Grant { host, grant } => {
+                    self.network.send(&host, LinkMessage::Grant(grant));
+                }
+                BrokerAction::Refuse { host, refusal } => {
+                    let message = self.refer_or_refuse(&cell, refusal);
+                    self.network.send(&host, message);
+                }
+            }
+        }
+    }
+
+    fn refer_or_refuse(&self, cell: &CellId, refusal: Refusal) -> LinkMessage {
+        let lacks_room = matches!(
+            refusal.reason,
+            RefusalReason::Capacity | RefusalReason::Deadline | RefusalReason::NoWorker
+        );
+        if !lacks_room {
+            return LinkMessage::Refuse(refusal);
+        }
+        let configuration = self.network.configuration();
+        let own_region = region_of(&configuration, &cell.datacenter);
+        let rank = |other: &CellId| {
+            u8::from(region_of(&configuration, &other.datacenter) != own_region)
+        };
+        let brokers = self.brokers.borrow();
+        let found = brokers.elsewhere(self.clock.now(), &cell.service, 0, rank);
+        match found {
+            Some((other, host)) => LinkMessage::Refer(Referral {
+                request: refusal.request,
+                datacenter: other.datacenter.clone(),
+                host: host.clone(),
+            }),
+            None => LinkMessage::Refuse(refusal),
+        }
+    }
+
+    /// Returns the data centre whose cell is asked first: the own one if it has workers of the
+    /// service, else one of the own region, else any.
+    fn home(&self, service: &ServiceName) -> DatacenterName {
+        let own = self.network.datacenter();
+        let configuration = self.network.configuration();
+        let own_region = region_of(&configuration, own);
+        let workers = configuration.workers.values().filter(|spec| spec.service == *service);
+        let distance = |datacenter: &DatacenterName| {
+            let far = region_of(&configuration, datacenter) != own_region;
+            (datacenter != own, far)
+        };
+        let nearest = workers.map(|spec| &spec.datacenter).min_by_key(|name| distance(name));
+        nearest.unwrap_or(own).clone()
+    }
+
+    fn send_due(&self) {
+        let now = self.clock.now();
+        let due = self.asks.borrow_mut().due(now, |cell| self.network.broker(cell));
+        for outgoing in due {
+            self.network.send(&outgoing.host, LinkMessage::Ask(Box::new(outgoing.ask)));
+        }
+    }
+
+    /// Tells a broker that has just taken over a cell what this entry runs there.
+    fn declare_to_new_brokers(&self) {
+        let cells = self.asks.borrow().cells();
+        let broker_of = |cell: CellId| {
+            let host = self.network.broker(&cell)?;
+            Some((cell, host))
+        };
+        let current: Vec<(CellId, HostName)> = cells.into_iter().filter_map(broker_of).collect();
+        for (cell, host) in &current {
+            let known = self.known_brokers.borrow().contains(&(cell.clone(), host.clone()));
+            if !known {
+                let running = self.asks.borrow().running(cell);
+                let service = cell.service.clone();
+                self.network.send(host, LinkMessage::Declare { service, running });
+            }
+        }
+        *self.known_brokers.borrow_mut() = current;
+    }
+}
+
+fn region_of<'a>(
+    configuration: &'a Configuration,
+    datacenter: &DatacenterName,
+) -> Option<&'a RegionName> {
+    configuration.datacenters.get(datacenter).map(|spec| &spec.region)
+}
+
+fn summarize(cell: &CellId, broker: &CellBroker) -> CellSummary {
+    let summary = broker.summary();
+    CellSummary {
+        service: cell.service.clone(),
+        datacenter: cell.datacenter.clone(),
+        free_slots: summary.free_slots,
+        waiting: summary.waiting,
+    }
+}
--- /dev/null
+++ b/src/cell/slot.rs
@@ -0,0 +1,154 @@
+//! The wait for a slot on a worker, and the slot once it is granted.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::service::CellService;
+use crate::kernel::ask::Grant;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::WorkProgress;
+use crate::kernel::ask::WorkReport;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::name::RequestId;
+
+/// The answer of a broker to an ask.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SlotAnswer {
+    /// A slot is granted.
+    Granted {
+        /// The grant.
+        grant: Grant,
+        /// The time at which the grant was read.
+        received: ClockTime,
+    },
+    /// The request is refused.
+    Refused(Refusal),
+}
+
+/// A future that resolves to the answer of the broker; dropping it withdraws the ask.
+#[derive(Debug)]
+pub struct SlotWait {
+    cells: Rc<CellService>,
+    request: RequestId,
+    receiver: oneshot::Receiver<SlotAnswer>,
+    answered: bool,
+}
+
+impl SlotWait {
+    pub(super) const fn new(
+        cells: Rc<CellService>,
+        request: RequestId,
+        receiver: oneshot::Receiver<SlotAnswer>,
+    ) -> Self {
+        Self { cells, request, receiver, answered: false }
+    }
+}
+
+impl Future for SlotWait {
+    type Output = Option<SlotAnswer>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let polled = Pin::new(&mut self.receiver).poll(cx);
+        polled.map(|answer| {
+            self.answered = true;
+            answer.ok()
+        })
+    }
+}
+
+impl Drop for SlotWait {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        // A grant may have been delivered that nobody has looked at.
+        if let Ok(SlotAnswer::Granted { grant, .. }) = self.receiver.try_recv() {
+            drop(SlotLease::new(Rc::clone(&self.cells), grant));
+            return;
+        }
+        self.cells.withdraw(self.request);
+    }
+}
+
+/// How far the use of a slot has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LeaseStage {
+    Unused,
+    Dispatched,
+    Ended,
+}
+
+/// A granted slot; dropping it reports to the broker what became of it.
+#[derive(Debug)]
+pub struct SlotLease {
+    cells: Rc<CellService>,
+    grant: Grant,
+    stage: LeaseStage,
+}
+
+impl SlotLease {
+    /// Creates a lease for a grant that the broker sent.
+    #[must_use]
+    pub const fn new(cells: Rc<CellService>, grant: Grant) -> Self {
+        Self { cells, grant, stage: LeaseStage::Unused }
+    }
+
+    /// Returns the grant.
+    #[must_use]
+    pub const fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    /// Reports that the request was dispatched.
+    pub fn dispatched(&mut self) {
+        self.stage = LeaseStage::Dispatched;
+        self.report(WorkProgress::Dispatched);
+    }
+
+    /// Reports the first token and the time that it took.
+    pub fn first_token(&self, after: Duration) {
+        self.report(WorkProgress::FirstToken { after });
+    }
+
+    /// Ends the lease after the whole answer arrived.
+    pub fn finished(mut self, answer_tokens: u32, token_gap: Duration) {
+        self.end(WorkProgress::Finished { answer_tokens, token_gap });
+    }
+
+    /// Ends the lease after the worker broke the connection or could not be reached.
+    pub fn failed(mut self) {
+        self.end(WorkProgress::Failed);
+    }
+
+    fn end(&mut self, progress: WorkProgress) {
+        self.stage = LeaseStage::Ended;
+        self.report(progress);
+        self.cells.release(self.grant.request);
+    }
+
+    fn report(&self, progress: WorkProgress) {
+        let report = WorkReport {
+            request: self.grant.request,
+            grant: self.grant.grant,
+            worker: self.grant.worker.clone(),
+            progress,
+        };
+        self.cells.report(report);
+    }
+}
+
+impl Drop for SlotLease {
+    fn drop(&mut self) {
+        match self.stage {
+            LeaseStage::Unused => self.end(WorkProgress::Released),
+            LeaseStage::Dispatched => self.end(WorkProgress::Stopped),
+            LeaseStage::Ended => (),
+        }
+    }
+}
--- a/src/dispatch.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The one dispatch of a request to a worker.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,1 +1,252 @@
-//! The callers' interface: reads requests and streams answers.
+//! The callers' interface: reads requests, places them in tiers and answers them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_http::header;
+use actix_http::header::HeaderMap;
+
+use crate::body::BodyError;
+use crate::body::read_body;
+use crate::clock::unix_millis;
+use crate::clock::utc_hour;
+use crate::context::AppliedConfiguration;
+use crate::context::HostContext;
+use crate::execution;
+use crate::intake::IncomingRequest;
+use crate::intake::RawRequest;
+use crate::journal::RequestPhase;
+use crate::journal::RequestRecord;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RefusalReason;
+use crate::kernel::name::RequestId;
+use crate::kernel::name::TierName;
+use crate::kernel::name::WorkspaceName;
+use crate::kernel::quarantine::QuarantineVerdict;
+use crate::kernel::rule::Placement;
+use crate::kernel::rule::RequestFacts;
+use crate::relay;
+use crate::reply::CallerError;
+use crate::reply::text;
+use crate::request::ActiveRequest;
+use crate::request::PlacedRequest;
+
+/// The time after which a caller may come back to a host that is not ready.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+/// Handles one request of a caller, the balancer or a metrics collector.
+pub async fn handle(context: Rc<HostContext>, mut request: Request) -> Response<BoxBody> {
+    if *request.method() == Method::GET {
+        match request.path() {
+            "/health/live" => return text(StatusCode::OK, "live\n"),
+            "/health/ready" => return readiness(&context),
+            "/metrics" => return text(StatusCode::OK, context.metrics.render()),
+            _ => (),
+        }
+    }
+    let id = context.next_request();
+    match serve(&context, id, &mut request).await {
+        Ok(response) => response,
+        Err(rejection) => rejection.error.to_response(id, rejection.tier.as_ref()),
+    }
+}
+
+/// An error answer and the tier of the request, once it has one.
+struct Rejection {
+    error: CallerError,
+    tier: Option<TierName>,
+}
+
+impl From<CallerError> for Rejection {
+    fn from(error: CallerError) -> Self {
+        Self { error, tier: None }
+    }
+}
+
+fn readiness(context: &HostContext) -> Response<BoxBody> {
+    if context.is_ready() {
+        text(StatusCode::OK, "ready\n")
+    } else {
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+async fn serve(
+    context: &Rc<HostContext>,
+    id: RequestId,
+    request: &mut Request,
+) -> Result<Response<BoxBody>, Rejection> {
+    let (placed, active) = admit(context, id, request).await?;
+    let reject = |error: CallerError, active: &ActiveRequest, tier: &TierName| {
+        active.failed(&error);
+        Rejection { error, tier: Some(tier.clone()) }
+    };
+    match execution::dispatch(context, &active, &placed).await {
+        Ok(dispatched) => {
+            let answer = relay::answer(Rc::clone(context), active, &placed, dispatched).await;
+            answer.map_err(|(error, active)| reject(error, &active, &placed.tier))
+        }
+        Err(error) => Err(reject(error, &active, &placed.tier)),
+    }
+}
+
+/// Reads, checks and places a request.
+async fn admit(
+    context: &Rc<HostContext>,
+    id: RequestId,
+    request: &mut Request,
+) -> Result<(PlacedRequest, ActiveRequest), CallerError> {
+    let applied = context.applied();
+    let workspace = authenticate(&applied, request.headers())?.clone();
+    check_room(context, &applied, &workspace)?;
+    let limit = context.settings.limits.max_body_bytes;
+    let body = read_body(request, limit).await.map_err(body_error)?;
+    let raw = RawRequest {
+        configuration: &applied.configuration,
+        method: request.method(),
+        path: request.path(),
+        query: request.uri().query(),
+        headers: request.headers(),
+        body: &body,
+    };
+    let incoming = IncomingRequest::try_from(raw)?;
+    let placement = place(&applied, &workspace, request, &incoming)?;
+    let received = context.clock.now();
+    let tier = applied.configuration.tiers[usize::from(placement.tier.0)].name.clone();
+    let placed = PlacedRequest {
+        id,
+        workspace,
+        tier,
+        rank: placement.tier,
+        received,
+        deadline: received + placement.deadline,
+        suspect: check_quarantine(context, id, incoming.digest)?,
+        incoming,
+        headers: request.headers().clone(),
+    };
+    check_idempotency(&placed, placement.non_idempotent)?;
+    open_record(context, &placed, placement);
+    Ok((placed, ActiveRequest::new(Rc::clone(context), id)))
+}
+
+fn authenticate<'a>(
+    applied: &'a AppliedConfiguration,
+    headers: &HeaderMap,
+) -> Result<&'a WorkspaceName, CallerError> {
+    let key = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let Some(key) = key.and_then(|value| value.strip_prefix("Bearer ")) else {
+        let message = "the request carries no workspace key";
+        return Err(CallerError::not_run(StatusCode::UNAUTHORIZED, "missing_workspace_key", message));
+    };
+    applied.workspace_of(key.trim()).ok_or_else(|| {
+        let message = "no workspace has this key";
+        CallerError::not_run(StatusCode::UNAUTHORIZED, "unknown_workspace_key", message)
+    })
+}
+
+fn check_room(
+    context: &HostContext,
+    applied: &AppliedConfiguration,
+    workspace: &WorkspaceName,
+) -> Result<(), CallerError> {
+    let journal = context.journal.borrow();
+    let spec = applied.configuration.workspaces.get(workspace);
+    let most = spec.map_or(0, |spec| spec.max_requests as usize);
+    if journal.workspace_count(workspace) < most {
+        return Ok(());
+    }
+    let message = format!("the workspace has {most} requests on this host already");
+    let error = CallerError::not_run(StatusCode::TOO_MANY_REQUESTS, "workspace_limit", message);
+    Err(error.retry_after(NOT_READY_RETRY))
+}
+
+fn body_error(error: BodyError) -> CallerError {
+    let (status, code) = match error {
+        BodyError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        BodyError::Incomplete => (StatusCode::BAD_REQUEST, "incomplete_body"),
+    };
+    CallerError::not_run(status, code, error.to_string())
+}
+
+fn place(
+    applied: &AppliedConfiguration,
+    workspace: &WorkspaceName,
+    request: &Request,
+    incoming: &IncomingRequest,
+) -> Result<Placement, CallerError> {
+    let Some(rules) = &applied.rules else { return Err(not_ready()) };
+    let find = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let facts = RequestFacts {
+        workspace: workspace.as_str(),
+        service: incoming.service.as_str(),
+        path: request.path(),
+        method: incoming.method.as_str(),
+        model: incoming.model.as_ref().map(|model| model.as_str()),
+        prompt_tokens: incoming.prompt_tokens,
+        headers: &find,
+        hour: utc_hour(),
+    };
+    rules.place(&facts).map_err(|error| {
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        CallerError::not_run(status, "not_placed", error.to_string())
+    })
+}
+
+fn not_ready() -> CallerError {
+    let message = "this host holds no configuration yet";
+    let error = CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message);
+    error.retry_after(NOT_READY_RETRY)
+}
+
+/// Returns whether the request is a suspect that must run alone.
+fn check_quarantine(
+    context: &HostContext,
+    request: RequestId,
+    digest: u64,
+) -> Result<bool, CallerError> {
+    match context.strikes.borrow().verdict(digest, context.clock.now()) {
+        QuarantineVerdict::Clear => Ok(false),
+        QuarantineVerdict::Suspect => Ok(true),
+        QuarantineVerdict::Refused { retry_after } => {
+            let reason = RefusalReason::Quarantined;
+            Err(CallerError::from(&Refusal { request, reason, retry_after }))
+        }
+    }
+}
+
+fn check_idempotency(placed: &PlacedRequest, by_rule: bool) -> Result<(), CallerError> {
+    let needs_key = by_rule || placed.incoming.non_idempotent;
+    if !needs_key || placed.incoming.idempotency_key.is_some() {
+        return Ok(());
+    }
+    let message = "this call must not be repeated and needs an Idempotency-Key header";
+    Err(CallerError::not_run(StatusCode::BAD_REQUEST, "missing_idempotency_key", message))
+}
+
+fn open_record(context: &HostContext, placed: &PlacedRequest, placement: Placement) {
+    let rule = placement.rule.as_ref().map_or("no rule, so the lowest tier", |rule| rule.as_str());
+    let step = format!("placed in {} by {rule}", placed.tier);
+    let record = RequestRecord {
+        request: placed.id,
+        workspace: placed.workspace.clone(),
+        service: placed.incoming.service.clone(),
+        model: placed.incoming.model.clone(),
+        tier: placed.tier.clone(),
+        rule: placement.rule,
+        phase: RequestPhase::Waiting,
+        received: placed.received,
+        received_unix_ms: unix_millis(),
+        worker: None,
+        code: None,
+        ran: None,
+        steps: Vec::new(),
+    };
+    let mut journal = context.journal.borrow_mut();
+    journal.open(record);
+    journal.step(placed.id, placed.received, step);
+}
--- /dev/null
+++ b/src/execution.rs
@@ -0,0 +1,178 @@
+//! The run of a placed request: slot, connection, dispatch.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use awc::ClientResponse;
+use thiserror::Error;
+
+use crate::cell::SlotAnswer;
+use crate::cell::SlotLease;
+use crate::connection::FreshConnection;
+use crate::context::HostContext;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RefusalReason;
+use crate::kernel::lifecycle::DispatchError;
+use crate::kernel::lifecycle::DispatchedState;
+use crate::kernel::lifecycle::GrantedState;
+use crate::kernel::lifecycle::RequestLife;
+use crate::kernel::lifecycle::WaitingState;
+use crate::reply::CallerError;
+use crate::request::ActiveRequest;
+use crate::request::PlacedRequest;
+use crate::upstream;
+
+/// The most slots that one request takes without being dispatched.
+const MAX_SLOTS: usize = 8;
+
+/// The time after which a caller may come back when no worker could be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
+
+/// A request that was handed to an upstream, with the head of its answer.
+#[derive(Debug)]
+pub struct DispatchedRequest {
+    /// The life of the request.
+    pub life: RequestLife<DispatchedState>,
+    /// The slot that it uses.
+    pub lease: SlotLease,
+    /// The address of the worker.
+    pub address: SocketAddr,
+    /// The answer; `None` if the connection broke or stayed silent before its head arrived.
+    pub answer: Option<ClientResponse>,
+}
+
+/// The reason why a slot was not used.
+#[derive(Debug, Error)]
+enum SlotError {
+    #[error("worker is not configured or leaving")]
+    WorkerGone,
+    #[error(transparent)]
+    Unreachable(#[from] crate::connection::OpenError),
+    #[error("no configuration is known to be in force")]
+    Stale,
+    #[error(transparent)]
+    Dispatch(#[from] DispatchError),
+}
+
+/// Waits for a slot, opens a connection and hands the request to the upstream, once.
+///
+/// # Errors
+///
+/// Returns an error if the request was not dispatched; it did not run.
+pub async fn dispatch(
+    context: &Rc<HostContext>,
+    active: &ActiveRequest,
+    placed: &PlacedRequest,
+) -> Result<DispatchedRequest, CallerError> {
+    let mut life = RequestLife::waiting(placed.id, placed.rank, placed.deadline);
+    for _ in 0..MAX_SLOTS {
+        let (granted, lease) = wait_for_slot(context, active, placed, life).await?;
+        match use_slot(context, granted, lease).await {
+            Ok((dispatched, lease, connection, address)) => {
+                active.crossed();
+                let worker = &dispatched.grant().worker;
+                active.step(format!("dispatched to {worker}"));
+                context.journal.borrow_mut().dispatched(placed.id, worker);
+                let limit = placed.deadline.since(context.clock.now());
+                let sending = upstream::send(connection, address, placed);
+                let answer = await_head(active, sending, placed, limit).await;
+                return Ok(DispatchedRequest { life: dispatched, lease, address, answer });
+            }
+            Err((SlotError::Dispatch(DispatchError::DeadlinePassed), _)) => {
+                return Err(refused(placed, RefusalReason::Deadline, UNREACHABLE_RETRY));
+            }
+            Err((error, waiting)) => {
+                active.step(format!("slot not used: {error}"));
+                life = waiting;
+            }
+        }
+    }
+    Err(refused(placed, RefusalReason::NoWorker, UNREACHABLE_RETRY))
+}
+
+async fn wait_for_slot(
+    context: &Rc<HostContext>,
+    active: &ActiveRequest,
+    placed: &PlacedRequest,
+    life: RequestLife<WaitingState>,
+) -> Result<(RequestLife<GrantedState>, SlotLease), CallerError> {
+    let now = context.clock.now();
+    match context.cells.ask(placed.ask(now), placed.deadline).await {
+        Some(SlotAnswer::Granted { grant, received }) => {
+            active.step(format!("granted {}: {}", grant.worker, grant.choice));
+            let lease = SlotLease::new(Rc::clone(&context.cells), grant.clone());
+            Ok((life.granted(grant, received), lease))
+        }
+        Some(SlotAnswer::Refused(refusal)) => Err(CallerError::from(&refusal)),
+        None => Err(refused(placed, RefusalReason::Dropped, UNREACHABLE_RETRY)),
+    }
+}
+
+type UsedSlot = (RequestLife<DispatchedState>, SlotLease, FreshConnection, SocketAddr);
+
+async fn use_slot(
+    context: &Rc<HostContext>,
+    granted: RequestLife<GrantedState>,
+    mut lease: SlotLease,
+) -> Result<UsedSlot, (SlotError, RequestLife<WaitingState>)> {
+    let Some(address) = context.worker_address(&granted.grant().worker) else {
+        return Err((SlotError::WorkerGone, granted.give_back()));
+    };
+    let connection = match FreshConnection::open(address).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            lease.failed();
+            return Err((error.into(), granted.give_back()));
+        }
+    };
+    // Everything from here to the dispatch happens without waiting, so what is checked still
+    // holds when the first byte is written.
+    if context.worker_address(&granted.grant().worker).is_none() {
+        return Err((SlotError::WorkerGone, granted.give_back()));
+    }
+    let now = context.clock.now();
+    if !context.may_take_work(now) {
+        return Err((SlotError::Stale, granted.give_back()));
+    }
+    let dispatched = granted.dispatch(now).map_err(|(error, life)| (error.into(), life))?;
+    lease.dispatched();
+    Ok((dispatched, lease, connection, address))
+}
+
+async fn await_head<F>(
+    active: &ActiveRequest,
+    sending: F,
+    placed: &PlacedRequest,
+    limit: Duration,
+) -> Option<ClientResponse>
+where
+    F: Future<Output = Result<ClientResponse, awc::error::SendRequestError>>,
+{
+    let limit = if placed.incoming.stream { limit.min(FIRST_BYTE_TIMEOUT) } else { limit };
+    match tokio::time::timeout(limit, sending).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(error)) => {
+            active.step(format!("the connection ended before an answer: {error}"));
+            None
+        }
+        Err(_elapsed) => {
+            active.step(format!("no answer within {limit:?}"));
+            None
+        }
+    }
+}
+
+/// The time to the head of a streamed answer after which its connection counts as silent.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn refused(placed: &PlacedRequest, reason: RefusalReason, retry_after: Duration) -> CallerError {
+    CallerError::from(&Refusal { request: placed.id, reason, retry_after })
+}
+
+/// Returns the error of a request that was dispatched and whose answer was lost.
+#[must_use]
+pub fn lost_answer(message: impl Into<String>) -> CallerError {
+    CallerError::unknown(StatusCode::BAD_GATEWAY, "outcome_unknown", message)
+}
--- /dev/null
+++ b/src/network.rs
@@ -0,0 +1,52 @@
+//! The cells' view of the other hosts: membership and links.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::cell::CellId;
+use crate::cell::CellNetwork;
+use crate::keeper::Keeper;
+use crate::kernel::configuration::Configuration;
+use crate::kernel::name::DatacenterName;
+use crate::kernel::name::HostName;
+use crate::link::LinkSet;
+use crate::member::MemberService;
+use crate::wire::LinkMessage;
+
+/// Reaches brokers and entries through links.
+#[derive(Debug)]
+pub struct HostNetwork {
+    /// The name of this host.
+    pub host: HostName,
+    /// The data centre of this host.
+    pub datacenter: DatacenterName,
+    /// The links.
+    pub links: Rc<LinkSet>,
+    /// The other hosts.
+    pub members: Rc<MemberService>,
+    /// The configuration in force.
+    pub keeper: Rc<Keeper>,
+}
+
+impl CellNetwork for HostNetwork {
+    fn host(&self) -> &HostName {
+        &self.host
+    }
+
+    fn datacenter(&self) -> &DatacenterName {
+        &self.datacenter
+    }
+
+    fn broker(&self, cell: &CellId) -> Option<HostName> {
+        self.members.broker(&cell.service, &cell.datacenter)
+    }
+
+    fn send(&self, host: &HostName, message: LinkMessage) {
+        // A lost ask is sent again; a lost report is made up for by the grant's expiry.
+        let _ = self.links.send(host, message);
+    }
+
+    fn configuration(&self) -> Arc<Configuration> {
+        self.keeper.configuration()
+    }
+}
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,356 @@
+//! The way of an answer from the upstream to the caller.
+//!
+//! A streamed answer is passed on in whole events. When its connection breaks or goes silent the
+//! same stream is resumed on a new connection; the request itself is never sent again. When that
+//! fails, the caller gets an error event and a connection that ends without the end of the body, so
+//! that a cut answer never looks whole.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Response;
+use actix_http::body::BodyStream;
+use actix_http::body::BoxBody;
+use actix_http::body::SizedStream;
+use actix_http::error::PayloadError;
+use actix_http::header;
+use awc::ClientResponse;
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use futures_util::stream;
+use thiserror::Error;
+
+use crate::cell::SlotLease;
+use crate::connection::FreshConnection;
+use crate::context::HostContext;
+use crate::execution::DispatchedRequest;
+use crate::execution::lost_answer;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::configuration::ServiceKind;
+use crate::kernel::lifecycle::DispatchedState;
+use crate::kernel::lifecycle::RequestLife;
+use crate::kernel::name::RequestId;
+use crate::reply::CallerError;
+use crate::reply::response_builder;
+use crate::request::ActiveRequest;
+use crate::request::PlacedRequest;
+use crate::sse::EventBuffer;
+use crate::upstream;
+use crate::upstream::ResumeError;
+
+/// The time between two events after which a connection counts as silent.
+pub const STREAM_SILENCE: Duration = Duration::from_secs(3);
+
+/// The most times that one stream is resumed without an event in between.
+pub const MAX_RESUMES: u32 = 3;
+
+/// The answer was cut; the connection to the caller ends without the end of the body.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the answer was cut")]
+pub struct CutError;
+
+type UpstreamBody = Pin<Box<dyn Stream<Item = Result<Bytes, PayloadError>>>>;
+
+/// Turns a dispatched request into the answer for its caller.
+///
+/// # Errors
+///
+/// Returns an error if the upstream gave no answer and a streamed one can't be resumed.
+pub async fn answer(
+    context: Rc<HostContext>,
+    active: ActiveRequest,
+    placed: &PlacedRequest,
+    dispatched: DispatchedRequest,
+) -> Result<Response<BoxBody>, (CallerError, ActiveRequest)> {
+    let DispatchedRequest { life, lease, address, answer } = dispatched;
+    let mut relay = Relay::new(context, active, placed, life, lease, address);
+    match answer {
+        Some(answer) if placed.incoming.stream => Ok(relay.streamed(placed, answer)),
+        Some(answer) => Ok(relay.plain(placed, answer)),
+        None if placed.incoming.stream => match relay.resume().await {
+            Ok(answer) => Ok(relay.streamed(placed, answer)),
+            Err(error) => Err(relay.lost(error)),
+        },
+        None => {
+            relay.probe().await;
+            Err(relay.lost("the upstream gave no answer"))
+        }
+    }
+}
+
+/// Cancels a request at its engine unless it ended there.
+#[derive(Debug)]
+struct CancelGuard {
+    engine: Option<SocketAddr>,
+    request: RequestId,
+}
+
+impl CancelGuard {
+    fn new(placed: &PlacedRequest, address: SocketAddr) -> Self {
+        let is_engine = placed.incoming.kind == ServiceKind::Engine;
+        Self { engine: is_engine.then_some(address), request: placed.id }
+    }
+
+    fn disarm(&mut self) {
+        self.engine = None;
+    }
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if let Some(address) = self.engine.take() {
+            let request = self.request;
+            actix_rt::spawn(async move { upstream::cancel(address, request).await });
+        }
+    }
+}
+
+/// One answer on its way.
+struct Relay {
+    context: Rc<HostContext>,
+    active: ActiveRequest,
+    life: Option<RequestLife<DispatchedState>>,
+    lease: Option<SlotLease>,
+    address: SocketAddr,
+    digest: u64,
+    cancel: CancelGuard,
+    events: EventBuffer,
+    body: Option<UpstreamBody>,
+    first_event: Option<ClockTime>,
+    last_event: ClockTime,
+    resumes: u32,
+    expected: Option<u64>,
+    passed: u64,
+    cut: bool,
+}
+
+impl Relay {
+    fn new(
+        context: Rc<HostContext>,
+        active: ActiveRequest,
+        placed: &PlacedRequest,
+        life: RequestLife<DispatchedState>,
+        lease: SlotLease,
+        address: SocketAddr,
+    ) -> Self {
+        let last_event = context.clock.now();
+        Self {
+            context,
+            active,
+            life: Some(life),
+            lease: Some(lease),
+            address,
+            digest: placed.incoming.digest,
+            cancel: CancelGuard::new(placed, address),
+            events: EventBuffer::default(),
+            body: None,
+            first_event: None,
+            last_event,
+            resumes: 0,
+            expected: None,
+            passed: 0,
+            cut: false,
+        }
+    }
+
+    fn plain(mut self, placed: &PlacedRequest, answer: ClientResponse) -> Response<BoxBody> {
+        self.expected = upstream::declared_length(answer.headers());
+        let mut response = self.head(placed, &answer);
+        let length = self.expected;
+        self.body = Some(Box::pin(answer));
+        let body = stream::unfold(self, |mut relay| async move {
+            let item = relay.next_chunk().await?;
+            Some((item, relay))
+        });
+        match length {
+            Some(length) => response.body(SizedStream::new(length, body)).map_into_boxed_body(),
+            None => response.body(BodyStream::new(body)).map_into_boxed_body(),
+        }
+    }
+
+    fn streamed(mut self, placed: &PlacedRequest, answer: ClientResponse) -> Response<BoxBody> {
+        let is_stream = answer.status().is_success()
+            && answer
+                .headers()
+                .get(header::CONTENT_TYPE)
+                .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+        if !is_stream {
+            return self.plain(placed, answer);
+        }
+        let mut response = self.head(placed, &answer);
+        self.body = Some(Box::pin(answer));
+        let body = stream::unfold(self, |mut relay| async move {
+            let item = relay.next_events().await?;
+            Some((item, relay))
+        });
+        response.body(BodyStream::new(body)).map_into_boxed_body()
+    }
+
+    fn head(&self, placed: &PlacedRequest, answer: &ClientResponse) -> actix_http::ResponseBuilder {
+        let mut response = response_builder(answer.status(), placed.id, Some(&placed.tier));
+        for (name, value) in answer.headers() {
+            if upstream::is_forwarded(name) {
+                response.append_header((name.clone(), value.clone()));
+            }
+        }
+        response
+    }
+
+    /// Returns the next bytes of an answer that is not a stream of events.
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, CutError>> {
+        let body = self.body.as_mut()?;
+        let limit = self.life.as_ref()?.deadline().since(self.context.clock.now());
+        match tokio::time::timeout(limit.max(STREAM_SILENCE), body.next()).await {
+            Ok(Some(Ok(bytes))) => {
+                self.passed += bytes.len() as u64;
+                self.note_event();
+                if self.expected == Some(self.passed) {
+                    self.finish();
+                }
+                Some(Ok(bytes))
+            }
+            Ok(None) if self.expected.is_none_or(|length| length == self.passed) => {
+                self.finish();
+                None
+            }
+            Ok(None | Some(Err(_))) | Err(_) => Some(Err(self.cut("the answer was cut"))),
+        }
+    }
+
+    /// Returns the next whole events of a stream.
+    async fn next_events(&mut self) -> Option<Result<Bytes, CutError>> {
+        loop {
+            if self.cut {
+                return Some(Err(CutError));
+            }
+            let body = self.body.as_mut()?;
+            match tokio::time::timeout(STREAM_SILENCE, body.next()).await {
+                Ok(Some(Ok(bytes))) => {
+                    self.events.push(&bytes);
+                    if let Some(whole) = self.take_events() {
+                        return Some(Ok(whole));
+                    }
+                }
+                Ok(None | Some(Err(_))) | Err(_) => {
+                    if let Err(error) = self.reconnect().await {
+                        return Some(Ok(self.error_event(&error)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_events(&mut self) -> Option<Bytes> {
+        let whole = self.events.take()?;
+        self.resumes = 0;
+        self.note_event();
+        if self.events.is_done() {
+            self.finish();
+        }
+        Some(whole)
+    }
+
+    fn note_event(&mut self) {
+        let now = self.context.clock.now();
+        if self.first_event.is_none() {
+            self.first_event = Some(now);
+            if let (Some(lease), Some(life)) = (&self.lease, &self.life) {
+                lease.first_token(now.since(life.dispatched()));
+            }
+        }
+        self.last_event = now;
+    }
+
+    async fn reconnect(&mut self) -> Result<(), String> {
+        let answer = self.resume().await?;
+        self.events.discard_partial();
+        self.body = Some(Box::pin(answer));
+        Ok(())
+    }
+
+    /// Resumes the stream on a new connection.
+    async fn resume(&mut self) -> Result<ClientResponse, String> {
+        loop {
+            if self.resumes >= MAX_RESUMES {
+                return Err(format!("the stream was silent after {MAX_RESUMES} resumptions"));
+            }
+            self.resumes += 1;
+            let after = self.events.last_id();
+            let Some(request) = self.life.as_ref().map(RequestLife::request) else {
+                return Err("the request has ended".to_owned());
+            };
+            match upstream::resume(self.address, request, after).await {
+                Ok(answer) => {
+                    self.active.step(format!("resumed after event {after}"));
+                    return Ok(answer);
+                }
+                Err(ResumeError::Send(error)) => {
+                    self.active.step(format!("resumption failed: {error}"));
+                }
+                Err(ResumeError::Open(error)) => {
+                    self.worker_died();
+                    return Err(error.to_string());
+                }
+                Err(error) => return Err(error.to_string()),
+            }
+        }
+    }
+
+    /// Finds out whether the worker is gone altogether.
+    async fn probe(&mut self) {
+        if FreshConnection::open(self.address).await.is_err() {
+            self.worker_died();
+        }
+    }
+
+    fn worker_died(&mut self) {
+        self.cancel.disarm();
+        if let Some(lease) = self.lease.take() {
+            self.context.worker_died(&lease.grant().worker, self.digest);
+            lease.failed();
+        }
+    }
+
+    fn finish(&mut self) {
+        self.cancel.disarm();
+        self.body = None;
+        let Some(life) = self.life.take() else { return };
+        let _ran = life.finish();
+        let tokens = self.events.events();
+        if let Some(lease) = self.lease.take() {
+            lease.finished(tokens, self.token_gap(tokens));
+        }
+        self.context.clear_strikes(self.digest);
+        self.active.finished();
+    }
+
+    fn token_gap(&self, tokens: u32) -> Duration {
+        let span = self.last_event.since(self.first_event.unwrap_or(self.last_event));
+        span.checked_div(tokens.saturating_sub(1)).unwrap_or(Duration::ZERO)
+    }
+
+    fn cut(&mut self, message: &str) -> CutError {
+        self.cut = true;
+        self.body = None;
+        self.active.failed(&lost_answer(message));
+        CutError
+    }
+
+    fn error_event(&mut self, message: &str) -> Bytes {
+        let error = lost_answer(message);
+        let request = self.life.as_ref().map(RequestLife::request);
+        self.cut(message);
+        let json = request.map(|request| error.to_json(request)).unwrap_or_default();
+        Bytes::from(format!("event: error\ndata: {json}\n\n"))
+    }
+
+    fn lost(mut self, message: impl Into<String>) -> (CallerError, ActiveRequest) {
+        if let Some(life) = self.life.take() {
+            let _ran = life.lose();
+        }
+        (lost_answer(message), self.active)
+    }
+}
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,120 @@
+//! A request that was placed in a tier, and its record until it ends.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use actix_http::header::HeaderMap;
+
+use crate::context::HostContext;
+use crate::intake::IncomingRequest;
+use crate::journal::RequestPhase;
+use crate::kernel::ask::Ask;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::lifecycle::RunOutcome;
+use crate::kernel::name::RequestId;
+use crate::kernel::name::TierName;
+use crate::kernel::name::TierRank;
+use crate::kernel::name::WorkspaceName;
+use crate::reply::CallerError;
+
+/// A request that was placed in a tier.
+#[derive(Clone, Debug)]
+pub struct PlacedRequest {
+    /// The identifier.
+    pub id: RequestId,
+    /// The workspace of the caller.
+    pub workspace: WorkspaceName,
+    /// The name of the tier.
+    pub tier: TierName,
+    /// The rank of the tier.
+    pub rank: TierRank,
+    /// The time of arrival.
+    pub received: ClockTime,
+    /// The time at which the whole answer is due.
+    pub deadline: ClockTime,
+    /// Whether it must run alone on its worker.
+    pub suspect: bool,
+    /// The checked request.
+    pub incoming: IncomingRequest,
+    /// The headers of the caller.
+    pub headers: HeaderMap,
+}
+
+impl PlacedRequest {
+    /// Returns the ask for a slot for this request.
+    #[must_use]
+    pub fn ask(&self, now: ClockTime) -> Ask {
+        Ask {
+            request: self.id,
+            service: self.incoming.service.clone(),
+            model: self.incoming.model.clone(),
+            workspace: self.workspace.clone(),
+            tier: self.rank,
+            budget: self.deadline.since(now),
+            prompt_tokens: self.incoming.prompt_tokens,
+            max_answer_tokens: self.incoming.max_answer_tokens,
+            prefix: self.incoming.prefix.clone(),
+            suspect: self.suspect,
+        }
+    }
+}
+
+/// The record of a request in the journal; a request that is dropped before its end was abandoned
+/// by its caller.
+#[derive(Debug)]
+pub struct ActiveRequest {
+    context: Rc<HostContext>,
+    id: RequestId,
+    outcome: Cell<RunOutcome>,
+    ended: Cell<bool>,
+}
+
+impl ActiveRequest {
+    /// Creates the guard of a request whose record was opened.
+    #[must_use]
+    pub const fn new(context: Rc<HostContext>, id: RequestId) -> Self {
+        Self { context, id, outcome: Cell::new(RunOutcome::No), ended: Cell::new(false) }
+    }
+
+    /// Adds a step to the record.
+    pub fn step(&self, text: impl Into<String>) {
+        let now = self.context.clock.now();
+        self.context.journal.borrow_mut().step(self.id, now, text);
+    }
+
+    /// Records that the request may have run from here on.
+    pub fn crossed(&self) {
+        self.outcome.set(RunOutcome::Unknown);
+    }
+
+    /// Records that the whole answer went out.
+    pub fn finished(&self) {
+        self.end(RequestPhase::Finished, None, RunOutcome::Yes);
+    }
+
+    /// Records an error that the caller is told.
+    pub fn failed(&self, error: &CallerError) {
+        let phase = match error.ran {
+            RunOutcome::No => RequestPhase::Refused,
+            RunOutcome::Unknown | RunOutcome::Yes => RequestPhase::Failed,
+        };
+        self.step(format!("answered {}: {}", error.code, error.message));
+        self.end(phase, Some(error.code), error.ran);
+    }
+
+    fn end(&self, phase: RequestPhase, code: Option<&'static str>, ran: RunOutcome) {
+        if self.ended.replace(true) {
+            return;
+        }
+        self.context.request_ended(self.id, phase, code, ran);
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            self.step("the caller left");
+            self.end(RequestPhase::Abandoned, None, self.outcome.get());
+        }
+    }
+}
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -1,1 +1,212 @@
 //! Polls of worker load, cache events and the host list.
+//!
+//! The broker of a cell polls the cell's workers; every host polls the platform's host list. What
+//! they tell is late, so it only takes work away: a reported load lowers a limit, and a worker that
+//! is said to be leaving by itself or by the host list gets nothing new.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use futures_util::future::join_all;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::cell::CellId;
+use crate::connection::FreshConnection;
+use crate::context::HostContext;
+use crate::event::LogEvent;
+use crate::kernel::ask::CacheBatch;
+use crate::kernel::ask::CacheChange;
+use crate::kernel::ask::LoadReport;
+use crate::kernel::configuration::ServiceKind;
+use crate::kernel::name::BlockDigest;
+use crate::kernel::name::WorkerName;
+use crate::log_event;
+use crate::platform::PlatformClient;
+
+/// The time between two polls of a worker.
+pub const WORKER_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The time between two polls of the host list.
+pub const HOST_LIST_POLL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The time within which a worker must answer a poll.
+const POLL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The largest answer to a poll that is read, in bytes.
+const MAX_POLL_BYTES: usize = 1_048_576;
+
+/// What is known of the workers that are leaving, by who said it.
+#[derive(Debug, Default)]
+struct LeavingRegister {
+    listed: BTreeSet<WorkerName>,
+    reported: BTreeSet<WorkerName>,
+}
+
+#[derive(Deserialize)]
+struct CacheAnswer {
+    first: u64,
+    changes: Vec<CacheEntry>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum CacheEntry {
+    Stored(String),
+    Evicted(String),
+}
+
+/// A worker to poll.
+#[derive(Clone, Debug)]
+struct PolledWorker {
+    cell: CellId,
+    worker: WorkerName,
+    address: SocketAddr,
+    has_cache: bool,
+}
+
+/// Polls workers and the host list until the process ends.
+#[derive(Debug)]
+pub struct UpstreamWatch {
+    context: Rc<HostContext>,
+    platform: PlatformClient,
+    leaving: RefCell<LeavingRegister>,
+    cache_positions: RefCell<BTreeMap<WorkerName, u64>>,
+}
+
+impl UpstreamWatch {
+    /// Creates the watch.
+    #[must_use]
+    pub fn new(context: Rc<HostContext>, platform: PlatformClient) -> Rc<Self> {
+        let leaving = RefCell::default();
+        Rc::new(Self { context, platform, leaving, cache_positions: RefCell::default() })
+    }
+
+    /// Starts the polls.
+    pub fn start(self: &Rc<Self>) {
+        let watch = Rc::clone(self);
+        actix_rt::spawn(async move {
+            loop {
+                watch.poll_workers().await;
+                actix_rt::time::sleep(WORKER_POLL_INTERVAL).await;
+            }
+        });
+        let watch = Rc::clone(self);
+        actix_rt::spawn(async move {
+            loop {
+                watch.poll_host_list().await;
+                actix_rt::time::sleep(HOST_LIST_POLL_INTERVAL).await;
+            }
+        });
+    }
+
+    async fn poll_host_list(&self) {
+        // An outage of the platform leaves what was known before in force.
+        let Ok(entries) = self.platform.hosts().await else { return };
+        let leaving = entries.iter().filter(|entry| entry.is_leaving());
+        let listed = leaving.filter_map(|entry| entry.worker.parse().ok()).collect();
+        self.leaving.borrow_mut().listed = listed;
+        self.publish();
+    }
+
+    async fn poll_workers(&self) {
+        let polled = self.polled_workers();
+        join_all(polled.iter().map(|worker| self.poll_worker(worker))).await;
+        let names: BTreeSet<&WorkerName> = polled.iter().map(|polled| &polled.worker).collect();
+        self.leaving.borrow_mut().reported.retain(|worker| names.contains(worker));
+        self.publish();
+    }
+
+    async fn poll_worker(&self, polled: &PolledWorker) {
+        let Some(load) = get_json::<LoadReport>(polled.address, "/load").await else { return };
+        let mut register = self.leaving.borrow_mut();
+        if load.leaving {
+            register.reported.insert(polled.worker.clone());
+        } else {
+            register.reported.remove(&polled.worker);
+        }
+        drop(register);
+        self.context.cells.load_reported(&polled.cell, &polled.worker, load);
+        if polled.has_cache {
+            self.poll_cache(polled).await;
+        }
+    }
+
+    async fn poll_cache(&self, polled: &PolledWorker) {
+        let after = self.cache_positions.borrow().get(&polled.worker).copied().unwrap_or(0);
+        let path = format!("/cache/events?after={after}");
+        let Some(answer) = get_json::<CacheAnswer>(polled.address, &path).await else { return };
+        if answer.changes.is_empty() {
+            return;
+        }
+        let last = answer.first.saturating_add(answer.changes.len() as u64 - 1);
+        self.cache_positions.borrow_mut().insert(polled.worker.clone(), last);
+        let changes = answer.changes.iter().filter_map(cache_change).collect();
+        let batch = CacheBatch { first: answer.first, changes };
+        self.context.cells.cache_reported(&polled.cell, &polled.worker, batch);
+    }
+
+    /// Gives the other tasks the set of leaving workers if it changed.
+    fn publish(&self) {
+        let register = self.leaving.borrow();
+        let leaving: BTreeSet<WorkerName> =
+            register.listed.union(&register.reported).cloned().collect();
+        drop(register);
+        if *self.context.leaving.borrow() == leaving {
+            return;
+        }
+        for worker in &leaving {
+            let worker = worker.to_string();
+            log_event!(self.context.log, LogEvent::WorkerLeaving, "worker" => worker);
+        }
+        self.context.leaving.replace(leaving.clone());
+        self.context.cells.reconfigure(leaving);
+    }
+
+    fn polled_workers(&self) -> Vec<PolledWorker> {
+        let applied = self.context.applied();
+        let configuration = &applied.configuration;
+        let mut polled = Vec::new();
+        for cell in self.context.cells.own_cells() {
+            let Some(service) = configuration.services.get(&cell.service) else { continue };
+            for (worker, spec) in &configuration.workers {
+                if spec.service != cell.service || spec.datacenter != cell.datacenter {
+                    continue;
+                }
+                polled.push(PolledWorker {
+                    cell: cell.clone(),
+                    worker: worker.clone(),
+                    address: spec.address,
+                    has_cache: service.kind == ServiceKind::Engine,
+                });
+            }
+        }
+        polled
+    }
+}
+
+fn cache_change(entry: &CacheEntry) -> Option<CacheChange> {
+    let digest = |hex: &str| u64::from_str_radix(hex, 16).ok().map(BlockDigest);
+    match entry {
+        CacheEntry::Stored(hex) => digest(hex).map(CacheChange::Stored),
+        CacheEntry::Evicted(hex) => digest(hex).map(CacheChange::Evicted),
+    }
+}
+
+async fn get_json<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Option<T> {
+    let poll = async {
+        let client = FreshConnection::open(address).await.ok()?.into_client();
+        let mut answer = client.get(format!("http://{address}{path}")).send().await.ok()?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let body = answer.body().limit(MAX_POLL_BYTES).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    };
+    tokio::time::timeout(POLL_TIMEOUT, poll).await.ok().flatten()
+}
--- /dev/null
+++ b/tests/harness/client.rs
@@ -0,0 +1,151 @@
+//! Calls over HTTP, each on a connection of its own.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The time after which a call of a test counts as hung.
+const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A call to be made.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: String,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: String,
+}
+
+/// An answer that was read to its end.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// The status; zero if the connection ended before a status line.
+    pub status: u16,
+    /// The head, as text.
+    pub head: String,
+    /// The body with chunks joined.
+    pub body: String,
+    /// Whether the end of the body was read.
+    pub whole: bool,
+}
+
+impl Call {
+    /// Creates a call without body.
+    pub fn get(path: &str) -> Self {
+        Self { method: "GET".into(), path: path.into(), headers: Vec::new(), body: String::new() }
+    }
+
+    /// Creates a call with a body.
+    pub fn post(path: &str, body: impl Into<String>) -> Self {
+        let call = Self::get(path);
+        Self { method: "POST".into(), body: body.into(), ..call }
+    }
+
+    /// Creates a completion call.
+    pub fn chat(model: &str, prompt: &str, tokens: u32, stream: bool) -> Self {
+        let body = serde_json::json!({
+            "model": model,
+            "max_tokens": tokens,
+            "stream": stream,
+            "messages": [{"role": "user", "content": prompt}],
+        });
+        Self::post("/v1/chat/completions", body.to_string())
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Adds the workspace key or operator's token.
+    pub fn key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    /// Writes the call to a connection of its own and returns it.
+    pub fn open(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(HANG_TIMEOUT))?;
+        let mut head = format!("{} {} HTTP/1.1\r\nhost: {address}\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str(&format!("connection: close\r\ncontent-length: {}\r\n\r\n", self.body.len()));
+        stream.write_all(head.as_bytes())?;
+        stream.write_all(self.body.as_bytes())?;
+        Ok(stream)
+    }
+
+    /// Makes the call and reads the answer to its end.
+    pub fn send(&self, address: SocketAddr) -> Answer {
+        match self.open(address) {
+            Ok(stream) => Answer::read(stream),
+            Err(_) => Answer::default(),
+        }
+    }
+}
+
+impl Answer {
+    /// Reads an answer until the connection ends.
+    pub fn read(mut stream: TcpStream) -> Self {
+        let mut bytes = Vec::new();
+        // A connection that breaks leaves what was read before.
+        let _ = stream.read_to_end(&mut bytes);
+        Self::parse(&String::from_utf8_lossy(&bytes))
+    }
+
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            found.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// Returns the body as JSON; null if it is not JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the code of the error in the body.
+    pub fn code(&self) -> String {
+        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns whether the caller was told that the request ran.
+    pub fn ran(&self) -> String {
+        self.json()["error"]["ran"].as_str().unwrap_or_default().to_owned()
+    }
+
+    fn parse(text: &str) -> Self {
+        let Some((head, rest)) = text.split_once("\r\n\r\n") else { return Self::default() };
+        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+        let mut answer =
+            Self { status: status.unwrap_or(0), head: head.to_owned(), ..Self::default() };
+        let chunked = answer.header("transfer-encoding") == Some("chunked");
+        let length = answer.header("content-length").and_then(|length| length.parse().ok());
+        (answer.body, answer.whole) = match length {
+            _ if chunked => join_chunks(rest),
+            Some(length) => (rest.to_owned(), rest.len() == length),
+            None => (rest.to_owned(), true),
+        };
+        answer
+    }
+}
+
+fn join_chunks(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, tail)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else { break };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = tail.get(..size) else { break };
+        body.push_str(chunk);
+        rest = tail.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- /dev/null
+++ b/tests/harness/deployment.rs
@@ -0,0 +1,316 @@
+//! A whole deployment on loopback: platform, engines, plain services and hosts.
+
+use std::cell::RefCell;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::client::Answer;
+use super::client::Call;
+use super::process::TestProcess;
+use super::process::free_addresses;
+use super::process::program;
+
+/// The key of the workspace that every deployment has.
+pub const KEY: &str = "test-workspace-key";
+
+/// The token of the operator that every deployment has.
+const TOKEN: &str = "test-operator-token";
+
+/// The pause between two looks at a state that a test waits for.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The number of looks after which a test counts as hung.
+const MAX_LOOKS: u32 = 600;
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct DeploymentPlan {
+    /// The data centre of each host, in order.
+    pub hosts: Vec<&'static str>,
+    /// The data centre and the options of each engine, in order.
+    pub engines: Vec<(&'static str, Vec<&'static str>)>,
+    /// The data centre of each plain service, in order.
+    pub plain: Vec<&'static str>,
+    /// Further lines of the operators' script.
+    pub script: String,
+}
+
+impl Default for DeploymentPlan {
+    fn default() -> Self {
+        Self {
+            hosts: vec!["sapporo-a", "sapporo-a", "asahikawa-a"],
+            engines: vec![("sapporo-a", Vec::new()), ("sapporo-a", Vec::new())],
+            plain: vec!["sapporo-a"],
+            script: String::new(),
+        }
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct TestHost {
+    /// The process; `None` after it was taken out.
+    pub process: Option<TestProcess>,
+    /// The address for callers.
+    pub entry: SocketAddr,
+    /// The address for operators.
+    pub operator: SocketAddr,
+    /// The address for links.
+    pub link: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct TestStandin {
+    /// The process.
+    pub process: RefCell<TestProcess>,
+    /// The address on which it listens.
+    pub address: SocketAddr,
+}
+
+/// A running deployment, which ends when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform.
+    pub platform: TestStandin,
+    /// The engines, named `engine-1` and so on.
+    pub engines: Vec<TestStandin>,
+    /// The instances of the plain service `casebook`, named `casebook-1` and so on.
+    pub plain: Vec<TestStandin>,
+    /// The hosts, named `host-1` and so on.
+    pub hosts: Vec<TestHost>,
+    folder: PathBuf,
+}
+
+impl Deployment {
+    /// Starts all processes, makes the first configuration and waits until every host is ready.
+    pub fn start(plan: &DeploymentPlan) -> Self {
+        let folder = new_folder();
+        let platform = start_standin(&folder, "platform", &["platform"]);
+        let engines = start_engines(&folder, plan);
+        let plain = start_plain(&folder, plan);
+        let mut deployment = Self { platform, engines, plain, hosts: Vec::new(), folder };
+        deployment.add_hosts(&plan.hosts);
+        let script = deployment.script(plan);
+        deployment.command(0, &script);
+        for host in 0..deployment.hosts.len() {
+            deployment.wait_ready(host);
+        }
+        deployment
+    }
+
+    /// Runs an operators' script on a host and returns the whole answer.
+    pub fn command(&self, host: usize, script: &str) -> serde_json::Value {
+        let address = self.hosts[host].operator;
+        let answer = Call::post("/operator/command", script).key(TOKEN).send(address);
+        let value = answer.json();
+        assert!(value["error"].is_null(), "{script}: {} {}", answer.status, answer.body);
+        value
+    }
+
+    /// Makes a call at the entry of a host, with the workspace key.
+    pub fn call(&self, host: usize, call: &Call) -> Answer {
+        call.clone().key(KEY).send(self.hosts[host].entry)
+    }
+
+    /// Returns the request identifiers that an upstream received, with repeats.
+    pub fn received(&self, standin: &TestStandin) -> Vec<String> {
+        let log = Call::get("/log").send(standin.address).json();
+        let requests = log["requests"].as_array().cloned().unwrap_or_default();
+        requests.iter().filter_map(|id| id.as_str().map(str::to_owned)).collect()
+    }
+
+    /// Fails the test if any upstream received a request more than once, or two did.
+    pub fn assert_no_double_dispatch(&self) {
+        let upstreams = self.engines.iter().chain(&self.plain);
+        let mut all: Vec<String> = upstreams.flat_map(|one| self.received(one)).collect();
+        let total = all.len();
+        all.sort();
+        all.dedup();
+        assert_eq!(all.len(), total, "a request was dispatched twice");
+    }
+
+    /// Changes the faults of a stand-in.
+    pub fn control(&self, standin: &TestStandin, faults: &serde_json::Value) {
+        let answer = Call::post("/control", faults.to_string()).send(standin.address);
+        assert!((200..300).contains(&answer.status), "{faults}: {} {}", answer.status, answer.body);
+    }
+
+    /// Waits until a host says that it is ready.
+    pub fn wait_ready(&self, host: usize) {
+        let entry = self.hosts[host].entry;
+        wait_until("a host is ready", || Call::get("/health/ready").send(entry).status == 200);
+    }
+
+    /// Starts a further host in the data centre and returns its index.
+    pub fn add_host(&mut self, datacenter: &str) -> usize {
+        self.add_hosts(&[datacenter]);
+        self.hosts.len() - 1
+    }
+
+    /// Stops a host's process at once and starts a new one with the same settings.
+    pub fn restart_host(&mut self, host: usize) {
+        self.hosts[host].process = None;
+        self.start_host(host);
+    }
+
+    /// Returns the rows of a query's only table.
+    pub fn rows(&self, host: usize, query: &str) -> Vec<serde_json::Value> {
+        let answer = self.command(host, query);
+        answer["results"][0]["table"]["rows"].as_array().cloned().unwrap_or_default()
+    }
+
+    /// Starts the process of a host whose settings were written before.
+    pub fn start_host(&mut self, host: usize) {
+        let settings = self.hosts[host].settings.display().to_string();
+        let log = self.hosts[host].settings.with_extension("log");
+        let (process, line) = TestProcess::start(&program("borageladderd"), &[&settings], &log);
+        assert!(line.starts_with("listening"), "{settings}: {line:?}, see {}", log.display());
+        self.hosts[host].process = Some(process);
+    }
+
+    fn add_hosts(&mut self, datacenters: &[&str]) {
+        for datacenter in datacenters {
+            let number = self.hosts.len() + 1;
+            let addresses = free_addresses(3);
+            let settings = self.folder.join(format!("host-{number}.toml"));
+            let host = TestHost {
+                process: None,
+                entry: addresses[0],
+                operator: addresses[1],
+                link: addresses[2],
+                settings,
+            };
+            fs::write(&host.settings, self.settings_text(number, datacenter, &host))
+                .expect("settings can be written");
+            self.hosts.push(host);
+            self.start_host(number - 1);
+        }
+    }
+
+    fn settings_text(&self, number: usize, datacenter: &str, host: &TestHost) -> String {
+        let key_file = self.folder.join("shared.key");
+        fs::write(&key_file, "a shared key for tests only").expect("the key can be written");
+        let peers: Vec<String> =
+            self.hosts.iter().map(|other| format!("{:?}", other.link.to_string())).collect();
+        format!(
+            "host = \"host-{number}\"\ndatacenter = \"{datacenter}\"\nregion = \"{}\"\n\
+             entry_listen = \"{}\"\noperator_listen = \"{}\"\nlink_listen = \"{}\"\n\
+             peers = [{}]\nplatform = \"{}\"\nshared_key_file = \"shared.key\"\n\
+             [[operators]]\nname = \"tester\"\ntoken_digest = \"{}\"\n\
+             [limits]\nmax_body_bytes = 1048576\n[log]\nformat = \"json\"\nlevel = \"debug\"\n",
+            region(datacenter),
+            host.entry,
+            host.operator,
+            host.link,
+            peers.join(", "),
+            self.platform.address,
+            blake3::hash(TOKEN.as_bytes()).to_hex(),
+        )
+    }
+
+    fn script(&self, plan: &DeploymentPlan) -> String {
+        let mut lines = vec![
+            "set tier urgent deadline 30s".to_owned(),
+            "set tier normal deadline 60s".to_owned(),
+            "set tier batch deadline 15m".to_owned(),
+        ];
+        let mut datacenters: Vec<&str> = plan.hosts.clone();
+        datacenters.extend(plan.engines.iter().map(|(datacenter, _)| *datacenter));
+        datacenters.extend(&plan.plain);
+        datacenters.sort_unstable();
+        datacenters.dedup();
+        for datacenter in datacenters {
+            lines.push(format!("set datacenter {datacenter} region {}", region(datacenter)));
+        }
+        let digest = blake3::hash(KEY.as_bytes()).to_hex();
+        lines.push(format!("set workspace reps key-digest {digest} max-requests 1000"));
+        lines.push("set service drafter engine models quill-8b".to_owned());
+        lines.push("set service casebook plain non-idempotent".to_owned());
+        for (index, (datacenter, _)) in plan.engines.iter().enumerate() {
+            let address = self.engines[index].address;
+            lines.push(worker_line(&format!("engine-{}", index + 1), "drafter", datacenter, address));
+        }
+        for (index, datacenter) in plan.plain.iter().enumerate() {
+            let name = format!("casebook-{}", index + 1);
+            lines.push(worker_line(&name, "casebook", datacenter, self.plain[index].address));
+        }
+        lines.push("set rule hearing tier urgent when header.x-kind = hearing".to_owned());
+        lines.push("set rule filing tier urgent when service = casebook".to_owned());
+        lines.push("set rule drafts tier normal when prompt < 2000".to_owned());
+        lines.push(plan.script.clone());
+        lines.join("\n")
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // Logs stay for whoever reads a failure.
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Looks again and again until a condition holds; fails the test if it never does.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..MAX_LOOKS {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(LOOK_INTERVAL);
+    }
+    panic!("waited in vain until {what}");
+}
+
+fn worker_line(name: &str, service: &str, datacenter: &str, address: SocketAddr) -> String {
+    format!(
+        "set worker {name} service {service} datacenter {datacenter} address {address} max-running 8"
+    )
+}
+
+fn region(datacenter: &str) -> &str {
+    datacenter.split('-').next().unwrap_or(datacenter)
+}
+
+fn start_engines(folder: &PathBuf, plan: &DeploymentPlan) -> Vec<TestStandin> {
+    let start = |(index, (_, options)): (usize, &(&str, Vec<&str>))| {
+        let name = format!("engine-{}", index + 1);
+        let mut arguments = vec!["engine", "--name", &name, "--model", "quill-8b"];
+        arguments.extend(options);
+        start_standin(folder, &name, &arguments)
+    };
+    plan.engines.iter().enumerate().map(start).collect()
+}
+
+fn start_plain(folder: &PathBuf, plan: &DeploymentPlan) -> Vec<TestStandin> {
+    let start = |index: usize| {
+        let name = format!("casebook-{}", index + 1);
+        start_standin(folder, &name, &["plain", "--name", &name])
+    };
+    (0..plan.plain.len()).map(start).collect()
+}
+
+fn start_standin(folder: &PathBuf, name: &str, arguments: &[&str]) -> TestStandin {
+    let mut arguments = arguments.to_vec();
+    arguments.extend(["--listen", "127.0.0.1:0"]);
+    let log = folder.join(format!("{name}.log"));
+    let (process, line) = TestProcess::start(&program("borageladder-standin"), &arguments, &log);
+    let address = line.strip_prefix("listening on ").and_then(|text| text.parse().ok());
+    let address = address.unwrap_or_else(|| panic!("{name}: {line:?}, see {}", log.display()));
+    TestStandin { process: RefCell::new(process), address }
+}
+
+fn new_folder() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("deployment-{}-{number}", std::process::id());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&folder).expect("a folder can be made");
+    folder
+}
--- /dev/null
+++ b/tests/harness/mod.rs
@@ -0,0 +1,14 @@
+//! Starts the real processes on loopback and talks to them as callers and operators do.
+#![allow(dead_code, reason = "each test file uses its own part of the harness")]
+
+mod client;
+mod deployment;
+mod process;
+
+pub use self::client::Answer;
+pub use self::client::Call;
+pub use self::deployment::Deployment;
+pub use self::deployment::DeploymentPlan;
+pub use self::deployment::KEY;
+pub use self::deployment::wait_until;
+pub use self::process::TestProcess;
