Gather rows from all hosts for operators' queries

Cause: show and explain must answer on any host for every host, and a question must not cost a message per host across regions.

Ruled out: one host asking every other one directly; a store of request states.

--- a/src/context.rs
+++ b/src/context.rs
@@ -33,6 +33,7 @@
 use crate::log_event;
 use crate::member::MemberService;
 use crate::metrics::MetricSet;
+use crate::query::QueryTable;
 use crate::server::StopSignal;
 use crate::settings::HostSettings;
 use crate::settings::KeyDigest;
@@ -94,6 +95,8 @@
     pub strikes: RefCell<StrikeRegister>,
     /// What follows from the configuration in force.
     pub applied: RefCell<Rc<AppliedConfiguration>>,
+    /// The questions to other hosts that wait for answers.
+    pub queries: QueryTable,
     /// The workers that said, or of whom the host list says, that they are leaving.
     pub leaving: RefCell<BTreeSet<WorkerName>>,
     /// The signal that this host is asked to stop.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,1 +1,298 @@
 //! Start and stop of the daemon's tasks.
+
+use std::cell::Cell;
+use std::cell::OnceCell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use rand::RngExt;
+use slog::Logger;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::cell::CellService;
+use crate::claims::ClaimService;
+use crate::clock::ProcessClock;
+use crate::context::AppliedConfiguration;
+use crate::context::HostContext;
+use crate::entry;
+use crate::event::LogEvent;
+use crate::journal::RequestJournal;
+use crate::keeper::Keeper;
+use crate::kernel::broker::BrokerSettings;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::name::HostName;
+use crate::kernel::quarantine::StrikeRegister;
+use crate::link::LinkSet;
+use crate::link::LinkSettings;
+use crate::link::SharedKey;
+use crate::log_event;
+use crate::logging;
+use crate::member::ClockSource;
+use crate::member::MemberChange;
+use crate::member::MemberService;
+use crate::member::MemberSettings;
+use crate::metrics::MetricSet;
+use crate::network::HostNetwork;
+use crate::operator::OperatorService;
+use crate::platform::PlatformClient;
+use crate::platform::PlatformTimeouts;
+use crate::query;
+use crate::query::QueryTable;
+use crate::server::HttpServer;
+use crate::server::StopSignal;
+use crate::settings::HostSettings;
+use crate::watch::UpstreamWatch;
+use crate::wire::LinkMessage;
+
+/// The longest time between two looks at the brokers' timers.
+const MAX_TICK: Duration = Duration::from_millis(25);
+
+/// The shortest time between two looks at the brokers' timers.
+const MIN_TICK: Duration = Duration::from_millis(1);
+
+/// The time between two summaries to other data centres.
+const SUMMARY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time for which a stopping host still accepts connections, until balancers see that it is
+/// not ready.
+pub const STOP_NOTICE: Duration = Duration::from_secs(2);
+
+/// The time between two looks at what a stopping host still has to finish.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+
+/// The time that queued messages to other hosts have to be written before the process exits.
+const STOP_FLUSH: Duration = Duration::from_millis(200);
+
+/// The most connections of operators.
+const MAX_OPERATOR_CONNECTIONS: usize = 64;
+
+/// Runs the daemon until it is asked to stop and everything it holds has ended.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be listened on.
+pub fn run(settings: HostSettings) -> anyhow::Result<()> {
+    let handle = logging::start(settings.log, &settings.host);
+    let log = handle.logger.clone();
+    let outcome = actix_rt::System::new().block_on(run_host(settings, log.clone()));
+    if let Err(error) = &outcome {
+        log_event!(log, LogEvent::StartFailed, "error" => format!("{error:#}"));
+    }
+    drop(log);
+    handle.finish();
+    outcome
+}
+
+type ContextSlot = Rc<OnceCell<Rc<HostContext>>>;
+
+async fn run_host(settings: HostSettings, log: Logger) -> anyhow::Result<()> {
+    // Handlers are in place before anything is announced, so an early signal is not lost.
+    let mut terminate = signal(SignalKind::terminate()).context("can't handle SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("can't handle SIGINT")?;
+    let context = start_context(settings, log).await?;
+    let stop = StopSignal::default();
+    let (entry, operators) = start_servers(&context, &stop).await?;
+    announce(&context, &entry, &operators)?;
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    stop_host(&context, &stop, &entry).await;
+    Ok(())
+}
+
+async fn start_context(settings: HostSettings, log: Logger) -> anyhow::Result<Rc<HostContext>> {
+    let clock = ProcessClock::start();
+    let source: ClockSource = Rc::new(move || clock.now());
+    let incarnation: u64 = rand::rng().random();
+    let slot = ContextSlot::default();
+    let links = start_links(&settings, incarnation, &log, &slot).await?;
+    let member_settings = MemberSettings {
+        datacenter: settings.datacenter.clone(),
+        first_peers: settings.peers.clone(),
+    };
+    let members = MemberService::start(member_settings, Rc::clone(&links), Rc::clone(&source));
+    let platform = PlatformClient::new(settings.platform, PlatformTimeouts::default());
+    let keeper = Keeper::start(
+        settings.datacenter.clone(),
+        Rc::clone(&links),
+        Rc::clone(&members),
+        Rc::new(platform.clone()),
+        source,
+        &log,
+    );
+    let network = HostNetwork {
+        host: settings.host.clone(),
+        datacenter: settings.datacenter.clone(),
+        links: Rc::clone(&links),
+        members: Rc::clone(&members),
+        keeper: Rc::clone(&keeper),
+    };
+    let broker_settings = BrokerSettings { incarnation, ..BrokerSettings::default() };
+    let cells = CellService::new(Box::new(network), clock, broker_settings);
+    let claims = ClaimService::new(platform.clone(), settings.host.clone());
+    let applied = AppliedConfiguration::from(keeper.configuration());
+    let context = Rc::new(HostContext {
+        settings: Rc::new(settings),
+        clock,
+        log,
+        metrics: MetricSet::new()?,
+        keeper,
+        members,
+        links,
+        cells: Rc::new(cells),
+        claims,
+        journal: RefCell::new(RequestJournal::default()),
+        strikes: RefCell::new(StrikeRegister::default()),
+        applied: RefCell::new(Rc::new(applied)),
+        queries: QueryTable::default(),
+        leaving: RefCell::new(BTreeSet::new()),
+        draining: StopSignal::default(),
+        incarnation,
+        sequence: Cell::new(0),
+    });
+    // Nothing has waited since the links were started, so no message can have come before.
+    let _ = slot.set(Rc::clone(&context));
+    start_tasks(&context, platform);
+    Ok(context)
+}
+
+async fn start_links(
+    settings: &HostSettings,
+    incarnation: u64,
+    log: &Logger,
+    slot: &ContextSlot,
+) -> anyhow::Result<Rc<LinkSet>> {
+    let digest = blake3::hash(settings.shared_key.expose());
+    let key = SharedKey::new(*digest.as_bytes());
+    let host = settings.host.clone();
+    let mut link_settings = LinkSettings::new(host, incarnation, settings.link_listen, key);
+    link_settings.advertise = Some(settings.link_advertise);
+    let slot = Rc::clone(slot);
+    let receive = Rc::new(move |from: &HostName, message: LinkMessage| {
+        if let Some(context) = slot.get() {
+            receive(context, from, message);
+        }
+    });
+    Ok(LinkSet::start(link_settings, log, receive).await?)
+}
+
+fn receive(context: &Rc<HostContext>, from: &HostName, message: LinkMessage) {
+    context.members.receive(from, &message);
+    context.keeper.receive(from, &message);
+    match message {
+        LinkMessage::Strike { digest, strikes } => {
+            let now = context.clock.now();
+            context.strikes.borrow_mut().learn(digest, strikes, now);
+        }
+        LinkMessage::Query { number, text } => query::answer(context, from, number, text),
+        LinkMessage::QueryAnswer { number, rows } => context.queries.answered(number, from, &rows),
+        other => context.cells.receive(from, other),
+    }
+}
+
+fn start_tasks(context: &Rc<HostContext>, platform: PlatformClient) {
+    let lost = Rc::downgrade(context);
+    context.members.on_change(Rc::new(move |change| {
+        let Some(context) = lost.upgrade() else { return };
+        if let MemberChange::HostLost(host) = change {
+            context.cells.host_lost(&host);
+        }
+    }));
+    actix_rt::spawn(run_ticks(Rc::clone(context)));
+    actix_rt::spawn(run_summaries(Rc::clone(context)));
+    actix_rt::spawn(follow_configuration(Rc::clone(context)));
+    UpstreamWatch::new(Rc::clone(context), platform).start();
+}
+
+async fn run_ticks(context: Rc<HostContext>) {
+    loop {
+        let now = context.clock.now();
+        let wake = context.cells.next_wake().unwrap_or(ClockTime::MAX);
+        actix_rt::time::sleep(wake.since(now).clamp(MIN_TICK, MAX_TICK)).await;
+        context.cells.tick();
+    }
+}
+
+async fn run_summaries(context: Rc<HostContext>) {
+    loop {
+        actix_rt::time::sleep(SUMMARY_INTERVAL).await;
+        context.cells.send_summaries();
+    }
+}
+
+async fn follow_configuration(context: Rc<HostContext>) {
+    let mut receiver = context.keeper.subscribe();
+    loop {
+        let configuration = receiver.borrow_and_update().clone();
+        let version = configuration.version.0;
+        let ready = context.is_ready();
+        context.applied.replace(Rc::new(AppliedConfiguration::from(configuration)));
+        let leaving = context.leaving.borrow().clone();
+        context.cells.reconfigure(leaving);
+        log_event!(context.log, LogEvent::ConfigurationApplied, "version" => version);
+        if !ready && context.is_ready() {
+            log_event!(context.log, LogEvent::HostReady);
+        }
+        if receiver.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn start_servers(
+    context: &Rc<HostContext>,
+    stop: &StopSignal,
+) -> anyhow::Result<(HttpServer, HttpServer)> {
+    let settings = Rc::clone(&context.settings);
+    let shared = Rc::clone(context);
+    let entry = HttpServer::start(
+        settings.entry_listen,
+        settings.limits.max_connections,
+        stop.clone(),
+        move |request| entry::handle(Rc::clone(&shared), request),
+    );
+    let entry = entry.await?;
+    let service = Rc::new(OperatorService::new(Rc::clone(context)));
+    let operators = HttpServer::start(
+        settings.operator_listen,
+        MAX_OPERATOR_CONNECTIONS,
+        StopSignal::default(),
+        move |request| Rc::clone(&service).handle(request),
+    );
+    Ok((entry, operators.await?))
+}
+
+fn announce(
+    context: &HostContext,
+    entry: &HttpServer,
+    operators: &HttpServer,
+) -> std::io::Result<()> {
+    log_event!(context.log, LogEvent::HostStarted);
+    let mut output = std::io::stdout();
+    let (entry, operators) = (entry.address(), operators.address());
+    writeln!(output, "listening entry={entry} operators={operators}")?;
+    output.flush()
+}
+
+/// Stops without cutting a request: first the balancer and the other hosts are told, then no new
+/// connection is accepted, then everything that is held ends.
+async fn stop_host(context: &HostContext, stop: &StopSignal, entry: &HttpServer) {
+    log_event!(context.log, LogEvent::StopRequested);
+    context.draining.stop();
+    context.members.set_stopping(true);
+    actix_rt::time::sleep(STOP_NOTICE).await;
+    stop.stop();
+    entry.finished().await;
+    while context.journal.borrow().active_count() > 0 {
+        actix_rt::time::sleep(STOP_LOOK).await;
+    }
+    actix_rt::time::sleep(STOP_FLUSH).await;
+    context.links.stop();
+    log_event!(context.log, LogEvent::StopFinished);
+}
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -38,6 +38,16 @@
 }
 
 impl RequestPhase {
+    /// All phases.
+    pub const ALL: [Self; 6] = [
+        Self::Waiting,
+        Self::Running,
+        Self::Finished,
+        Self::Refused,
+        Self::Failed,
+        Self::Abandoned,
+    ];
+
     /// Returns the phase as operators read it.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
@@ -51,6 +61,12 @@
         }
     }
 
+    /// Reads a phase as operators write it.
+    #[must_use]
+    pub fn from_text(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|phase| phase.as_str() == text)
+    }
+
     const fn is_ended(self) -> bool {
         !matches!(self, Self::Waiting | Self::Running)
     }
