Answer operators' commands over HTTP

Cause: queries and changes need one door with a token, on every host.

Ruled out: a second port per verb; commands over the links.

--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -224,8 +224,9 @@
     /// Sends the summaries of this host's cells to the brokers of other data centres.
     pub fn send_summaries(&self) {
         let configuration = self.network.configuration();
+        let now = self.clock.now();
         let summaries = self.with_brokers(|brokers| {
-            brokers.iter().map(|(cell, broker)| summarize(cell, broker)).collect::<Vec<_>>()
+            brokers.iter().map(|(cell, broker)| summarize(now, cell, broker)).collect::<Vec<_>>()
         });
         for summary in summaries {
             for datacenter in configuration.datacenters.keys() {
@@ -383,8 +384,8 @@
     configuration.datacenters.get(datacenter).map(|spec| &spec.region)
 }
 
-fn summarize(cell: &CellId, broker: &CellBroker) -> CellSummary {
-    let summary = broker.summary();
+fn summarize(now: ClockTime, cell: &CellId, broker: &CellBroker) -> CellSummary {
+    let summary = broker.summary(now);
     CellSummary {
         service: cell.service.clone(),
         datacenter: cell.datacenter.clone(),
--- a/src/context.rs
+++ b/src/context.rs
@@ -15,13 +15,13 @@
 use crate::claims::ClaimService;
 use crate::clock::ProcessClock;
 use crate::event::LogEvent;
+use crate::journal::RequestEnd;
 use crate::journal::RequestJournal;
 use crate::journal::RequestPhase;
 use crate::keeper::Keeper;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::configuration::WorkerState;
-use crate::kernel::lifecycle::RunOutcome;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
@@ -176,29 +176,24 @@
     }
 
     /// Records the end of a request.
-    pub fn request_ended(
-        &self,
-        request: RequestId,
-        phase: RequestPhase,
-        code: Option<&'static str>,
-        ran: RunOutcome,
-    ) {
-        let event = match phase {
-            RequestPhase::Finished => LogEvent::RequestFinished,
-            RequestPhase::Refused => LogEvent::RequestRefused,
-            RequestPhase::Abandoned => LogEvent::CallerLeft,
+    pub fn request_ended(&self, request: RequestId, end: RequestEnd) {
+        let id = request.to_string();
+        let code = end.code.unwrap_or_default();
+        match end.phase {
+            RequestPhase::Finished => {
+                log_event!(self.log, LogEvent::RequestFinished, "request" => id);
+            }
+            RequestPhase::Refused => {
+                log_event!(self.log, LogEvent::RequestRefused, "request" => id, "code" => code);
+            }
+            RequestPhase::Abandoned => {
+                log_event!(self.log, LogEvent::CallerLeft, "request" => id);
+            }
             RequestPhase::Failed | RequestPhase::Waiting | RequestPhase::Running => {
-                LogEvent::OutcomeUnknown
+                log_event!(self.log, LogEvent::OutcomeUnknown, "request" => id, "code" => code);
             }
-        };
-        log_event!(
-            self.log,
-            event,
-            "request" => request.to_string(),
-            "code" => code.unwrap_or_default(),
-            "ran" => ran.as_str(),
-        );
-        self.journal.borrow_mut().end(request, phase, code, ran);
+        }
+        self.journal.borrow_mut().end(request, end);
     }
 
     /// Sends a message to every host that is linked.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::HttpMessage;
 use actix_http::Method;
 use actix_http::Request;
 use actix_http::Response;
@@ -13,7 +14,6 @@
 
 use crate::body::BodyError;
 use crate::body::read_body;
-use crate::clock::unix_millis;
 use crate::clock::utc_hour;
 use crate::context::AppliedConfiguration;
 use crate::context::HostContext;
@@ -240,10 +240,13 @@
         rule: placement.rule,
         phase: RequestPhase::Waiting,
         received: placed.received,
-        received_unix_ms: unix_millis(),
+        deadline: placed.deadline,
+        prompt_tokens: placed.incoming.prompt_tokens,
+        answer_tokens: 0,
         worker: None,
         code: None,
         ran: None,
+        retry_after: None,
         steps: Vec::new(),
     };
     let mut journal = context.journal.borrow_mut();
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -38,16 +38,6 @@
 }
 
 impl RequestPhase {
-    /// All phases.
-    pub const ALL: [Self; 6] = [
-        Self::Waiting,
-        Self::Running,
-        Self::Finished,
-        Self::Refused,
-        Self::Failed,
-        Self::Abandoned,
-    ];
-
     /// Returns the phase as operators read it.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
@@ -60,16 +50,6 @@
             Self::Abandoned => "abandoned",
         }
     }
-
-    /// Reads a phase as operators write it.
-    #[must_use]
-    pub fn from_text(text: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|phase| phase.as_str() == text)
-    }
-
-    const fn is_ended(self) -> bool {
-        !matches!(self, Self::Waiting | Self::Running)
-    }
 }
 
 /// One thing that happened to a request.
@@ -100,18 +80,37 @@
     pub phase: RequestPhase,
     /// The time of its arrival on the monotonic clock.
     pub received: ClockTime,
-    /// The time of its arrival in milliseconds since the Unix epoch.
-    pub received_unix_ms: u64,
+    /// The time at which the whole answer is due.
+    pub deadline: ClockTime,
+    /// The length of the prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// The tokens of the answer that were passed on.
+    pub answer_tokens: u32,
     /// The worker to which it was dispatched.
     pub worker: Option<WorkerName>,
     /// The code of the error that the caller was told.
     pub code: Option<&'static str>,
     /// Whether it ran, as the caller was told.
     pub ran: Option<RunOutcome>,
+    /// The time after which the caller may come back, as it was told.
+    pub retry_after: Option<Duration>,
     /// What happened, oldest first.
     pub steps: Vec<RequestStep>,
 }
 
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestEnd {
+    /// Where it stands now.
+    pub phase: RequestPhase,
+    /// The code of the error that the caller was told.
+    pub code: Option<&'static str>,
+    /// Whether it ran, as the caller was told.
+    pub ran: RunOutcome,
+    /// The time after which the caller may come back, as it was told.
+    pub retry_after: Option<Duration>,
+}
+
 /// The records of the requests that this host holds, and of the last ones that ended.
 #[derive(Debug, Default)]
 pub struct RequestJournal {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,1 +1,269 @@
 //! The operators' interface: runs commands and gathers answers from all hosts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::HttpMessage;
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_http::header;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::body::read_body;
+use crate::clock::unix_millis;
+use crate::context::HostContext;
+use crate::event::LogEvent;
+use crate::keeper;
+use crate::keeper::ChangeRequest;
+use crate::keeper::RolloutLack;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RefusalReason;
+use crate::kernel::change;
+use crate::kernel::change::ConfigurationChange;
+use crate::kernel::configuration::ConfigVersion;
+use crate::kernel::name::OperatorName;
+use crate::kernel::name::RequestId;
+use crate::language;
+use crate::language::OperatorCommand;
+use crate::language::ResultTable;
+use crate::language::ShowQuery;
+use crate::language::TableName;
+use crate::language::answer::ChangeResult;
+use crate::language::answer::ChangeState;
+use crate::language::answer::CommandAnswer;
+use crate::language::answer::CommandError;
+use crate::language::answer::CommandErrorCode;
+use crate::language::answer::CommandResult;
+use crate::log_event;
+use crate::query;
+use crate::reply::json;
+use crate::reply::text;
+use crate::rows::HostQuestion;
+use crate::rows::STEP_COLUMNS;
+use crate::settings::KeyDigest;
+
+/// The path of the operators' interface.
+pub const COMMAND_PATH: &str = "/operator/command";
+
+/// The time after which the caller of a dropped request may come back.
+const DROPPED_RETRY: Duration = Duration::from_secs(30);
+
+/// The most audit records that one query reads.
+const MAX_CHANGES: usize = 200;
+
+/// Runs the commands of operators.
+#[derive(Debug)]
+pub struct OperatorService {
+    context: Rc<HostContext>,
+}
+
+impl OperatorService {
+    /// Creates the service.
+    #[must_use]
+    pub const fn new(context: Rc<HostContext>) -> Self {
+        Self { context }
+    }
+
+    /// Handles one HTTP request.
+    pub async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        if request.path() != COMMAND_PATH || *request.method() != Method::POST {
+            return text(StatusCode::NOT_FOUND, format!("POST a command to {COMMAND_PATH}\n"));
+        }
+        let Some(operator) = self.authenticate(&request) else {
+            log_event!(self.context.log, LogEvent::OperatorRejected);
+            let message = "the token is missing or not known";
+            return failure(CommandError::new(CommandErrorCode::Unauthorized, message));
+        };
+        let limit = self.context.settings.limits.max_script_bytes;
+        match read_body(&mut request, limit).await {
+            Ok(script) => self.run_script(&operator, &String::from_utf8_lossy(&script)).await,
+            Err(error) => failure(CommandError::new(CommandErrorCode::TooLarge, error.to_string())),
+        }
+    }
+
+    fn authenticate(&self, request: &Request) -> Option<OperatorName> {
+        let value = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
+        let digest = KeyDigest::of(value.strip_prefix("Bearer ")?.trim());
+        let mut operators = self.context.settings.operators.iter();
+        let operator = operators.find(|operator| operator.token_digest == digest)?;
+        Some(operator.name.clone())
+    }
+
+    async fn run_script(&self, operator: &OperatorName, script: &str) -> Response<BoxBody> {
+        let commands = match language::parse_script(script) {
+            Ok(commands) => commands,
+            Err(error) => return failure(error.into()),
+        };
+        let mut answer = CommandAnswer::default();
+        for command in commands {
+            match self.run(operator, command, script).await {
+                Ok(result) => answer.results.push(result),
+                Err(error) => {
+                    answer.error = Some(error);
+                    break;
+                }
+            }
+        }
+        json(status_of(&answer), &answer)
+    }
+
+    async fn run(
+        &self,
+        operator: &OperatorName,
+        command: OperatorCommand,
+        script: &str,
+    ) -> Result<CommandResult, CommandError> {
+        match command {
+            OperatorCommand::Show(query) => self.show(&query).await.map(CommandResult::Table),
+            OperatorCommand::Explain(request) => self.explain(request).await,
+            OperatorCommand::Change { changes, expected } => {
+                let text = script.to_owned();
+                let request = ChangeRequest { operator: operator.clone(), text, expected };
+                self.change(request, &changes).await
+            }
+            OperatorCommand::SettleKey { .. } => {
+                let message = "keys can't be settled yet";
+                Err(CommandError::new(CommandErrorCode::Unavailable, message))
+            }
+            OperatorCommand::DropRequest(request) => self.drop_request(request),
+            OperatorCommand::Help(verb) => help(verb.as_deref()),
+        }
+    }
+
+    async fn show(&self, query: &ShowQuery) -> Result<ResultTable, CommandError> {
+        let configuration = self.context.keeper.configuration();
+        let mut table = match language::rows::configuration_table(&configuration, query.table) {
+            Some(table) => table,
+            None if query.table == TableName::Changes => self.changes().await?,
+            None => self.gather(HostQuestion::Table(query.table)).await,
+        };
+        table.apply(query);
+        Ok(table)
+    }
+
+    async fn gather(&self, question: HostQuestion) -> ResultTable {
+        let gathered = query::gather(&self.context, &question.to_text()).await;
+        let columns: Vec<String> = match question {
+            HostQuestion::Table(table) => ResultTable::new(table).columns,
+            HostQuestion::Steps(_) => STEP_COLUMNS.iter().map(ToString::to_string).collect(),
+        };
+        let rows = gathered.answers.into_iter().flat_map(|answer| answer.rows).collect();
+        ResultTable { columns, rows, omitted: 0 }
+    }
+
+    async fn changes(&self) -> Result<ResultTable, CommandError> {
+        let records = self.context.keeper.changes(MAX_CHANGES).await.map_err(unavailable)?;
+        let now = unix_millis();
+        let mut table = ResultTable::new(TableName::Changes);
+        table.rows = records
+            .into_iter()
+            .map(|record| {
+                vec![
+                    json!(record.version.0),
+                    json!(now.saturating_sub(record.at)),
+                    json!(record.operator),
+                    json!(record.text),
+                ]
+            })
+            .collect();
+        Ok(table)
+    }
+
+    async fn explain(&self, request: RequestId) -> Result<CommandResult, CommandError> {
+        let mut table = self.gather(HostQuestion::Steps(request)).await;
+        if table.rows.is_empty() {
+            let message = format!("no host remembers request {request}");
+            return Err(CommandError::new(CommandErrorCode::NotFound, message));
+        }
+        table.rows.sort_by_key(|row| row.get(1).and_then(Value::as_u64));
+        Ok(CommandResult::Table(table))
+    }
+
+    async fn change(
+        &self,
+        request: ChangeRequest,
+        changes: &[ConfigurationChange],
+    ) -> Result<CommandResult, CommandError> {
+        let before = self.context.keeper.configuration();
+        let apply = |configuration: &_| {
+            change::apply(configuration, changes).map_err(|error| error.to_string())
+        };
+        let outcome = self.context.keeper.change(request, apply).await.map_err(change_error)?;
+        let after = self.context.keeper.configuration();
+        let (state, lacking) = match outcome.state {
+            keeper::ChangeState::Accepted => (ChangeState::Accepted, Vec::new()),
+            keeper::ChangeState::Recorded { lacking } => {
+                (ChangeState::Recorded, lacking.iter().map(describe_lack).collect())
+            }
+        };
+        Ok(CommandResult::Change(ChangeResult {
+            version: outcome.version,
+            before: outcome.before,
+            diff: change::diff(&before, &after),
+            state,
+            lacking,
+        }))
+    }
+
+    fn drop_request(&self, request: RequestId) -> Result<CommandResult, CommandError> {
+        let reason = RefusalReason::Dropped;
+        let refusal = Refusal { request, reason, retry_after: DROPPED_RETRY };
+        if self.context.cells.drop_ask(refusal) {
+            return Ok(CommandResult::Text(format!("request {request} was dropped")));
+        }
+        let message = format!("request {request} does not wait on this host");
+        Err(CommandError::new(CommandErrorCode::NotFound, message))
+    }
+}
+
+fn help(verb: Option<&str>) -> Result<CommandResult, CommandError> {
+    language::help::describe(verb).map(CommandResult::Text).ok_or_else(|| {
+        let message = format!("there is no verb {:?}", verb.unwrap_or_default());
+        CommandError::new(CommandErrorCode::NotFound, message)
+    })
+}
+
+fn describe_lack(lack: &RolloutLack) -> String {
+    match lack {
+        RolloutLack::Datacenter(datacenter) => datacenter.to_string(),
+        RolloutLack::Host { datacenter, host } => format!("{datacenter}/{host}"),
+    }
+}
+
+fn unavailable(error: keeper::StoreError) -> CommandError {
+    CommandError::new(CommandErrorCode::Unavailable, error.to_string())
+}
+
+fn change_error(error: keeper::ChangeError) -> CommandError {
+    let code = match &error {
+        keeper::ChangeError::Conflict { .. } => CommandErrorCode::Conflict,
+        keeper::ChangeError::Rejected(_) | keeper::ChangeError::Encoding(_) => {
+            CommandErrorCode::Change
+        }
+        keeper::ChangeError::Platform(_) => CommandErrorCode::Unavailable,
+        keeper::ChangeError::Unknown { .. } => CommandErrorCode::Unknown,
+    };
+    CommandError::new(code, error.to_string())
+}
+
+fn failure(error: CommandError) -> Response<BoxBody> {
+    let answer = CommandAnswer { results: Vec::new(), error: Some(error) };
+    json(status_of(&answer), &answer)
+}
+
+fn status_of(answer: &CommandAnswer) -> StatusCode {
+    let Some(error) = &answer.error else { return StatusCode::OK };
+    match error.code {
+        CommandErrorCode::Change | CommandErrorCode::Syntax => StatusCode::BAD_REQUEST,
+        CommandErrorCode::Conflict => StatusCode::CONFLICT,
+        CommandErrorCode::NotFound => StatusCode::NOT_FOUND,
+        CommandErrorCode::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        CommandErrorCode::Unauthorized => StatusCode::UNAUTHORIZED,
+        CommandErrorCode::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        CommandErrorCode::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
--- a/src/query.rs
+++ b/src/query.rs
@@ -117,7 +117,7 @@
 }
 
 fn own_rows(context: &HostContext, text: &str) -> HostRows {
-    HostRows { host: context.host().clone(), rows: rows::local(context, text) }
+    HostRows { host: context.host().clone(), rows: rows::host_rows(context, text) }
 }
 
 async fn ask_hosts(
--- a/src/request.rs
+++ b/src/request.rs
@@ -7,6 +7,7 @@
 
 use crate::context::HostContext;
 use crate::intake::IncomingRequest;
+use crate::journal::RequestEnd;
 use crate::journal::RequestPhase;
 use crate::kernel::ask::Ask;
 use crate::kernel::clock::ClockTime;
@@ -89,7 +90,7 @@
 
     /// Records that the whole answer went out.
     pub fn finished(&self) {
-        self.end(RequestPhase::Finished, None, RunOutcome::Yes);
+        self.end(RequestPhase::Finished, RunOutcome::Yes, None);
     }
 
     /// Records an error that the caller is told.
@@ -99,14 +100,17 @@
             RunOutcome::Unknown | RunOutcome::Yes => RequestPhase::Failed,
         };
         self.step(format!("answered {}: {}", error.code, error.message));
-        self.end(phase, Some(error.code), error.ran);
+        self.end(phase, error.ran, Some(error));
     }
 
-    fn end(&self, phase: RequestPhase, code: Option<&'static str>, ran: RunOutcome) {
+    fn end(&self, phase: RequestPhase, ran: RunOutcome, error: Option<&CallerError>) {
         if self.ended.replace(true) {
             return;
         }
-        self.context.request_ended(self.id, phase, code, ran);
+        let code = error.map(|error| error.code);
+        let retry_after = error.and_then(|error| error.retry_after);
+        let end = RequestEnd { phase, code, ran, retry_after };
+        self.context.request_ended(self.id, end);
     }
 }
 
@@ -114,7 +118,7 @@
     fn drop(&mut self) {
         if !self.ended.get() {
             self.step("the caller left");
-            self.end(RequestPhase::Abandoned, None, self.outcome.get());
+            self.end(RequestPhase::Abandoned, self.outcome.get(), None);
         }
     }
 }
--- a/src/rows.rs
+++ b/src/rows.rs
@@ -6,145 +6,196 @@
 use crate::context::HostContext;
 use crate::journal::RequestPhase;
 use crate::journal::RequestRecord;
+use crate::kernel::broker::WorkerView;
+use crate::kernel::configuration::WorkerState;
 use crate::kernel::name::RequestId;
+use crate::language::TableName;
 
-/// The most rows of one table that a host sends.
-pub const MAX_ROWS: usize = 1_000;
+/// The most rows of one table that a host sends; the newest ones are kept.
+pub const MAX_HOST_ROWS: usize = 1_000;
 
-/// A question that a host answers from its own state.
+/// The columns of an explanation.
+pub const STEP_COLUMNS: [&str; 4] = ["request", "after-ms", "host", "step"];
+
+const EXPLAIN: &str = "explain ";
+
+/// A question that each host answers from its own state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LocalQuestion {
-    /// The requests in a phase.
-    Requests(RequestPhase),
+pub enum HostQuestion {
+    /// The rows of a table.
+    Table(TableName),
     /// The steps of one request.
     Steps(RequestId),
-    /// The workers of the brokers that run here.
-    Workers,
-    /// This host itself.
-    Host,
 }
 
-impl LocalQuestion {
+impl HostQuestion {
     /// Returns the question as text, to be sent to other hosts.
     #[must_use]
     pub fn to_text(self) -> String {
         match self {
-            Self::Requests(phase) => format!("requests {}", phase.as_str()),
-            Self::Steps(request) => format!("steps {request}"),
-            Self::Workers => "workers".to_owned(),
-            Self::Host => "host".to_owned(),
+            Self::Table(table) => table.as_str().to_owned(),
+            Self::Steps(request) => format!("{EXPLAIN}{request}"),
         }
     }
 
     /// Reads a question that another host sent.
     #[must_use]
     pub fn from_text(text: &str) -> Option<Self> {
-        match text.split_once(' ') {
-            Some(("requests", phase)) => RequestPhase::from_text(phase).map(Self::Requests),
-            Some(("steps", request)) => request.parse().ok().map(Self::Steps),
-            None if text == "workers" => Some(Self::Workers),
-            None if text == "host" => Some(Self::Host),
-            _ => None,
-        }
-    }
-
-    /// Returns the names of the columns of the answer.
-    #[must_use]
-    pub const fn columns(self) -> &'static [&'static str] {
-        match self {
-            Self::Requests(_) => &[
-                "request", "workspace", "service", "model", "tier", "rule", "worker", "age_ms",
-                "code", "ran", "host",
-            ],
-            Self::Steps(_) => &["request", "after_ms", "host", "step"],
-            Self::Workers => &["worker", "service", "datacenter", "limit", "running", "straggler"],
-            Self::Host => &["host", "datacenter", "version", "ready", "waiting", "running", "brokers"],
+        if let Some(request) = text.strip_prefix(EXPLAIN) {
+            return request.parse().ok().map(Self::Steps);
         }
+        let table = TableName::ALL.iter().find(|table| table.as_str() == text);
+        table.copied().map(Self::Table)
     }
 }
 
 /// Returns the rows of this host for a question; none for one that can't be read.
 #[must_use]
-pub fn local(context: &HostContext, text: &str) -> Vec<Vec<Value>> {
-    let mut rows = match LocalQuestion::from_text(text) {
-        Some(LocalQuestion::Requests(phase)) => request_rows(context, phase),
-        Some(LocalQuestion::Steps(request)) => step_rows(context, request),
-        Some(LocalQuestion::Workers) => worker_rows(context),
-        Some(LocalQuestion::Host) => vec![host_row(context)],
+pub fn host_rows(context: &HostContext, text: &str) -> Vec<Vec<Value>> {
+    let mut rows = match HostQuestion::from_text(text) {
+        Some(HostQuestion::Table(table)) => table_rows(context, table),
+        Some(HostQuestion::Steps(request)) => step_rows(context, request),
         None => Vec::new(),
     };
-    let surplus = rows.len().saturating_sub(MAX_ROWS);
+    let surplus = rows.len().saturating_sub(MAX_HOST_ROWS);
     rows.drain(..surplus);
     rows
 }
 
-fn request_rows(context: &HostContext, phase: RequestPhase) -> Vec<Vec<Value>> {
+fn table_rows(context: &HostContext, table: TableName) -> Vec<Vec<Value>> {
+    match table {
+        TableName::Waiting => request_rows(context, RequestPhase::Waiting, waiting_row),
+        TableName::Running => request_rows(context, RequestPhase::Running, running_row),
+        TableName::Refused => request_rows(context, RequestPhase::Refused, refused_row),
+        TableName::Workers => worker_rows(context),
+        TableName::Hosts => vec![host_row(context)],
+        TableName::Versions => vec![version_row(context)],
+        _ => Vec::new(),
+    }
+}
+
+fn request_rows(
+    context: &HostContext,
+    phase: RequestPhase,
+    row: impl Fn(&HostContext, &RequestRecord) -> Vec<Value>,
+) -> Vec<Vec<Value>> {
     let journal = context.journal.borrow();
-    let row = |record: &RequestRecord| request_row(context, record);
-    journal.in_phase(phase).map(row).collect()
+    journal.in_phase(phase).map(|record| row(context, record)).collect()
+}
+
+fn age(context: &HostContext, record: &RequestRecord) -> Value {
+    json!(context.clock.now().since(record.received).as_millis())
+}
+
+fn waiting_row(context: &HostContext, record: &RequestRecord) -> Vec<Value> {
+    vec![
+        json!(record.request.to_string()),
+        age(context, record),
+        json!(record.deadline.since(context.clock.now()).as_millis()),
+        json!(record.workspace),
+        json!(record.service),
+        json!(record.model),
+        json!(record.tier),
+        json!(record.rule),
+        json!(record.prompt_tokens),
+        json!(context.host()),
+    ]
 }
 
-fn request_row(context: &HostContext, record: &RequestRecord) -> Vec<Value> {
-    let age = context.clock.now().since(record.received).as_millis();
+fn running_row(context: &HostContext, record: &RequestRecord) -> Vec<Value> {
     vec![
         json!(record.request.to_string()),
-        json!(record.workspace.as_str()),
-        json!(record.service.as_str()),
-        json!(record.model.as_ref().map(|model| model.as_str())),
-        json!(record.tier.as_str()),
-        json!(record.rule.as_ref().map(|rule| rule.as_str())),
-        json!(record.worker.as_ref().map(|worker| worker.as_str())),
-        json!(age),
+        age(context, record),
+        json!(record.workspace),
+        json!(record.service),
+        json!(record.model),
+        json!(record.tier),
+        json!(record.rule),
+        json!(record.worker),
+        json!(record.answer_tokens),
+        json!(context.host()),
+    ]
+}
+
+fn refused_row(context: &HostContext, record: &RequestRecord) -> Vec<Value> {
+    vec![
+        json!(record.request.to_string()),
+        age(context, record),
+        json!(record.workspace),
+        json!(record.service),
+        json!(record.tier),
         json!(record.code),
-        json!(record.ran.map(|ran| ran.as_str())),
-        json!(context.host().as_str()),
+        json!(record.retry_after.map(|duration| duration.as_millis())),
+        json!(context.host()),
     ]
 }
 
 fn step_rows(context: &HostContext, request: RequestId) -> Vec<Vec<Value>> {
     let journal = context.journal.borrow();
     let Some(record) = journal.find(request) else { return Vec::new() };
-    let steps = record.steps.iter();
-    steps
-        .map(|step| {
-            vec![
-                json!(request.to_string()),
-                json!(step.after.as_millis()),
-                json!(context.host().as_str()),
-                json!(step.text),
-            ]
-        })
-        .collect()
+    let row = |step: &crate::journal::RequestStep| {
+        vec![
+            json!(request.to_string()),
+            json!(step.after.as_millis()),
+            json!(context.host()),
+            json!(step.text),
+        ]
+    };
+    record.steps.iter().map(row).collect()
 }
 
 fn worker_rows(context: &HostContext) -> Vec<Vec<Value>> {
     context.cells.with_brokers(|brokers| {
-        let cells = brokers.iter();
-        let rows = cells.flat_map(|(cell, broker)| {
-            broker.workers().map(move |worker| {
-                vec![
-                    json!(worker.worker.as_str()),
-                    json!(cell.service.as_str()),
-                    json!(cell.datacenter.as_str()),
-                    json!(worker.limit),
-                    json!(worker.running),
-                    json!(worker.straggler),
-                ]
-            })
-        });
-        rows.collect()
+        let workers = brokers.iter().flat_map(|(_, broker)| broker.workers());
+        workers.filter_map(|worker| worker_row(context, &worker)).collect()
     })
 }
 
+fn worker_row(context: &HostContext, worker: &WorkerView<'_>) -> Option<Vec<Value>> {
+    let applied = context.applied();
+    let spec = applied.configuration.workers.get(worker.worker)?;
+    let state = match spec.state {
+        WorkerState::Draining => "draining",
+        WorkerState::Active if context.leaving.borrow().contains(worker.worker) => "leaving",
+        WorkerState::Active if worker.held => "failed",
+        WorkerState::Active if worker.straggler => "straggler",
+        WorkerState::Active => "active",
+    };
+    Some(vec![
+        json!(worker.worker),
+        json!(spec.service),
+        json!(spec.datacenter),
+        json!(spec.address.to_string()),
+        json!(state),
+        json!(spec.max_running),
+        json!(worker.limit),
+        json!(worker.running),
+        Value::Null,
+        Value::Null,
+    ])
+}
+
 fn host_row(context: &HostContext) -> Vec<Value> {
-    let journal = context.journal.borrow();
+    let state = match (context.draining.is_stopped(), context.is_ready()) {
+        (true, _) => "stopping",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
+    vec![
+        json!(context.host()),
+        json!(context.datacenter()),
+        json!(context.links.own_address().to_string()),
+        json!(state),
+        json!(context.applied().configuration.version.0),
+        json!(0),
+    ]
+}
+
+fn version_row(context: &HostContext) -> Vec<Value> {
     vec![
-        json!(context.host().as_str()),
-        json!(context.datacenter().as_str()),
+        json!(context.host()),
+        json!(context.datacenter()),
+        json!(context.applied().configuration.version.0),
         json!(context.applied().configuration.version.0),
-        json!(context.is_ready()),
-        json!(journal.in_phase(RequestPhase::Waiting).count()),
-        json!(journal.in_phase(RequestPhase::Running).count()),
-        json!(context.cells.own_cells().len()),
     ]
 }
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -26,6 +26,7 @@
 use crate::kernel::configuration::ServiceKind;
 use crate::kernel::name::BlockDigest;
 use crate::kernel::name::WorkerName;
+use crate::kernel::table::ListedState;
 use crate::log_event;
 use crate::platform::PlatformClient;
 
@@ -107,9 +108,9 @@
 
     async fn poll_host_list(&self) {
         // An outage of the platform leaves what was known before in force.
-        let Ok(entries) = self.platform.hosts().await else { return };
-        let leaving = entries.iter().filter(|entry| entry.is_leaving());
-        let listed = leaving.filter_map(|entry| entry.worker.parse().ok()).collect();
+        let Ok(list) = self.platform.hosts().await else { return };
+        let leaving = list.hosts.into_iter().filter(|host| host.state == ListedState::Leaving);
+        let listed = leaving.map(|host| host.worker).collect();
         self.leaving.borrow_mut().listed = listed;
         self.publish();
     }
