--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -82,7 +82,14 @@
     ) -> oneshot::Receiver<SlotAnswer> {
         let (sender, receiver) = oneshot::channel();
         let visited = vec![cell.datacenter.clone()];
-        let pending = PendingAsk { ask, cell, visited, deadline, sent: None, sender };
+        let pending = PendingAsk {
+            ask,
+            cell,
+            visited,
+            deadline,
+            sent: None,
+            sender,
+        };
         self.pending.insert(pending.ask.request, pending);
         receiver
     }
@@ -93,6 +100,14 @@
         Some((pending.cell, pending.sent?.host))
     }
 
+    /// Returns the cell and the host of the broker that knows of an ask.
+    #[must_use]
+    pub fn sent_to(&self, request: RequestId) -> Option<(CellId, HostName)> {
+        let pending = self.pending.get(&request)?;
+        let sent = pending.sent.as_ref()?;
+        Some((pending.cell.clone(), sent.host.clone()))
+    }
+
     /// Returns the asks to send now: those that were never sent, whose broker changed or that have
     /// had no answer for [`REASK_INTERVAL`].
     pub fn due<F>(&mut self, now: ClockTime, broker_of: F) -> Vec<OutgoingAsk>
@@ -101,12 +116,20 @@
     {
         let mut outgoing = Vec::new();
         for pending in self.pending.values_mut() {
-            let Some(host) = broker_of(&pending.cell) else { continue };
+            let Some(host) = broker_of(&pending.cell) else {
+                continue;
+            };
             if !pending.is_due(now, &host) {
                 continue;
             }
-            pending.sent = Some(SentAsk { host: host.clone(), at: now });
-            outgoing.push(OutgoingAsk { host, ask: pending.with_budget(now) });
+            pending.sent = Some(SentAsk {
+                host: host.clone(),
+                at: now,
+            });
+            outgoing.push(OutgoingAsk {
+                host,
+                ask: pending.with_budget(now),
+            });
         }
         outgoing
     }
@@ -114,11 +137,19 @@
     /// Returns the requests whose deadline has passed and answers them with a refusal.
     pub fn expire(&mut self, now: ClockTime) -> Vec<RequestId> {
         let is_late = |pending: &PendingAsk| now >= pending.deadline;
-        let late: Vec<RequestId> =
-            self.pending.values().filter(|p| is_late(p)).map(|p| p.ask.request).collect();
+        let late: Vec<RequestId> = self
+            .pending
+            .values()
+            .filter(|p| is_late(p))
+            .map(|p| p.ask.request)
+            .collect();
         for request in &late {
             let reason = RefusalReason::Deadline;
-            let refusal = Refusal { request: *request, reason, retry_after: NO_BROKER_RETRY };
+            let refusal = Refusal {
+                request: *request,
+                reason,
+                retry_after: NO_BROKER_RETRY,
+            };
             self.answer(*request, SlotAnswer::Refused(refusal));
         }
         late
@@ -126,7 +157,9 @@
 
     /// Gives the answer to whoever waits for the request; returns whether somebody does.
     pub fn answer(&mut self, request: RequestId, answer: SlotAnswer) -> bool {
-        let Some(pending) = self.pending.remove(&request) else { return false };
+        let Some(pending) = self.pending.remove(&request) else {
+            return false;
+        };
         if let SlotAnswer::Granted { grant, .. } = &answer {
             let work = RunningWork {
                 request,
@@ -135,7 +168,13 @@
                 tier: pending.ask.tier,
                 prompt_tokens: pending.ask.prompt_tokens,
             };
-            self.held.insert(request, HeldSlot { cell: pending.cell.clone(), work });
+            self.held.insert(
+                request,
+                HeldSlot {
+                    cell: pending.cell.clone(),
+                    work,
+                },
+            );
         }
         let delivered = pending.sender.send(answer).is_ok();
         if !delivered {
@@ -146,7 +185,9 @@
 
     /// Moves an ask to the cell of another data centre; returns false if it was there already.
     pub fn refer(&mut self, request: RequestId, datacenter: &DatacenterName) -> bool {
-        let Some(pending) = self.pending.get_mut(&request) else { return true };
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return true;
+        };
         if pending.visited.contains(datacenter) {
             return false;
         }
@@ -165,7 +206,9 @@
     /// Returns whether this very grant is held.
     #[must_use]
     pub fn holds(&self, grant: &Grant) -> bool {
-        self.held.get(&grant.request).is_some_and(|slot| slot.work.grant == grant.grant)
+        self.held
+            .get(&grant.request)
+            .is_some_and(|slot| slot.work.grant == grant.grant)
     }
 
     /// Forgets a held slot.
@@ -201,6 +244,9 @@
     }
 
     fn with_budget(&self, now: ClockTime) -> Ask {
-        Ask { budget: self.deadline.since(now), ..self.ask.clone() }
+        Ask {
+            budget: self.deadline.since(now),
+            ..self.ask.clone()
+        }
     }
 }
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -52,7 +52,12 @@
     #[must_use]
     pub fn new(settings: BrokerSettings) -> Self {
         let brokers = BTreeMap::new();
-        Self { settings, brokers, summaries: BTreeMap::new(), leaving: BTreeSet::new() }
+        Self {
+            settings,
+            brokers,
+            summaries: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+        }
     }
 
     /// Hands an event to the broker of a cell, which is started if it does not run yet.
@@ -91,7 +96,10 @@
         let mut actions = Vec::new();
         for (cell, broker) in &mut self.brokers {
             let workers = cell_workers(configuration, &self.leaving, cell);
-            actions.extend(wrap(cell, broker.handle(now, BrokerEvent::WorkersChanged { workers })));
+            actions.extend(wrap(
+                cell,
+                broker.handle(now, BrokerEvent::WorkersChanged { workers }),
+            ));
         }
         actions
     }
@@ -117,7 +125,10 @@
     /// Returns the earliest time at which a broker wants to act.
     #[must_use]
     pub fn next_wake(&self) -> Option<ClockTime> {
-        self.brokers.values().filter_map(CellBroker::next_wake).min()
+        self.brokers
+            .values()
+            .filter_map(CellBroker::next_wake)
+            .min()
     }
 
     /// Returns the brokers with their cells.
@@ -133,8 +144,18 @@
     /// Remembers the summary of a cell in another data centre.
     pub fn learn(&mut self, now: ClockTime, host: &HostName, summary: CellSummary) {
         let service = summary.service.clone();
-        let cell = CellId { service, datacenter: summary.datacenter.clone() };
-        self.summaries.insert(cell, KnownSummary { summary, host: host.clone(), at: now });
+        let cell = CellId {
+            service,
+            datacenter: summary.datacenter.clone(),
+        };
+        self.summaries.insert(
+            cell,
+            KnownSummary {
+                summary,
+                host: host.clone(),
+                at: now,
+            },
+        );
     }
 
     /// Returns a cell of the service in another data centre that has room for the tier, with the
@@ -164,7 +185,7 @@
         if self.brokers.contains_key(cell) {
             return Ok(Vec::new());
         }
-        let mut broker = CellBroker::new(self.settings.clone(), now)?;
+        let mut broker = CellBroker::new(self.settings, now)?;
         let workers = cell_workers(configuration, &self.leaving, cell);
         let actions = broker.handle(now, BrokerEvent::WorkersChanged { workers });
         self.brokers.insert(cell.clone(), broker);
@@ -178,7 +199,10 @@
 }
 
 fn wrap(cell: &CellId, actions: Vec<BrokerAction>) -> Vec<CellAction> {
-    let wrap = |action| CellAction { cell: cell.clone(), action };
+    let wrap = |action| CellAction {
+        cell: cell.clone(),
+        action,
+    };
     actions.into_iter().map(wrap).collect()
 }
 
@@ -189,7 +213,9 @@
     leaving: &BTreeSet<WorkerName>,
     cell: &CellId,
 ) -> Vec<CellWorker> {
-    let Some(service) = configuration.services.get(&cell.service) else { return Vec::new() };
+    let Some(service) = configuration.services.get(&cell.service) else {
+        return Vec::new();
+    };
     let here = configuration.workers.iter().filter(|(name, spec)| {
         spec.service == cell.service
             && spec.datacenter == cell.datacenter
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -24,8 +24,8 @@
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::ask::WorkProgress;
 use crate::kernel::ask::WorkReport;
-use crate::kernel::broker::CellBroker;
 use crate::kernel::broker::BrokerSettings;
+use crate::kernel::broker::CellBroker;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::name::DatacenterName;
@@ -69,14 +69,20 @@
 
 impl fmt::Debug for CellService {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("CellService").field("asks", &self.asks).finish_non_exhaustive()
+        f.debug_struct("CellService")
+            .field("asks", &self.asks)
+            .finish_non_exhaustive()
     }
 }
 
 impl CellService {
     /// Creates the service; brokers that start here get the settings.
     #[must_use]
-    pub fn new(network: Box<dyn CellNetwork>, clock: ProcessClock, settings: BrokerSettings) -> Self {
+    pub fn new(
+        network: Box<dyn CellNetwork>,
+        clock: ProcessClock,
+        settings: BrokerSettings,
+    ) -> Self {
         Self {
             network,
             clock,
@@ -92,7 +98,10 @@
     pub fn ask(self: &Rc<Self>, ask: Ask, deadline: ClockTime) -> SlotWait {
         let request = ask.request;
         let datacenter = self.home(&ask.service);
-        let cell = CellId { service: ask.service.clone(), datacenter };
+        let cell = CellId {
+            service: ask.service.clone(),
+            datacenter,
+        };
         let receiver = self.asks.borrow_mut().open(ask, cell, deadline);
         self.send_due();
         SlotWait::new(Rc::clone(self), request, receiver)
@@ -102,7 +111,13 @@
     pub fn withdraw(&self, request: RequestId) {
         let closed = self.asks.borrow_mut().close(request);
         if let Some((cell, host)) = closed {
-            self.network.send(&host, LinkMessage::Withdraw { service: cell.service, request });
+            self.network.send(
+                &host,
+                LinkMessage::Withdraw {
+                    service: cell.service,
+                    request,
+                },
+            );
         }
     }
 
@@ -111,7 +126,13 @@
         let cell = self.asks.borrow().held_cell(report.request).cloned();
         let Some(cell) = cell else { return };
         if let Some(host) = self.network.broker(&cell) {
-            self.network.send(&host, LinkMessage::Report { service: cell.service, report });
+            self.network.send(
+                &host,
+                LinkMessage::Report {
+                    service: cell.service,
+                    report,
+                },
+            );
         }
     }
 
@@ -123,13 +144,17 @@
     /// Refuses an ask of this host on the word of an operator; returns whether it was waiting.
     pub fn drop_ask(&self, refusal: Refusal) -> bool {
         let request = refusal.request;
-        let known = self.asks.borrow_mut().close(request);
-        if let Some((cell, host)) = known {
+        let sent = self.asks.borrow().sent_to(request);
+        let waited = self
+            .asks
+            .borrow_mut()
+            .answer(request, SlotAnswer::Refused(refusal));
+        if let (true, Some((cell, host))) = (waited, sent) {
             let service = cell.service;
-            self.network.send(&host, LinkMessage::Withdraw { service, request });
-            return true;
+            self.network
+                .send(&host, LinkMessage::Withdraw { service, request });
         }
-        false
+        waited
     }
 
     /// Handles a message from another host or from this one.
@@ -137,26 +162,51 @@
         match message {
             LinkMessage::Ask(ask) => {
                 let service = ask.service.clone();
-                let event = BrokerEvent::Asked { host: from.clone(), ask: *ask };
+                let event = BrokerEvent::Asked {
+                    host: from.clone(),
+                    ask: *ask,
+                };
                 self.broker_event(service, event);
             }
             LinkMessage::Withdraw { service, request } => {
-                self.broker_event(service, BrokerEvent::Withdrawn { host: from.clone(), request });
+                self.broker_event(
+                    service,
+                    BrokerEvent::Withdrawn {
+                        host: from.clone(),
+                        request,
+                    },
+                );
             }
             LinkMessage::Report { service, report } => {
-                self.broker_event(service, BrokerEvent::Reported { host: from.clone(), report });
+                self.broker_event(
+                    service,
+                    BrokerEvent::Reported {
+                        host: from.clone(),
+                        report,
+                    },
+                );
             }
             LinkMessage::Declare { service, running } => {
-                self.broker_event(service, BrokerEvent::Declared { host: from.clone(), running });
+                self.broker_event(
+                    service,
+                    BrokerEvent::Declared {
+                        host: from.clone(),
+                        running,
+                    },
+                );
             }
             LinkMessage::Grant(grant) => self.granted(from, grant),
             LinkMessage::Refuse(refusal) => {
                 let request = refusal.request;
-                self.asks.borrow_mut().answer(request, SlotAnswer::Refused(refusal));
+                self.asks
+                    .borrow_mut()
+                    .answer(request, SlotAnswer::Refused(refusal));
             }
             LinkMessage::Refer(referral) => self.referred(&referral),
             LinkMessage::Summary(summary) => {
-                self.brokers.borrow_mut().learn(self.clock.now(), from, summary);
+                self.brokers
+                    .borrow_mut()
+                    .learn(self.clock.now(), from, summary);
             }
             _ => (),
         }
@@ -182,7 +232,10 @@
     /// Tells the brokers that a host is dead.
     pub fn host_lost(&self, host: &HostName) {
         let event = BrokerEvent::HostLost { host: host.clone() };
-        let actions = self.brokers.borrow_mut().handle_all(self.clock.now(), &event);
+        let actions = self
+            .brokers
+            .borrow_mut()
+            .handle_all(self.clock.now(), &event);
         self.act(actions);
         self.declare_to_new_brokers();
         self.send_due();
@@ -200,13 +253,19 @@
 
     /// Gives a cell's broker a load report of one of its workers.
     pub fn load_reported(&self, cell: &CellId, worker: &WorkerName, load: LoadReport) {
-        let event = BrokerEvent::LoadReported { worker: worker.clone(), load };
+        let event = BrokerEvent::LoadReported {
+            worker: worker.clone(),
+            load,
+        };
         self.cell_event(cell, event);
     }
 
     /// Gives a cell's broker cache events of one of its workers.
     pub fn cache_reported(&self, cell: &CellId, worker: &WorkerName, batch: CacheBatch) {
-        let event = BrokerEvent::CacheReported { worker: worker.clone(), batch };
+        let event = BrokerEvent::CacheReported {
+            worker: worker.clone(),
+            batch,
+        };
         self.cell_event(cell, event);
     }
 
@@ -218,7 +277,11 @@
     /// Returns the cells whose broker this host is.
     #[must_use]
     pub fn own_cells(&self) -> Vec<CellId> {
-        self.brokers.borrow().iter().map(|(cell, _)| cell.clone()).collect()
+        self.brokers
+            .borrow()
+            .iter()
+            .map(|(cell, _)| cell.clone())
+            .collect()
     }
 
     /// Sends the summaries of this host's cells to the brokers of other data centres.
@@ -226,7 +289,10 @@
         let configuration = self.network.configuration();
         let now = self.clock.now();
         let summaries = self.with_brokers(|brokers| {
-            brokers.iter().map(|(cell, broker)| summarize(now, cell, broker)).collect::<Vec<_>>()
+            brokers
+                .iter()
+                .map(|(cell, broker)| summarize(now, cell, broker))
+                .collect::<Vec<_>>()
         });
         for summary in summaries {
             for datacenter in configuration.datacenters.keys() {
@@ -234,9 +300,13 @@
                     continue;
                 }
                 let service = summary.service.clone();
-                let cell = CellId { service, datacenter: datacenter.clone() };
+                let cell = CellId {
+                    service,
+                    datacenter: datacenter.clone(),
+                };
                 if let Some(host) = self.network.broker(&cell) {
-                    self.network.send(&host, LinkMessage::Summary(summary.clone()));
+                    self.network
+                        .send(&host, LinkMessage::Summary(summary.clone()));
                 }
             }
         }
@@ -246,7 +316,10 @@
         let now = self.clock.now();
         // After a pause the grant may be older than it looks; the ask is sent again later.
         let stale = self.pauses.borrow().is_suspect(now);
-        let answer = SlotAnswer::Granted { grant: grant.clone(), received: now };
+        let answer = SlotAnswer::Granted {
+            grant: grant.clone(),
+            received: now,
+        };
         if !stale && self.asks.borrow_mut().answer(grant.request, answer) {
             return;
         }
@@ -257,7 +330,9 @@
 
     fn give_back(&self, broker: &HostName, grant: Grant) {
         let configuration = self.network.configuration();
-        let Some(spec) = configuration.workers.get(&grant.worker) else { return };
+        let Some(spec) = configuration.workers.get(&grant.worker) else {
+            return;
+        };
         let report = WorkReport {
             request: grant.request,
             grant: grant.grant,
@@ -265,11 +340,15 @@
             progress: WorkProgress::Released,
         };
         let service = spec.service.clone();
-        self.network.send(broker, LinkMessage::Report { service, report });
+        self.network
+            .send(broker, LinkMessage::Report { service, report });
     }
 
     fn referred(&self, referral: &Referral) {
-        let moved = self.asks.borrow_mut().refer(referral.request, &referral.datacenter);
+        let moved = self
+            .asks
+            .borrow_mut()
+            .refer(referral.request, &referral.datacenter);
         if moved {
             self.send_due();
             return;
@@ -279,18 +358,29 @@
             reason: RefusalReason::Deadline,
             retry_after: REASK_INTERVAL,
         };
-        self.asks.borrow_mut().answer(referral.request, SlotAnswer::Refused(refusal));
+        self.asks
+            .borrow_mut()
+            .answer(referral.request, SlotAnswer::Refused(refusal));
     }
 
     fn broker_event(&self, service: ServiceName, event: BrokerEvent) {
         let datacenter = self.network.datacenter().clone();
-        self.cell_event(&CellId { service, datacenter }, event);
+        self.cell_event(
+            &CellId {
+                service,
+                datacenter,
+            },
+            event,
+        );
     }
 
     fn cell_event(&self, cell: &CellId, event: BrokerEvent) {
         let configuration = self.network.configuration();
         let now = self.clock.now();
-        let handled = self.brokers.borrow_mut().handle(now, cell, event, &configuration);
+        let handled = self
+            .brokers
+            .borrow_mut()
+            .handle(now, cell, event, &configuration);
         // The policy's name was checked when the settings were read.
         self.act(handled.unwrap_or_default());
     }
@@ -319,9 +409,8 @@
         }
         let configuration = self.network.configuration();
         let own_region = region_of(&configuration, &cell.datacenter);
-        let rank = |other: &CellId| {
-            u8::from(region_of(&configuration, &other.datacenter) != own_region)
-        };
+        let rank =
+            |other: &CellId| u8::from(region_of(&configuration, &other.datacenter) != own_region);
         let brokers = self.brokers.borrow();
         let found = brokers.elsewhere(self.clock.now(), &cell.service, 0, rank);
         match found {
@@ -340,20 +429,29 @@
         let own = self.network.datacenter();
         let configuration = self.network.configuration();
         let own_region = region_of(&configuration, own);
-        let workers = configuration.workers.values().filter(|spec| spec.service == *service);
+        let workers = configuration
+            .workers
+            .values()
+            .filter(|spec| spec.service == *service);
         let distance = |datacenter: &DatacenterName| {
             let far = region_of(&configuration, datacenter) != own_region;
             (datacenter != own, far)
         };
-        let nearest = workers.map(|spec| &spec.datacenter).min_by_key(|name| distance(name));
+        let nearest = workers
+            .map(|spec| &spec.datacenter)
+            .min_by_key(|name| distance(name));
         nearest.unwrap_or(own).clone()
     }
 
     fn send_due(&self) {
         let now = self.clock.now();
-        let due = self.asks.borrow_mut().due(now, |cell| self.network.broker(cell));
+        let due = self
+            .asks
+            .borrow_mut()
+            .due(now, |cell| self.network.broker(cell));
         for outgoing in due {
-            self.network.send(&outgoing.host, LinkMessage::Ask(Box::new(outgoing.ask)));
+            self.network
+                .send(&outgoing.host, LinkMessage::Ask(Box::new(outgoing.ask)));
         }
     }
 
@@ -366,11 +464,15 @@
         };
         let current: Vec<(CellId, HostName)> = cells.into_iter().filter_map(broker_of).collect();
         for (cell, host) in &current {
-            let known = self.known_brokers.borrow().contains(&(cell.clone(), host.clone()));
+            let known = self
+                .known_brokers
+                .borrow()
+                .contains(&(cell.clone(), host.clone()));
             if !known {
                 let running = self.asks.borrow().running(cell);
                 let service = cell.service.clone();
-                self.network.send(host, LinkMessage::Declare { service, running });
+                self.network
+                    .send(host, LinkMessage::Declare { service, running });
             }
         }
         *self.known_brokers.borrow_mut() = current;
@@ -381,7 +483,10 @@
     configuration: &'a Configuration,
     datacenter: &DatacenterName,
 ) -> Option<&'a RegionName> {
-    configuration.datacenters.get(datacenter).map(|spec| &spec.region)
+    configuration
+        .datacenters
+        .get(datacenter)
+        .map(|spec| &spec.region)
 }
 
 fn summarize(now: ClockTime, cell: &CellId, broker: &CellBroker) -> CellSummary {
--- a/src/cell/slot.rs
+++ b/src/cell/slot.rs
@@ -1,6 +1,5 @@
 //! The wait for a slot on a worker, and the slot once it is granted.
 
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -46,7 +45,12 @@
         request: RequestId,
         receiver: oneshot::Receiver<SlotAnswer>,
     ) -> Self {
-        Self { cells, request, receiver, answered: false }
+        Self {
+            cells,
+            request,
+            receiver,
+            answered: false,
+        }
     }
 }
 
@@ -96,7 +100,11 @@
     /// Creates a lease for a grant that the broker sent.
     #[must_use]
     pub const fn new(cells: Rc<CellService>, grant: Grant) -> Self {
-        Self { cells, grant, stage: LeaseStage::Unused }
+        Self {
+            cells,
+            grant,
+            stage: LeaseStage::Unused,
+        }
     }
 
     /// Returns the grant.
@@ -118,7 +126,10 @@
 
     /// Ends the lease after the whole answer arrived.
     pub fn finished(mut self, answer_tokens: u32, token_gap: Duration) {
-        self.end(WorkProgress::Finished { answer_tokens, token_gap });
+        self.end(WorkProgress::Finished {
+            answer_tokens,
+            token_gap,
+        });
     }
 
     /// Ends the lease after the worker broke the connection or could not be reached.
--- a/src/context.rs
+++ b/src/context.rs
@@ -12,7 +12,6 @@
 use slog::Logger;
 
 use crate::cell::CellService;
-use crate::claims::ClaimService;
 use crate::clock::ProcessClock;
 use crate::event::LogEvent;
 use crate::journal::RequestEnd;
@@ -32,7 +31,6 @@
 use crate::link::LinkSet;
 use crate::log_event;
 use crate::member::MemberService;
-use crate::metrics::MetricSet;
 use crate::query::QueryTable;
 use crate::server::StopSignal;
 use crate::settings::HostSettings;
@@ -53,9 +51,14 @@
     fn from(configuration: Arc<Configuration>) -> Self {
         let rules = PlacementRules::try_from(configuration.as_ref()).ok();
         let digests = configuration.workspaces.iter();
-        let workspaces =
-            digests.map(|(name, spec)| (spec.key_digest.to_lowercase(), name.clone())).collect();
-        Self { configuration, rules, workspaces }
+        let workspaces = digests
+            .map(|(name, spec)| (spec.key_digest.to_lowercase(), name.clone()))
+            .collect();
+        Self {
+            configuration,
+            rules,
+            workspaces,
+        }
     }
 }
 
@@ -77,8 +80,6 @@
     pub clock: ProcessClock,
     /// The logger.
     pub log: Logger,
-    /// The metrics.
-    pub metrics: MetricSet,
     /// The configuration in force and its changes.
     pub keeper: Rc<Keeper>,
     /// The other hosts.
@@ -87,8 +88,6 @@
     pub links: Rc<LinkSet>,
     /// The cells.
     pub cells: Rc<CellService>,
-    /// The claims of non-idempotent requests.
-    pub claims: ClaimService,
     /// The requests of this host.
     pub journal: RefCell<RequestJournal>,
     /// Requests that may crash workers.
@@ -109,7 +108,9 @@
 
 impl fmt::Debug for HostContext {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("HostContext").field("settings", &self.settings).finish_non_exhaustive()
+        f.debug_struct("HostContext")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
     }
 }
 
@@ -131,7 +132,10 @@
     pub fn next_request(&self) -> RequestId {
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
-        RequestId { incarnation: self.incarnation, sequence }
+        RequestId {
+            incarnation: self.incarnation,
+            sequence,
+        }
     }
 
     /// Returns what follows from the configuration in force.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,7 +15,6 @@
 use tokio::signal::unix::signal;
 
 use crate::cell::CellService;
-use crate::claims::ClaimService;
 use crate::clock::ProcessClock;
 use crate::context::AppliedConfiguration;
 use crate::context::HostContext;
@@ -36,7 +35,6 @@
 use crate::member::MemberChange;
 use crate::member::MemberService;
 use crate::member::MemberSettings;
-use crate::metrics::MetricSet;
 use crate::network::HostNetwork;
 use crate::operator::OperatorService;
 use crate::platform::PlatformClient;
@@ -133,20 +131,20 @@
         members: Rc::clone(&members),
         keeper: Rc::clone(&keeper),
     };
-    let broker_settings = BrokerSettings { incarnation, ..BrokerSettings::default() };
+    let broker_settings = BrokerSettings {
+        incarnation,
+        ..BrokerSettings::default()
+    };
     let cells = CellService::new(Box::new(network), clock, broker_settings);
-    let claims = ClaimService::new(platform.clone(), settings.host.clone());
     let applied = AppliedConfiguration::from(keeper.configuration());
     let context = Rc::new(HostContext {
         settings: Rc::new(settings),
         clock,
         log,
-        metrics: MetricSet::new()?,
         keeper,
         members,
         links,
         cells: Rc::new(cells),
-        claims,
         journal: RefCell::new(RequestJournal::default()),
         strikes: RefCell::new(StrikeRegister::default()),
         applied: RefCell::new(Rc::new(applied)),
@@ -199,7 +197,9 @@
 fn start_tasks(context: &Rc<HostContext>, platform: PlatformClient) {
     let lost = Rc::downgrade(context);
     context.members.on_change(Rc::new(move |change| {
-        let Some(context) = lost.upgrade() else { return };
+        let Some(context) = lost.upgrade() else {
+            return;
+        };
         if let MemberChange::HostLost(host) = change {
             context.cells.host_lost(&host);
         }
@@ -232,7 +232,9 @@
         let configuration = receiver.borrow_and_update().clone();
         let version = configuration.version.0;
         let ready = context.is_ready();
-        context.applied.replace(Rc::new(AppliedConfiguration::from(configuration)));
+        context
+            .applied
+            .replace(Rc::new(AppliedConfiguration::from(configuration)));
         let leaving = context.leaving.borrow().clone();
         context.cells.reconfigure(leaving);
         log_event!(context.log, LogEvent::ConfigurationApplied, "version" => version);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -24,6 +24,7 @@
 use crate::journal::RequestRecord;
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RefusalReason;
+use crate::kernel::name::ModelName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::TierName;
 use crate::kernel::name::WorkspaceName;
@@ -45,7 +46,6 @@
         match request.path() {
             "/health/live" => return text(StatusCode::OK, "live\n"),
             "/health/ready" => return readiness(&context),
-            "/metrics" => return text(StatusCode::OK, context.metrics.render()),
             _ => (),
         }
     }
@@ -84,7 +84,10 @@
     let (placed, active) = admit(context, id, request).await?;
     let reject = |error: CallerError, active: &ActiveRequest, tier: &TierName| {
         active.failed(&error);
-        Rejection { error, tier: Some(tier.clone()) }
+        Rejection {
+            error,
+            tier: Some(tier.clone()),
+        }
     };
     match execution::dispatch(context, &active, &placed).await {
         Ok(dispatched) => {
@@ -117,7 +120,9 @@
     let incoming = IncomingRequest::try_from(raw)?;
     let placement = place(&applied, &workspace, request, &incoming)?;
     let received = context.clock.now();
-    let tier = applied.configuration.tiers[usize::from(placement.tier.0)].name.clone();
+    let tier = applied.configuration.tiers[usize::from(placement.tier.0)]
+        .name
+        .clone();
     let placed = PlacedRequest {
         id,
         workspace,
@@ -138,10 +143,16 @@
     applied: &'a AppliedConfiguration,
     headers: &HeaderMap,
 ) -> Result<&'a WorkspaceName, CallerError> {
-    let key = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
     let Some(key) = key.and_then(|value| value.strip_prefix("Bearer ")) else {
         let message = "the request carries no workspace key";
-        return Err(CallerError::not_run(StatusCode::UNAUTHORIZED, "missing_workspace_key", message));
+        return Err(CallerError::not_run(
+            StatusCode::UNAUTHORIZED,
+            "missing_workspace_key",
+            message,
+        ));
     };
     applied.workspace_of(key.trim()).ok_or_else(|| {
         let message = "no workspace has this key";
@@ -179,14 +190,21 @@
     request: &Request,
     incoming: &IncomingRequest,
 ) -> Result<Placement, CallerError> {
-    let Some(rules) = &applied.rules else { return Err(not_ready()) };
-    let find = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let Some(rules) = &applied.rules else {
+        return Err(not_ready());
+    };
+    let find = |name: &str| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
     let facts = RequestFacts {
         workspace: workspace.as_str(),
         service: incoming.service.as_str(),
         path: request.path(),
         method: incoming.method.as_str(),
-        model: incoming.model.as_ref().map(|model| model.as_str()),
+        model: incoming.model.as_ref().map(ModelName::as_str),
         prompt_tokens: incoming.prompt_tokens,
         headers: &find,
         hour: utc_hour(),
@@ -209,12 +227,20 @@
     request: RequestId,
     digest: u64,
 ) -> Result<bool, CallerError> {
-    match context.strikes.borrow().verdict(digest, context.clock.now()) {
+    match context
+        .strikes
+        .borrow()
+        .verdict(digest, context.clock.now())
+    {
         QuarantineVerdict::Clear => Ok(false),
         QuarantineVerdict::Suspect => Ok(true),
         QuarantineVerdict::Refused { retry_after } => {
             let reason = RefusalReason::Quarantined;
-            Err(CallerError::from(&Refusal { request, reason, retry_after }))
+            Err(CallerError::from(&Refusal {
+                request,
+                reason,
+                retry_after,
+            }))
         }
     }
 }
@@ -225,11 +251,18 @@
         return Ok(());
     }
     let message = "this call must not be repeated and needs an Idempotency-Key header";
-    Err(CallerError::not_run(StatusCode::BAD_REQUEST, "missing_idempotency_key", message))
+    Err(CallerError::not_run(
+        StatusCode::BAD_REQUEST,
+        "missing_idempotency_key",
+        message,
+    ))
 }
 
 fn open_record(context: &HostContext, placed: &PlacedRequest, placement: Placement) {
-    let rule = placement.rule.as_ref().map_or("no rule, so the lowest tier", |rule| rule.as_str());
+    let rule = placement
+        .rule
+        .as_ref()
+        .map_or("no rule, so the lowest tier", |rule| rule.as_str());
     let step = format!("placed in {} by {rule}", placed.tier);
     let record = RequestRecord {
         request: placed.id,
--- a/src/execution.rs
+++ b/src/execution.rs
@@ -78,7 +78,12 @@
                 let limit = placed.deadline.since(context.clock.now());
                 let sending = upstream::send(connection, address, placed);
                 let answer = await_head(active, sending, placed, limit).await;
-                return Ok(DispatchedRequest { life: dispatched, lease, address, answer });
+                return Ok(DispatchedRequest {
+                    life: dispatched,
+                    lease,
+                    address,
+                    answer,
+                });
             }
             Err((SlotError::Dispatch(DispatchError::DeadlinePassed), _)) => {
                 return Err(refused(placed, RefusalReason::Deadline, UNREACHABLE_RETRY));
@@ -110,7 +115,12 @@
     }
 }
 
-type UsedSlot = (RequestLife<DispatchedState>, SlotLease, FreshConnection, SocketAddr);
+type UsedSlot = (
+    RequestLife<DispatchedState>,
+    SlotLease,
+    FreshConnection,
+    SocketAddr,
+);
 
 async fn use_slot(
     context: &Rc<HostContext>,
@@ -136,7 +146,9 @@
     if !context.may_take_work(now) {
         return Err((SlotError::Stale, granted.give_back()));
     }
-    let dispatched = granted.dispatch(now).map_err(|(error, life)| (error.into(), life))?;
+    let dispatched = granted
+        .dispatch(now)
+        .map_err(|(error, life)| (error.into(), life))?;
     lease.dispatched();
     Ok((dispatched, lease, connection, address))
 }
@@ -150,7 +162,11 @@
 where
     F: Future<Output = Result<ClientResponse, awc::error::SendRequestError>>,
 {
-    let limit = if placed.incoming.stream { limit.min(FIRST_BYTE_TIMEOUT) } else { limit };
+    let limit = if placed.incoming.stream {
+        limit.min(FIRST_BYTE_TIMEOUT)
+    } else {
+        limit
+    };
     match tokio::time::timeout(limit, sending).await {
         Ok(Ok(answer)) => Some(answer),
         Ok(Err(error)) => {
@@ -168,7 +184,11 @@
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(10);
 
 fn refused(placed: &PlacedRequest, reason: RefusalReason, retry_after: Duration) -> CallerError {
-    CallerError::from(&Refusal { request: placed.id, reason, retry_after })
+    CallerError::from(&Refusal {
+        request: placed.id,
+        reason,
+        retry_after,
+    })
 }
 
 /// Returns the error of a request that was dispatched and whose answer was lost.
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -164,21 +164,22 @@
         record.worker = Some(worker.clone());
     }
 
+    /// Records how many tokens of the answer were passed on.
+    pub fn answered(&mut self, request: RequestId, tokens: u32) {
+        if let Some(record) = self.active.get_mut(&request) {
+            record.answer_tokens = tokens;
+        }
+    }
+
     /// Records the end of a request; a second end is ignored.
-    pub fn end(
-        &mut self,
-        request: RequestId,
-        phase: RequestPhase,
-        code: Option<&'static str>,
-        ran: RunOutcome,
-    ) {
-        debug_assert!(phase.is_ended(), "{phase:?} is not an end");
+    pub fn end(&mut self, request: RequestId, end: RequestEnd) {
         let Some(mut record) = self.active.remove(&request) else {
             return;
         };
-        record.phase = phase;
-        record.code = code;
-        record.ran = Some(ran);
+        record.phase = end.phase;
+        record.code = end.code;
+        record.ran = Some(end.ran);
+        record.retry_after = end.retry_after;
         if self.ended.len() >= MAX_ENDED {
             self.ended.pop_front();
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod server;
 pub mod settings;
 pub mod sse;
+pub mod table;
 pub mod upstream;
 pub mod watch;
 pub mod wire;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -24,7 +24,6 @@
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::change;
 use crate::kernel::change::ConfigurationChange;
-use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::name::OperatorName;
 use crate::kernel::name::RequestId;
 use crate::language;
@@ -71,7 +70,10 @@
     /// Handles one HTTP request.
     pub async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
         if request.path() != COMMAND_PATH || *request.method() != Method::POST {
-            return text(StatusCode::NOT_FOUND, format!("POST a command to {COMMAND_PATH}\n"));
+            return text(
+                StatusCode::NOT_FOUND,
+                format!("POST a command to {COMMAND_PATH}\n"),
+            );
         }
         let Some(operator) = self.authenticate(&request) else {
             log_event!(self.context.log, LogEvent::OperatorRejected);
@@ -80,13 +82,23 @@
         };
         let limit = self.context.settings.limits.max_script_bytes;
         match read_body(&mut request, limit).await {
-            Ok(script) => self.run_script(&operator, &String::from_utf8_lossy(&script)).await,
-            Err(error) => failure(CommandError::new(CommandErrorCode::TooLarge, error.to_string())),
+            Ok(script) => {
+                self.run_script(&operator, &String::from_utf8_lossy(&script))
+                    .await
+            }
+            Err(error) => failure(CommandError::new(
+                CommandErrorCode::TooLarge,
+                error.to_string(),
+            )),
         }
     }
 
     fn authenticate(&self, request: &Request) -> Option<OperatorName> {
-        let value = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
+        let value = request
+            .headers()
+            .get(header::AUTHORIZATION)?
+            .to_str()
+            .ok()?;
         let digest = KeyDigest::of(value.strip_prefix("Bearer ")?.trim());
         let mut operators = self.context.settings.operators.iter();
         let operator = operators.find(|operator| operator.token_digest == digest)?;
@@ -122,7 +134,11 @@
             OperatorCommand::Explain(request) => self.explain(request).await,
             OperatorCommand::Change { changes, expected } => {
                 let text = script.to_owned();
-                let request = ChangeRequest { operator: operator.clone(), text, expected };
+                let request = ChangeRequest {
+                    operator: operator.clone(),
+                    text,
+                    expected,
+                };
                 self.change(request, &changes).await
             }
             OperatorCommand::SettleKey { .. } => {
@@ -151,12 +167,25 @@
             HostQuestion::Table(table) => ResultTable::new(table).columns,
             HostQuestion::Steps(_) => STEP_COLUMNS.iter().map(ToString::to_string).collect(),
         };
-        let rows = gathered.answers.into_iter().flat_map(|answer| answer.rows).collect();
-        ResultTable { columns, rows, omitted: 0 }
+        let rows = gathered
+            .answers
+            .into_iter()
+            .flat_map(|answer| answer.rows)
+            .collect();
+        ResultTable {
+            columns,
+            rows,
+            omitted: 0,
+        }
     }
 
     async fn changes(&self) -> Result<ResultTable, CommandError> {
-        let records = self.context.keeper.changes(MAX_CHANGES).await.map_err(unavailable)?;
+        let records = self
+            .context
+            .keeper
+            .changes(MAX_CHANGES)
+            .await
+            .map_err(|error| unavailable(&error))?;
         let now = unix_millis();
         let mut table = ResultTable::new(TableName::Changes);
         table.rows = records
@@ -179,7 +208,9 @@
             let message = format!("no host remembers request {request}");
             return Err(CommandError::new(CommandErrorCode::NotFound, message));
         }
-        table.rows.sort_by_key(|row| row.get(1).and_then(Value::as_u64));
+        table
+            .rows
+            .sort_by_key(|row| row.get(1).and_then(Value::as_u64));
         Ok(CommandResult::Table(table))
     }
 
@@ -192,18 +223,24 @@
         let apply = |configuration: &_| {
             change::apply(configuration, changes).map_err(|error| error.to_string())
         };
-        let outcome = self.context.keeper.change(request, apply).await.map_err(change_error)?;
+        let outcome = self
+            .context
+            .keeper
+            .change(request, apply)
+            .await
+            .map_err(|error| change_error(&error))?;
         let after = self.context.keeper.configuration();
         let (state, lacking) = match outcome.state {
             keeper::ChangeState::Accepted => (ChangeState::Accepted, Vec::new()),
-            keeper::ChangeState::Recorded { lacking } => {
-                (ChangeState::Recorded, lacking.iter().map(describe_lack).collect())
-            }
+            keeper::ChangeState::Recorded { lacking } => (
+                ChangeState::Recorded,
+                lacking.iter().map(describe_lack).collect(),
+            ),
         };
         Ok(CommandResult::Change(ChangeResult {
             version: outcome.version,
             before: outcome.before,
-            diff: change::diff(&before, &after),
+            diff: change::difference(&before, &after),
             state,
             lacking,
         }))
@@ -211,9 +248,15 @@
 
     fn drop_request(&self, request: RequestId) -> Result<CommandResult, CommandError> {
         let reason = RefusalReason::Dropped;
-        let refusal = Refusal { request, reason, retry_after: DROPPED_RETRY };
+        let refusal = Refusal {
+            request,
+            reason,
+            retry_after: DROPPED_RETRY,
+        };
         if self.context.cells.drop_ask(refusal) {
-            return Ok(CommandResult::Text(format!("request {request} was dropped")));
+            return Ok(CommandResult::Text(format!(
+                "request {request} was dropped"
+            )));
         }
         let message = format!("request {request} does not wait on this host");
         Err(CommandError::new(CommandErrorCode::NotFound, message))
@@ -221,10 +264,12 @@
 }
 
 fn help(verb: Option<&str>) -> Result<CommandResult, CommandError> {
-    language::help::describe(verb).map(CommandResult::Text).ok_or_else(|| {
-        let message = format!("there is no verb {:?}", verb.unwrap_or_default());
-        CommandError::new(CommandErrorCode::NotFound, message)
-    })
+    language::help::describe(verb)
+        .map(CommandResult::Text)
+        .ok_or_else(|| {
+            let message = format!("there is no verb {:?}", verb.unwrap_or_default());
+            CommandError::new(CommandErrorCode::NotFound, message)
+        })
 }
 
 fn describe_lack(lack: &RolloutLack) -> String {
@@ -234,12 +279,12 @@
     }
 }
 
-fn unavailable(error: keeper::StoreError) -> CommandError {
+fn unavailable(error: &keeper::StoreError) -> CommandError {
     CommandError::new(CommandErrorCode::Unavailable, error.to_string())
 }
 
-fn change_error(error: keeper::ChangeError) -> CommandError {
-    let code = match &error {
+fn change_error(error: &keeper::ChangeError) -> CommandError {
+    let code = match error {
         keeper::ChangeError::Conflict { .. } => CommandErrorCode::Conflict,
         keeper::ChangeError::Rejected(_) | keeper::ChangeError::Encoding(_) => {
             CommandErrorCode::Change
@@ -251,12 +296,17 @@
 }
 
 fn failure(error: CommandError) -> Response<BoxBody> {
-    let answer = CommandAnswer { results: Vec::new(), error: Some(error) };
+    let answer = CommandAnswer {
+        results: Vec::new(),
+        error: Some(error),
+    };
     json(status_of(&answer), &answer)
 }
 
 fn status_of(answer: &CommandAnswer) -> StatusCode {
-    let Some(error) = &answer.error else { return StatusCode::OK };
+    let Some(error) = &answer.error else {
+        return StatusCode::OK;
+    };
     match error.code {
         CommandErrorCode::Change | CommandErrorCode::Syntax => StatusCode::BAD_REQUEST,
         CommandErrorCode::Conflict => StatusCode::CONFLICT,
--- a/src/query.rs
+++ b/src/query.rs
@@ -64,7 +64,9 @@
     /// Takes the answer of a host.
     pub fn answered(&self, number: u64, from: &HostName, rows: &str) {
         let mut open = self.open.borrow_mut();
-        let Some(query) = open.get_mut(&number) else { return };
+        let Some(query) = open.get_mut(&number) else {
+            return;
+        };
         // Hosts run the same code, so an answer that can't be read is as good as none.
         let answers: Vec<HostRows> = serde_json::from_str(rows).unwrap_or_default();
         query.answers.extend(answers);
@@ -77,14 +79,21 @@
     fn start(&self, asked: &[HostName]) -> (u64, Rc<Notify>) {
         let number = self.next.get();
         self.next.set(number + 1);
-        let query = OpenQuery { missing: asked.iter().cloned().collect(), ..OpenQuery::default() };
+        let query = OpenQuery {
+            missing: asked.iter().cloned().collect(),
+            ..OpenQuery::default()
+        };
         let complete = Rc::clone(&query.complete);
         self.open.borrow_mut().insert(number, query);
         (number, complete)
     }
 
     fn finish(&self, number: u64) -> Vec<HostRows> {
-        self.open.borrow_mut().remove(&number).map(|query| query.answers).unwrap_or_default()
+        self.open
+            .borrow_mut()
+            .remove(&number)
+            .map(|query| query.answers)
+            .unwrap_or_default()
     }
 }
 
@@ -95,7 +104,10 @@
     answers.push(own_rows(context, text));
     let heard: BTreeSet<&HostName> = answers.iter().map(|answer| &answer.host).collect();
     let alive = context.members.all_alive();
-    let silent = alive.into_iter().filter(|host| !heard.contains(host)).collect();
+    let silent = alive
+        .into_iter()
+        .filter(|host| !heard.contains(host))
+        .collect();
     GatheredRows { answers, silent }
 }
 
@@ -112,12 +124,17 @@
         // Serialization to memory fails only for maps with keys that are not text.
         let rows = serde_json::to_string(&answers).unwrap_or_default();
         // The asker reports a host whose answer is lost as silent.
-        let _ = context.links.send(&from, LinkMessage::QueryAnswer { number, rows });
+        let _ = context
+            .links
+            .send(&from, LinkMessage::QueryAnswer { number, rows });
     });
 }
 
 fn own_rows(context: &HostContext, text: &str) -> HostRows {
-    HostRows { host: context.host().clone(), rows: rows::host_rows(context, text) }
+    HostRows {
+        host: context.host().clone(),
+        rows: rows::host_rows(context, text),
+    }
 }
 
 async fn ask_hosts(
@@ -131,7 +148,10 @@
     }
     let (number, complete) = context.queries.start(hosts);
     for host in hosts {
-        let message = LinkMessage::Query { number, text: text.to_owned() };
+        let message = LinkMessage::Query {
+            number,
+            text: text.to_owned(),
+        };
         // A host that can't be reached is reported as silent.
         let _ = context.links.send(host, message);
     }
@@ -143,9 +163,12 @@
 fn representatives(context: &HostContext) -> Vec<HostName> {
     let mut asked = linked_hosts(context, context.datacenter());
     let hosts = context.members.all_alive();
-    let elsewhere = hosts.iter().filter_map(|host| context.members.datacenter(host));
-    let others: BTreeSet<DatacenterName> =
-        elsewhere.filter(|datacenter| datacenter != context.datacenter()).collect();
+    let elsewhere = hosts
+        .iter()
+        .filter_map(|host| context.members.datacenter(host));
+    let others: BTreeSet<DatacenterName> = elsewhere
+        .filter(|datacenter| datacenter != context.datacenter())
+        .collect();
     for datacenter in &others {
         asked.extend(linked_hosts(context, datacenter).into_iter().next());
     }
@@ -154,5 +177,8 @@
 
 fn linked_hosts(context: &HostContext, datacenter: &DatacenterName) -> Vec<HostName> {
     let alive = context.members.alive(datacenter);
-    alive.into_iter().filter(|host| context.links.is_connected(host)).collect()
+    alive
+        .into_iter()
+        .filter(|host| context.links.is_connected(host))
+        .collect()
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use actix_http::Response;
+use actix_http::ResponseBuilder;
 use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
 use actix_http::body::SizedStream;
@@ -65,7 +66,12 @@
     placed: &PlacedRequest,
     dispatched: DispatchedRequest,
 ) -> Result<Response<BoxBody>, (CallerError, ActiveRequest)> {
-    let DispatchedRequest { life, lease, address, answer } = dispatched;
+    let DispatchedRequest {
+        life,
+        lease,
+        address,
+        answer,
+    } = dispatched;
     let mut relay = Relay::new(context, active, placed, life, lease, address);
     match answer {
         Some(answer) if placed.incoming.stream => Ok(relay.streamed(placed, answer)),
@@ -91,7 +97,10 @@
 impl CancelGuard {
     fn new(placed: &PlacedRequest, address: SocketAddr) -> Self {
         let is_engine = placed.incoming.kind == ServiceKind::Engine;
-        Self { engine: is_engine.then_some(address), request: placed.id }
+        Self {
+            engine: is_engine.then_some(address),
+            request: placed.id,
+        }
     }
 
     fn disarm(&mut self) {
@@ -158,7 +167,7 @@
 
     fn plain(mut self, placed: &PlacedRequest, answer: ClientResponse) -> Response<BoxBody> {
         self.expected = upstream::declared_length(answer.headers());
-        let mut response = self.head(placed, &answer);
+        let mut response = response_head(placed, &answer);
         let length = self.expected;
         self.body = Some(Box::pin(answer));
         let body = stream::unfold(self, |mut relay| async move {
@@ -166,7 +175,9 @@
             Some((item, relay))
         });
         match length {
-            Some(length) => response.body(SizedStream::new(length, body)).map_into_boxed_body(),
+            Some(length) => response
+                .body(SizedStream::new(length, body))
+                .map_into_boxed_body(),
             None => response.body(BodyStream::new(body)).map_into_boxed_body(),
         }
     }
@@ -180,7 +191,7 @@
         if !is_stream {
             return self.plain(placed, answer);
         }
-        let mut response = self.head(placed, &answer);
+        let mut response = response_head(placed, &answer);
         self.body = Some(Box::pin(answer));
         let body = stream::unfold(self, |mut relay| async move {
             let item = relay.next_events().await?;
@@ -189,20 +200,14 @@
         response.body(BodyStream::new(body)).map_into_boxed_body()
     }
 
-    fn head(&self, placed: &PlacedRequest, answer: &ClientResponse) -> actix_http::ResponseBuilder {
-        let mut response = response_builder(answer.status(), placed.id, Some(&placed.tier));
-        for (name, value) in answer.headers() {
-            if upstream::is_forwarded(name) {
-                response.append_header((name.clone(), value.clone()));
-            }
-        }
-        response
-    }
-
     /// Returns the next bytes of an answer that is not a stream of events.
     async fn next_chunk(&mut self) -> Option<Result<Bytes, CutError>> {
         let body = self.body.as_mut()?;
-        let limit = self.life.as_ref()?.deadline().since(self.context.clock.now());
+        let limit = self
+            .life
+            .as_ref()?
+            .deadline()
+            .since(self.context.clock.now());
         match tokio::time::timeout(limit.max(STREAM_SILENCE), body.next()).await {
             Ok(Some(Ok(bytes))) => {
                 self.passed += bytes.len() as u64;
@@ -275,7 +280,9 @@
     async fn resume(&mut self) -> Result<ClientResponse, String> {
         loop {
             if self.resumes >= MAX_RESUMES {
-                return Err(format!("the stream was silent after {MAX_RESUMES} resumptions"));
+                return Err(format!(
+                    "the stream was silent after {MAX_RESUMES} resumptions"
+                ));
             }
             self.resumes += 1;
             let after = self.events.last_id();
@@ -328,8 +335,11 @@
     }
 
     fn token_gap(&self, tokens: u32) -> Duration {
-        let span = self.last_event.since(self.first_event.unwrap_or(self.last_event));
-        span.checked_div(tokens.saturating_sub(1)).unwrap_or(Duration::ZERO)
+        let span = self
+            .last_event
+            .since(self.first_event.unwrap_or(self.last_event));
+        span.checked_div(tokens.saturating_sub(1))
+            .unwrap_or(Duration::ZERO)
     }
 
     fn cut(&mut self, message: &str) -> CutError {
@@ -343,7 +353,9 @@
         let error = lost_answer(message);
         let request = self.life.as_ref().map(RequestLife::request);
         self.cut(message);
-        let json = request.map(|request| error.to_json(request)).unwrap_or_default();
+        let json = request
+            .map(|request| error.to_json(request))
+            .unwrap_or_default();
         Bytes::from(format!("event: error\ndata: {json}\n\n"))
     }
 
@@ -354,3 +366,13 @@
         (lost_answer(message), self.active)
     }
 }
+
+fn response_head(placed: &PlacedRequest, answer: &ClientResponse) -> ResponseBuilder {
+    let mut response = response_builder(answer.status(), placed.id, Some(&placed.tier));
+    for (name, value) in answer.headers() {
+        if upstream::is_forwarded(name) {
+            response.append_header((name.clone(), value.clone()));
+        }
+    }
+    response
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -74,7 +74,12 @@
     /// Creates the guard of a request whose record was opened.
     #[must_use]
     pub const fn new(context: Rc<HostContext>, id: RequestId) -> Self {
-        Self { context, id, outcome: Cell::new(RunOutcome::No), ended: Cell::new(false) }
+        Self {
+            context,
+            id,
+            outcome: Cell::new(RunOutcome::No),
+            ended: Cell::new(false),
+        }
     }
 
     /// Adds a step to the record.
@@ -109,7 +114,12 @@
         }
         let code = error.map(|error| error.code);
         let retry_after = error.and_then(|error| error.retry_after);
-        let end = RequestEnd { phase, code, ran, retry_after };
+        let end = RequestEnd {
+            phase,
+            code,
+            ran,
+            retry_after,
+        };
         self.context.request_ended(self.id, end);
     }
 }
--- a/src/rows.rs
+++ b/src/rows.rs
@@ -80,7 +80,10 @@
     row: impl Fn(&HostContext, &RequestRecord) -> Vec<Value>,
 ) -> Vec<Vec<Value>> {
     let journal = context.journal.borrow();
-    journal.in_phase(phase).map(|record| row(context, record)).collect()
+    journal
+        .in_phase(phase)
+        .map(|record| row(context, record))
+        .collect()
 }
 
 fn age(context: &HostContext, record: &RequestRecord) -> Value {
@@ -132,7 +135,9 @@
 
 fn step_rows(context: &HostContext, request: RequestId) -> Vec<Vec<Value>> {
     let journal = context.journal.borrow();
-    let Some(record) = journal.find(request) else { return Vec::new() };
+    let Some(record) = journal.find(request) else {
+        return Vec::new();
+    };
     let row = |step: &crate::journal::RequestStep| {
         vec![
             json!(request.to_string()),
@@ -147,7 +152,9 @@
 fn worker_rows(context: &HostContext) -> Vec<Vec<Value>> {
     context.cells.with_brokers(|brokers| {
         let workers = brokers.iter().flat_map(|(_, broker)| broker.workers());
-        workers.filter_map(|worker| worker_row(context, &worker)).collect()
+        workers
+            .filter_map(|worker| worker_row(context, &worker))
+            .collect()
     })
 }
 
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -43,7 +43,10 @@
 
     /// Takes all whole events, or `None` if there is none.
     pub fn take(&mut self) -> Option<Bytes> {
-        let end = self.bytes.windows(EVENT_END.len()).rposition(|window| window == EVENT_END)?;
+        let end = self
+            .bytes
+            .windows(EVENT_END.len())
+            .rposition(|window| window == EVENT_END)?;
         let whole = self.bytes.split_to(end + EVENT_END.len()).freeze();
         self.scan(&whole);
         Some(whole)
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,78 @@
+//! The platform's table as the keeper's store of configuration versions.
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use crate::keeper::CURRENT_KEY;
+use crate::keeper::ConfigurationStore;
+use crate::keeper::StoreError;
+use crate::keeper::StoreRow;
+use crate::keeper::VersionWrite;
+use crate::keeper::WriteOutcome;
+use crate::kernel::table::RowCheck;
+use crate::kernel::table::RowRevision;
+use crate::kernel::table::RowWrite;
+use crate::kernel::table::TableTransaction;
+use crate::platform::PlatformClient;
+use crate::platform::PlatformError;
+use crate::platform::TransactOutcome;
+
+impl From<PlatformError> for StoreError {
+    fn from(error: PlatformError) -> Self {
+        let text = error.to_string();
+        match error {
+            PlatformError::Unreachable { .. } => Self::Unreachable(text),
+            PlatformError::Unknown { .. } => Self::Unknown(text),
+            PlatformError::Protocol { .. } => Self::Protocol(text),
+        }
+    }
+}
+
+impl ConfigurationStore for PlatformClient {
+    fn row<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<StoreRow>, StoreError>> {
+        let read = async move {
+            let row = Self::row(self, key).await?;
+            Ok(row.map(|row| StoreRow {
+                value: row.value,
+                revision: row.revision.0,
+            }))
+        };
+        read.boxed_local()
+    }
+
+    fn write<'a>(
+        &'a self,
+        write: &'a VersionWrite,
+    ) -> LocalBoxFuture<'a, Result<WriteOutcome, StoreError>> {
+        let transact = async move {
+            match self.transact(&transaction(write)).await? {
+                TransactOutcome::Committed { .. } => Ok(WriteOutcome::Committed),
+                TransactOutcome::Conflict { .. } => Ok(WriteOutcome::Conflict),
+            }
+        };
+        transact.boxed_local()
+    }
+}
+
+fn transaction(write: &VersionWrite) -> TableTransaction {
+    let current = RowCheck {
+        key: CURRENT_KEY.to_owned(),
+        revision: write.expected.map(RowRevision),
+    };
+    let audit = RowCheck {
+        key: write.audit_key.clone(),
+        revision: None,
+    };
+    let row = |key: &str, value: &str| RowWrite {
+        key: key.to_owned(),
+        value: value.to_owned(),
+    };
+    TableTransaction {
+        checks: vec![current, audit],
+        writes: vec![
+            row(CURRENT_KEY, &write.current),
+            row(&write.audit_key, &write.audit),
+        ],
+        deletes: Vec::new(),
+    }
+}
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -67,7 +67,9 @@
 ) -> Result<ClientResponse, SendRequestError> {
     let incoming = &placed.incoming;
     let url = format!("http://{address}{}", incoming.target);
-    let mut call = connection.into_client().request(incoming.method.clone(), url);
+    let mut call = connection
+        .into_client()
+        .request(incoming.method.clone(), url);
     for (name, value) in &placed.headers {
         if is_forwarded(name) {
             call = call.append_header((name.clone(), value.clone()));
@@ -96,14 +98,18 @@
         Err(error) => return Err(ResumeError::Send(error.to_string())),
     };
     if answer.status() != StatusCode::OK {
-        return Err(ResumeError::Rejected { status: answer.status() });
+        return Err(ResumeError::Rejected {
+            status: answer.status(),
+        });
     }
     Ok(answer)
 }
 
 /// Tells an engine that nobody waits for a request any more; a lost call costs engine time only.
 pub async fn cancel(address: SocketAddr, request: RequestId) {
-    let Ok(connection) = FreshConnection::open(address).await else { return };
+    let Ok(connection) = FreshConnection::open(address).await else {
+        return;
+    };
     let url = format!("http://{address}/v1/streams/{request}");
     let call = connection.into_client().request(Method::DELETE, url).send();
     // The engine also notices the closed connection, so the outcome does not matter.
@@ -119,5 +125,10 @@
 /// Returns the declared length of an answer's body, in bytes.
 #[must_use]
 pub fn declared_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+    headers
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
 }
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -49,6 +49,16 @@
     reported: BTreeSet<WorkerName>,
 }
 
+impl LeavingRegister {
+    fn reported(&mut self, worker: &WorkerName, leaving: bool) {
+        if leaving {
+            self.reported.insert(worker.clone());
+        } else {
+            self.reported.remove(worker);
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct CacheAnswer {
     first: u64,
@@ -85,7 +95,12 @@
     #[must_use]
     pub fn new(context: Rc<HostContext>, platform: PlatformClient) -> Rc<Self> {
         let leaving = RefCell::default();
-        Rc::new(Self { context, platform, leaving, cache_positions: RefCell::default() })
+        Rc::new(Self {
+            context,
+            platform,
+            leaving,
+            cache_positions: RefCell::default(),
+        })
     }
 
     /// Starts the polls.
@@ -108,8 +123,13 @@
 
     async fn poll_host_list(&self) {
         // An outage of the platform leaves what was known before in force.
-        let Ok(list) = self.platform.hosts().await else { return };
-        let leaving = list.hosts.into_iter().filter(|host| host.state == ListedState::Leaving);
+        let Ok(list) = self.platform.hosts().await else {
+            return;
+        };
+        let leaving = list
+            .hosts
+            .into_iter()
+            .filter(|host| host.state == ListedState::Leaving);
         let listed = leaving.map(|host| host.worker).collect();
         self.leaving.borrow_mut().listed = listed;
         self.publish();
@@ -119,37 +139,54 @@
         let polled = self.polled_workers();
         join_all(polled.iter().map(|worker| self.poll_worker(worker))).await;
         let names: BTreeSet<&WorkerName> = polled.iter().map(|polled| &polled.worker).collect();
-        self.leaving.borrow_mut().reported.retain(|worker| names.contains(worker));
+        self.leaving
+            .borrow_mut()
+            .reported
+            .retain(|worker| names.contains(worker));
         self.publish();
     }
 
     async fn poll_worker(&self, polled: &PolledWorker) {
-        let Some(load) = get_json::<LoadReport>(polled.address, "/load").await else { return };
-        let mut register = self.leaving.borrow_mut();
-        if load.leaving {
-            register.reported.insert(polled.worker.clone());
-        } else {
-            register.reported.remove(&polled.worker);
-        }
-        drop(register);
-        self.context.cells.load_reported(&polled.cell, &polled.worker, load);
+        let Some(load) = get_json::<LoadReport>(polled.address, "/load").await else {
+            return;
+        };
+        self.leaving
+            .borrow_mut()
+            .reported(&polled.worker, load.leaving);
+        self.context
+            .cells
+            .load_reported(&polled.cell, &polled.worker, load);
         if polled.has_cache {
             self.poll_cache(polled).await;
         }
     }
 
     async fn poll_cache(&self, polled: &PolledWorker) {
-        let after = self.cache_positions.borrow().get(&polled.worker).copied().unwrap_or(0);
+        let after = self
+            .cache_positions
+            .borrow()
+            .get(&polled.worker)
+            .copied()
+            .unwrap_or(0);
         let path = format!("/cache/events?after={after}");
-        let Some(answer) = get_json::<CacheAnswer>(polled.address, &path).await else { return };
+        let Some(answer) = get_json::<CacheAnswer>(polled.address, &path).await else {
+            return;
+        };
         if answer.changes.is_empty() {
             return;
         }
         let last = answer.first.saturating_add(answer.changes.len() as u64 - 1);
-        self.cache_positions.borrow_mut().insert(polled.worker.clone(), last);
+        self.cache_positions
+            .borrow_mut()
+            .insert(polled.worker.clone(), last);
         let changes = answer.changes.iter().filter_map(cache_change).collect();
-        let batch = CacheBatch { first: answer.first, changes };
-        self.context.cells.cache_reported(&polled.cell, &polled.worker, batch);
+        let batch = CacheBatch {
+            first: answer.first,
+            changes,
+        };
+        self.context
+            .cells
+            .cache_reported(&polled.cell, &polled.worker, batch);
     }
 
     /// Gives the other tasks the set of leaving workers if it changed.
@@ -174,7 +211,9 @@
         let configuration = &applied.configuration;
         let mut polled = Vec::new();
         for cell in self.context.cells.own_cells() {
-            let Some(service) = configuration.services.get(&cell.service) else { continue };
+            let Some(service) = configuration.services.get(&cell.service) else {
+                continue;
+            };
             for (worker, spec) in &configuration.workers {
                 if spec.service != cell.service || spec.datacenter != cell.datacenter {
                     continue;
@@ -202,12 +241,19 @@
 async fn get_json<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Option<T> {
     let poll = async {
         let client = FreshConnection::open(address).await.ok()?.into_client();
-        let mut answer = client.get(format!("http://{address}{path}")).send().await.ok()?;
+        let mut answer = client
+            .get(format!("http://{address}{path}"))
+            .send()
+            .await
+            .ok()?;
         if answer.status() != StatusCode::OK {
             return None;
         }
         let body = answer.body().limit(MAX_POLL_BYTES).await.ok()?;
         serde_json::from_slice(&body).ok()
     };
-    tokio::time::timeout(POLL_TIMEOUT, poll).await.ok().flatten()
+    tokio::time::timeout(POLL_TIMEOUT, poll)
+        .await
+        .ok()
+        .flatten()
 }
--- a/tests/harness/client.rs
+++ b/tests/harness/client.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// The time after which a call of a test counts as hung.
-const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+const HANG_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// A call to be made.
 #[derive(Clone, Debug)]
@@ -34,13 +34,22 @@
 impl Call {
     /// Creates a call without body.
     pub fn get(path: &str) -> Self {
-        Self { method: "GET".into(), path: path.into(), headers: Vec::new(), body: String::new() }
+        Self {
+            method: "GET".into(),
+            path: path.into(),
+            headers: Vec::new(),
+            body: String::new(),
+        }
     }
 
     /// Creates a call with a body.
     pub fn post(path: &str, body: impl Into<String>) -> Self {
         let call = Self::get(path);
-        Self { method: "POST".into(), body: body.into(), ..call }
+        Self {
+            method: "POST".into(),
+            body: body.into(),
+            ..call
+        }
     }
 
     /// Creates a completion call.
@@ -69,11 +78,16 @@
     pub fn open(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
         let mut stream = TcpStream::connect(address)?;
         stream.set_read_timeout(Some(HANG_TIMEOUT))?;
-        let mut head = format!("{} {} HTTP/1.1\r\nhost: {address}\r\n", self.method, self.path);
-        for (name, value) in &self.headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str(&format!("connection: close\r\ncontent-length: {}\r\n\r\n", self.body.len()));
+        let mut lines = vec![format!("{} {} HTTP/1.1", self.method, self.path)];
+        lines.push(format!("host: {address}"));
+        lines.push("connection: close".to_owned());
+        lines.push(format!("content-length: {}", self.body.len()));
+        lines.extend(
+            self.headers
+                .iter()
+                .map(|(name, value)| format!("{name}: {value}")),
+        );
+        let head = lines.join("\r\n") + "\r\n\r\n";
         stream.write_all(head.as_bytes())?;
         stream.write_all(self.body.as_bytes())?;
         Ok(stream)
@@ -112,21 +126,37 @@
 
     /// Returns the code of the error in the body.
     pub fn code(&self) -> String {
-        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
+        self.json()["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
     }
 
     /// Returns whether the caller was told that the request ran.
     pub fn ran(&self) -> String {
-        self.json()["error"]["ran"].as_str().unwrap_or_default().to_owned()
+        self.json()["error"]["ran"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
     }
 
     fn parse(text: &str) -> Self {
-        let Some((head, rest)) = text.split_once("\r\n\r\n") else { return Self::default() };
-        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
-        let mut answer =
-            Self { status: status.unwrap_or(0), head: head.to_owned(), ..Self::default() };
+        let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+            return Self::default();
+        };
+        let status = head
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        let mut answer = Self {
+            status: status.unwrap_or(0),
+            head: head.to_owned(),
+            ..Self::default()
+        };
         let chunked = answer.header("transfer-encoding") == Some("chunked");
-        let length = answer.header("content-length").and_then(|length| length.parse().ok());
+        let length: Option<usize> = answer
+            .header("content-length")
+            .and_then(|length| length.parse().ok());
         (answer.body, answer.whole) = match length {
             _ if chunked => join_chunks(rest),
             Some(length) => (rest.to_owned(), rest.len() == length),
@@ -139,7 +169,9 @@
 fn join_chunks(mut rest: &str) -> (String, bool) {
     let mut body = String::new();
     while let Some((size, tail)) = rest.split_once("\r\n") {
-        let Ok(size) = usize::from_str_radix(size, 16) else { break };
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            break;
+        };
         if size == 0 {
             return (body, true);
         }
--- a/tests/harness/deployment.rs
+++ b/tests/harness/deployment.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -87,14 +88,43 @@
     folder: PathBuf,
 }
 
+impl TestStandin {
+    /// Returns the request identifiers that an upstream received, with repeats.
+    pub fn received(&self) -> Vec<String> {
+        let log = Call::get("/log").send(self.address).json();
+        let requests = log["requests"].as_array().cloned().unwrap_or_default();
+        requests
+            .iter()
+            .filter_map(|id| id.as_str().map(str::to_owned))
+            .collect()
+    }
+
+    /// Changes the faults of a stand-in.
+    pub fn control(&self, faults: &serde_json::Value) {
+        let answer = Call::post("/control", faults.to_string()).send(self.address);
+        assert!(
+            (200..300).contains(&answer.status),
+            "{faults}: {} {}",
+            answer.status,
+            answer.body
+        );
+    }
+}
+
 impl Deployment {
     /// Starts all processes, makes the first configuration and waits until every host is ready.
     pub fn start(plan: &DeploymentPlan) -> Self {
         let folder = new_folder();
         let platform = start_standin(&folder, "platform", &["platform"]);
         let engines = start_engines(&folder, plan);
-        let plain = start_plain(&folder, plan);
-        let mut deployment = Self { platform, engines, plain, hosts: Vec::new(), folder };
+        let casebooks = start_plain(&folder, plan);
+        let mut deployment = Self {
+            platform,
+            engines,
+            plain: casebooks,
+            hosts: Vec::new(),
+            folder,
+        };
         deployment.add_hosts(&plan.hosts);
         let script = deployment.script(plan);
         deployment.command(0, &script);
@@ -107,9 +137,16 @@
     /// Runs an operators' script on a host and returns the whole answer.
     pub fn command(&self, host: usize, script: &str) -> serde_json::Value {
         let address = self.hosts[host].operator;
-        let answer = Call::post("/operator/command", script).key(TOKEN).send(address);
+        let answer = Call::post("/operator/command", script)
+            .key(TOKEN)
+            .send(address);
         let value = answer.json();
-        assert!(value["error"].is_null(), "{script}: {} {}", answer.status, answer.body);
+        assert!(
+            value["error"].is_null(),
+            "{script}: {} {}",
+            answer.status,
+            answer.body
+        );
         value
     }
 
@@ -118,33 +155,22 @@
         call.clone().key(KEY).send(self.hosts[host].entry)
     }
 
-    /// Returns the request identifiers that an upstream received, with repeats.
-    pub fn received(&self, standin: &TestStandin) -> Vec<String> {
-        let log = Call::get("/log").send(standin.address).json();
-        let requests = log["requests"].as_array().cloned().unwrap_or_default();
-        requests.iter().filter_map(|id| id.as_str().map(str::to_owned)).collect()
-    }
-
     /// Fails the test if any upstream received a request more than once, or two did.
     pub fn assert_no_double_dispatch(&self) {
         let upstreams = self.engines.iter().chain(&self.plain);
-        let mut all: Vec<String> = upstreams.flat_map(|one| self.received(one)).collect();
+        let mut all: Vec<String> = upstreams.flat_map(TestStandin::received).collect();
         let total = all.len();
         all.sort();
         all.dedup();
         assert_eq!(all.len(), total, "a request was dispatched twice");
     }
 
-    /// Changes the faults of a stand-in.
-    pub fn control(&self, standin: &TestStandin, faults: &serde_json::Value) {
-        let answer = Call::post("/control", faults.to_string()).send(standin.address);
-        assert!((200..300).contains(&answer.status), "{faults}: {} {}", answer.status, answer.body);
-    }
-
     /// Waits until a host says that it is ready.
     pub fn wait_ready(&self, host: usize) {
         let entry = self.hosts[host].entry;
-        wait_until("a host is ready", || Call::get("/health/ready").send(entry).status == 200);
+        wait_until("a host is ready", || {
+            Call::get("/health/ready").send(entry).status == 200
+        });
     }
 
     /// Starts a further host in the data centre and returns its index.
@@ -162,7 +188,10 @@
     /// Returns the rows of a query's only table.
     pub fn rows(&self, host: usize, query: &str) -> Vec<serde_json::Value> {
         let answer = self.command(host, query);
-        answer["results"][0]["table"]["rows"].as_array().cloned().unwrap_or_default()
+        answer["results"][0]["table"]["rows"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default()
     }
 
     /// Starts the process of a host whose settings were written before.
@@ -170,7 +199,11 @@
         let settings = self.hosts[host].settings.display().to_string();
         let log = self.hosts[host].settings.with_extension("log");
         let (process, line) = TestProcess::start(&program("borageladderd"), &[&settings], &log);
-        assert!(line.starts_with("listening"), "{settings}: {line:?}, see {}", log.display());
+        assert!(
+            line.starts_with("listening"),
+            "{settings}: {line:?}, see {}",
+            log.display()
+        );
         self.hosts[host].process = Some(process);
     }
 
@@ -186,8 +219,11 @@
                 link: addresses[2],
                 settings,
             };
-            fs::write(&host.settings, self.settings_text(number, datacenter, &host))
-                .expect("settings can be written");
+            fs::write(
+                &host.settings,
+                self.settings_text(number, datacenter, &host),
+            )
+            .expect("settings can be written");
             self.hosts.push(host);
             self.start_host(number - 1);
         }
@@ -196,8 +232,11 @@
     fn settings_text(&self, number: usize, datacenter: &str, host: &TestHost) -> String {
         let key_file = self.folder.join("shared.key");
         fs::write(&key_file, "a shared key for tests only").expect("the key can be written");
-        let peers: Vec<String> =
-            self.hosts.iter().map(|other| format!("{:?}", other.link.to_string())).collect();
+        let peers: Vec<String> = self
+            .hosts
+            .iter()
+            .map(|other| format!("{:?}", other.link.to_string()))
+            .collect();
         format!(
             "host = \"host-{number}\"\ndatacenter = \"{datacenter}\"\nregion = \"{}\"\n\
              entry_listen = \"{}\"\noperator_listen = \"{}\"\nlink_listen = \"{}\"\n\
@@ -226,19 +265,34 @@
         datacenters.sort_unstable();
         datacenters.dedup();
         for datacenter in datacenters {
-            lines.push(format!("set datacenter {datacenter} region {}", region(datacenter)));
+            lines.push(format!(
+                "set datacenter {datacenter} region {}",
+                region(datacenter)
+            ));
         }
         let digest = blake3::hash(KEY.as_bytes()).to_hex();
-        lines.push(format!("set workspace reps key-digest {digest} max-requests 1000"));
+        lines.push(format!(
+            "set workspace reps key-digest {digest} max-requests 1000"
+        ));
         lines.push("set service drafter engine models quill-8b".to_owned());
         lines.push("set service casebook plain non-idempotent".to_owned());
         for (index, (datacenter, _)) in plan.engines.iter().enumerate() {
             let address = self.engines[index].address;
-            lines.push(worker_line(&format!("engine-{}", index + 1), "drafter", datacenter, address));
+            lines.push(worker_line(
+                &format!("engine-{}", index + 1),
+                "drafter",
+                datacenter,
+                address,
+            ));
         }
         for (index, datacenter) in plan.plain.iter().enumerate() {
             let name = format!("casebook-{}", index + 1);
-            lines.push(worker_line(&name, "casebook", datacenter, self.plain[index].address));
+            lines.push(worker_line(
+                &name,
+                "casebook",
+                datacenter,
+                self.plain[index].address,
+            ));
         }
         lines.push("set rule hearing tier urgent when header.x-kind = hearing".to_owned());
         lines.push("set rule filing tier urgent when service = casebook".to_owned());
@@ -278,7 +332,7 @@
     datacenter.split('-').next().unwrap_or(datacenter)
 }
 
-fn start_engines(folder: &PathBuf, plan: &DeploymentPlan) -> Vec<TestStandin> {
+fn start_engines(folder: &Path, plan: &DeploymentPlan) -> Vec<TestStandin> {
     let start = |(index, (_, options)): (usize, &(&str, Vec<&str>))| {
         let name = format!("engine-{}", index + 1);
         let mut arguments = vec!["engine", "--name", &name, "--model", "quill-8b"];
@@ -288,7 +342,7 @@
     plan.engines.iter().enumerate().map(start).collect()
 }
 
-fn start_plain(folder: &PathBuf, plan: &DeploymentPlan) -> Vec<TestStandin> {
+fn start_plain(folder: &Path, plan: &DeploymentPlan) -> Vec<TestStandin> {
     let start = |index: usize| {
         let name = format!("casebook-{}", index + 1);
         start_standin(folder, &name, &["plain", "--name", &name])
@@ -296,14 +350,19 @@
     (0..plan.plain.len()).map(start).collect()
 }
 
-fn start_standin(folder: &PathBuf, name: &str, arguments: &[&str]) -> TestStandin {
+fn start_standin(folder: &Path, name: &str, arguments: &[&str]) -> TestStandin {
     let mut arguments = arguments.to_vec();
     arguments.extend(["--listen", "127.0.0.1:0"]);
     let log = folder.join(format!("{name}.log"));
     let (process, line) = TestProcess::start(&program("borageladder-standin"), &arguments, &log);
-    let address = line.strip_prefix("listening on ").and_then(|text| text.parse().ok());
+    let address = line
+        .strip_prefix("listening on ")
+        .and_then(|text| text.parse().ok());
     let address = address.unwrap_or_else(|| panic!("{name}: {line:?}, see {}", log.display()));
-    TestStandin { process: RefCell::new(process), address }
+    TestStandin {
+        process: RefCell::new(process),
+        address,
+    }
 }
 
 fn new_folder() -> PathBuf {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,5 +1,9 @@
 //! Starts the real processes on loopback and talks to them as callers and operators do.
-#![allow(dead_code, reason = "each test file uses its own part of the harness")]
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses its own part of the harness"
+)]
 
 mod client;
 mod deployment;
--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -44,17 +44,26 @@
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").args(["-s", name, &id]).status();
-        assert!(status.expect("kill can be run").success(), "kill -s {name} {id}");
+        assert!(
+            status.expect("kill can be run").success(),
+            "kill -s {name} {id}"
+        );
     }
 
     /// Waits until the process has ended and returns whether its exit code was zero.
     pub fn wait(&mut self) -> bool {
-        self.child.wait().expect("the process can be waited for").success()
+        self.child
+            .wait()
+            .expect("the process can be waited for")
+            .success()
     }
 
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().expect("the process can be asked for").is_some()
+        self.child
+            .try_wait()
+            .expect("the process can be asked for")
+            .is_some()
     }
 }
 
@@ -70,7 +79,11 @@
 pub fn program(name: &str) -> PathBuf {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_borageladderd"));
     let path = daemon.with_file_name(name);
-    assert!(path.is_file(), "{} is missing; run cargo build --workspace", path.display());
+    assert!(
+        path.is_file(),
+        "{} is missing; run cargo build --workspace",
+        path.display()
+    );
     path
 }
 
