Parse the operators' language and shape its answers

Cause: operators ask and change through one language, which host and command line must understand alike, with errors that point at the wrong word.

Ruled out: a grammar in one piece, since verbs and kinds of things are to be added by one file each; parser errors of the library as they come, since they name positions but not what an operator could have written. winnow splits lines into words; verbs read the words through a cursor that knows where each stood.

--- /dev/null
+++ b/src/language/table.rs
@@ -0,0 +1,247 @@
+//! Tables of rows, as `show` answers them.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::kernel::configuration::Comparison;
+use crate::language::RowFilter;
+use crate::language::ShowQuery;
+use crate::language::cursor::parse_duration;
+
+/// The column that `since` looks at, in milliseconds.
+pub const AGE_COLUMN: &str = "age-ms";
+
+macro_rules! tables {
+    ($($(#[$meta:meta])* $table:ident $name:literal [$($column:literal)*];)*) => {
+        /// A table that operators can see.
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(rename_all = "kebab-case")]
+        pub enum TableName {
+            $($(#[$meta])* $table,)*
+        }
+
+        impl TableName {
+            /// All tables in the order of their names.
+            pub const ALL: &'static [Self] = &[$(Self::$table,)*];
+
+            /// Returns the name as operators write it.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$table => $name,)*
+                }
+            }
+
+            /// Returns the names of the columns in their order.
+            #[must_use]
+            pub const fn columns(self) -> &'static [&'static str] {
+                match self {
+                    $(Self::$table => &[$($column,)*],)*
+                }
+            }
+        }
+    };
+}
+
+tables! {
+    /// The audit trail.
+    Changes "changes" ["version" "age-ms" "operator" "change"];
+    /// The whole configuration as commands.
+    Configuration "configuration" ["command"];
+    /// The data centres.
+    Datacenters "datacenters" ["datacenter" "region" "gone"];
+    /// The hosts.
+    Hosts "hosts" ["host" "datacenter" "address" "state" "version" "heard-ms"];
+    /// The claims of non-idempotent requests.
+    Keys "keys" ["workspace" "key" "state" "request" "host" "age-ms"];
+    /// The requests that were refused.
+    Refused "refused" [
+        "request" "age-ms" "workspace" "service" "tier" "reason" "retry-after-ms" "host"
+    ];
+    /// The placement rules.
+    Rules "rules" ["position" "rule" "tier" "non-idempotent" "conditions"];
+    /// The requests that run.
+    Running "running" [
+        "request" "age-ms" "workspace" "service" "model" "tier" "rule" "worker" "answer-tokens"
+        "host"
+    ];
+    /// The services.
+    Services "services" ["service" "kind" "models" "non-idempotent" "workers"];
+    /// The tiers.
+    Tiers "tiers" ["rank" "tier" "deadline-ms" "preemptible"];
+    /// The configuration versions in force.
+    Versions "versions" ["host" "datacenter" "applied" "known"];
+    /// The requests that wait.
+    Waiting "waiting" [
+        "request" "waited-ms" "budget-ms" "workspace" "service" "model" "tier" "rule"
+        "prompt-tokens" "host"
+    ];
+    /// The workers.
+    Workers "workers" [
+        "worker" "service" "datacenter" "address" "state" "max-running" "limit" "running"
+        "first-token-ms" "token-gap-ms"
+    ];
+    /// The workspaces.
+    Workspaces "workspaces" ["workspace" "key-digest" "max-requests"];
+}
+
+/// Rows under named columns.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ResultTable {
+    /// The names of the columns.
+    pub columns: Vec<String>,
+    /// The rows; each has a value for every column.
+    pub rows: Vec<Vec<Value>>,
+    /// The number of rows left out because of a limit.
+    #[serde(default)]
+    pub omitted: usize,
+}
+
+impl ResultTable {
+    /// Creates a table without rows.
+    #[must_use]
+    pub fn new(table: TableName) -> Self {
+        let columns = table.columns().iter().map(|column| (*column).to_owned());
+        Self {
+            columns: columns.collect(),
+            rows: Vec::new(),
+            omitted: 0,
+        }
+    }
+
+    /// Adds the rows of another table with the same columns.
+    pub fn append(&mut self, other: Self) {
+        self.rows.extend(other.rows);
+        self.omitted += other.omitted;
+    }
+
+    /// Removes the rows that a query does not want.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use borageladder::language::ResultTable;
+    /// use borageladder::language::ShowQuery;
+    /// use borageladder::language::TableName;
+    /// use serde_json::json;
+    ///
+    /// let mut table = ResultTable::new(TableName::Versions);
+    /// table.rows.push(vec![json!("sapporo-1"), json!("sapporo-a"), json!(7), json!(7)]);
+    /// table.rows.push(vec![json!("kushiro-1"), json!("kushiro-a"), json!(6), json!(7)]);
+    /// let mut query = ShowQuery::new(TableName::Versions);
+    /// query.limit = 1;
+    /// table.apply(&query);
+    /// assert_eq!(table.rows.len(), 1);
+    /// assert_eq!(table.omitted, 1);
+    /// ```
+    pub fn apply(&mut self, query: &ShowQuery) {
+        let columns = std::mem::take(&mut self.columns);
+        let cell = |row: &[Value], column: &str| {
+            let index = columns.iter().position(|name| name == column);
+            index.and_then(|index| row.get(index)).cloned()
+        };
+        self.rows.retain(|row| {
+            let mut filters = query.filters.iter();
+            filters.all(|filter| filter_holds(filter, cell(row, &filter.column).as_ref()))
+        });
+        if let Some(since) = query.since {
+            let young = |age: Value| age.as_f64().is_some_and(|age| age <= millis(since));
+            self.rows
+                .retain(|row| cell(row, AGE_COLUMN).is_some_and(young));
+        }
+        self.omitted += self.rows.len().saturating_sub(query.limit);
+        self.rows.truncate(query.limit);
+        self.columns = columns;
+    }
+}
+
+fn millis(duration: std::time::Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn filter_holds(filter: &RowFilter, cell: Option<&Value>) -> bool {
+    match cell.and_then(Value::as_f64) {
+        Some(number) => number_holds(filter, number),
+        None => text_holds(filter, &cell.map(render_cell).unwrap_or_default()),
+    }
+}
+
+fn number_holds(filter: &RowFilter, number: f64) -> bool {
+    let in_millis = filter.column.ends_with("-ms");
+    let duration = parse_duration(&filter.value).filter(|_| in_millis);
+    let value = duration.map(millis).or_else(|| filter.value.parse().ok());
+    let ordering = value.and_then(|value: f64| number.partial_cmp(&value));
+    match filter.comparison {
+        Comparison::Equal => ordering.is_some_and(std::cmp::Ordering::is_eq),
+        Comparison::NotEqual => !ordering.is_some_and(std::cmp::Ordering::is_eq),
+        Comparison::Less => ordering.is_some_and(std::cmp::Ordering::is_lt),
+        Comparison::Greater => ordering.is_some_and(std::cmp::Ordering::is_gt),
+        Comparison::StartsWith => number.to_string().starts_with(&filter.value),
+    }
+}
+
+fn text_holds(filter: &RowFilter, text: &str) -> bool {
+    let value = filter.value.as_str();
+    match filter.comparison {
+        Comparison::Equal => text == value,
+        Comparison::NotEqual => text != value,
+        Comparison::Less => text < value,
+        Comparison::Greater => text > value,
+        Comparison::StartsWith => text.starts_with(value),
+    }
+}
+
+fn render_cell(cell: &Value) -> String {
+    match cell {
+        Value::Null => String::new(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+impl fmt::Display for ResultTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let texts = self.rows.iter().map(|row| row.iter().map(printable));
+        let rows: Vec<Vec<String>> = texts.map(Iterator::collect).collect();
+        let widths = widths(&self.columns, &rows);
+        write_row(f, &self.columns, &widths)?;
+        for row in &rows {
+            write_row(f, row, &widths)?;
+        }
+        if self.omitted > 0 {
+            writeln!(f, "({} more rows)", self.omitted)?;
+        }
+        Ok(())
+    }
+}
+
+/// Renders a cell without characters that could move a terminal's cursor.
+fn printable(cell: &Value) -> String {
+    let text = render_cell(cell);
+    text.chars()
+        .map(|c| if c.is_control() { '?' } else { c })
+        .collect()
+}
+
+fn widths(columns: &[String], rows: &[Vec<String>]) -> Vec<usize> {
+    let width = |text: &String| text.chars().count();
+    let mut widths: Vec<usize> = columns.iter().map(width).collect();
+    for row in rows {
+        for (widest, text) in widths.iter_mut().zip(row) {
+            *widest = (*widest).max(width(text));
+        }
+    }
+    widths
+}
+
+fn write_row(f: &mut fmt::Formatter<'_>, row: &[String], widths: &[usize]) -> fmt::Result {
+    let cells: Vec<String> = row
+        .iter()
+        .zip(widths)
+        .map(|(text, width)| format!("{text:<width$}"))
+        .collect();
+    writeln!(f, "{}", cells.join("  ").trim_end())
+}
--- /dev/null
+++ b/src/language/verbs/drop.rs
@@ -0,0 +1,28 @@
+//! `drop`: removes things of the configuration, or refuses a waiting request.
+
+use crate::language::LanguageError;
+use crate::language::OperatorCommand;
+use crate::language::VerbPlugin;
+use crate::language::WordCursor;
+use crate::language::verbs::change;
+use crate::language::verbs::kind;
+
+fn parse(cursor: &mut WordCursor) -> Result<OperatorCommand, LanguageError> {
+    if cursor.accept("request") {
+        let request = cursor.name("a request such as 9f2c41d0a3b5e671-42")?;
+        return Ok(OperatorCommand::DropRequest(request));
+    }
+    let kind = kind(cursor, &["request"])?;
+    let drop = (kind.drop)(cursor)?;
+    change(cursor, drop)
+}
+
+inventory::submit! {
+    VerbPlugin {
+        name: "drop",
+        usage: "KIND NAME [if version N] | request ID",
+        meaning: "Removes a thing that nothing else uses, or refuses a request that waits.",
+        example: "drop rule hearing",
+        parse,
+    }
+}
--- /dev/null
+++ b/src/language/verbs/explain.rs
@@ -0,0 +1,22 @@
+//! `explain`: tells why a request got what it got.
+
+use crate::language::LanguageError;
+use crate::language::OperatorCommand;
+use crate::language::VerbPlugin;
+use crate::language::WordCursor;
+
+fn parse(cursor: &mut WordCursor) -> Result<OperatorCommand, LanguageError> {
+    cursor.expect("request")?;
+    let request = cursor.name("a request such as 9f2c41d0a3b5e671-42")?;
+    Ok(OperatorCommand::Explain(request))
+}
+
+inventory::submit! {
+    VerbPlugin {
+        name: "explain",
+        usage: "request ID",
+        meaning: "Tells a request's tier and rule, its waits, the choice of its worker and its end.",
+        example: "explain request 9f2c41d0a3b5e671-42",
+        parse,
+    }
+}
