--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -109,7 +109,7 @@
     }
 
     /// Returns the asks to send now: those that were never sent, whose broker changed or that have
-    /// had no answer for [`REASK_INTERVAL`].
+    /// had no answer for `REASK_INTERVAL`.
     pub fn due<F>(&mut self, now: ClockTime, broker_of: F) -> Vec<OutgoingAsk>
     where
         F: Fn(&CellId) -> Option<HostName>,
