Make request traces shaped like the two deployments from a seed

Cause: the policy bench needs load with unlike lengths, bursts, shared prefixes and four tiers. New dependency: rand_distr, for log-normal lengths and Zipf popularity.

--- a/standin/src/trace.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Request traces shaped like the two deployments, made from a seed.
--- /dev/null
+++ b/standin/src/trace/arrival.rs
@@ -0,0 +1,75 @@
+//! Arrival times with bursts.
+
+use std::time::Duration;
+
+use borageladder_kernel::clock::ClockTime;
+use rand::Rng;
+use rand::RngExt;
+use rand_distr::Exp1;
+
+/// The time from one burst to the next.
+const BURST_CYCLE: Duration = Duration::from_secs(40);
+
+/// The length of a burst.
+const BURST_LENGTH: Duration = Duration::from_secs(4);
+
+/// The rate in a burst, as a multiple of the mean rate.
+const BURST_FACTOR: f64 = 3.0;
+
+/// A time in which arrivals are more frequent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BurstWindow {
+    /// The start.
+    pub start: ClockTime,
+    /// The end.
+    pub end: ClockTime,
+    /// The factor on the rate.
+    pub factor: f64,
+}
+
+/// Draws arrival times.
+pub(super) struct ArrivalClock {
+    rate: f64,
+    offset: Duration,
+    burst: Option<BurstWindow>,
+    now: ClockTime,
+}
+
+impl ArrivalClock {
+    /// Creates a clock with a mean rate in arrivals a second.
+    pub(super) fn new(rate: f64, burst: Option<BurstWindow>, random: &mut impl Rng) -> Self {
+        Self {
+            rate,
+            offset: BURST_CYCLE.mul_f64(random.random::<f64>()),
+            burst,
+            now: ClockTime::ZERO,
+        }
+    }
+
+    pub(super) fn next(&mut self, random: &mut impl Rng) -> ClockTime {
+        let wait: f64 = random.sample(Exp1);
+        let rate = self.rate * self.cycle_factor() * self.window_factor();
+        self.now = self.now + Duration::from_secs_f64(wait / rate);
+        self.now
+    }
+
+    fn cycle_factor(&self) -> f64 {
+        let cycle = BURST_CYCLE.as_secs_f64();
+        let burst = BURST_LENGTH.as_secs_f64();
+        let position = (self.now + self.offset)
+            .since(ClockTime::ZERO)
+            .as_secs_f64()
+            % cycle;
+        if position < burst {
+            BURST_FACTOR
+        } else {
+            (cycle - burst * BURST_FACTOR) / (cycle - burst)
+        }
+    }
+
+    fn window_factor(&self) -> f64 {
+        self.burst
+            .filter(|window| (window.start..window.end).contains(&self.now))
+            .map_or(1.0, |window| window.factor)
+    }
+}
--- /dev/null
+++ b/standin/src/trace/kind.rs
@@ -0,0 +1,208 @@
+//! The kinds of requests of each deployment.
+
+use std::time::Duration;
+
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::TierRank;
+use rand::Rng;
+use rand::RngExt;
+use rand_distr::LogNormal;
+
+use super::DeploymentKind;
+use super::TraceRequest;
+use super::prefix::PrefixPool;
+
+/// The requests of a batch that follow each other with one prefix.
+const BATCH_RUN: u32 = 25;
+
+/// A distribution of lengths in tokens: log-normal within bounds.
+#[derive(Clone, Copy, Debug)]
+struct LengthSpec {
+    median: f64,
+    sigma: f64,
+    min: u32,
+    max: u32,
+}
+
+const fn lengths(median: f64, sigma: f64, min: u32, max: u32) -> LengthSpec {
+    LengthSpec {
+        median,
+        sigma,
+        min,
+        max,
+    }
+}
+
+impl LengthSpec {
+    fn sample(&self, random: &mut impl Rng) -> u32 {
+        let Ok(distribution) = LogNormal::new(self.median.ln(), self.sigma) else {
+            return self.min;
+        };
+        let bounds = f64::from(self.min)..=f64::from(self.max);
+        let length = random.sample(distribution);
+        let length = length.clamp(*bounds.start(), *bounds.end()).round();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the length was clamped to the range of the bounds"
+        )]
+        let length = length as u32;
+        length
+    }
+}
+
+/// One kind of request.
+#[derive(Clone, Copy, Debug)]
+struct KindSpec {
+    tier: u8,
+    share: f64,
+    budget: Duration,
+    notes: LengthSpec,
+    answer: LengthSpec,
+    by_prefix: bool,
+}
+
+const QUILL_KINDS: [KindSpec; 4] = [
+    // A full letter for a hearing.
+    KindSpec {
+        tier: 0,
+        share: 0.25,
+        budget: Duration::from_mins(1),
+        notes: lengths(500.0, 0.7, 100, 3_000),
+        answer: lengths(300.0, 0.5, 80, 900),
+        by_prefix: false,
+    },
+    // A revised paragraph.
+    KindSpec {
+        tier: 1,
+        share: 0.3,
+        budget: Duration::from_secs(15),
+        notes: lengths(200.0, 0.5, 60, 800),
+        answer: lengths(80.0, 0.5, 20, 240),
+        by_prefix: false,
+    },
+    // The tag of a contract clause.
+    KindSpec {
+        tier: 2,
+        share: 0.25,
+        budget: Duration::from_secs(10),
+        notes: lengths(80.0, 0.4, 30, 300),
+        answer: lengths(8.0, 0.4, 4, 24),
+        by_prefix: false,
+    },
+    // A letter that nobody waits for yet.
+    KindSpec {
+        tier: 3,
+        share: 0.2,
+        budget: Duration::from_mins(3),
+        notes: lengths(900.0, 0.9, 100, 6_000),
+        answer: lengths(300.0, 0.5, 80, 900),
+        by_prefix: false,
+    },
+];
+
+const SARGAM_KINDS: [KindSpec; 4] = [
+    // An answer to a teacher beside a child.
+    KindSpec {
+        tier: 0,
+        share: 0.25,
+        budget: Duration::from_secs(20),
+        notes: lengths(200.0, 0.6, 40, 1_200),
+        answer: lengths(100.0, 0.5, 20, 300),
+        by_prefix: false,
+    },
+    // Feedback on repertoire.
+    KindSpec {
+        tier: 1,
+        share: 0.2,
+        budget: Duration::from_secs(45),
+        notes: lengths(300.0, 0.6, 60, 1_500),
+        answer: lengths(220.0, 0.5, 60, 700),
+        by_prefix: false,
+    },
+    // The summary of a panel.
+    KindSpec {
+        tier: 2,
+        share: 0.15,
+        budget: Duration::from_mins(1),
+        notes: lengths(1_500.0, 0.6, 300, 6_000),
+        answer: lengths(200.0, 0.5, 60, 600),
+        by_prefix: false,
+    },
+    // The scoring of one recording, overnight.
+    KindSpec {
+        tier: 3,
+        share: 0.4,
+        budget: Duration::from_mins(5),
+        notes: lengths(300.0, 0.8, 40, 3_000),
+        answer: lengths(12.0, 0.5, 4, 60),
+        by_prefix: true,
+    },
+];
+
+/// Draws requests of one deployment.
+pub(super) struct KindSampler {
+    kinds: &'static [KindSpec; 4],
+    pool: PrefixPool,
+    run_left: u32,
+    run_prefix: usize,
+}
+
+impl KindSampler {
+    pub(super) fn new(deployment: DeploymentKind, seed: u64) -> Self {
+        let kinds = match deployment {
+            DeploymentKind::Quill => &QUILL_KINDS,
+            DeploymentKind::Sargam => &SARGAM_KINDS,
+        };
+        Self {
+            kinds,
+            pool: PrefixPool::new(seed),
+            run_left: 0,
+            run_prefix: 0,
+        }
+    }
+
+    pub(super) fn prefix_blocks(&self) -> usize {
+        self.pool.total_blocks()
+    }
+
+    pub(super) fn sample(&mut self, at: ClockTime, random: &mut impl Rng) -> TraceRequest {
+        let kind = self.pick_kind(random);
+        let prefix = self.pick_prefix(kind, random);
+        let notes_tokens = kind.notes.sample(random);
+        let prompt = self.pool.prompt(prefix, notes_tokens, random);
+        TraceRequest {
+            at,
+            tier: TierRank(kind.tier),
+            budget: kind.budget,
+            workspace: PrefixPool::workspace(prefix),
+            prompt_tokens: prompt.tokens,
+            blocks: prompt.blocks,
+            answer_tokens: kind.answer.sample(random),
+            max_answer_tokens: kind.answer.max,
+        }
+    }
+
+    fn pick_kind(&self, random: &mut impl Rng) -> KindSpec {
+        let mut point: f64 = random.random();
+        for kind in self.kinds {
+            if point < kind.share {
+                return *kind;
+            }
+            point -= kind.share;
+        }
+        self.kinds[0]
+    }
+
+    fn pick_prefix(&mut self, kind: KindSpec, random: &mut impl Rng) -> Option<usize> {
+        if !kind.by_prefix {
+            return self.pool.pick(random);
+        }
+        if self.run_left == 0 {
+            self.run_left = BATCH_RUN;
+            self.run_prefix = self.pool.pick_shared(random);
+        }
+        self.run_left -= 1;
+        Some(self.run_prefix)
+    }
+}
