--- a/standin/src/trace/mod.rs
+++ b/standin/src/trace/mod.rs
@@ -176,6 +176,6 @@
         let request = sampler.sample(ClockTime::ZERO, &mut random);
         work += fleet::engine_share(&request);
     }
-    let samples = u32::try_from(SAMPLE_REQUESTS).map_or(f64::MAX, f64::from);
-    FITTING_SHARE * samples / work
+    let count = u32::try_from(SAMPLE_REQUESTS).map_or(f64::MAX, f64::from);
+    FITTING_SHARE * count / work
 }
