--- /dev/null
+++ b/standin/tests/experiment.rs
@@ -0,0 +1,93 @@
+//! Tests of the experiments themselves.
+
+use std::time::Duration;
+
+use borageladder_kernel::ask::RefusalReason;
+use borageladder_standin::experiment;
+use borageladder_standin::experiment::ExperimentError;
+use borageladder_standin::experiment::ExperimentResult;
+use borageladder_standin::experiment::ExperimentSpec;
+use borageladder_standin::experiment::FaultKind;
+use borageladder_standin::trace::DeploymentKind;
+use yare::parameterized;
+
+fn spec(fault: FaultKind) -> ExperimentSpec {
+    ExperimentSpec {
+        deployment: DeploymentKind::Sargam,
+        scale: 1.0,
+        fault,
+        policy: "predicted-finish",
+        seed: 3,
+        length: Duration::from_secs(40),
+    }
+}
+
+fn run(fault: FaultKind) -> ExperimentResult {
+    experiment::run(&spec(fault)).expect("the policy is registered")
+}
+
+fn offered(result: &ExperimentResult) -> u64 {
+    result.tiers.iter().map(|tier| tier.offered).sum()
+}
+
+fn in_time(result: &ExperimentResult) -> u64 {
+    result.tiers.iter().map(|tier| tier.in_time).sum()
+}
+
+#[parameterized(
+    calm = { FaultKind::Calm },
+    burst = { FaultKind::Burst },
+    straggler = { FaultKind::Straggler },
+    worker_death = { FaultKind::WorkerDeath },
+    late_reports = { FaultKind::LateReports },
+    cache_gaps = { FaultKind::CacheGaps },
+    broker_death = { FaultKind::BrokerDeath },
+    host_death = { FaultKind::HostDeath },
+)]
+fn every_request_ends_once(fault: FaultKind) {
+    let result = run(fault);
+    let refused: u64 = result.refused.iter().map(|count| count.requests).sum();
+    let ended = in_time(&result) + refused + result.late + result.lost;
+    assert_eq!(ended, offered(&result));
+    assert_eq!(result.dispatched_twice, 0);
+}
+
+#[test]
+fn equal_specifications_give_equal_results() {
+    assert_eq!(run(FaultKind::WorkerDeath), run(FaultKind::WorkerDeath));
+}
+
+#[test]
+fn threads_keep_the_order_of_results() {
+    let specs = FaultKind::ALL.map(spec);
+    let results = experiment::run_all(&specs, 4).expect("the policy is registered");
+    let order: Vec<FaultKind> = results.iter().map(|result| result.spec.fault).collect();
+    assert_eq!(order, FaultKind::ALL);
+    assert_eq!(results[0], run(FaultKind::Calm));
+}
+
+#[test]
+fn a_crashing_request_is_refused_after_two_workers() {
+    let result = run(FaultKind::CrashingRequest);
+    assert_eq!(result.crashed_workers, 2);
+    let quarantined = result
+        .refused
+        .iter()
+        .any(|count| count.reason == RefusalReason::Quarantined);
+    assert!(quarantined);
+}
+
+#[test]
+fn the_death_of_a_host_loses_its_requests_only() {
+    let result = run(FaultKind::HostDeath);
+    assert!(result.lost > 0);
+    assert!(10 * result.lost < offered(&result));
+}
+
+#[test]
+fn an_unknown_policy_is_an_error() {
+    let mut spec = spec(FaultKind::Calm);
+    spec.policy = "coin-toss";
+    let result = experiment::run(&spec);
+    assert!(matches!(result, Err(ExperimentError::Broker(_))));
+}
