Take and settle claims in the platform's table

Cause: the entry needs the claim protocol with its I/O, and the operators need to end an unknown outcome, with an audit record in the same transaction.

What was ruled out: an expiry or takeover of claims (a paused holder would run the request beside its repeat); leaving it to the entry to give back a claim whose caller left, since a dropped future tells nobody. A dropped ticket is therefore given back, and a dropped dispatched claim recorded as unknown, in the background, as is whatever the table did not confirm.

Tests against the stand-in: lost replies of the table and of the object store, an outage during a claim and during a release, dropped tickets, and settlements.

Conclusion: every way out of a claim ends in a state that a repeat is answered from.

--- a/src/claims.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Claims of non-idempotent requests in the platform's table.
--- /dev/null
+++ b/src/claims/store.rs
@@ -0,0 +1,151 @@
+//! Claims and kept answers as the platform stores them.
+
+use crate::claims::AnswerError;
+use crate::claims::ClaimError;
+use crate::claims::KeptAnswer;
+use crate::kernel::claim::ChangeEnd;
+use crate::kernel::claim::ChangeStep;
+use crate::kernel::claim::ClaimKey;
+use crate::kernel::claim::ClaimRow;
+use crate::kernel::claim::StoredClaim;
+use crate::kernel::claim::TableCall;
+use crate::kernel::claim::TableReply;
+use crate::kernel::table::RowCheck;
+use crate::kernel::table::RowRevision;
+use crate::kernel::table::RowWrite;
+use crate::kernel::table::TableRow;
+use crate::kernel::table::TableTransaction;
+use crate::platform::PlatformClient;
+use crate::platform::PlatformError;
+use crate::platform::TransactOutcome;
+
+/// Carries out the calls of the claim protocol.
+#[derive(Clone, Debug)]
+pub struct ClaimStore {
+    platform: PlatformClient,
+}
+
+impl ClaimStore {
+    /// Creates a store in the platform.
+    pub const fn new(platform: PlatformClient) -> Self {
+        Self { platform }
+    }
+
+    /// Carries out a call; a write also writes the audit record, which must not stand yet.
+    pub async fn call(
+        &self,
+        key: &ClaimKey,
+        call: TableCall,
+        audit: Option<&RowWrite>,
+    ) -> Result<TableReply, ClaimError> {
+        match call {
+            TableCall::Read => self.read(key).await,
+            TableCall::Write { expected, row } => self.write(key, expected, &row, audit).await,
+        }
+    }
+
+    /// Carries out a change to its end.
+    pub async fn change(
+        &self,
+        key: &ClaimKey,
+        mut step: ChangeStep,
+        audit: Option<&RowWrite>,
+    ) -> Result<ChangeEnd, ClaimError> {
+        loop {
+            match step {
+                ChangeStep::Call(change, call) => {
+                    let reply = self.call(key, call, audit).await?;
+                    step = change.step(reply);
+                }
+                ChangeStep::Done(end) => return Ok(end),
+            }
+        }
+    }
+
+    /// Reads the claim under a key.
+    pub async fn claim(&self, key: &ClaimKey) -> Result<Option<StoredClaim>, ClaimError> {
+        stored(self.platform.row(&key.row_key()).await?)
+    }
+
+    /// Stores an answer.
+    pub async fn keep(&self, object: &str, answer: &KeptAnswer) -> Result<(), ClaimError> {
+        let bytes = answer.to_object()?;
+        Ok(self.platform.put_object(object, bytes).await?)
+    }
+
+    /// Reads a kept answer.
+    pub async fn answer(&self, object: &str) -> Result<KeptAnswer, ClaimError> {
+        let bytes = self.platform.object(object).await?;
+        let bytes = bytes.ok_or(AnswerError::Missing)?;
+        Ok(KeptAnswer::from_object(&bytes)?)
+    }
+
+    async fn read(&self, key: &ClaimKey) -> Result<TableReply, ClaimError> {
+        match self.platform.row(&key.row_key()).await {
+            Ok(row) => Ok(TableReply::Row(stored(row)?)),
+            Err(error) => Ok(lost(&error)),
+        }
+    }
+
+    async fn write(
+        &self,
+        key: &ClaimKey,
+        expected: Option<RowRevision>,
+        row: &ClaimRow,
+        audit: Option<&RowWrite>,
+    ) -> Result<TableReply, ClaimError> {
+        let row_key = key.row_key();
+        let transaction = transaction(&row_key, expected, row, audit)?;
+        match self.platform.transact(&transaction).await {
+            Ok(TransactOutcome::Committed { revision }) => Ok(TableReply::Committed { revision }),
+            Ok(TransactOutcome::Conflict { key, row }) if key == row_key => {
+                Ok(TableReply::Conflict(stored(row)?))
+            }
+            // The audit record stands, so an earlier write may have been applied.
+            Ok(TransactOutcome::Conflict { .. }) => Ok(TableReply::Lost),
+            Err(error) => Ok(lost(&error)),
+        }
+    }
+}
+
+fn transaction(
+    row_key: &str,
+    expected: Option<RowRevision>,
+    row: &ClaimRow,
+    audit: Option<&RowWrite>,
+) -> Result<TableTransaction, ClaimError> {
+    let value = serde_json::to_string(row).map_err(ClaimError::Row)?;
+    let mut transaction = TableTransaction::default();
+    transaction.checks.push(RowCheck {
+        key: row_key.to_owned(),
+        revision: expected,
+    });
+    transaction.writes.push(RowWrite {
+        key: row_key.to_owned(),
+        value,
+    });
+    if let Some(audit) = audit {
+        transaction.checks.push(RowCheck {
+            key: audit.key.clone(),
+            revision: None,
+        });
+        transaction.writes.push(audit.clone());
+    }
+    Ok(transaction)
+}
+
+fn stored(row: Option<TableRow>) -> Result<Option<StoredClaim>, ClaimError> {
+    let Some(found) = row else {
+        return Ok(None);
+    };
+    let row = serde_json::from_str(&found.value).map_err(ClaimError::Row)?;
+    let revision = found.revision;
+    Ok(Some(StoredClaim { row, revision }))
+}
+
+const fn lost(error: &PlatformError) -> TableReply {
+    match error {
+        PlatformError::Unreachable { .. } => TableReply::Unreachable,
+        PlatformError::Unknown { .. } | PlatformError::Protocol { .. } => TableReply::Lost,
+    }
+}
--- /dev/null
+++ b/src/claims/ticket.rs
@@ -0,0 +1,101 @@
+//! The right to run a non-idempotent request, as an entry holds it.
+
+use std::rc::Rc;
+
+use crate::claims::pending::PendingClaim;
+use crate::claims::pending::PendingList;
+use crate::kernel::claim;
+use crate::kernel::claim::ClaimKey;
+use crate::kernel::claim::ClaimRow;
+
+/// A claim that stands, for a request of which nothing was written to an upstream yet.
+///
+/// It is given back in the background when it is dropped.
+#[derive(Debug)]
+#[must_use]
+pub struct ClaimTicket {
+    key: ClaimKey,
+    ticket: Option<claim::ClaimTicket>,
+    pending: Rc<PendingList>,
+}
+
+impl ClaimTicket {
+    pub(in crate::claims) fn new(
+        key: ClaimKey,
+        ticket: claim::ClaimTicket,
+        pending: Rc<PendingList>,
+    ) -> Self {
+        Self {
+            key,
+            ticket: Some(ticket),
+            pending,
+        }
+    }
+
+    /// Gives up the right to undo the claim, right before the first byte is written.
+    pub fn dispatch(mut self) -> DispatchedClaim {
+        let ticket = self.take();
+        DispatchedClaim {
+            key: self.key.clone(),
+            claim: Some(ticket.dispatch()),
+            pending: Rc::clone(&self.pending),
+        }
+    }
+
+    pub(in crate::claims) fn into_parts(mut self) -> (ClaimKey, claim::ClaimTicket) {
+        let ticket = self.take();
+        (self.key.clone(), ticket)
+    }
+
+    fn take(&mut self) -> claim::ClaimTicket {
+        self.ticket
+            .take()
+            .expect("a ticket is taken only by the calls that consume it")
+    }
+}
+
+impl Drop for ClaimTicket {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let row = ticket.row().clone();
+            self.pending
+                .add(PendingClaim::release(self.key.clone(), row));
+        }
+    }
+}
+
+/// A claim whose request may have reached an upstream.
+///
+/// Its outcome is recorded as unknown in the background when it is dropped.
+#[derive(Debug)]
+#[must_use]
+pub struct DispatchedClaim {
+    key: ClaimKey,
+    claim: Option<claim::DispatchedClaim>,
+    pending: Rc<PendingList>,
+}
+
+impl DispatchedClaim {
+    /// Returns the claim, or `None` once its outcome is being recorded.
+    #[must_use]
+    pub fn row(&self) -> Option<&ClaimRow> {
+        self.claim.as_ref().map(claim::DispatchedClaim::row)
+    }
+
+    pub(in crate::claims) fn into_parts(mut self) -> (ClaimKey, claim::DispatchedClaim) {
+        let claim = self
+            .claim
+            .take()
+            .expect("a claim is taken only by the calls that consume it");
+        (self.key.clone(), claim)
+    }
+}
+
+impl Drop for DispatchedClaim {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            self.pending
+                .add(PendingClaim::unknown(self.key.clone(), claim));
+        }
+    }
+}
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,217 @@
+//! Claims against the platform's stand-in, under lost replies, an outage and dropped tickets.
+
+use std::net::SocketAddr;
+
+use actix_rt::System;
+use awc::Client;
+use borageladder::claims::ClaimError;
+use borageladder::claims::ClaimOutcome;
+use borageladder::claims::ClaimService;
+use borageladder::claims::ClaimTicket;
+use borageladder::claims::KeptAnswer;
+use borageladder::claims::KeptHeader;
+use borageladder::kernel::claim::ContentDigest;
+use borageladder::kernel::claim::SettleError;
+use borageladder::kernel::claim::Settlement;
+use borageladder::kernel::name::RequestId;
+use borageladder::kernel::name::WorkspaceName;
+use borageladder::platform::PlatformClient;
+use borageladder::platform::PlatformTimeouts;
+use borageladder_standin::control::FaultCommand;
+use borageladder_standin::hosts::HostListing;
+use borageladder_standin::platform::PlatformService;
+use yare::parameterized;
+
+struct Bench {
+    platform: SocketAddr,
+    first: ClaimService,
+    second: ClaimService,
+}
+
+impl Bench {
+    fn start() -> Self {
+        let address = "127.0.0.1:0".parse().unwrap();
+        let platform = PlatformService::start(address, HostListing::default()).unwrap();
+        let service = |host: &str| {
+            let client = PlatformClient::new(platform, PlatformTimeouts::default());
+            ClaimService::new(client, host.parse().unwrap())
+        };
+        Self {
+            platform,
+            first: service("host-1"),
+            second: service("host-2"),
+        }
+    }
+
+    async fn control(&self, command: FaultCommand) {
+        let url = format!("http://{}/control", self.platform);
+        let response = Client::default().post(url).send_json(&command).await;
+        assert!(response.unwrap().status().is_success());
+    }
+
+    async fn lose_replies(&self, count: u32) {
+        let command = FaultCommand {
+            lose_replies: Some(count),
+            ..FaultCommand::default()
+        };
+        self.control(command).await;
+    }
+
+    async fn set_down(&self, down: bool) {
+        let command = FaultCommand {
+            down: Some(down),
+            ..FaultCommand::default()
+        };
+        self.control(command).await;
+    }
+}
+
+fn workspace() -> WorkspaceName {
+    "union-7".parse().unwrap()
+}
+
+async fn claim(service: &ClaimService, content: u64) -> Result<ClaimOutcome, ClaimError> {
+    let request = RequestId {
+        incarnation: 1,
+        sequence: 1,
+    };
+    let content = ContentDigest(content);
+    service
+        .claim(&workspace(), "filing-1", request, content)
+        .await
+}
+
+async fn hold(service: &ClaimService) -> ClaimTicket {
+    match claim(service, 1).await {
+        Ok(ClaimOutcome::Held(ticket)) => ticket,
+        other => panic!("{other:?} holds no claim"),
+    }
+}
+
+fn kept_answer() -> KeptAnswer {
+    KeptAnswer {
+        status: 201,
+        headers: vec![KeptHeader {
+            name: "content-type".to_owned(),
+            value: "text/plain".to_owned(),
+        }],
+        body: "filed\n1".into(),
+    }
+}
+
+macro_rules! assert_outcome {
+    ($outcome:expr, $pattern:pat) => {
+        let outcome = $outcome.await;
+        assert!(matches!(outcome, $pattern), "{outcome:?}");
+    };
+}
+
+#[parameterized(no_loss = { 0 }, one_loss = { 1 }, two_losses = { 2 })]
+fn one_host_holds_and_a_repeat_gets_its_answer(losses: u32) {
+    System::new().block_on(async {
+        let bench = Bench::start();
+        bench.lose_replies(losses).await;
+        let ticket = hold(&bench.first).await;
+        assert_outcome!(claim(&bench.second, 1), Ok(ClaimOutcome::InProgress(_)));
+
+        bench.lose_replies(losses.min(1)).await;
+        let claimed = ticket.dispatch();
+        // The reply of the object store is among those that are lost.
+        let recorded = bench.first.answered(claimed, &kept_answer()).await;
+        assert_eq!(recorded.is_err(), losses > 0);
+        if losses > 0 {
+            assert_outcome!(claim(&bench.first, 1), Ok(ClaimOutcome::Answered(_)));
+        }
+        match claim(&bench.second, 1).await {
+            Ok(ClaimOutcome::Answered(answer)) => assert_eq!(answer, kept_answer()),
+            other => panic!("{other:?} is not the answer"),
+        }
+        assert_outcome!(claim(&bench.second, 2), Ok(ClaimOutcome::Mismatch));
+        assert_eq!(bench.first.pending(), 0);
+    });
+}
+
+#[parameterized(no_loss = { 0 }, one_loss = { 1 })]
+fn a_claim_that_is_given_back_is_free(losses: u32) {
+    System::new().block_on(async {
+        let bench = Bench::start();
+        for _ in 0..2 {
+            let ticket = hold(&bench.first).await;
+            bench.lose_replies(losses).await;
+            bench.first.give_back(ticket).await.unwrap();
+        }
+        let ticket = hold(&bench.second).await;
+        assert_outcome!(claim(&bench.first, 1), Ok(ClaimOutcome::InProgress(_)));
+        bench.second.give_back(ticket).await.unwrap();
+    });
+}
+
+#[test]
+fn an_outage_refuses_and_leaves_nothing_claimed() {
+    System::new().block_on(async {
+        let bench = Bench::start();
+        bench.set_down(true).await;
+        assert_outcome!(claim(&bench.first, 1), Err(ClaimError::Unavailable));
+        bench.set_down(false).await;
+        let ticket = hold(&bench.first).await;
+        assert_eq!(bench.first.pending(), 0);
+        bench.set_down(true).await;
+        assert_outcome!(bench.first.give_back(ticket), Err(ClaimError::NotRecorded));
+        bench.set_down(false).await;
+        let ticket = hold(&bench.first).await;
+        bench.first.give_back(ticket).await.unwrap();
+    });
+}
+
+#[test]
+fn a_dropped_ticket_is_given_back() {
+    System::new().block_on(async {
+        let bench = Bench::start();
+        drop(hold(&bench.first).await);
+        let ticket = hold(&bench.first).await;
+        bench.first.give_back(ticket).await.unwrap();
+        drop(hold(&bench.second).await.dispatch());
+        assert_outcome!(claim(&bench.second, 1), Ok(ClaimOutcome::Unknown(_)));
+    });
+}
+
+#[test]
+fn operators_settle_an_unknown_outcome_with_an_audit_record() {
+    System::new().block_on(async {
+        let bench = Bench::start();
+        let operator = "aiko".parse().unwrap();
+        let settle = |settlement| {
+            let service = &bench.second;
+            let operator = &operator;
+            async move {
+                let workspace = workspace();
+                let key = "filing-1";
+                service.settle(&workspace, key, settlement, operator).await
+            }
+        };
+        assert_outcome!(settle(Settlement::Ran), Err(ClaimError::NoClaim));
+        let ticket = hold(&bench.first).await;
+        assert_outcome!(
+            settle(Settlement::NotRun),
+            Err(ClaimError::Settle(SettleError::HolderMayRun { .. }))
+        );
+        bench.first.mark_unknown(ticket.dispatch()).await.unwrap();
+        assert_outcome!(claim(&bench.second, 1), Ok(ClaimOutcome::Unknown(_)));
+
+        bench.lose_replies(1).await;
+        let audit = settle(Settlement::NotRun).await.unwrap();
+        assert_eq!(audit.operator, operator);
+        let ticket = hold(&bench.second).await;
+        bench.second.mark_unknown(ticket.dispatch()).await.unwrap();
+        settle(Settlement::Ran).await.unwrap();
+        assert_outcome!(claim(&bench.first, 1), Ok(ClaimOutcome::Answered(_)));
+        assert_outcome!(
+            settle(Settlement::NotRun),
+            Err(ClaimError::Settle(SettleError::Known))
+        );
+
+        let client = PlatformClient::new(bench.platform, PlatformTimeouts::default());
+        let records = client.rows("audit/claims/union-7/", "", 10).await.unwrap();
+        assert_eq!(records.len(), 2);
+    });
+}
