Leave the platform's table as a store to its own module

Cause: the daemon's table module implements the same trait; two implementations do not compile. The logger of the members is now that of the links.

--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -3,7 +3,6 @@
 mod audit;
 mod change;
 mod error;
-mod platform;
 mod store;
 
 use std::cell::RefCell;
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -126,6 +126,11 @@
         &self.settings.host
     }
 
+    /// Returns the logger of this host.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
     /// Returns the incarnation of this process.
     #[must_use]
     pub fn incarnation(&self) -> u64 {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -77,21 +77,16 @@
 impl MemberService {
     /// Dials the first peers and sends heartbeats from now on.
     #[must_use]
-    pub fn start(
-        settings: MemberSettings,
-        links: Rc<LinkSet>,
-        clock: ClockSource,
-        log: &Logger,
-    ) -> Rc<Self> {
+    pub fn start(settings: MemberSettings, links: Rc<LinkSet>, clock: ClockSource) -> Rc<Self> {
         let host = links.host().clone();
         let dialer = PeerDialer::new(&settings, links.own_address());
         let service = Rc::new(Self {
             membership: RefCell::new(Membership::new(host, settings.datacenter.clone())),
             dialer: RefCell::new(dialer),
             settings,
+            log: links.log().clone(),
             links,
             clock,
-            log: log.clone(),
             report: RefCell::default(),
             listeners: RefCell::default(),
         });
--- a/tests/keeper.rs
+++ b/tests/keeper.rs
@@ -77,7 +77,6 @@
             },
             Rc::clone(&links),
             Rc::clone(&clock),
-            &log(),
         );
         let keeper = Keeper::start(
             datacenter(place),
