Run non-idempotent requests at most once under their key

Cause: calls of plain services that must not be repeated were dispatched without a claim; a repeat at another host would have run again.

Ruled out: claiming in the handler itself, which ends when its caller leaves: the run is a task of its own and keeps its answer for the repeat.

--- a/src/context.rs
+++ b/src/context.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 
 use crate::cell::CellService;
+use crate::claims::ClaimService;
 use crate::clock::ProcessClock;
 use crate::event::LogEvent;
 use crate::journal::RequestEnd;
@@ -31,6 +32,7 @@
 use crate::link::LinkSet;
 use crate::log_event;
 use crate::member::MemberService;
+use crate::platform::PlatformClient;
 use crate::query::QueryTable;
 use crate::server::StopSignal;
 use crate::settings::HostSettings;
@@ -88,6 +90,10 @@
     pub links: Rc<LinkSet>,
     /// The cells.
     pub cells: Rc<CellService>,
+    /// The claims of non-idempotent requests.
+    pub claims: ClaimService,
+    /// The platform.
+    pub platform: PlatformClient,
     /// The requests of this host.
     pub journal: RefCell<RequestJournal>,
     /// Requests that may crash workers.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 use tokio::signal::unix::signal;
 
 use crate::cell::CellService;
+use crate::claims::ClaimService;
 use crate::clock::ProcessClock;
 use crate::context::AppliedConfiguration;
 use crate::context::HostContext;
@@ -63,6 +64,9 @@
 /// The time between two looks at what a stopping host still has to finish.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 
+/// The longest time that a stopping host tries to record the outcomes of claims.
+const STOP_CLAIMS: Duration = Duration::from_secs(10);
+
 /// The time that queued messages to other hosts have to be written before the process exits.
 const STOP_FLUSH: Duration = Duration::from_millis(200);
 
@@ -136,6 +140,7 @@
         ..BrokerSettings::default()
     };
     let cells = CellService::new(Box::new(network), clock, broker_settings);
+    let claims = ClaimService::new(platform.clone(), settings.host.clone());
     let applied = AppliedConfiguration::from(keeper.configuration());
     let context = Rc::new(HostContext {
         settings: Rc::new(settings),
@@ -145,6 +150,8 @@
         members,
         links,
         cells: Rc::new(cells),
+        claims,
+        platform,
         journal: RefCell::new(RequestJournal::default()),
         strikes: RefCell::new(StrikeRegister::default()),
         applied: RefCell::new(Rc::new(applied)),
@@ -156,7 +163,7 @@
     });
     // Nothing has waited since the links were started, so no message can have come before.
     let _ = slot.set(Rc::clone(&context));
-    start_tasks(&context, platform);
+    start_tasks(&context);
     Ok(context)
 }
 
@@ -194,7 +201,7 @@
     }
 }
 
-fn start_tasks(context: &Rc<HostContext>, platform: PlatformClient) {
+fn start_tasks(context: &Rc<HostContext>) {
     let lost = Rc::downgrade(context);
     context.members.on_change(Rc::new(move |change| {
         let Some(context) = lost.upgrade() else {
@@ -207,7 +214,7 @@
     actix_rt::spawn(run_ticks(Rc::clone(context)));
     actix_rt::spawn(run_summaries(Rc::clone(context)));
     actix_rt::spawn(follow_configuration(Rc::clone(context)));
-    UpstreamWatch::new(Rc::clone(context), platform).start();
+    UpstreamWatch::new(Rc::clone(context)).start();
 }
 
 async fn run_ticks(context: Rc<HostContext>) {
@@ -294,7 +301,19 @@
     while context.journal.borrow().active_count() > 0 {
         actix_rt::time::sleep(STOP_LOOK).await;
     }
+    wait_for_claims(context).await;
     actix_rt::time::sleep(STOP_FLUSH).await;
     context.links.stop();
     log_event!(context.log, LogEvent::StopFinished);
 }
+
+/// Waits for the platform to record what became of claims; without it they stay unknown, which is
+/// safe.
+async fn wait_for_claims(context: &HostContext) {
+    let recorded = async {
+        while context.claims.pending() > 0 {
+            actix_rt::time::sleep(STOP_LOOK).await;
+        }
+    };
+    let _ = tokio::time::timeout(STOP_CLAIMS, recorded).await;
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -31,6 +31,7 @@
 use crate::kernel::quarantine::QuarantineVerdict;
 use crate::kernel::rule::Placement;
 use crate::kernel::rule::RequestFacts;
+use crate::once;
 use crate::relay;
 use crate::reply::CallerError;
 use crate::reply::text;
@@ -81,7 +82,12 @@
     id: RequestId,
     request: &mut Request,
 ) -> Result<Response<BoxBody>, Rejection> {
-    let (placed, active) = admit(context, id, request).await?;
+    let (placed, active, once) = admit(context, id, request).await?;
+    if let Some(key) = once {
+        let tier = Some(placed.tier.clone());
+        let served = once::serve(context, active, placed, key).await;
+        return served.map_err(|error| Rejection { error, tier });
+    }
     let reject = |error: CallerError, active: &ActiveRequest, tier: &TierName| {
         active.failed(&error);
         Rejection {
@@ -89,7 +95,7 @@
             tier: Some(tier.clone()),
         }
     };
-    match execution::dispatch(context, &active, &placed).await {
+    match execution::dispatch(context, &active, &placed, || ()).await {
         Ok(dispatched) => {
             let answer = relay::answer(Rc::clone(context), active, &placed, dispatched).await;
             answer.map_err(|(error, active)| reject(error, &active, &placed.tier))
@@ -103,7 +109,7 @@
     context: &Rc<HostContext>,
     id: RequestId,
     request: &mut Request,
-) -> Result<(PlacedRequest, ActiveRequest), CallerError> {
+) -> Result<(PlacedRequest, ActiveRequest, Option<String>), CallerError> {
     let applied = context.applied();
     let workspace = authenticate(&applied, request.headers())?.clone();
     check_room(context, &applied, &workspace)?;
@@ -134,9 +140,9 @@
         incoming,
         headers: request.headers().clone(),
     };
-    check_idempotency(&placed, placement.non_idempotent)?;
+    let once = check_idempotency(&placed, placement.non_idempotent)?;
     open_record(context, &placed, placement);
-    Ok((placed, ActiveRequest::new(Rc::clone(context), id)))
+    Ok((placed, ActiveRequest::new(Rc::clone(context), id), once))
 }
 
 fn authenticate<'a>(
@@ -245,17 +251,16 @@
     }
 }
 
-fn check_idempotency(placed: &PlacedRequest, by_rule: bool) -> Result<(), CallerError> {
-    let needs_key = by_rule || placed.incoming.non_idempotent;
-    if !needs_key || placed.incoming.idempotency_key.is_some() {
-        return Ok(());
+/// Returns the idempotency key of a request that must not be repeated.
+fn check_idempotency(placed: &PlacedRequest, by_rule: bool) -> Result<Option<String>, CallerError> {
+    if !by_rule && !placed.incoming.non_idempotent {
+        return Ok(None);
     }
-    let message = "this call must not be repeated and needs an Idempotency-Key header";
-    Err(CallerError::not_run(
-        StatusCode::BAD_REQUEST,
-        "missing_idempotency_key",
-        message,
-    ))
+    let key = placed.incoming.idempotency_key.clone();
+    key.map(Some).ok_or_else(|| {
+        let message = "this call must not be repeated and needs an Idempotency-Key header";
+        CallerError::not_run(StatusCode::BAD_REQUEST, "missing_idempotency_key", message)
+    })
 }
 
 fn open_record(context: &HostContext, placed: &PlacedRequest, placement: Placement) {
--- a/src/execution.rs
+++ b/src/execution.rs
@@ -58,6 +58,8 @@
 
 /// Waits for a slot, opens a connection and hands the request to the upstream, once.
 ///
+/// Calls `crossed` right before the first byte is written.
+///
 /// # Errors
 ///
 /// Returns an error if the request was not dispatched; it did not run.
@@ -65,12 +67,14 @@
     context: &Rc<HostContext>,
     active: &ActiveRequest,
     placed: &PlacedRequest,
+    mut crossed: impl FnMut(),
 ) -> Result<DispatchedRequest, CallerError> {
     let mut life = RequestLife::waiting(placed.id, placed.rank, placed.deadline);
     for _ in 0..MAX_SLOTS {
         let (granted, lease) = wait_for_slot(context, active, placed, life).await?;
         match use_slot(context, granted, lease).await {
             Ok((dispatched, lease, connection, address)) => {
+                crossed();
                 active.crossed();
                 let worker = &dispatched.grant().worker;
                 active.step(format!("dispatched to {worker}"));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod member;
 pub mod metrics;
 pub mod network;
+pub mod once;
 pub mod operator;
 pub mod platform;
 pub mod query;
--- /dev/null
+++ b/src/once.rs
@@ -0,0 +1,215 @@
+//! Non-idempotent requests: claimed before they are dispatched, their answers kept for repeats.
+//!
+//! The run is a task of its own, so it goes on when its caller leaves: the request has run then, and
+//! a repeat must find its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use bytes::Bytes;
+
+use crate::claims::ClaimError;
+use crate::claims::ClaimOutcome;
+use crate::claims::ClaimTicket;
+use crate::claims::DispatchedClaim;
+use crate::claims::KeptAnswer;
+use crate::claims::KeptHeader;
+use crate::context::HostContext;
+use crate::execution;
+use crate::execution::DispatchedRequest;
+use crate::execution::lost_answer;
+use crate::kernel::claim::ContentDigest;
+use crate::kernel::lifecycle::RunOutcome;
+use crate::reply::CallerError;
+use crate::reply::response_builder;
+use crate::request::ActiveRequest;
+use crate::request::PlacedRequest;
+use crate::upstream;
+
+/// The largest answer that is kept for repeats, in bytes.
+pub const MAX_KEPT_BYTES: usize = 8_388_608;
+
+/// The time after which a caller may come back while the platform does not answer.
+const PLATFORM_RETRY: Duration = Duration::from_secs(5);
+
+/// The time after which a caller may ask again for a request that is in progress.
+const PROGRESS_RETRY: Duration = Duration::from_secs(2);
+
+/// The header that marks an answer as one that was kept.
+const REPLAYED_HEADER: &str = "x-borageladder-replayed";
+
+/// Runs a request at most once under its idempotency key, or answers it as it was answered before.
+///
+/// # Errors
+///
+/// Returns the error that the caller is told.
+pub async fn serve(
+    context: &Rc<HostContext>,
+    active: ActiveRequest,
+    placed: PlacedRequest,
+    key: String,
+) -> Result<Response<BoxBody>, CallerError> {
+    let context = Rc::clone(context);
+    let run = actix_rt::spawn(async move {
+        let outcome = run(&context, &active, &placed, &key).await;
+        if let Err(error) = &outcome {
+            active.failed(error);
+        }
+        outcome
+    });
+    run.await
+        .unwrap_or_else(|_panic| Err(lost_answer("the run of the request ended early")))
+}
+
+async fn run(
+    context: &Rc<HostContext>,
+    active: &ActiveRequest,
+    placed: &PlacedRequest,
+    key: &str,
+) -> Result<Response<BoxBody>, CallerError> {
+    let digest = ContentDigest(placed.incoming.digest);
+    let claimed = context
+        .claims
+        .claim(&placed.workspace, key, placed.id, digest)
+        .await;
+    match claimed.map_err(|error| claim_error(&error))? {
+        ClaimOutcome::Held(ticket) => {
+            active.step("claimed its idempotency key");
+            run_claimed(context, active, placed, ticket).await
+        }
+        ClaimOutcome::Answered(answer) => {
+            active.step("answered as a repeat");
+            active.finished();
+            Ok(kept_response(placed, &answer, true))
+        }
+        ClaimOutcome::InProgress(row) => Err(repeat_error(
+            StatusCode::CONFLICT,
+            "in_progress",
+            format!("request {} with this key is in progress", row.request),
+        )
+        .retry_after(PROGRESS_RETRY)),
+        ClaimOutcome::Unknown(row) => Err(repeat_error(
+            StatusCode::CONFLICT,
+            "outcome_unknown",
+            format!(
+                "nobody knows what became of request {}; operators can settle it",
+                row.request
+            ),
+        )),
+        ClaimOutcome::Mismatch => Err(CallerError::not_run(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "idempotency_key_reused",
+            "the idempotency key was used for a request with other content",
+        )),
+    }
+}
+
+async fn run_claimed(
+    context: &Rc<HostContext>,
+    active: &ActiveRequest,
+    placed: &PlacedRequest,
+    ticket: ClaimTicket,
+) -> Result<Response<BoxBody>, CallerError> {
+    let mut ticket = Some(ticket);
+    let mut claim = None;
+    let cross = || claim = ticket.take().map(ClaimTicket::dispatch);
+    match execution::dispatch(context, active, placed, cross).await {
+        Ok(dispatched) => match claim {
+            Some(claim) => finish(context, active, placed, dispatched, claim).await,
+            None => Err(lost_answer("the claim was lost")),
+        },
+        Err(error) => {
+            if let Some(ticket) = ticket {
+                // What the table does not confirm is tried again in the background.
+                let _ = context.claims.give_back(ticket).await;
+            }
+            Err(error)
+        }
+    }
+}
+
+async fn finish(
+    context: &Rc<HostContext>,
+    active: &ActiveRequest,
+    placed: &PlacedRequest,
+    dispatched: DispatchedRequest,
+    claim: DispatchedClaim,
+) -> Result<Response<BoxBody>, CallerError> {
+    let DispatchedRequest {
+        life,
+        lease,
+        answer,
+        ..
+    } = dispatched;
+    let limit = placed.deadline.since(context.clock.now());
+    let Some(answer) = collect(answer, limit).await else {
+        // What the table does not confirm is tried again in the background.
+        let _ = context.claims.mark_unknown(claim).await;
+        let _ran = life.lose();
+        return Err(lost_answer("the upstream gave no whole answer"));
+    };
+    lease.finished(0, Duration::ZERO);
+    let _ran = life.finish();
+    if let Err(error) = context.claims.answered(claim, &answer).await {
+        active.step(format!("the answer is not kept yet: {error}"));
+    }
+    active.finished();
+    Ok(kept_response(placed, &answer, false))
+}
+
+/// Reads an answer to its end; `None` if it is not whole or larger than [`MAX_KEPT_BYTES`].
+async fn collect(answer: Option<awc::ClientResponse>, limit: Duration) -> Option<KeptAnswer> {
+    let mut answer = answer?;
+    let expected = upstream::declared_length(answer.headers());
+    let reading = answer.body().limit(MAX_KEPT_BYTES);
+    let body: Bytes = tokio::time::timeout(limit, reading).await.ok()?.ok()?;
+    if expected.is_some_and(|length| length != body.len() as u64) {
+        return None;
+    }
+    let forwarded = answer
+        .headers()
+        .iter()
+        .filter(|(name, _)| upstream::is_forwarded(name));
+    let headers = forwarded.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(KeptHeader {
+            name: name.as_str().to_owned(),
+            value,
+        })
+    });
+    Some(KeptAnswer {
+        status: answer.status().as_u16(),
+        headers: headers.collect(),
+        body,
+    })
+}
+
+fn kept_response(placed: &PlacedRequest, answer: &KeptAnswer, replayed: bool) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = response_builder(status, placed.id, Some(&placed.tier));
+    for header in &answer.headers {
+        response.append_header((header.name.as_str(), header.value.as_str()));
+    }
+    if replayed {
+        response.insert_header((REPLAYED_HEADER, "true"));
+    }
+    response.body(answer.body.clone()).map_into_boxed_body()
+}
+
+fn repeat_error(status: StatusCode, code: &'static str, message: String) -> CallerError {
+    let mut error = CallerError::unknown(status, code, message);
+    error.retry_after = None;
+    error
+}
+
+fn claim_error(error: &ClaimError) -> CallerError {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut caller_error = CallerError::not_run(status, "platform_unavailable", error.to_string());
+    if matches!(error, ClaimError::Answer(_)) {
+        caller_error.ran = RunOutcome::Yes;
+    }
+    caller_error.retry_after(PLATFORM_RETRY)
+}
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use crate::body::read_body;
+use crate::claims::ClaimError;
 use crate::clock::unix_millis;
 use crate::context::HostContext;
 use crate::event::LogEvent;
@@ -24,9 +25,15 @@
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::change;
 use crate::kernel::change::ConfigurationChange;
+use crate::kernel::claim::ClaimRow;
+use crate::kernel::claim::ClaimState;
+use crate::kernel::claim::Settlement;
 use crate::kernel::name::OperatorName;
 use crate::kernel::name::RequestId;
+use crate::kernel::name::WorkspaceName;
+use crate::kernel::table::TableRow;
 use crate::language;
+use crate::language::KeyOutcome;
 use crate::language::OperatorCommand;
 use crate::language::ResultTable;
 use crate::language::ShowQuery;
@@ -51,6 +58,12 @@
 /// The time after which the caller of a dropped request may come back.
 const DROPPED_RETRY: Duration = Duration::from_secs(30);
 
+/// The prefix of the rows that hold claims.
+const CLAIM_PREFIX: &str = "claims/";
+
+/// The most claims that one query reads.
+const MAX_KEYS: usize = 1_000;
+
 /// The most audit records that one query reads.
 const MAX_CHANGES: usize = 200;
 
@@ -141,10 +154,11 @@
                 };
                 self.change(request, &changes).await
             }
-            OperatorCommand::SettleKey { .. } => {
-                let message = "keys can't be settled yet";
-                Err(CommandError::new(CommandErrorCode::Unavailable, message))
-            }
+            OperatorCommand::SettleKey {
+                workspace,
+                key,
+                outcome,
+            } => self.settle(operator, &workspace, &key, outcome).await,
             OperatorCommand::DropRequest(request) => self.drop_request(request),
             OperatorCommand::Help(verb) => help(verb.as_deref()),
         }
@@ -155,6 +169,7 @@
         let mut table = match language::rows::configuration_table(&configuration, query.table) {
             Some(table) => table,
             None if query.table == TableName::Changes => self.changes().await?,
+            None if query.table == TableName::Keys => self.keys().await?,
             None => self.gather(HostQuestion::Table(query.table)).await,
         };
         table.apply(query);
@@ -246,6 +261,37 @@
         }))
     }
 
+    async fn settle(
+        &self,
+        operator: &OperatorName,
+        workspace: &WorkspaceName,
+        key: &str,
+        outcome: KeyOutcome,
+    ) -> Result<CommandResult, CommandError> {
+        let settlement = match outcome {
+            KeyOutcome::Run => Settlement::Ran,
+            KeyOutcome::NotRun => Settlement::NotRun,
+        };
+        let claims = &self.context.claims;
+        let settled = claims.settle(workspace, key, settlement, operator).await;
+        let audit = settled.map_err(|error| claim_error(&error))?;
+        log_event!(self.context.log, LogEvent::ClaimSettled,
+            "request" => audit.before.request.to_string(), "operator" => operator.to_string());
+        let request = audit.before.request;
+        Ok(CommandResult::Text(format!(
+            "the key of request {request} is settled"
+        )))
+    }
+
+    async fn keys(&self) -> Result<ResultTable, CommandError> {
+        let read = self.context.platform.rows(CLAIM_PREFIX, "", MAX_KEYS).await;
+        let rows = read
+            .map_err(|error| CommandError::new(CommandErrorCode::Unavailable, error.to_string()))?;
+        let mut table = ResultTable::new(TableName::Keys);
+        table.rows = rows.iter().filter_map(key_row).collect();
+        Ok(table)
+    }
+
     fn drop_request(&self, request: RequestId) -> Result<CommandResult, CommandError> {
         let reason = RefusalReason::Dropped;
         let refusal = Refusal {
@@ -317,3 +363,34 @@
         CommandErrorCode::Unknown => StatusCode::GATEWAY_TIMEOUT,
     }
 }
+
+fn key_row(row: &TableRow) -> Option<Vec<Value>> {
+    let (workspace, digest) = row.key.strip_prefix(CLAIM_PREFIX)?.split_once('/')?;
+    let claim: ClaimRow = serde_json::from_str(&row.value).ok()?;
+    let state = match claim.state {
+        ClaimState::Claimed => "claimed",
+        ClaimState::Released => "released",
+        ClaimState::Answered { .. } => "answered",
+        ClaimState::Unknown => "unknown",
+    };
+    Some(vec![
+        json!(workspace),
+        json!(digest),
+        json!(state),
+        json!(claim.request.to_string()),
+        json!(claim.host),
+        json!(unix_millis().saturating_sub(claim.since_ms)),
+    ])
+}
+
+fn claim_error(error: &ClaimError) -> CommandError {
+    let code = match error {
+        ClaimError::NoClaim => CommandErrorCode::NotFound,
+        ClaimError::Changed | ClaimError::Settle(_) => CommandErrorCode::Conflict,
+        ClaimError::Unavailable | ClaimError::Platform(_) => CommandErrorCode::Unavailable,
+        ClaimError::NotRecorded | ClaimError::Answer(_) | ClaimError::Row(_) => {
+            CommandErrorCode::Unknown
+        }
+    };
+    CommandError::new(code, error.to_string())
+}
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -28,7 +28,6 @@
 use crate::kernel::name::WorkerName;
 use crate::kernel::table::ListedState;
 use crate::log_event;
-use crate::platform::PlatformClient;
 
 /// The time between two polls of a worker.
 pub const WORKER_POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -85,7 +84,6 @@
 #[derive(Debug)]
 pub struct UpstreamWatch {
     context: Rc<HostContext>,
-    platform: PlatformClient,
     leaving: RefCell<LeavingRegister>,
     cache_positions: RefCell<BTreeMap<WorkerName, u64>>,
 }
@@ -93,11 +91,10 @@
 impl UpstreamWatch {
     /// Creates the watch.
     #[must_use]
-    pub fn new(context: Rc<HostContext>, platform: PlatformClient) -> Rc<Self> {
+    pub fn new(context: Rc<HostContext>) -> Rc<Self> {
         let leaving = RefCell::default();
         Rc::new(Self {
             context,
-            platform,
             leaving,
             cache_positions: RefCell::default(),
         })
@@ -123,7 +120,7 @@
 
     async fn poll_host_list(&self) {
         // An outage of the platform leaves what was known before in force.
-        let Ok(list) = self.platform.hosts().await else {
+        let Ok(list) = self.context.platform.hosts().await else {
             return;
         };
         let leaving = list
