Weigh a bounded number of workers in a choice, and measure an ask-to-grant

Ruled out: a faster lookup of cached blocks alone, as the cost still grew with the workers.

Change: a policy may weigh related workers only: the fastest, up to 32 with room, up to 16 that hold or compute the prefix, found through an index from blocks to workers.

--- a/kernel/benches/kernel.rs
+++ b/kernel/benches/kernel.rs
@@ -1,3 +1,300 @@
-//! Benchmark, to be written.
+//! Cost of one ask-to-grant, and memory, as waiting requests and workers grow.
+//!
+//! Each operation lets one running request finish, which grants its slot to the first waiting
+//! request, and sends a new ask, which waits. The numbers of waiting requests and of running requests
+//! stay the same throughout a row.
 
-fn main() {}
+use std::collections::VecDeque;
+use std::fs;
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use borageladder_kernel::ask::Ask;
+use borageladder_kernel::ask::BrokerAction;
+use borageladder_kernel::ask::BrokerEvent;
+use borageladder_kernel::ask::CellWorker;
+use borageladder_kernel::ask::Grant;
+use borageladder_kernel::ask::WorkProgress;
+use borageladder_kernel::ask::WorkReport;
+use borageladder_kernel::broker::BrokerSettings;
+use borageladder_kernel::broker::CellBroker;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::BlockDigest;
+use borageladder_kernel::name::HostName;
+use borageladder_kernel::name::ModelName;
+use borageladder_kernel::name::RequestId;
+use borageladder_kernel::name::ServiceName;
+use borageladder_kernel::name::TierRank;
+use borageladder_kernel::name::WorkspaceName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// The operations measured in one row.
+const OPERATIONS: usize = 4_000;
+
+/// The operations made before the measured ones.
+const WARM_UP: usize = 500;
+
+/// The requests that one worker runs at once.
+const MAX_RUNNING: u32 = 8;
+
+/// The time between two operations, as the broker is told.
+const OPERATION_GAP: Duration = Duration::from_micros(200);
+
+/// The digests that an ask carries.
+const PREFIX_BLOCKS: u64 = 8;
+
+/// The different prefixes.
+const PREFIXES: u64 = 500;
+
+/// The size of a page of memory, in bytes.
+const PAGE_BYTES: usize = 4_096;
+
+/// The most nanoseconds for the median at 10,000 waiting requests and 64 workers.
+const MEDIAN_BOUND_NANOS: u64 = 10_000;
+
+/// A broker under steady load.
+struct SteadyLoad {
+    broker: CellBroker,
+    now: ClockTime,
+    random: SmallRng,
+    sequence: u64,
+    running: VecDeque<Grant>,
+    host: HostName,
+    service: ServiceName,
+    model: ModelName,
+    workspaces: Vec<WorkspaceName>,
+}
+
+impl SteadyLoad {
+    fn new(waiting: usize, workers: usize) -> Self {
+        let settings = BrokerSettings::default()
+            .with_takeover_time(Duration::ZERO)
+            .with_max_waiting(usize::MAX);
+        let now = ClockTime::ZERO;
+        let mut load = Self {
+            broker: CellBroker::new(settings, now).expect("the policy is registered"),
+            now,
+            random: SmallRng::seed_from_u64(7),
+            sequence: 0,
+            running: VecDeque::new(),
+            host: "host-1".parse().expect("a valid name"),
+            service: "drafter".parse().expect("a valid name"),
+            model: "drafter-8b".parse().expect("a valid name"),
+            workspaces: (0..8)
+                .map(|number| format!("workspace-{number}").parse().expect("a valid name"))
+                .collect(),
+        };
+        load.set_workers(workers);
+        load.fill(waiting);
+        load
+    }
+
+    fn set_workers(&mut self, workers: usize) {
+        let workers = (0..workers)
+            .map(|number| CellWorker {
+                worker: format!("engine-{number:04}").parse().expect("a valid name"),
+                models: vec![self.model.clone()],
+                max_running: MAX_RUNNING,
+            })
+            .collect();
+        self.handle(BrokerEvent::WorkersChanged { workers });
+    }
+
+    fn fill(&mut self, waiting: usize) {
+        while self.broker.summary(self.now).waiting.iter().sum::<u32>() < count(waiting) {
+            let ask = self.ask();
+            self.submit(ask);
+        }
+    }
+
+    fn handle(&mut self, event: BrokerEvent) {
+        let actions = self.broker.handle(self.now, event);
+        for action in actions {
+            match action {
+                BrokerAction::Grant { grant, .. } => self.running.push_back(grant),
+                BrokerAction::Refuse { refusal, .. } => {
+                    black_box(refusal);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self) -> Ask {
+        self.sequence += 1;
+        let prefix = self.random.random_range(0..PREFIXES) * PREFIX_BLOCKS;
+        let workspace = self.random.random_range(0..self.workspaces.len());
+        Ask {
+            request: RequestId {
+                incarnation: 1,
+                sequence: self.sequence,
+            },
+            service: self.service.clone(),
+            model: Some(self.model.clone()),
+            workspace: self.workspaces[workspace].clone(),
+            tier: TierRank(self.random.random_range(0..4)),
+            budget: Duration::from_secs(self.random.random_range(100_000..200_000)),
+            prompt_tokens: self.random.random_range(600..6_000),
+            max_answer_tokens: 300,
+            prefix: (prefix..prefix + PREFIX_BLOCKS).map(BlockDigest).collect(),
+            suspect: false,
+        }
+    }
+
+    fn submit(&mut self, ask: Ask) {
+        let host = self.host.clone();
+        self.handle(BrokerEvent::Asked { host, ask });
+    }
+
+    /// Carries out one operation and returns the time that the broker took.
+    fn operate(&mut self) -> u64 {
+        self.now = self.now + OPERATION_GAP;
+        let ask = self.ask();
+        let finished = self.running.pop_front();
+        let after = Duration::from_millis(300);
+        let reports = [
+            WorkProgress::Dispatched,
+            WorkProgress::FirstToken { after },
+            WorkProgress::Finished {
+                answer_tokens: 100,
+                token_gap: Duration::from_millis(20),
+            },
+        ];
+        let events: Vec<BrokerEvent> = finished
+            .iter()
+            .flat_map(|grant| reports.map(|progress| self.report(grant, progress)))
+            .collect();
+        let start = Instant::now();
+        for event in events {
+            self.handle(event);
+        }
+        self.submit(ask);
+        u64::try_from(start.elapsed().as_nanos()).unwrap_or(u64::MAX)
+    }
+
+    fn report(&self, grant: &Grant, progress: WorkProgress) -> BrokerEvent {
+        BrokerEvent::Reported {
+            host: self.host.clone(),
+            report: WorkReport {
+                request: grant.request,
+                grant: grant.grant,
+                worker: grant.worker.clone(),
+                progress,
+            },
+        }
+    }
+}
+
+/// The times of the operations of one row, in nanoseconds.
+struct OperationTimes {
+    median: u64,
+    p99: u64,
+    mean: u64,
+}
+
+fn measure(waiting: usize, workers: usize) -> OperationTimes {
+    let mut load = SteadyLoad::new(waiting, workers);
+    for _ in 0..WARM_UP {
+        load.operate();
+    }
+    let mut times: Vec<u64> = (0..OPERATIONS).map(|_| load.operate()).collect();
+    times.sort_unstable();
+    OperationTimes {
+        median: times[OPERATIONS / 2],
+        p99: times[OPERATIONS * 99 / 100],
+        mean: times.iter().sum::<u64>() / u64::from(count(OPERATIONS)),
+    }
+}
+
+fn print_row(waiting: usize, workers: usize, times: &OperationTimes) {
+    println!(
+        "{waiting:>8} {workers:>8} {:>10} {:>10} {:>10}",
+        times.median, times.p99, times.mean
+    );
+}
+
+fn print_slope(what: &str, first: &OperationTimes, last: &OperationTimes, ratio: f64) {
+    let growth = nanos(last.median) / nanos(first.median);
+    let exponent = growth.ln() / ratio.ln();
+    println!("slope over {what}: x{growth:.2} for x{ratio:.0}, exponent {exponent:.2}\n");
+}
+
+fn nanos(time: u64) -> f64 {
+    u32::try_from(time).map_or(f64::INFINITY, f64::from)
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+/// Returns the resident memory of the process in bytes, or zero where it can't be read.
+fn resident_bytes() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages.and_then(|pages| pages.parse().ok()).unwrap_or(0) * PAGE_BYTES
+}
+
+fn print_memory() {
+    let before = resident_bytes();
+    let load = SteadyLoad::new(100_000, 4);
+    let with_waiting = resident_bytes().saturating_sub(before);
+    println!(
+        "memory per waiting request: {} bytes",
+        with_waiting / 100_000
+    );
+    drop(load);
+    let before = resident_bytes();
+    let mut load = SteadyLoad::new(0, 1_000);
+    for _ in 0..50_000 {
+        let ask = load.ask();
+        load.submit(ask);
+        while let Some(grant) = load.running.pop_front() {
+            let after = Duration::from_millis(300);
+            let event = load.report(&grant, WorkProgress::FirstToken { after });
+            load.handle(event);
+            let event = load.report(&grant, WorkProgress::Stopped);
+            load.handle(event);
+        }
+    }
+    let with_workers = resident_bytes().saturating_sub(before);
+    let blocks: usize = load.broker.workers().map(|view| view.cached_blocks).sum();
+    println!(
+        "memory per worker: {} bytes, with {} cached blocks known",
+        with_workers / 1_000,
+        blocks / 1_000
+    );
+}
+
+fn main() {
+    println!("one ask-to-grant, in nanoseconds");
+    println!(
+        "{:>8} {:>8} {:>10} {:>10} {:>10}",
+        "waiting", "workers", "median", "p99", "mean"
+    );
+    let mut by_waiting = Vec::new();
+    for waiting in [10, 100, 1_000, 10_000, 100_000] {
+        let times = measure(waiting, 64);
+        print_row(waiting, 64, &times);
+        by_waiting.push(times);
+    }
+    print_slope("waiting", &by_waiting[0], &by_waiting[4], 10_000.0);
+    let mut by_workers = Vec::new();
+    for workers in [4, 16, 64, 256, 1_000] {
+        let times = measure(10_000, workers);
+        print_row(10_000, workers, &times);
+        by_workers.push(times);
+    }
+    print_slope("workers", &by_workers[0], &by_workers[4], 250.0);
+    let median = by_waiting[3].median;
+    let verdict = if median < MEDIAN_BOUND_NANOS {
+        "holds"
+    } else {
+        "MISSED"
+    };
+    println!(
+        "bound: {median} of {MEDIAN_BOUND_NANOS} ns at 10,000 waiting, 64 workers: {verdict}\n"
+    );
+    print_memory();
+}
--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -186,7 +186,7 @@
             };
         }
         let lane = &self.workers.lanes[lane];
-        let held = block_tokens(self.workers.holders.held(&ask.prefix));
+        let held = block_tokens(self.workers.index.held(&ask.prefix));
         let uncached = ask.prompt_tokens.saturating_sub(held);
         ServiceEstimate {
             work: lane.typical.prefill(uncached) + lane.typical.decode(answer.likely),
--- a/kernel/src/broker/candidates.rs
+++ b/kernel/src/broker/candidates.rs
@@ -10,11 +10,18 @@
 use crate::ask::Ask;
 use crate::clock::ClockTime;
 use crate::estimate::AnswerEstimate;
+use crate::policy::CandidateScope;
 use crate::policy::WorkerCandidate;
 
 /// The wait for a worker that gets no work before a probe.
 const WAIT_FOR_UNFIT: Duration = Duration::from_hours(1);
 
+/// The most workers with room that are weighed for one request.
+const OPEN_WEIGHED: usize = 32;
+
+/// The most workers that hold or compute the request's prefix and are weighed for it.
+const HOLDERS_WEIGHED: usize = 16;
+
 /// What is known of a request when its candidates are listed.
 #[derive(Clone, Copy, Debug)]
 struct CandidateDemand<'a> {
@@ -24,30 +31,71 @@
     held_anywhere: bool,
 }
 
+/// The candidates for a request and the positions of their workers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CandidateList {
+    pub candidates: Vec<WorkerCandidate>,
+    pub workers: Vec<usize>,
+}
+
 impl CellBroker {
-    /// Lists the candidates for an ask, in the order of the lane's workers.
+    /// Lists the candidates for an ask.
     pub(super) fn list_candidates(
         &self,
         now: ClockTime,
         lane: usize,
         ask: &Ask,
-        candidates: &mut Vec<WorkerCandidate>,
+        list: &mut CandidateList,
     ) {
-        let lane = &self.workers.lanes[lane];
         let demand = CandidateDemand {
             now,
             ask,
             answer: self.answer_estimate(ask),
-            held_anywhere: self.workers.holders.held(&ask.prefix) > 0,
+            held_anywhere: self.workers.index.held(&ask.prefix) > 0,
         };
-        candidates.clear();
-        for position in &lane.workers {
+        list.workers.clear();
+        match self.policy.weighs() {
+            CandidateScope::All => list.workers.extend(&self.workers.lanes[lane].workers),
+            CandidateScope::Related => self.list_related(lane, ask, &mut list.workers),
+        }
+        let lane = &self.workers.lanes[lane];
+        list.candidates.clear();
+        for position in &list.workers {
             let record = &self.workers.records[*position];
-            candidates.push(candidate(&demand, lane, record));
+            list.candidates.push(candidate(&demand, lane, record));
+        }
+    }
+
+    fn list_related(&self, position: usize, ask: &Ask, workers: &mut Vec<usize>) {
+        let lane = &self.workers.lanes[position];
+        let turn = usize::try_from(self.granted).unwrap_or(0);
+        workers.extend(&lane.leaders);
+        extend_with_open(lane, turn, workers);
+        if let Some(first) = ask.prefix.first() {
+            let serves = |worker: &&usize| self.workers.records[**worker].lanes.contains(&position);
+            let holders = self.workers.index.holders(*first);
+            let turn = turn % holders.len().max(1);
+            let rotated = holders[turn..].iter().chain(&holders[..turn]);
+            workers.extend(rotated.filter(serves).take(HOLDERS_WEIGHED));
+            let computing = self.workers.index.computing(*first).iter();
+            workers.extend(computing.filter(serves).take(HOLDERS_WEIGHED));
         }
+        workers.sort_unstable();
+        workers.dedup();
     }
 }
 
+/// Adds workers with room, beginning with another one for each grant.
+fn extend_with_open(lane: &WorkLane, turn: usize, workers: &mut Vec<usize>) {
+    let start = lane
+        .workers
+        .get(turn % lane.workers.len().max(1))
+        .copied()
+        .unwrap_or(0);
+    let from_start = lane.open.range(start..).chain(lane.open.range(..start));
+    workers.extend(from_start.take(OPEN_WEIGHED));
+}
+
 fn candidate(
     demand: &CandidateDemand<'_>,
     lane: &WorkLane,
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -47,7 +47,11 @@
 
     /// Returns the first request in order for which a worker has room.
     fn next_ready(&self) -> Option<QueueEntry> {
-        let lanes = self.workers.lanes.iter().filter(|lane| lane.open > 0);
+        let lanes = self
+            .workers
+            .lanes
+            .iter()
+            .filter(|lane| !lane.open.is_empty());
         let ready = lanes.filter_map(|lane| lane.ready.first());
         let awaited = self.workers.awaited.iter();
         let waiters = awaited.filter_map(|worker| self.workers.records[*worker].waiters.first());
@@ -60,24 +64,25 @@
         };
         let lane = record.lane;
         let remaining = record.deadline.since(now);
-        let mut candidates = std::mem::take(&mut self.scratch);
-        self.list_candidates(now, lane, &record.ask, &mut candidates);
-        if self.policy.refuses_early() && hopeless(&candidates, remaining) {
+        let mut list = std::mem::take(&mut self.scratch);
+        self.list_candidates(now, lane, &record.ask, &mut list);
+        if self.policy.refuses_early() && hopeless(&list.candidates, remaining) {
             self.refuse_waiting(now, request, RefusalReason::Deadline, actions);
         } else {
             let first = record.ask.prefix.first();
+            let holders = first.map_or(0, |digest| self.workers.index.holders(*digest).len());
             let view = ChoiceView {
                 ask: &record.ask,
                 remaining,
                 patience_spent: record.patience_spent,
                 grants: self.granted,
-                holders: first.map_or(0, |digest| self.workers.holders.holders(*digest)),
-                candidates: &candidates,
+                holders,
+                candidates: &list.candidates,
             };
             let choice = self.policy.choose(&view);
-            self.carry_out(now, request, choice, actions);
+            self.carry_out(now, request, choice, &list.workers, actions);
         }
-        self.scratch = candidates;
+        self.scratch = list;
     }
 
     fn carry_out(
@@ -85,12 +90,9 @@
         now: ClockTime,
         request: RequestId,
         choice: Choice,
+        workers: &[usize],
         actions: &mut Vec<BrokerAction>,
     ) {
-        let Some(record) = self.waiting.get(request) else {
-            return;
-        };
-        let workers = &self.workers.lanes[record.lane].workers;
         match choice {
             Choice::Worker { candidate, reason } => {
                 let worker = workers[candidate];
@@ -196,7 +198,9 @@
         record.prefilling += u64::from(uncached);
         let backlog = u32::try_from(record.prefilling).unwrap_or(u32::MAX);
         let ready_at = now + record.speed.speed(typical).prefill(backlog);
-        record.cache.sent(&ask.prefix, ready_at);
+        record
+            .cache
+            .sent(&ask.prefix, ready_at, &mut self.workers.index);
         if ask.suspect {
             record.alone = Some(ask.request);
         }
--- a/kernel/src/broker/health.rs
+++ b/kernel/src/broker/health.rs
@@ -134,7 +134,7 @@
     pub(super) fn cache_reported(&mut self, worker: &WorkerName, batch: &CacheBatch) {
         if let Some(position) = self.workers.position(worker) {
             let cache = &mut self.workers.records[position].cache;
-            cache.apply(batch, &mut self.workers.holders);
+            cache.apply(batch, &mut self.workers.index);
         }
     }
 }
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -27,6 +27,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use self::candidates::CandidateList;
 use self::granting::PrefillKey;
 use self::grants::GrantLedger;
 use self::reports::StrayWork;
@@ -48,7 +49,6 @@
 use crate::clock::ClockTime;
 use crate::estimate::AnswerEstimator;
 use crate::policy;
-use crate::policy::WorkerCandidate;
 use crate::policy::WorkerPolicy;
 use crate::queue::QueueKey;
 use crate::queue::TierQueue;
@@ -121,7 +121,7 @@
     arrivals: u64,
     granted: u64,
     strays: Vec<StrayWork>,
-    scratch: Vec<WorkerCandidate>,
+    scratch: CandidateList,
 }
 
 impl fmt::Debug for CellBroker {
@@ -161,7 +161,7 @@
             arrivals: 0,
             granted: 0,
             strays: Vec::new(),
-            scratch: Vec::new(),
+            scratch: CandidateList::default(),
         })
     }
 
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -162,7 +162,9 @@
         if record.state != GrantState::Prefilled {
             let uncached = u64::from(record.uncached_tokens);
             worker.prefilling = worker.prefilling.saturating_sub(uncached);
-            worker.cache.abandoned(&record.prefix);
+            worker
+                .cache
+                .abandoned(&record.prefix, &mut self.workers.index);
             self.wake_prefill(now, record.worker, &record.prefix);
         }
         self.workers.refresh(now, record.worker);
@@ -194,7 +196,7 @@
         }
         let target = &mut self.workers.records[worker];
         target.prefilling = target.prefilling.saturating_sub(u64::from(uncached));
-        target.cache.prefilled(&prefix, &mut self.workers.holders);
+        target.cache.prefilled(&prefix, &mut self.workers.index);
         self.worker_answered(now, worker);
         self.wake_prefill(now, worker, &prefix);
     }
@@ -235,7 +237,7 @@
         let prefix = std::mem::take(prefix);
         let worker = *worker;
         let cache = &mut self.workers.records[worker].cache;
-        cache.prefilled(&prefix, &mut self.workers.holders);
+        cache.prefilled(&prefix, &mut self.workers.index);
         self.wake_prefill(now, worker, &prefix);
     }
 
--- a/kernel/src/broker/workers.rs
+++ b/kernel/src/broker/workers.rs
@@ -14,14 +14,17 @@
 use crate::name::ModelName;
 use crate::name::RequestId;
 use crate::name::WorkerName;
-use crate::prefix::HolderCounts;
 use crate::prefix::PrefixCache;
+use crate::prefix::PrefixIndex;
 use crate::queue::TierQueue;
 use crate::queue::WorkTally;
 
 /// The time that a slot is held while nothing is known, in microseconds.
 const UNKNOWN_HOLD_MICROS: u64 = 1_000_000;
 
+/// The number of the fastest workers of a lane that are known.
+const LEADERS_KEPT: usize = 8;
+
 /// Whether a worker is fit for new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum WorkerHealth {
@@ -72,7 +75,7 @@
 }
 
 impl WorkerRecord {
-    fn new(worker: &CellWorker, mode: LimitMode) -> Self {
+    fn new(position: usize, worker: &CellWorker, mode: LimitMode) -> Self {
         Self {
             worker: worker.worker.clone(),
             identity: identity(&worker.worker),
@@ -84,7 +87,7 @@
             health: WorkerHealth::Healthy,
             limit: WorkerLimit::new(mode, worker.max_running),
             speed: SpeedEstimate::default(),
-            cache: PrefixCache::default(),
+            cache: PrefixCache::new(position),
             load: None,
             used: 0,
             prefilling: 0,
@@ -145,7 +148,9 @@
     /// The positions of the workers, in the order of their names.
     pub workers: Vec<usize>,
     /// The workers that may get a request now.
-    pub open: u32,
+    pub open: BTreeSet<usize>,
+    /// The fastest workers, as last measured.
+    pub leaders: Vec<usize>,
     /// The slots of all workers, as last counted.
     pub slots: u32,
     /// The speed of the fastest worker, as last measured.
@@ -167,7 +172,7 @@
     pub records: Vec<WorkerRecord>,
     pub lanes: Vec<WorkLane>,
     lane_positions: BTreeMap<Option<ModelName>, usize>,
-    pub holders: HolderCounts,
+    pub index: PrefixIndex,
     /// The open workers that have requests waiting for just them.
     pub awaited: BTreeSet<usize>,
 }
@@ -180,7 +185,7 @@
             records: Vec::new(),
             lanes: Vec::new(),
             lane_positions: BTreeMap::new(),
-            holders: HolderCounts::new(),
+            index: PrefixIndex::new(),
             awaited: BTreeSet::new(),
         }
     }
@@ -238,18 +243,18 @@
             record.limit.set_ceiling(worker.max_running);
             return;
         }
-        let fresh = WorkerRecord::new(worker, self.mode);
         let vacant =
             |record: &WorkerRecord| !record.serving && record.used == 0 && record.alone.is_none();
-        let position = if let Some(position) = self.records.iter().position(vacant) {
-            let mut old = std::mem::replace(&mut self.records[position], fresh);
-            old.cache.clear(&mut self.holders);
+        let vacant = self.records.iter().position(vacant);
+        let position = vacant.unwrap_or(self.records.len());
+        let fresh = WorkerRecord::new(position, worker, self.mode);
+        if let Some(old) = self.records.get_mut(position) {
+            old.cache.clear(&mut self.index);
             self.names.remove(&old.worker);
-            position
+            *old = fresh;
         } else {
             self.records.push(fresh);
-            self.records.len() - 1
-        };
+        }
         self.names.insert(worker.worker.clone(), position);
     }
 
@@ -257,7 +262,7 @@
     fn connect(&mut self, lane: usize) {
         let model = self.lanes[lane].model.clone();
         let mut workers = Vec::new();
-        let mut open = 0;
+        let mut open = BTreeSet::new();
         for position in self.names.values() {
             let record = &mut self.records[*position];
             let matches = model
@@ -267,7 +272,9 @@
             if record.serving && matches {
                 record.lanes.push(lane);
                 workers.push(*position);
-                open += u32::from(record.open);
+                if record.open {
+                    open.insert(*position);
+                }
             }
         }
         self.lanes[lane].workers = workers;
@@ -282,11 +289,11 @@
             record.open = open;
             for lane in &record.lanes {
                 let lane = &mut self.lanes[*lane];
-                lane.open = if open {
-                    lane.open + 1
+                if open {
+                    lane.open.insert(position);
                 } else {
-                    lane.open.saturating_sub(1)
-                };
+                    lane.open.remove(&position);
+                }
             }
         }
         if open && !self.records[position].waiters.is_empty() {
@@ -328,6 +335,7 @@
     gaps.sort_unstable();
     prefills.sort_unstable();
     let unknown = WorkerSpeed::default();
+    lane.leaders = leaders(lane, records);
     lane.slots = slots;
     lane.typical = WorkerSpeed {
         gap_micros: median(&gaps).unwrap_or(unknown.gap_micros),
@@ -339,6 +347,21 @@
     };
 }
 
+/// Returns the fit workers with the shortest token gaps.
+fn leaders(lane: &WorkLane, records: &[WorkerRecord]) -> Vec<usize> {
+    let fit = |worker: &usize| {
+        let record = &records[*worker];
+        record.eligible() && record.health == WorkerHealth::Healthy
+    };
+    let mut workers: Vec<usize> = lane.workers.iter().copied().filter(fit).collect();
+    let gap = |worker: &usize| records[*worker].speed.gap_micros().unwrap_or(u64::MAX);
+    if workers.len() > LEADERS_KEPT {
+        workers.select_nth_unstable_by_key(LEADERS_KEPT, |worker| (gap(worker), *worker));
+        workers.truncate(LEADERS_KEPT);
+    }
+    workers
+}
+
 fn median(sorted: &[u64]) -> Option<u64> {
     sorted.get(sorted.len() / 2).copied()
 }
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -36,10 +36,25 @@
     /// Returns whether a request is refused as soon as its deadline can't be met.
     fn refuses_early(&self) -> bool;
 
+    /// Returns which workers the policy weighs.
+    fn weighs(&self) -> CandidateScope {
+        CandidateScope::All
+    }
+
     /// Chooses a worker for a request; at least one candidate has room.
     fn choose(&self, view: &ChoiceView<'_>) -> Choice;
 }
 
+/// The workers that a policy weighs for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CandidateScope {
+    /// All workers that serve the request.
+    All,
+    /// The fastest workers, a bounded number of those with room, and a bounded number of those that
+    /// hold or compute the request's prefix, so that a choice costs the same in a cell of any size.
+    Related,
+}
+
 /// What a policy decided for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
--- a/kernel/src/policy/predicted_finish.rs
+++ b/kernel/src/policy/predicted_finish.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::CandidateScope;
 use super::Choice;
 use super::ChoiceReason;
 use super::ChoiceView;
@@ -37,6 +38,10 @@
         true
     }
 
+    fn weighs(&self) -> CandidateScope {
+        CandidateScope::Related
+    }
+
     fn choose(&self, view: &ChoiceView<'_>) -> Choice {
         let Some(best) = best_open(view) else {
             return waiting_for(view, 0);
--- a/kernel/src/policy/view.rs
+++ b/kernel/src/policy/view.rs
@@ -73,8 +73,8 @@
     /// The number of grants that were issued so far.
     pub grants: u64,
     /// The workers of the cell that hold the first block of the prompt.
-    pub holders: u32,
-    /// All workers that serve the request, in the order of their names.
+    pub holders: usize,
+    /// The workers that the policy weighs; always the same order for the same workers.
     pub candidates: &'a [WorkerCandidate],
 }
 
--- a/kernel/src/prefix.rs
+++ b/kernel/src/prefix.rs
@@ -13,48 +13,88 @@
 /// The number of blocks that are remembered for one worker.
 const BLOCKS_KEPT: usize = 4_096;
 
-/// How many workers of a cell hold each block.
+/// The workers of a cell that hold or compute a block.
 #[derive(Clone, Debug, Default)]
-pub struct HolderCounts {
-    counts: BTreeMap<BlockDigest, u32>,
+struct BlockHolders {
+    cached: Vec<usize>,
+    computing: Vec<usize>,
 }
 
-impl HolderCounts {
-    /// Creates counts of no blocks.
+impl BlockHolders {
+    const fn is_empty(&self) -> bool {
+        self.cached.is_empty() && self.computing.is_empty()
+    }
+}
+
+/// Which workers of a cell hold or compute each block.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixIndex {
+    blocks: BTreeMap<BlockDigest, BlockHolders>,
+}
+
+impl PrefixIndex {
+    /// Creates an index of no blocks.
     #[must_use]
     pub const fn new() -> Self {
         Self {
-            counts: BTreeMap::new(),
+            blocks: BTreeMap::new(),
         }
     }
 
     /// Returns the number of leading blocks that at least one worker holds.
     #[must_use]
     pub fn held(&self, prefix: &[BlockDigest]) -> usize {
-        let held = |digest: &&BlockDigest| self.counts.contains_key(digest);
+        let held = |digest: &&BlockDigest| !self.holders(**digest).is_empty();
         prefix.iter().take_while(held).count()
     }
 
-    /// Returns the number of workers that hold a block.
+    /// Returns the positions of the workers that hold a block.
     #[must_use]
-    pub fn holders(&self, digest: BlockDigest) -> u32 {
-        self.counts.get(&digest).copied().unwrap_or(0)
+    pub fn holders(&self, digest: BlockDigest) -> &[usize] {
+        let holders = self.blocks.get(&digest);
+        holders.map_or(&[], |holders| holders.cached.as_slice())
+    }
+
+    /// Returns the positions of the workers that compute a block.
+    #[must_use]
+    pub fn computing(&self, digest: BlockDigest) -> &[usize] {
+        let holders = self.blocks.get(&digest);
+        holders.map_or(&[], |holders| holders.computing.as_slice())
+    }
+
+    fn add_cached(&mut self, digest: BlockDigest, worker: usize) {
+        self.blocks.entry(digest).or_default().cached.push(worker);
+    }
+
+    fn add_computing(&mut self, digest: BlockDigest, worker: usize) {
+        let holders = self.blocks.entry(digest).or_default();
+        holders.computing.push(worker);
+    }
+
+    fn remove_cached(&mut self, digest: BlockDigest, worker: usize) {
+        self.remove(digest, |holders| remove_one(&mut holders.cached, worker));
     }
 
-    fn add(&mut self, digest: BlockDigest) {
-        *self.counts.entry(digest).or_default() += 1;
+    fn remove_computing(&mut self, digest: BlockDigest, worker: usize) {
+        self.remove(digest, |holders| remove_one(&mut holders.computing, worker));
     }
 
-    fn remove(&mut self, digest: BlockDigest) {
-        if let Some(count) = self.counts.get_mut(&digest) {
-            *count -= 1;
-            if *count == 0 {
-                self.counts.remove(&digest);
+    fn remove(&mut self, digest: BlockDigest, remove: impl FnOnce(&mut BlockHolders)) {
+        if let Some(holders) = self.blocks.get_mut(&digest) {
+            remove(holders);
+            if holders.is_empty() {
+                self.blocks.remove(&digest);
             }
         }
     }
 }
 
+fn remove_one(workers: &mut Vec<usize>, worker: usize) {
+    if let Some(place) = workers.iter().position(|known| *known == worker) {
+        workers.remove(place);
+    }
+}
+
 /// Where the knowledge of a cached block comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum BlockTrust {
@@ -91,8 +131,9 @@
 ///
 /// Blocks that were sent count as cached only after the first token arrived. Cache events correct
 /// this; a gap in their numbers lowers the trust in all blocks.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PrefixCache {
+    worker: usize,
     blocks: BTreeMap<BlockDigest, CachedBlock>,
     recency: BTreeMap<u64, BlockDigest>,
     pending: BTreeMap<BlockDigest, PendingBlock>,
@@ -101,6 +142,19 @@
 }
 
 impl PrefixCache {
+    /// Creates empty knowledge of the worker at a position.
+    #[must_use]
+    pub const fn new(worker: usize) -> Self {
+        Self {
+            worker,
+            blocks: BTreeMap::new(),
+            recency: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            uses: 0,
+            next_event: None,
+        }
+    }
+
     /// Returns the number of leading blocks that are cached.
     #[must_use]
     pub fn cached(&self, prefix: &[BlockDigest]) -> usize {
@@ -141,53 +195,56 @@
     }
 
     /// Notes that a request with the prefix was sent and is computed by `ready_at`.
-    pub fn sent(&mut self, prefix: &[BlockDigest], ready_at: ClockTime) {
+    pub fn sent(&mut self, prefix: &[BlockDigest], ready_at: ClockTime, index: &mut PrefixIndex) {
         for digest in prefix {
             if self.blocks.contains_key(digest) {
                 self.touch(*digest);
                 continue;
             }
-            let pending = self.pending.entry(*digest).or_insert(PendingBlock {
-                requests: 0,
-                ready_at,
-            });
-            pending.requests += 1;
+            if let Some(pending) = self.pending.get_mut(digest) {
+                pending.requests += 1;
+                continue;
+            }
+            let requests = 1;
+            self.pending
+                .insert(*digest, PendingBlock { requests, ready_at });
+            index.add_computing(*digest, self.worker);
         }
     }
 
     /// Notes that a request with the prefix, sent before, got its first token.
-    pub fn prefilled(&mut self, prefix: &[BlockDigest], counts: &mut HolderCounts) {
+    pub fn prefilled(&mut self, prefix: &[BlockDigest], index: &mut PrefixIndex) {
         for digest in prefix {
-            self.pending.remove(digest);
-            self.store(*digest, BlockTrust::Assumed, counts);
+            self.remove_pending(*digest, index);
+            self.store(*digest, BlockTrust::Assumed, index);
         }
     }
 
     /// Notes that a request with the prefix, sent before, ended without a first token.
-    pub fn abandoned(&mut self, prefix: &[BlockDigest]) {
+    pub fn abandoned(&mut self, prefix: &[BlockDigest], index: &mut PrefixIndex) {
         for digest in prefix {
             let Some(pending) = self.pending.get_mut(digest) else {
                 continue;
             };
             pending.requests -= 1;
             if pending.requests == 0 {
-                self.pending.remove(digest);
+                self.remove_pending(*digest, index);
             }
         }
     }
 
     /// Applies cache events, and lowers the trust in all blocks if some were lost before them.
-    pub fn apply(&mut self, batch: &CacheBatch, counts: &mut HolderCounts) {
+    pub fn apply(&mut self, batch: &CacheBatch, index: &mut PrefixIndex) {
         let expected = self.next_event.unwrap_or(batch.first);
         if batch.first < expected {
-            self.clear(counts);
+            self.clear(index);
         } else if batch.first > expected {
-            self.lower_trust(counts);
+            self.lower_trust(index);
         }
         for change in &batch.changes {
             match change {
-                CacheChange::Stored(digest) => self.store(*digest, BlockTrust::Confirmed, counts),
-                CacheChange::Evicted(digest) => self.forget(*digest, counts),
+                CacheChange::Stored(digest) => self.store(*digest, BlockTrust::Confirmed, index),
+                CacheChange::Evicted(digest) => self.forget(*digest, index),
             }
         }
         let length = u64::try_from(batch.changes.len()).unwrap_or(u64::MAX);
@@ -195,9 +252,9 @@
     }
 
     /// Forgets everything, as after a restart of the worker.
-    pub fn clear(&mut self, counts: &mut HolderCounts) {
+    pub fn clear(&mut self, index: &mut PrefixIndex) {
         for digest in self.blocks.keys() {
-            counts.remove(*digest);
+            index.remove_cached(*digest, self.worker);
         }
         self.blocks.clear();
         self.recency.clear();
@@ -205,7 +262,7 @@
     }
 
     /// Forgets the blocks that no event confirmed and takes the others as unconfirmed.
-    fn lower_trust(&mut self, counts: &mut HolderCounts) {
+    fn lower_trust(&mut self, index: &mut PrefixIndex) {
         let assumed = |entry: &(&BlockDigest, &CachedBlock)| entry.1.trust == BlockTrust::Assumed;
         let unconfirmed: Vec<BlockDigest> = self
             .blocks
@@ -214,13 +271,19 @@
             .map(|(digest, _)| *digest)
             .collect();
         for digest in unconfirmed {
-            self.forget(digest, counts);
+            self.forget(digest, index);
         }
         for block in self.blocks.values_mut() {
             block.trust = BlockTrust::Assumed;
         }
     }
 
+    fn remove_pending(&mut self, digest: BlockDigest, index: &mut PrefixIndex) {
+        if self.pending.remove(&digest).is_some() {
+            index.remove_computing(digest, self.worker);
+        }
+    }
+
     fn touch(&mut self, digest: BlockDigest) {
         self.uses += 1;
         if let Some(block) = self.blocks.get_mut(&digest) {
@@ -230,7 +293,7 @@
         }
     }
 
-    fn store(&mut self, digest: BlockDigest, trust: BlockTrust, counts: &mut HolderCounts) {
+    fn store(&mut self, digest: BlockDigest, trust: BlockTrust, index: &mut PrefixIndex) {
         if let Some(block) = self.blocks.get_mut(&digest) {
             if trust == BlockTrust::Confirmed {
                 block.trust = trust;
@@ -242,19 +305,19 @@
         let used = self.uses;
         self.blocks.insert(digest, CachedBlock { trust, used });
         self.recency.insert(used, digest);
-        counts.add(digest);
+        index.add_cached(digest, self.worker);
         if self.blocks.len() > BLOCKS_KEPT
             && let Some((_, oldest)) = self.recency.first_key_value()
         {
             let oldest = *oldest;
-            self.forget(oldest, counts);
+            self.forget(oldest, index);
         }
     }
 
-    fn forget(&mut self, digest: BlockDigest, counts: &mut HolderCounts) {
+    fn forget(&mut self, digest: BlockDigest, index: &mut PrefixIndex) {
         if let Some(block) = self.blocks.remove(&digest) {
             self.recency.remove(&block.used);
-            counts.remove(digest);
+            index.remove_cached(digest, self.worker);
         }
     }
 }
