Cut the look-ups of an ask-to-grant

Cause: after bounding the candidates, a profile still showed most time in tree look-ups: eight blocks for each holder of a prefix, the waiting record five times, four range searches for the earliest start.

Change: a cached block stands for those before it, so the deepest is looked up first; records and blocks are in hash tables that only their ordered companions iterate; starts are kept by tier; the tally has six levels of 64 buckets; the explanation is formatted once.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -98,7 +98,9 @@
                 request: ask.request,
                 worker,
                 expires_in,
-                choice: record.choice.clone(),
+                choice: record
+                    .reason
+                    .map_or_else(String::new, |reason| reason.to_string()),
             };
             let host = record.host.clone();
             actions.push(BrokerAction::Grant { host, grant });
--- a/kernel/src/broker/candidates.rs
+++ b/kernel/src/broker/candidates.rs
@@ -20,7 +20,7 @@
 const OPEN_WEIGHED: usize = 32;
 
 /// The most workers that hold or compute the request's prefix and are weighed for it.
-const HOLDERS_WEIGHED: usize = 16;
+const HOLDERS_WEIGHED: usize = 8;
 
 /// What is known of a request when its candidates are listed.
 #[derive(Clone, Copy, Debug)]
@@ -28,7 +28,8 @@
     now: ClockTime,
     ask: &'a Ask,
     answer: AnswerEstimate,
-    held_anywhere: bool,
+    holders: &'a [usize],
+    computing: &'a [usize],
 }
 
 /// The candidates for a request and the positions of their workers.
@@ -47,11 +48,19 @@
         ask: &Ask,
         list: &mut CandidateList,
     ) {
+        let (holders, computing) = match ask.prefix.first() {
+            Some(first) => {
+                let index = &self.workers.index;
+                (index.holders(*first), index.computing(*first))
+            }
+            None => Default::default(),
+        };
         let demand = CandidateDemand {
             now,
             ask,
             answer: self.answer_estimate(ask),
-            held_anywhere: self.workers.index.held(&ask.prefix) > 0,
+            holders,
+            computing,
         };
         list.workers.clear();
         match self.policy.weighs() {
@@ -62,7 +71,8 @@
         list.candidates.clear();
         for position in &list.workers {
             let record = &self.workers.records[*position];
-            list.candidates.push(candidate(&demand, lane, record));
+            list.candidates
+                .push(candidate(&demand, lane, *position, record));
         }
     }
 
@@ -99,15 +109,21 @@
 fn candidate(
     demand: &CandidateDemand<'_>,
     lane: &WorkLane,
+    position: usize,
     record: &WorkerRecord,
 ) -> WorkerCandidate {
     let ask = demand.ask;
-    let cached = if demand.held_anywhere {
+    let holds = demand.holders.contains(&position);
+    let cached = if holds {
         record.cache.cached(&ask.prefix)
     } else {
         0
     };
-    let pending = record.cache.pending(&ask.prefix, cached);
+    let pending = if holds || demand.computing.contains(&position) {
+        record.cache.pending(&ask.prefix, cached)
+    } else {
+        None
+    };
     let cached_tokens = block_tokens(cached).min(ask.prompt_tokens);
     let pending_tokens = pending.map_or(cached_tokens, |pending| {
         block_tokens(pending.blocks).min(ask.prompt_tokens)
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -153,14 +153,13 @@
         };
         let id = self.next_grant();
         let expires = now + self.settings.grant_lifetime;
-        let choice = reason.to_string();
         let uncached_tokens = self.occupy(now, worker, &waiting);
         let grant = Grant {
             grant: id,
             request,
             worker: self.workers.records[worker].worker.clone(),
             expires_in: self.settings.grant_lifetime,
-            choice: choice.clone(),
+            choice: reason.to_string(),
         };
         let lesson = GrantLesson {
             workspace: waiting.ask.workspace,
@@ -179,7 +178,7 @@
             prefix: waiting.ask.prefix,
             alone: waiting.ask.suspect,
             lesson: Some(lesson),
-            choice,
+            reason: Some(reason),
         };
         self.grants.insert(id, record);
         self.set_timer(expires, BrokerTimer::Grant(id));
--- a/kernel/src/broker/grants.rs
+++ b/kernel/src/broker/grants.rs
@@ -9,6 +9,7 @@
 use crate::name::RequestId;
 use crate::name::TierRank;
 use crate::name::WorkspaceName;
+use crate::policy::ChoiceReason;
 
 /// How far the request of a grant has come, as far as the broker knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -59,8 +60,8 @@
     pub alone: bool,
     /// What to learn from; `None` for work that an entry declared.
     pub lesson: Option<GrantLesson>,
-    /// The text that explains the choice.
-    pub choice: String,
+    /// The reason of the choice; `None` for work that an entry declared.
+    pub reason: Option<ChoiceReason>,
 }
 
 /// All grants that hold a slot.
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -309,7 +309,7 @@
             prefix: Vec::new(),
             alone: false,
             lesson: None,
-            choice: String::new(),
+            reason: None,
         };
         self.grants.insert(grant, record);
     }
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -41,11 +41,11 @@
     ///
     /// Within the tier the one with the earliest latest start and the one served last are compared.
     fn shedding_victim(&self, now: ClockTime) -> Option<RequestId> {
-        let last = self.waiting.last_due()?;
+        let last = self.waiting.last()?;
         if self.policy.order() == QueueOrder::Arrival {
             return Some(last);
         }
-        let tightest = self.waiting.first_start_in(self.waiting.lowest_tier()?)?;
+        let tightest = self.waiting.tightest_of_lowest()?;
         if self.slack(now, tightest) < self.slack(now, last) {
             Some(tightest)
         } else {
--- a/kernel/src/broker/waiting.rs
+++ b/kernel/src/broker/waiting.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::ask::Ask;
@@ -64,7 +65,6 @@
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct StartKey {
-    tier: TierRank,
     latest_start: ClockTime,
     request: RequestId,
 }
@@ -72,30 +72,26 @@
 /// All requests that wait in the cell.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WaitingTable {
-    records: BTreeMap<RequestId, WaitingRecord>,
+    // Looked up by request only; whatever iterates does so in the order of the queue.
+    records: HashMap<RequestId, WaitingRecord>,
     order: TierQueue,
-    starts: BTreeSet<StartKey>,
-    tiers: BTreeMap<TierRank, u32>,
+    starts: BTreeMap<TierRank, BTreeSet<StartKey>>,
 }
 
 impl WaitingTable {
     pub(super) fn insert(&mut self, record: WaitingRecord) {
         let request = record.ask.request;
         self.order.insert(record.key, request);
-        self.starts.insert(start_key(&record));
-        *self.tiers.entry(record.ask.tier).or_default() += 1;
+        let starts = self.starts.entry(record.ask.tier).or_default();
+        starts.insert(start_key(&record));
         self.records.insert(request, record);
     }
 
     pub(super) fn remove(&mut self, request: RequestId) -> Option<WaitingRecord> {
         let record = self.records.remove(&request)?;
         self.order.remove(&record.key);
-        self.starts.remove(&start_key(&record));
-        if let Some(count) = self.tiers.get_mut(&record.ask.tier) {
-            *count -= 1;
-            if *count == 0 {
-                self.tiers.remove(&record.ask.tier);
-            }
+        if let Some(starts) = self.starts.get_mut(&record.ask.tier) {
+            starts.remove(&start_key(&record));
         }
         Some(record)
     }
@@ -125,61 +121,41 @@
 
     /// Returns the earliest of the latest starts.
     pub(super) fn first_start(&self) -> Option<ClockTime> {
-        let firsts = self.tiers.keys().filter_map(|tier| self.start_in(*tier));
+        let firsts = self.starts.values().filter_map(BTreeSet::first);
         firsts.map(|key| key.latest_start).min()
     }
 
     /// Returns a request whose latest start has passed.
     pub(super) fn past_start(&self, now: ClockTime) -> Option<RequestId> {
-        let firsts = self.tiers.keys().filter_map(|tier| self.start_in(*tier));
-        firsts
-            .filter(|key| key.latest_start < now)
-            .map(|key| key.request)
-            .next()
+        let mut firsts = self.starts.values().filter_map(BTreeSet::first);
+        let past = firsts.find(|key| key.latest_start < now);
+        past.map(|key| key.request)
     }
 
-    /// Returns the lowest tier that waits.
-    pub(super) fn lowest_tier(&self) -> Option<TierRank> {
-        self.tiers.last_key_value().map(|(tier, _)| *tier)
+    /// Returns the request with the earliest latest start in the lowest tier that waits.
+    pub(super) fn tightest_of_lowest(&self) -> Option<RequestId> {
+        let mut firsts = self.starts.values().rev().filter_map(BTreeSet::first);
+        firsts.next().map(|key| key.request)
     }
 
-    /// Returns the request of a tier with the earliest latest start.
-    pub(super) fn first_start_in(&self, tier: TierRank) -> Option<RequestId> {
-        self.start_in(tier).map(|key| key.request)
-    }
-
-    /// Returns the request of a tier with the latest deadline; tiers must order the queue.
-    pub(super) fn last_due(&self) -> Option<RequestId> {
+    /// Returns the request that is served last.
+    pub(super) fn last(&self) -> Option<RequestId> {
         self.order.last().map(|entry| entry.request)
     }
 
     /// Returns the number of waiting requests by tier rank.
     pub(super) fn counts(&self) -> Vec<u32> {
-        let length = self.lowest_tier().map_or(0, |tier| usize::from(tier.0) + 1);
-        let mut counts = vec![0; length];
-        for (tier, count) in &self.tiers {
-            counts[usize::from(tier.0)] = *count;
+        let mut counts = Vec::new();
+        for (tier, starts) in self.starts.iter().filter(|(_, starts)| !starts.is_empty()) {
+            counts.resize(usize::from(tier.0) + 1, 0);
+            counts[usize::from(tier.0)] = u32::try_from(starts.len()).unwrap_or(u32::MAX);
         }
         counts
     }
-
-    fn start_in(&self, tier: TierRank) -> Option<StartKey> {
-        let first = StartKey {
-            tier,
-            latest_start: ClockTime::ZERO,
-            request: RequestId {
-                incarnation: 0,
-                sequence: 0,
-            },
-        };
-        let found = self.starts.range(first..).next()?;
-        (found.tier == tier).then_some(*found)
-    }
 }
 
 const fn start_key(record: &WaitingRecord) -> StartKey {
     StartKey {
-        tier: record.ask.tier,
         latest_start: record.latest_start,
         request: record.ask.request,
     }
--- a/kernel/src/prefix.rs
+++ b/kernel/src/prefix.rs
@@ -1,6 +1,7 @@
 //! Knowledge of the prompt prefixes that workers have cached.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use crate::ask::CacheBatch;
 use crate::ask::CacheChange;
@@ -134,7 +135,8 @@
 #[derive(Clone, Debug)]
 pub struct PrefixCache {
     worker: usize,
-    blocks: BTreeMap<BlockDigest, CachedBlock>,
+    // Looked up by digest only; whatever iterates does so in the order of the last use.
+    blocks: HashMap<BlockDigest, CachedBlock>,
     recency: BTreeMap<u64, BlockDigest>,
     pending: BTreeMap<BlockDigest, PendingBlock>,
     uses: u64,
@@ -144,10 +146,10 @@
 impl PrefixCache {
     /// Creates empty knowledge of the worker at a position.
     #[must_use]
-    pub const fn new(worker: usize) -> Self {
+    pub fn new(worker: usize) -> Self {
         Self {
             worker,
-            blocks: BTreeMap::new(),
+            blocks: HashMap::new(),
             recency: BTreeMap::new(),
             pending: BTreeMap::new(),
             uses: 0,
@@ -156,10 +158,14 @@
     }
 
     /// Returns the number of leading blocks that are cached.
+    ///
+    /// Engines evict the last block of a prefix first, so a cached block stands for those before it.
     #[must_use]
     pub fn cached(&self, prefix: &[BlockDigest]) -> usize {
-        let cached = |digest: &&BlockDigest| self.blocks.contains_key(digest);
-        prefix.iter().take_while(cached).count()
+        match prefix.last() {
+            Some(last) if self.blocks.contains_key(last) => prefix.len(),
+            _ => prefix.partition_point(|digest| self.blocks.contains_key(digest)),
+        }
     }
 
     /// Returns the part of the prefix that is being computed beyond the cached part, if any.
@@ -253,7 +259,7 @@
 
     /// Forgets everything, as after a restart of the worker.
     pub fn clear(&mut self, index: &mut PrefixIndex) {
-        for digest in self.blocks.keys() {
+        for digest in self.recency.values() {
             index.remove_cached(*digest, self.worker);
         }
         self.blocks.clear();
@@ -263,18 +269,14 @@
 
     /// Forgets the blocks that no event confirmed and takes the others as unconfirmed.
     fn lower_trust(&mut self, index: &mut PrefixIndex) {
-        let assumed = |entry: &(&BlockDigest, &CachedBlock)| entry.1.trust == BlockTrust::Assumed;
-        let unconfirmed: Vec<BlockDigest> = self
-            .blocks
-            .iter()
-            .filter(assumed)
-            .map(|(digest, _)| *digest)
-            .collect();
-        for digest in unconfirmed {
-            self.forget(digest, index);
-        }
-        for block in self.blocks.values_mut() {
-            block.trust = BlockTrust::Assumed;
+        let digests: Vec<BlockDigest> = self.recency.values().copied().collect();
+        for digest in digests {
+            match self.blocks.get_mut(&digest) {
+                Some(block) if block.trust == BlockTrust::Confirmed => {
+                    block.trust = BlockTrust::Assumed;
+                }
+                _ => self.forget(digest, index),
+            }
         }
     }
 
--- a/kernel/src/queue.rs
+++ b/kernel/src/queue.rs
@@ -11,10 +11,10 @@
 const BUCKET_MICROS: u64 = 1_000;
 
 /// The number of bits by which one level of a [`WorkTally`] is coarser than the level below.
-const LEVEL_BITS: u32 = 4;
+const LEVEL_BITS: u32 = 6;
 
 /// The number of levels of a [`WorkTally`].
-const LEVEL_COUNT: usize = 8;
+const LEVEL_COUNT: usize = 6;
 
 /// The order in which a policy serves waiting requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -143,7 +143,7 @@
 
 /// The work of waiting requests by tier and deadline, with sums in logarithmic time.
 ///
-/// Deadlines fall into buckets of a millisecond; each level above sums sixteen buckets of
+/// Deadlines fall into buckets of a millisecond; each level above sums 64 buckets of
 /// the level below.
 #[derive(Clone, Debug, Default)]
 pub struct WorkTally {
