--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -177,7 +177,9 @@
     let key = SharedKey::new(*digest.as_bytes());
     let host = settings.host.clone();
     let mut link_settings = LinkSettings::new(host, incarnation, settings.link_listen, key);
-    link_settings.advertise = Some(settings.link_advertise);
+    // Port 0 asks the system for a free port, which the link set finds out by itself.
+    link_settings.advertise =
+        (settings.link_advertise.port() != 0).then_some(settings.link_advertise);
     let slot = Rc::clone(slot);
     let receive = Rc::new(move |from: &HostName, message: LinkMessage| {
         if let Some(context) = slot.get() {
@@ -285,7 +287,11 @@
     log_event!(context.log, LogEvent::HostStarted);
     let mut output = std::io::stdout();
     let (entry, operators) = (entry.address(), operators.address());
-    writeln!(output, "listening entry={entry} operators={operators}")?;
+    let link = context.links.own_address();
+    writeln!(
+        output,
+        "listening entry={entry} operators={operators} link={link}"
+    )?;
     output.flush()
 }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -48,6 +48,7 @@
 use crate::query;
 use crate::reply::json;
 use crate::reply::text;
+use crate::rows;
 use crate::rows::HostQuestion;
 use crate::rows::STEP_COLUMNS;
 use crate::settings::KeyDigest;
@@ -172,6 +173,10 @@
             None if query.table == TableName::Keys => self.keys().await?,
             None => self.gather(HostQuestion::Table(query.table)).await,
         };
+        if query.table == TableName::Workers {
+            let idle = rows::idle_worker_rows(&configuration, &table.rows);
+            table.rows.extend(idle);
+        }
         table.apply(query);
         Ok(table)
     }
--- a/src/rows.rs
+++ b/src/rows.rs
@@ -6,9 +6,13 @@
 use crate::context::HostContext;
 use crate::journal::RequestPhase;
 use crate::journal::RequestRecord;
+use crate::journal::RequestStep;
 use crate::kernel::broker::WorkerView;
+use crate::kernel::configuration::Configuration;
+use crate::kernel::configuration::WorkerSpec;
 use crate::kernel::configuration::WorkerState;
 use crate::kernel::name::RequestId;
+use crate::kernel::name::WorkerName;
 use crate::language::TableName;
 
 /// The most rows of one table that a host sends; the newest ones are kept.
@@ -138,7 +142,7 @@
     let Some(record) = journal.find(request) else {
         return Vec::new();
     };
-    let row = |step: &crate::journal::RequestStep| {
+    let row = |step: &RequestStep| {
         vec![
             json!(request.to_string()),
             json!(step.after.as_millis()),
@@ -149,37 +153,66 @@
     record.steps.iter().map(row).collect()
 }
 
+/// Returns the workers whose broker runs here.
 fn worker_rows(context: &HostContext) -> Vec<Vec<Value>> {
     context.cells.with_brokers(|brokers| {
         let workers = brokers.iter().flat_map(|(_, broker)| broker.workers());
         workers
-            .filter_map(|worker| worker_row(context, &worker))
+            .filter_map(|worker| live_row(context, &worker))
             .collect()
     })
 }
 
-fn worker_row(context: &HostContext, worker: &WorkerView<'_>) -> Option<Vec<Value>> {
+fn live_row(context: &HostContext, worker: &WorkerView<'_>) -> Option<Vec<Value>> {
     let applied = context.applied();
     let spec = applied.configuration.workers.get(worker.worker)?;
+    let leaving = context.leaving.borrow().contains(worker.worker);
     let state = match spec.state {
         WorkerState::Draining => "draining",
-        WorkerState::Active if context.leaving.borrow().contains(worker.worker) => "leaving",
+        WorkerState::Active if leaving => "leaving",
         WorkerState::Active if worker.held => "failed",
         WorkerState::Active if worker.straggler => "straggler",
         WorkerState::Active => "active",
     };
-    Some(vec![
-        json!(worker.worker),
+    let live = [json!(worker.limit), json!(worker.running)];
+    Some(worker_row(worker.worker, spec, state, live))
+}
+
+/// Returns the rows of the configured workers that no broker has reported: nothing was asked of
+/// their cells yet, or their broker does not answer.
+#[must_use]
+pub fn idle_worker_rows(configuration: &Configuration, reported: &[Vec<Value>]) -> Vec<Vec<Value>> {
+    let is_reported = |worker: &WorkerName| {
+        reported
+            .iter()
+            .any(|row| row.first().and_then(Value::as_str) == Some(worker.as_str()))
+    };
+    let idle = configuration
+        .workers
+        .iter()
+        .filter(|(worker, _)| !is_reported(worker));
+    idle.map(|(worker, spec)| {
+        let state = match spec.state {
+            WorkerState::Active => "active",
+            WorkerState::Draining => "draining",
+        };
+        worker_row(worker, spec, state, [Value::Null, json!(0)])
+    })
+    .collect()
+}
+
+fn worker_row(worker: &WorkerName, spec: &WorkerSpec, state: &str, live: [Value; 2]) -> Vec<Value> {
+    let mut row = vec![
+        json!(worker),
         json!(spec.service),
         json!(spec.datacenter),
         json!(spec.address.to_string()),
         json!(state),
         json!(spec.max_running),
-        json!(worker.limit),
-        json!(worker.running),
-        Value::Null,
-        Value::Null,
-    ])
+    ];
+    row.extend(live);
+    row.extend([Value::Null, Value::Null]);
+    row
 }
 
 fn host_row(context: &HostContext) -> Vec<Value> {
