--- a/tests/session.rs
+++ b/tests/session.rs
@@ -79,9 +79,12 @@
 }
 
 fn row_line(columns: &[&str], row: &serde_json::Value) -> String {
-    let cell = |(index, column): (usize, &&str)| match MASKED_COLUMNS.contains(column) {
-        true => "-".to_owned(),
-        false => row[index].to_string(),
+    let cell = |(index, column): (usize, &&str)| {
+        if MASKED_COLUMNS.contains(column) {
+            "-".to_owned()
+        } else {
+            row[index].to_string()
+        }
     };
     let cells: Vec<String> = columns.iter().enumerate().map(cell).collect();
     cells.join(" | ")
