Add the load tool and tests of the stand-ins

Cause: trials and the demonstration need load shaped like the two deployments', and a report of goodput by tier, refusals, cut answers and first-token times as a caller sees them.

What was ruled out: prompts of random text (prefixes must be shared as in the trace, so equal blocks become equal text, and the tests compare their digests); counting by the tier that the trace has (the system places a request, so the answer's header counts).

Conclusion: borageladder-standin load reports what a caller gets, as a table or JSON.

--- a/standin/src/arguments.rs
+++ b/standin/src/arguments.rs
@@ -13,7 +13,14 @@
 use thiserror::Error;
 
 use crate::engine::EngineSpec;
+use crate::load::LoadSpec;
+use crate::load::MAX_LOAD_LENGTH;
+use crate::load::MAX_LOAD_RATE;
 use crate::model::EngineProfile;
+use crate::trace::DeploymentKind;
+
+/// The calls that the load tool has open at once unless it is told otherwise.
+const DEFAULT_MAX_OPEN: usize = 2_000;
 
 /// What `--help` prints.
 pub const USAGE: &str = "\
@@ -28,6 +35,10 @@
            a model engine
   plain    --listen ADDR --name NAME
            a plain service
+  load     --entry ADDR[,ADDR] --key KEY[,KEY] --model NAME --trace quill|sargam --seconds N
+           --rate REQUESTS_PER_SECOND [--seed N] [--max-open N] [--json]
+           sends a deployment's kinds of requests and reports what came back; the header x-kind
+           says which kind a request is
 
 A stand-in prints `listening on ADDR` once it answers; port 0 takes a free port.
 ";
@@ -59,6 +70,8 @@
     Engine(EngineArguments),
     /// Serve a plain service.
     Plain(PlainArguments),
+    /// Send load.
+    Load(LoadArguments),
 }
 
 /// The arguments of the stand-ins that serve a host list.
@@ -92,6 +105,15 @@
     pub name: WorkerName,
 }
 
+/// The arguments of the load tool.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadArguments {
+    /// The load.
+    pub spec: LoadSpec,
+    /// Whether the report is printed as JSON.
+    pub json: bool,
+}
+
 impl StandinCommand {
     /// Reads the arguments of this process.
     ///
@@ -129,6 +151,7 @@
             "hosts" => Ok(Self::Hosts(parse_hosts(&mut parser)?)),
             "engine" => Ok(Self::Engine(parse_engine(&mut parser)?)),
             "plain" => Ok(Self::Plain(parse_plain(&mut parser)?)),
+            "load" => Ok(Self::Load(parse_load(&mut parser)?)),
             _ => Err(ArgumentError::UnknownStandin(name)),
         }
     }
@@ -212,6 +235,72 @@
     })
 }
 
+fn parse_load(parser: &mut Parser) -> Result<LoadArguments, ArgumentError> {
+    let mut entries = Vec::new();
+    let mut keys = Vec::new();
+    let mut model = None;
+    let mut deployment = None;
+    let mut length = None;
+    let mut rate = None;
+    let mut seed = 1;
+    let mut max_open = DEFAULT_MAX_OPEN;
+    let mut json = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("entry") => entries = parse_list(parser)?,
+            Arg::Long("key") => keys = parse_list(parser)?,
+            Arg::Long("model") => model = Some(parser.value()?.parse()?),
+            Arg::Long("trace") => deployment = Some(parser.value()?.parse_with(parse_deployment)?),
+            Arg::Long("seconds") => length = Some(parser.value()?.parse_with(parse_seconds)?),
+            Arg::Long("rate") => rate = Some(parser.value()?.parse_with(parse_rate)?),
+            Arg::Long("seed") => seed = parser.value()?.parse()?,
+            Arg::Long("max-open") => max_open = parser.value()?.parse()?,
+            Arg::Long("json") => json = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if entries.is_empty() {
+        return Err(ArgumentError::Missing("--entry"));
+    }
+    if keys.is_empty() {
+        return Err(ArgumentError::Missing("--key"));
+    }
+    let spec = LoadSpec {
+        entries,
+        keys,
+        model: required(model, "--model")?,
+        deployment: required(deployment, "--trace")?,
+        length: required(length, "--seconds")?,
+        rate: required(rate, "--rate")?,
+        seed,
+        max_open,
+    };
+    Ok(LoadArguments { spec, json })
+}
+
+fn parse_deployment(text: &str) -> Result<DeploymentKind, String> {
+    let mut kinds = DeploymentKind::ALL.into_iter();
+    let kind = kinds.find(|kind| kind.name() == text);
+    kind.ok_or_else(|| format!("{text:?} is not quill or sargam"))
+}
+
+fn parse_seconds(text: &str) -> Result<Duration, String> {
+    let seconds = text.parse().map_err(|error| format!("{error}"))?;
+    let length = Duration::from_secs(seconds);
+    if length.is_zero() || length > MAX_LOAD_LENGTH {
+        return Err(format!("must be from 1 to {}", MAX_LOAD_LENGTH.as_secs()));
+    }
+    Ok(length)
+}
+
+fn parse_rate(text: &str) -> Result<f64, String> {
+    let rate: f64 = text.parse().map_err(|error| format!("{error}"))?;
+    if rate > 0.0 && rate <= MAX_LOAD_RATE {
+        return Ok(rate);
+    }
+    Err(format!("must be above 0 and at most {MAX_LOAD_RATE}"))
+}
+
 fn parse_list<T>(parser: &mut Parser) -> Result<Vec<T>, lexopt::Error>
 where
     T: FromStr,
--- a/standin/src/load.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! A load tool that measures goodput by tier.
--- /dev/null
+++ b/standin/src/load/mod.rs
@@ -0,0 +1,138 @@
+//! A load tool that sends requests shaped like a deployment's and reports what came back.
+
+mod call;
+mod prompt;
+mod report;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use awc::Connector;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::ModelName;
+
+pub use self::call::CallEnd;
+pub use self::call::CallResult;
+pub use self::prompt::kind_name;
+pub use self::prompt::prompt_body;
+pub use self::report::LoadSummary;
+pub use self::report::TierSummary;
+
+use self::call::CallTarget;
+use crate::trace::DeploymentKind;
+use crate::trace::Trace;
+use crate::trace::TraceRequest;
+use crate::trace::TraceSpec;
+
+/// The longest load that is sent.
+pub const MAX_LOAD_LENGTH: Duration = Duration::from_mins(10);
+
+/// The highest rate of requests, a second.
+pub const MAX_LOAD_RATE: f64 = 5_000.0;
+
+/// The length of the trace from which the rate at scale 1 is taken.
+const PROBE_LENGTH: Duration = Duration::from_mins(10);
+
+/// The time for which open calls are awaited after the last one was sent, past their deadlines.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// What load is sent, and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadSpec {
+    /// The entries, which take turns.
+    pub entries: Vec<SocketAddr>,
+    /// The workspace keys, which take turns by the trace's workspaces.
+    pub keys: Vec<String>,
+    /// The model that the requests name.
+    pub model: ModelName,
+    /// The deployment whose trace is sent.
+    pub deployment: DeploymentKind,
+    /// The time from the first to the last request.
+    pub length: Duration,
+    /// The mean rate of requests, a second.
+    pub rate: f64,
+    /// The seed of the trace.
+    pub seed: u64,
+    /// The most calls that are open at once; later requests are not sent and counted as such.
+    pub max_open: usize,
+}
+
+impl LoadSpec {
+    /// Returns the trace with the rate and length of this load.
+    #[must_use]
+    pub fn trace(&self) -> Trace {
+        let mut spec = TraceSpec {
+            deployment: self.deployment,
+            scale: 1.0,
+            length: PROBE_LENGTH,
+            burst: None,
+            seed: self.seed,
+        };
+        let count = Trace::new(&spec).requests.len();
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let rate = f64::from(count) / PROBE_LENGTH.as_secs_f64();
+        spec.scale = self.rate.min(MAX_LOAD_RATE) / rate;
+        spec.length = self.length.min(MAX_LOAD_LENGTH);
+        Trace::new(&spec)
+    }
+}
+
+/// Sends the load, waits for all answers and summarizes them.
+///
+/// It ends within the load's length and the longest deadline of the trace, twice.
+pub async fn run(spec: &LoadSpec) -> LoadSummary {
+    let trace = spec.trace();
+    let summary = Rc::new(RefCell::new(LoadSummary::new(spec.length)));
+    let open = Rc::new(Cell::new(0_usize));
+    let client = client();
+    let start = Instant::now();
+    for (index, request) in trace.requests.into_iter().enumerate() {
+        let wait = request.at.since(ClockTime::ZERO);
+        actix_rt::time::sleep(wait.saturating_sub(start.elapsed())).await;
+        if open.get() >= spec.max_open {
+            summary.borrow_mut().not_sent += 1;
+            continue;
+        }
+        open.set(open.get() + 1);
+        let target = target(spec, index, &request);
+        let client = client.clone();
+        let summary = Rc::clone(&summary);
+        let open = Rc::clone(&open);
+        actix_rt::spawn(async move {
+            let result = call::send(&client, &target, &request).await;
+            summary.borrow_mut().add(&result);
+            open.set(open.get() - 1);
+        });
+    }
+    while open.get() > 0 {
+        actix_rt::time::sleep(DRAIN_PAUSE).await;
+    }
+    let summary = summary.borrow();
+    summary.clone()
+}
+
+fn client() -> Client {
+    // A limit would queue calls in the tool and hide the time that they wait.
+    let connector = Connector::new().limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .disable_timeout()
+        .finish()
+}
+
+fn target(spec: &LoadSpec, index: usize, request: &TraceRequest) -> CallTarget {
+    let entry = spec.entries[index % spec.entries.len()];
+    let key = &spec.keys[request.workspace % spec.keys.len()];
+    CallTarget {
+        entry,
+        key: key.clone(),
+        kind: kind_name(spec.deployment, request.tier),
+        body: prompt_body(&spec.model, request),
+    }
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -6,11 +6,13 @@
 
 use actix_rt::System;
 use borageladder_standin::arguments::HostsArguments;
+use borageladder_standin::arguments::LoadArguments;
 use borageladder_standin::arguments::StandinCommand;
 use borageladder_standin::arguments::USAGE;
 use borageladder_standin::engine::EngineService;
 use borageladder_standin::hosts::HostListing;
 use borageladder_standin::hosts::HostsService;
+use borageladder_standin::load;
 use borageladder_standin::plain::PlainService;
 use borageladder_standin::platform::PlatformService;
 
@@ -35,11 +37,22 @@
             EngineService::start(arguments.listen, arguments.spec)?
         }
         StandinCommand::Plain(arguments) => PlainService::start(arguments.listen, arguments.name)?,
+        StandinCommand::Load(arguments) => return send_load(&arguments).await,
     };
     announce(address)?;
     pending().await
 }
 
+async fn send_load(arguments: &LoadArguments) -> anyhow::Result<()> {
+    let summary = load::run(&arguments.spec).await;
+    if arguments.json {
+        println!("{}", summary.to_json()?);
+    } else {
+        print!("{summary}");
+    }
+    Ok(())
+}
+
 fn listing(arguments: HostsArguments) -> HostListing {
     HostListing::new(arguments.workers, arguments.lag)
 }
