Measure by OpenTelemetry and send commands from the command line

Cause: both measures and the state of a host must be readable, and operators need a program that sends a line or a script, marks a wrong word and ends with a code that scripts can use.

Ruled out: names by the exporter's unit suffixes, which would hide in the code what Prometheus sees; parsing in the command line only, since a host may know newer verbs. A token file written by each test side by side was read empty once; it is written once now, and an empty token is refused.

Change: MetricSet with a catalogue that a test compares with docs/METRICS.md and with the rendered text; borageladder with exit codes 0 to 4, tested against a fake host on loopback.

--- a/src/cli.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The operators' command line: arguments, the call to a host, and its output.
--- /dev/null
+++ b/src/cli/call.rs
@@ -0,0 +1,126 @@
+//! The call to a host.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use awc::Client;
+use thiserror::Error;
+
+use crate::cli::CliArguments;
+use crate::cli::CliStatus;
+use crate::language::answer::CommandAnswer;
+
+/// The time within which a host must answer a script; a change waits for other regions.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The largest answer accepted, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// The reason why a call to a host failed.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No token file was given.
+    #[error("no token; give --token-file or set BORAGELADDER_TOKEN_FILE")]
+    NoToken,
+    /// The token file has no token.
+    #[error("the token file {} is empty", file.display())]
+    EmptyToken {
+        /// The file.
+        file: PathBuf,
+    },
+    /// The token file can't be read.
+    #[error("can't read the token file {}: {source}", file.display())]
+    Token {
+        /// The file.
+        file: PathBuf,
+        /// What the operating system reported.
+        source: io::Error,
+    },
+    /// The host can't be reached or did not answer.
+    #[error("host {host} did not answer: {reason}; see `show changes` whether a change was made")]
+    Unreachable {
+        /// The host.
+        host: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The host answered something that is not an answer to a script.
+    #[error("host {host} answered with status {status} and no result: {reason}")]
+    Answer {
+        /// The host.
+        host: SocketAddr,
+        /// The HTTP status.
+        status: u16,
+        /// What is wrong with the answer.
+        reason: String,
+    },
+}
+
+impl CallError {
+    /// Returns how the command line ends with this error.
+    pub fn status(&self) -> CliStatus {
+        match self {
+            Self::EmptyToken { .. } | Self::NoToken | Self::Token { .. } => CliStatus::Usage,
+            Self::Unreachable { .. } => CliStatus::Unreachable,
+            Self::Answer { .. } => CliStatus::Failed,
+        }
+    }
+}
+
+/// A client for the operators' interface of one host.
+#[derive(Debug)]
+pub struct CommandClient {
+    host: SocketAddr,
+    authorization: String,
+}
+
+impl TryFrom<&CliArguments> for CommandClient {
+    type Error = CallError;
+
+    fn try_from(arguments: &CliArguments) -> Result<Self, CallError> {
+        let file = arguments.token_file.as_ref().ok_or(CallError::NoToken)?;
+        let token = fs::read_to_string(file).map_err(|source| CallError::Token {
+            file: file.clone(),
+            source,
+        })?;
+        let token = token.trim();
+        if token.is_empty() {
+            return Err(CallError::EmptyToken { file: file.clone() });
+        }
+        Ok(Self {
+            host: arguments.host,
+            authorization: format!("Bearer {token}"),
+        })
+    }
+}
+
+impl CommandClient {
+    /// Sends a script and waits for its answer; nothing is ever sent twice.
+    pub async fn send(&self, script: &str) -> Result<CommandAnswer, CallError> {
+        let client = Client::builder()
+            .timeout(ANSWER_TIMEOUT)
+            .disable_redirects()
+            .finish();
+        let unreachable = |reason: String| CallError::Unreachable {
+            host: self.host,
+            reason,
+        };
+        let request = client
+            .post(format!("http://{}/operator/command", self.host))
+            .insert_header(("authorization", self.authorization.as_str()))
+            .insert_header(("content-type", "text/plain; charset=utf-8"));
+        let sent = request.send_body(script.to_owned()).await;
+        let mut response = sent.map_err(|error| unreachable(error.to_string()))?;
+        let status = response.status().as_u16();
+        let body = response.body().limit(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|error| unreachable(error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| CallError::Answer {
+            host: self.host,
+            status,
+            reason: error.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,182 @@
+//! The operators' command line: arguments, the call to a host, and its output.
+
+use std::ffi::OsString;
+use std::io;
+use std::io::IsTerminal;
+use std::io::Read;
+use std::io::Write;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::language::MAX_SCRIPT_BYTES;
+use crate::language::OperatorCommand;
+use crate::language::help::describe;
+use crate::language::parse_script;
+
+mod arguments;
+mod call;
+mod output;
+
+pub use arguments::CliAction;
+pub use arguments::CliArguments;
+pub use arguments::UsageError;
+use call::CallError;
+use call::CommandClient;
+
+/// Clears a terminal and moves its cursor to the first line.
+const CLEAR_SCREEN: &str = "\x1b[2J\x1b[H";
+
+/// How the command line ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CliStatus {
+    /// All commands were done.
+    Done = 0,
+    /// The host refused a command or failed.
+    Failed = 1,
+    /// The arguments or a command can't be understood.
+    Usage = 2,
+    /// The host can't be reached or did not answer.
+    Unreachable = 3,
+    /// A change is recorded but not yet in force everywhere.
+    Recorded = 4,
+}
+
+impl From<CliStatus> for ExitCode {
+    fn from(status: CliStatus) -> Self {
+        Self::from(status as u8)
+    }
+}
+
+/// The reason why the command line can't do what it was asked.
+#[derive(Debug, Error)]
+enum CliError {
+    #[error("{0}")]
+    Usage(#[from] UsageError),
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("can't read the script: {0}")]
+    Script(io::Error),
+    #[error("the script is longer than {MAX_SCRIPT_BYTES} bytes")]
+    LongScript,
+    #[error("--watch repeats questions only, such as show or explain")]
+    WatchedChange,
+    #[error("can't write the result: {0}")]
+    Output(io::Error),
+}
+
+impl CliError {
+    fn status(&self) -> CliStatus {
+        match self {
+            Self::Call(error) => error.status(),
+            Self::Output(_) => CliStatus::Failed,
+            Self::LongScript | Self::Script(_) | Self::Usage(_) | Self::WatchedChange => {
+                CliStatus::Usage
+            }
+        }
+    }
+}
+
+/// Runs the command line with the arguments after the program's name.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> CliStatus {
+    match execute(arguments) {
+        Ok(status) => status,
+        Err(error) => {
+            eprintln!("borageladder: {error}");
+            error.status()
+        }
+    }
+}
+
+fn execute(arguments: impl IntoIterator<Item = OsString>) -> Result<CliStatus, CliError> {
+    let action = arguments::parse(arguments, |name| std::env::var_os(name))?;
+    let arguments = match action {
+        CliAction::Help => return print(arguments::USAGE),
+        CliAction::Version => {
+            return print(concat!("borageladder ", env!("CARGO_PKG_VERSION"), "\n"));
+        }
+        CliAction::Run(arguments) => arguments,
+    };
+    let script = match &arguments.command {
+        Some(command) => command.clone(),
+        None => read_script()?,
+    };
+    let commands = parse_script(&script).unwrap_or_default();
+    if let [OperatorCommand::Help(verb)] = commands.as_slice() {
+        return print(&describe(verb.as_deref()).unwrap_or_default());
+    }
+    if arguments.watch.is_some() && !only_questions(&commands) {
+        return Err(CliError::WatchedChange);
+    }
+    let client = CommandClient::try_from(&arguments)?;
+    let system = actix_rt::System::new();
+    system.block_on(async {
+        match arguments.watch {
+            None => run_once(&client, &script, arguments.json).await,
+            Some(pause) => watch(&client, &script, arguments.json, pause).await,
+        }
+    })
+}
+
+/// Returns whether the commands may be repeated; what can't be parsed here may be a change.
+fn only_questions(commands: &[OperatorCommand]) -> bool {
+    let question = |command: &OperatorCommand| {
+        matches!(
+            command,
+            OperatorCommand::Explain(_) | OperatorCommand::Show(_)
+        )
+    };
+    !commands.is_empty() && commands.iter().all(question)
+}
+
+fn print(text: &str) -> Result<CliStatus, CliError> {
+    let mut stdout = io::stdout().lock();
+    let written = stdout.write_all(text.as_bytes());
+    let flushed = written.and_then(|()| stdout.flush());
+    flushed.map_err(CliError::Output)?;
+    Ok(CliStatus::Done)
+}
+
+fn read_script() -> Result<String, CliError> {
+    let mut script = String::new();
+    let limit = MAX_SCRIPT_BYTES as u64 + 1;
+    let mut stdin = io::stdin().lock().take(limit);
+    stdin
+        .read_to_string(&mut script)
+        .map_err(CliError::Script)?;
+    if script.len() > MAX_SCRIPT_BYTES {
+        return Err(CliError::LongScript);
+    }
+    Ok(script)
+}
+
+async fn run_once(client: &CommandClient, script: &str, json: bool) -> Result<CliStatus, CliError> {
+    let answer = client.send(script).await?;
+    print(&output::render(&answer, json))?;
+    if let Some(error) = &answer.error {
+        eprint!("{}", output::render_error(error, script));
+    }
+    Ok(output::status(&answer))
+}
+
+async fn watch(
+    client: &CommandClient,
+    script: &str,
+    json: bool,
+    pause: Duration,
+) -> Result<CliStatus, CliError> {
+    loop {
+        if io::stdout().is_terminal() && !json {
+            print(CLEAR_SCREEN)?;
+        }
+        match run_once(client, script, json).await {
+            Ok(CliStatus::Done) => {}
+            Ok(status) => return Ok(status),
+            // The host may be restarting; the next round may reach it.
+            Err(CliError::Call(error)) => eprintln!("borageladder: {error}"),
+            Err(error) => return Err(error),
+        }
+        actix_rt::time::sleep(pause).await;
+    }
+}
--- a/src/language/answer.rs
+++ b/src/language/answer.rs
@@ -9,6 +9,7 @@
 use crate::kernel::configuration::ConfigVersion;
 use crate::language::LanguageError;
 use crate::language::ResultTable;
+use crate::language::table::printable;
 
 /// The answer to a whole script.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -134,7 +135,12 @@
         match self {
             Self::Table(table) => table.fmt(f),
             Self::Change(change) => change.fmt(f),
-            Self::Text(text) => writeln!(f, "{}", text.trim_end()),
+            Self::Text(text) => {
+                let lines = text.trim_end().lines();
+                lines
+                    .map(printable)
+                    .try_for_each(|line| writeln!(f, "{line}"))
+            }
         }
     }
 }
@@ -142,7 +148,7 @@
 impl fmt::Display for ChangeResult {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for line in &self.diff {
-            writeln!(f, "{line}")?;
+            writeln!(f, "{}", printable(line))?;
         }
         let (before, version) = (self.before.0, self.version.0);
         match self.state {
--- a/src/language/table.rs
+++ b/src/language/table.rs
@@ -1,6 +1,9 @@
 //! Tables of rows, as `show` answers them.
 
+use std::cmp::Ordering;
 use std::fmt;
+use std::mem;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -138,7 +141,7 @@
     /// assert_eq!(table.omitted, 1);
     /// ```
     pub fn apply(&mut self, query: &ShowQuery) {
-        let columns = std::mem::take(&mut self.columns);
+        let columns = mem::take(&mut self.columns);
         let cell = |row: &[Value], column: &str| {
             let index = columns.iter().position(|name| name == column);
             index.and_then(|index| row.get(index)).cloned()
@@ -158,7 +161,7 @@
     }
 }
 
-fn millis(duration: std::time::Duration) -> f64 {
+fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
 
@@ -175,10 +178,10 @@
     let value = duration.map(millis).or_else(|| filter.value.parse().ok());
     let ordering = value.and_then(|value: f64| number.partial_cmp(&value));
     match filter.comparison {
-        Comparison::Equal => ordering.is_some_and(std::cmp::Ordering::is_eq),
-        Comparison::NotEqual => !ordering.is_some_and(std::cmp::Ordering::is_eq),
-        Comparison::Less => ordering.is_some_and(std::cmp::Ordering::is_lt),
-        Comparison::Greater => ordering.is_some_and(std::cmp::Ordering::is_gt),
+        Comparison::Equal => ordering.is_some_and(Ordering::is_eq),
+        Comparison::NotEqual => !ordering.is_some_and(Ordering::is_eq),
+        Comparison::Less => ordering.is_some_and(Ordering::is_lt),
+        Comparison::Greater => ordering.is_some_and(Ordering::is_gt),
         Comparison::StartsWith => number.to_string().starts_with(&filter.value),
     }
 }
@@ -204,7 +207,7 @@
 
 impl fmt::Display for ResultTable {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let texts = self.rows.iter().map(|row| row.iter().map(printable));
+        let texts = self.rows.iter().map(|row| row.iter().map(printable_cell));
         let rows: Vec<Vec<String>> = texts.map(Iterator::collect).collect();
         let widths = widths(&self.columns, &rows);
         write_row(f, &self.columns, &widths)?;
@@ -218,14 +221,18 @@
     }
 }
 
-/// Renders a cell without characters that could move a terminal's cursor.
-fn printable(cell: &Value) -> String {
-    let text = render_cell(cell);
+/// Replaces the characters that could move a terminal's cursor.
+#[must_use]
+pub fn printable(text: &str) -> String {
     text.chars()
         .map(|c| if c.is_control() { '?' } else { c })
         .collect()
 }
 
+fn printable_cell(cell: &Value) -> String {
+    printable(&render_cell(cell))
+}
+
 fn widths(columns: &[String], rows: &[Vec<String>]) -> Vec<usize> {
     let width = |text: &String| text.chars().count();
     let mut widths: Vec<usize> = columns.iter().map(width).collect();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,9 @@
 //! The operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+use borageladder::cli::run;
+
+fn main() -> ExitCode {
+    run(std::env::args_os().skip(1)).into()
+}
--- a/src/metrics.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The metrics of one host.
--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,121 @@
+//! Tests of the metrics and their catalogue.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use borageladder::kernel::ask::RefusalReason;
+use borageladder::kernel::configuration::ConfigVersion;
+use borageladder::kernel::name::ServiceName;
+use borageladder::metrics::CallOutcome;
+use borageladder::metrics::ClaimOutcome;
+use borageladder::metrics::MetricSet;
+use borageladder::metrics::RequestOutcome;
+use borageladder::metrics::TrafficCarrier;
+use borageladder::metrics::TrafficDirection;
+use borageladder::metrics::TrafficDistance;
+use borageladder::metrics::WasteCause;
+use borageladder::metrics::WorkLabels;
+use borageladder::metrics::catalogue::CATALOGUE;
+
+/// The rows of a table before its first entry.
+const TABLE_HEAD_ROWS: usize = 2;
+
+fn labels() -> (WorkLabels, ServiceName) {
+    let tier = "urgent".try_into().expect("the name is valid");
+    let service = ServiceName::try_from("drafter").expect("the name is valid");
+    (WorkLabels::new(&tier, &service), service)
+}
+
+fn record_all(metrics: &MetricSet) {
+    let (labels, service) = labels();
+    let second = Duration::from_secs(1);
+    metrics.request_ended(&labels, RequestOutcome::InTime, 320);
+    metrics.request_ended(&labels, RequestOutcome::Late, 80);
+    metrics.request_refused(&labels, RefusalReason::Deadline);
+    metrics.prefill_computed(&labels, 2_000);
+    metrics.prefill_wasted(&labels, WasteCause::Late, 500);
+    metrics.request_granted(&labels, second);
+    metrics.first_token(&labels, second);
+    metrics.token_gap(&labels, second);
+    metrics.stream_resumed(&labels);
+    metrics.set_waiting(&labels, 3);
+    metrics.set_waiting_bytes(4_096);
+    metrics.set_running(&labels, 4);
+    metrics.set_slots(&service, 16, 4);
+    metrics.claim_ended(ClaimOutcome::Won);
+    metrics.set_versions(ConfigVersion(41), ConfigVersion(42));
+    metrics.set_ready(true);
+    metrics.set_links(5);
+    metrics.set_live_hosts(6);
+    metrics.traffic(
+        TrafficCarrier::Link,
+        TrafficDirection::Sent,
+        TrafficDistance::BetweenRegions,
+        100,
+    );
+    metrics.platform_called("transact", CallOutcome::Answered);
+    metrics.worker_failed(&service);
+}
+
+fn rendered() -> String {
+    let metrics = MetricSet::new().expect("the exporter is set up");
+    record_all(&metrics);
+    metrics.render().expect("the metrics are text")
+}
+
+#[test]
+fn all_metrics_are_rendered_with_their_kinds_and_labels() {
+    let text = rendered();
+    let types = text.lines().filter_map(|line| {
+        let (name, kind) = line.strip_prefix("# TYPE ")?.split_once(' ')?;
+        Some((name.to_owned(), kind.to_owned()))
+    });
+    let types: BTreeMap<String, String> = types.collect();
+    assert_eq!(types.len(), CATALOGUE.len(), "{types:#?}");
+    for entry in CATALOGUE {
+        let name = entry.rendered_name();
+        assert_eq!(types[&name], entry.kind.as_str(), "{name}");
+        let sample = text.lines().find(|line| line.starts_with(&name));
+        let sample = sample.expect("each metric has a sample");
+        let labels = sample.split(['{', '}']).nth(1).unwrap_or_default();
+        let labels = labels.split(',').filter_map(|label| label.split_once('='));
+        let labels: Vec<&str> = labels
+            .map(|label| label.0)
+            .filter(|name| *name != "le")
+            .collect();
+        assert_eq!(labels, entry.labels, "{name}");
+    }
+}
+
+#[test]
+fn code_and_catalogue_agree() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/METRICS.md");
+    let text = fs::read_to_string(path).expect("the catalogue is readable");
+    let rows = text.lines().filter(|line| line.starts_with("| "));
+    let rows: Vec<&str> = rows.skip(TABLE_HEAD_ROWS).collect();
+    assert_eq!(rows.len(), CATALOGUE.len());
+    for (row, entry) in rows.iter().zip(CATALOGUE) {
+        let name = entry.rendered_name();
+        let (kind, labels) = (entry.kind.as_str(), entry.labels.join(", "));
+        assert_eq!(
+            *row,
+            format!("| `{name}` | {kind} | {labels} | {} |", entry.meaning)
+        );
+    }
+}
+
+#[test]
+fn both_measures_can_be_read() {
+    let text = rendered();
+    let sample = |line: &str| assert!(text.contains(line), "{line} is not in\n{text}");
+    sample("borageladder_goodput_requests_total{service=\"drafter\",tier=\"urgent\"} 1");
+    sample("borageladder_goodput_tokens_total{service=\"drafter\",tier=\"urgent\"} 320");
+    let wasted = "borageladder_wasted_prefill_tokens_total\
+                  {cause=\"late\",service=\"drafter\",tier=\"urgent\"} 500";
+    sample(wasted);
+    let refused = "borageladder_requests_total\
+                   {outcome=\"refused\",service=\"drafter\",tier=\"urgent\"} 1";
+    sample(refused);
+}
