--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -98,7 +98,9 @@
                 request: ask.request,
                 worker,
                 expires_in,
-                choice: record.choice.clone(),
+                choice: record
+                    .reason
+                    .map_or_else(String::new, |reason| reason.to_string()),
             };
             let host = record.host.clone();
             actions.push(BrokerAction::Grant { host, grant });
@@ -186,7 +188,7 @@
             };
         }
         let lane = &self.workers.lanes[lane];
-        let held = block_tokens(self.workers.holders.held(&ask.prefix));
+        let held = block_tokens(self.workers.index.held(&ask.prefix));
         let uncached = ask.prompt_tokens.saturating_sub(held);
         ServiceEstimate {
             work: lane.typical.prefill(uncached) + lane.typical.decode(answer.likely),
--- a/kernel/src/rollout.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The spread of a configuration version over all hosts.
--- /dev/null
+++ b/src/wire/work.rs
@@ -0,0 +1,401 @@
+//! Rows of the messages about requests and cells.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::CellSummary;
+use super::Referral;
+use super::code::NameCode;
+use super::code::NumberCode;
+use super::error::CodecError;
+use super::state::CodeState;
+use super::state::GrantCode;
+use super::state::RequestCode;
+use super::state::RequestOwner;
+use super::state::micros;
+use super::state::millis;
+use crate::kernel::ask::Ask;
+use crate::kernel::ask::Grant;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RefusalReason;
+use crate::kernel::ask::RunningWork;
+use crate::kernel::ask::WorkProgress;
+use crate::kernel::ask::WorkReport;
+use crate::kernel::name::BlockDigest;
+use crate::kernel::name::RequestId;
+use crate::kernel::name::ServiceName;
+use crate::kernel::name::TierRank;
+
+/// Request, service, model, workspace, tier and suspect flag, budget in ms, prompt tokens, most
+/// answer tokens, prefix.
+pub type AskRow = (
+    RequestCode,
+    NameCode,
+    Option<NameCode>,
+    NameCode,
+    u16,
+    u64,
+    u32,
+    u32,
+    Vec<NumberCode>,
+);
+
+/// Service, request.
+pub type WithdrawRow = (NameCode, RequestCode);
+
+/// Broker and sequence of the grant, request, worker, expiry in ms, choice.
+pub type GrantRow = (
+    NumberCode,
+    i64,
+    RequestCode,
+    NameCode,
+    u64,
+    NameCode,
+    Vec<u32>,
+);
+
+/// Request, reason, retry time in ms.
+pub type RefusalRow = (RequestCode, u8, u64);
+
+/// Request, data centre, host.
+pub type ReferralRow = (RequestCode, NameCode, NameCode);
+
+/// Service, request, broker and sequence of the grant, worker, as many numbers as the progress has.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(untagged)]
+pub enum ReportRow {
+    /// No number.
+    Plain(NameCode, RequestCode, NumberCode, i64, NameCode),
+    /// One number.
+    One(NameCode, RequestCode, NumberCode, i64, NameCode, u64),
+    /// Two numbers.
+    Two(NameCode, RequestCode, NumberCode, i64, NameCode, u64, u64),
+}
+
+/// Request, grant, worker, tier, prompt tokens.
+pub type RunningRow = (RequestCode, GrantCode, NameCode, u8, u32);
+
+/// Service, running work.
+pub type DeclareRow = (NameCode, Vec<RunningRow>);
+
+/// Service, data centre, free slots, waiting requests by tier.
+pub type SummaryRow = (NameCode, NameCode, u32, Vec<u32>);
+
+const REASONS: [RefusalReason; 7] = [
+    RefusalReason::Capacity,
+    RefusalReason::Deadline,
+    RefusalReason::Dropped,
+    RefusalReason::NoWorker,
+    RefusalReason::Platform,
+    RefusalReason::Quarantined,
+    RefusalReason::Stale,
+];
+
+/// The kinds of progress, in the order of their numbers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProgressKind {
+    /// [`WorkProgress::Dispatched`].
+    Dispatched,
+    /// [`WorkProgress::FirstToken`], with the milliseconds since the dispatch.
+    FirstToken,
+    /// [`WorkProgress::Finished`], with the tokens and the microseconds between two of them.
+    Finished,
+    /// [`WorkProgress::Stopped`].
+    Stopped,
+    /// [`WorkProgress::Failed`].
+    Failed,
+    /// [`WorkProgress::Released`].
+    Released,
+}
+
+impl ProgressKind {
+    /// All kinds; the position is the number of the kind.
+    pub const ALL: [Self; 6] = [
+        Self::Dispatched,
+        Self::FirstToken,
+        Self::Finished,
+        Self::Stopped,
+        Self::Failed,
+        Self::Released,
+    ];
+
+    /// Returns the kind of a progress.
+    pub const fn of(progress: WorkProgress) -> Self {
+        match progress {
+            WorkProgress::Dispatched => Self::Dispatched,
+            WorkProgress::FirstToken { .. } => Self::FirstToken,
+            WorkProgress::Finished { .. } => Self::Finished,
+            WorkProgress::Stopped => Self::Stopped,
+            WorkProgress::Failed => Self::Failed,
+            WorkProgress::Released => Self::Released,
+        }
+    }
+
+    /// Returns the progress of this kind with the given numbers.
+    fn progress(self, first: u64, second: u64) -> Result<WorkProgress, CodecError> {
+        Ok(match self {
+            Self::Dispatched => WorkProgress::Dispatched,
+            Self::FirstToken => WorkProgress::FirstToken {
+                after: Duration::from_millis(first),
+            },
+            Self::Finished => {
+                let tokens = u32::try_from(first);
+                WorkProgress::Finished {
+                    answer_tokens: tokens
+                        .map_err(|_large| CodecError::Field { field: "tokens" })?,
+                    token_gap: Duration::from_micros(second),
+                }
+            }
+            Self::Stopped => WorkProgress::Stopped,
+            Self::Failed => WorkProgress::Failed,
+            Self::Released => WorkProgress::Released,
+        })
+    }
+}
+
+impl CodeState {
+    /// Returns the row of an ask.
+    pub fn encode_ask(&mut self, ask: &Ask) -> AskRow {
+        let digests = &mut self.digests;
+        let prefix = ask.prefix.iter().map(|digest| digests.encode(digest.0));
+        let prefix = prefix.collect();
+        (
+            self.encode_request(ask.request, RequestOwner::Sender),
+            self.names.encode(ask.service.as_str()),
+            ask.model
+                .as_ref()
+                .map(|model| self.names.encode(model.as_str())),
+            self.names.encode(ask.workspace.as_str()),
+            u16::from(ask.tier.0) << 1 | u16::from(ask.suspect),
+            millis(ask.budget),
+            ask.prompt_tokens,
+            ask.max_answer_tokens,
+            prefix,
+        )
+    }
+
+    /// Returns the ask of a row.
+    pub fn decode_ask(&mut self, row: AskRow) -> Result<Ask, CodecError> {
+        let (request, service, model, workspace, tier, budget, prompt, answer, codes) = row;
+        let suspect = tier & 1 == 1;
+        let tier = u8::try_from(tier >> 1);
+        let tier = tier.map_err(|_large| CodecError::Field { field: "tier" })?;
+        let mut prefix = Vec::new();
+        for code in &codes {
+            prefix.push(BlockDigest(self.digests.decode(code)?));
+        }
+        let request = self.decode_request(&request, RequestOwner::Sender);
+        let service = self.names.decode(service)?;
+        let model = match model {
+            Some(model) => Some(self.names.decode(model)?),
+            None => None,
+        };
+        Ok(Ask {
+            request,
+            service,
+            model,
+            workspace: self.names.decode(workspace)?,
+            tier: TierRank(tier),
+            budget: Duration::from_millis(budget),
+            prompt_tokens: prompt,
+            max_answer_tokens: answer,
+            prefix,
+            suspect,
+        })
+    }
+
+    /// Returns the row of a withdrawal.
+    pub fn encode_withdrawal(&mut self, service: &ServiceName, request: RequestId) -> WithdrawRow {
+        let service = self.names.encode(service.as_str());
+        (service, self.encode_request(request, RequestOwner::Sender))
+    }
+
+    /// Returns the service and the request of a withdrawal.
+    pub fn decode_withdrawal(
+        &mut self,
+        row: WithdrawRow,
+    ) -> Result<(ServiceName, RequestId), CodecError> {
+        let (service, request) = row;
+        let service = self.names.decode(service)?;
+        let request = self.decode_request(&request, RequestOwner::Sender);
+        Ok((service, request))
+    }
+
+    /// Returns the row of a grant.
+    pub fn encode_permission(&mut self, grant: &Grant) -> GrantRow {
+        let (broker, sequence) = self.encode_grant(grant.grant);
+        let request = self.encode_request(grant.request, RequestOwner::Receiver);
+        let worker = self.names.encode(grant.worker.as_str());
+        let (words, numbers) = self.texts.encode(&grant.choice);
+        let expires_in = millis(grant.expires_in);
+        (
+            broker, sequence, request, worker, expires_in, words, numbers,
+        )
+    }
+
+    /// Returns the grant of a row.
+    pub fn decode_permission(&mut self, row: GrantRow) -> Result<Grant, CodecError> {
+        let (broker, sequence, request, worker, expires_in, words, numbers) = row;
+        Ok(Grant {
+            grant: self.decode_grant(&(broker, sequence))?,
+            request: self.decode_request(&request, RequestOwner::Receiver),
+            worker: self.names.decode(worker)?,
+            expires_in: Duration::from_millis(expires_in),
+            choice: self.texts.decode((words, numbers))?,
+        })
+    }
+
+    /// Returns the row of a refusal.
+    pub fn encode_refusal(&mut self, refusal: &Refusal) -> RefusalRow {
+        let reason = REASONS.iter().position(|reason| *reason == refusal.reason);
+        let reason = reason.and_then(|reason| u8::try_from(reason).ok());
+        (
+            self.encode_request(refusal.request, RequestOwner::Receiver),
+            reason.unwrap_or_default(),
+            millis(refusal.retry_after),
+        )
+    }
+
+    /// Returns the refusal of a row.
+    pub fn decode_refusal(&mut self, row: &RefusalRow) -> Result<Refusal, CodecError> {
+        let (request, reason, retry_after) = row;
+        let reason = REASONS.get(usize::from(*reason));
+        let reason = reason.ok_or(CodecError::Field { field: "reason" })?;
+        Ok(Refusal {
+            request: self.decode_request(request, RequestOwner::Receiver),
+            reason: *reason,
+            retry_after: Duration::from_millis(*retry_after),
+        })
+    }
+
+    /// Returns the row of a referral.
+    pub fn encode_referral(&mut self, referral: &Referral) -> ReferralRow {
+        (
+            self.encode_request(referral.request, RequestOwner::Receiver),
+            self.names.encode(referral.datacenter.as_str()),
+            self.names.encode(referral.host.as_str()),
+        )
+    }
+
+    /// Returns the referral of a row.
+    pub fn decode_referral(&mut self, row: ReferralRow) -> Result<Referral, CodecError> {
+        let (request, datacenter, host) = row;
+        Ok(Referral {
+            request: self.decode_request(&request, RequestOwner::Receiver),
+            datacenter: self.names.decode(datacenter)?,
+            host: self.names.decode(host)?,
+        })
+    }
+
+    /// Returns the row of a report.
+    pub fn encode_report(&mut self, service: &ServiceName, report: &WorkReport) -> ReportRow {
+        let service = self.names.encode(service.as_str());
+        let request = self.encode_request(report.request, RequestOwner::Sender);
+        let (broker, sequence) = self.encode_grant(report.grant);
+        let worker = self.names.encode(report.worker.as_str());
+        match report.progress {
+            WorkProgress::FirstToken { after } => {
+                let after = millis(after);
+                ReportRow::One(service, request, broker, sequence, worker, after)
+            }
+            WorkProgress::Finished {
+                answer_tokens,
+                token_gap,
+            } => {
+                let tokens = u64::from(answer_tokens);
+                let gap = micros(token_gap);
+                ReportRow::Two(service, request, broker, sequence, worker, tokens, gap)
+            }
+            _ => ReportRow::Plain(service, request, broker, sequence, worker),
+        }
+    }
+
+    /// Returns the service and the report of a row.
+    pub fn decode_report(
+        &mut self,
+        kind: ProgressKind,
+        row: ReportRow,
+    ) -> Result<(ServiceName, WorkReport), CodecError> {
+        let (service, request, broker, sequence, worker, first, second) = match row {
+            ReportRow::Plain(service, request, broker, sequence, worker) => {
+                (service, request, broker, sequence, worker, 0, 0)
+            }
+            ReportRow::One(service, request, broker, sequence, worker, first) => {
+                (service, request, broker, sequence, worker, first, 0)
+            }
+            ReportRow::Two(service, request, broker, sequence, worker, first, second) => {
+                (service, request, broker, sequence, worker, first, second)
+            }
+        };
+        let service = self.names.decode(service)?;
+        let report = WorkReport {
+            request: self.decode_request(&request, RequestOwner::Sender),
+            grant: self.decode_grant(&(broker, sequence))?,
+            worker: self.names.decode(worker)?,
+            progress: kind.progress(first, second)?,
+        };
+        Ok((service, report))
+    }
+
+    /// Returns the row of a declaration.
+    pub fn encode_declaration(
+        &mut self,
+        service: &ServiceName,
+        running: &[RunningWork],
+    ) -> DeclareRow {
+        let service = self.names.encode(service.as_str());
+        let running = running.iter().map(|work| {
+            (
+                self.encode_request(work.request, RequestOwner::Sender),
+                self.encode_grant(work.grant),
+                self.names.encode(work.worker.as_str()),
+                work.tier.0,
+                work.prompt_tokens,
+            )
+        });
+        (service, running.collect())
+    }
+
+    /// Returns the service and the running work of a row.
+    pub fn decode_declaration(
+        &mut self,
+        row: DeclareRow,
+    ) -> Result<(ServiceName, Vec<RunningWork>), CodecError> {
+        let (service, rows) = row;
+        let service = self.names.decode(service)?;
+        let mut running = Vec::new();
+        for (request, grant, worker, tier, prompt_tokens) in rows {
+            running.push(RunningWork {
+                request: self.decode_request(&request, RequestOwner::Sender),
+                grant: self.decode_grant(&grant)?,
+                worker: self.names.decode(worker)?,
+                tier: TierRank(tier),
+                prompt_tokens,
+            });
+        }
+        Ok((service, running))
+    }
+
+    /// Returns the row of a summary.
+    pub fn encode_summary(&mut self, summary: &CellSummary) -> SummaryRow {
+        (
+            self.names.encode(summary.service.as_str()),
+            self.names.encode(summary.datacenter.as_str()),
+            summary.free_slots,
+            summary.waiting.clone(),
+        )
+    }
+
+    /// Returns the summary of a row.
+    pub fn decode_summary(&mut self, row: SummaryRow) -> Result<CellSummary, CodecError> {
+        let (service, datacenter, free_slots, waiting) = row;
+        Ok(CellSummary {
+            service: self.names.decode(service)?,
+            datacenter: self.names.decode(datacenter)?,
+            free_slots,
+            waiting,
+        })
+    }
+}
--- a/standin/src/experiment.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Policies against engine models under virtual time.
