--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -67,14 +67,16 @@
         strikes
     }
 
-    /// Takes over the number of strikes that another host knows of, if it is greater.
-    pub fn learn(&mut self, digest: u64, strikes: u8, now: ClockTime) {
+    /// Takes over the number of strikes that another host knows of; returns whether it is greater
+    /// than what was known.
+    pub fn learn(&mut self, digest: u64, strikes: u8, now: ClockTime) -> bool {
         if strikes <= self.strikes(digest, now) {
-            return;
+            return false;
         }
         self.records
             .insert(digest, StrikeRecord { strikes, last: now });
         self.trim(now);
+        true
     }
 
     /// Forgets a digest whose request finished.
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -33,6 +33,7 @@
   --token-file FILE   the file with your token [env: BORAGELADDER_TOKEN_FILE]
   --json              print the answer as JSON
   --watch SECONDS     repeat a question until interrupted
+  --digest            print the digest of the key or token on standard input
   --help              print this text
   --version           print the version
 
@@ -48,6 +49,8 @@
 /// What the arguments ask for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CliAction {
+    /// Print the digest of a key or token that stands on standard input.
+    Digest,
     /// Print the usage.
     Help,
     /// Print the version.
@@ -104,6 +107,7 @@
     let mut words = Vec::new();
     while let Some(argument) = parser.next()? {
         match argument {
+            Arg::Long("digest") => return Ok(CliAction::Digest),
             Arg::Long("help") | Arg::Short('h') => return Ok(CliAction::Help),
             Arg::Long("version") | Arg::Short('V') => return Ok(CliAction::Version),
             Arg::Long("host") => host = Some(parser.value()?),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -14,6 +14,7 @@
 use crate::language::OperatorCommand;
 use crate::language::help::describe;
 use crate::language::parse_script;
+use crate::settings::KeyDigest;
 
 mod arguments;
 mod call;
@@ -92,6 +93,7 @@
 fn execute(arguments: impl IntoIterator<Item = OsString>) -> Result<CliStatus, CliError> {
     let action = arguments::parse(arguments, |name| std::env::var_os(name))?;
     let arguments = match action {
+        CliAction::Digest => return print(&format!("{}\n", KeyDigest::of(read_script()?.trim()))),
         CliAction::Help => return print(arguments::USAGE),
         CliAction::Version => {
             return print(concat!("borageladder ", env!("CARGO_PKG_VERSION"), "\n"));
--- a/src/context.rs
+++ b/src/context.rs
@@ -32,6 +32,8 @@
 use crate::link::LinkSet;
 use crate::log_event;
 use crate::member::MemberService;
+use crate::metering;
+use crate::metrics::MetricSet;
 use crate::platform::PlatformClient;
 use crate::query::QueryTable;
 use crate::server::StopSignal;
@@ -82,6 +84,8 @@
     pub clock: ProcessClock,
     /// The logger.
     pub log: Logger,
+    /// The metrics.
+    pub metrics: MetricSet,
     /// The configuration in force and its changes.
     pub keeper: Rc<Keeper>,
     /// The other hosts.
@@ -176,10 +180,22 @@
     /// Records that a worker died while it ran a request, and tells the other hosts.
     pub fn worker_died(&self, worker: &WorkerName, digest: u64) {
         log_event!(self.log, LogEvent::WorkerFailed, "worker" => worker.to_string());
+        if let Some(spec) = self.applied().configuration.workers.get(worker) {
+            self.metrics.worker_failed(&spec.service);
+        }
         let strikes = self.strikes.borrow_mut().strike(digest, self.clock.now());
         self.broadcast(&LinkMessage::Strike { digest, strikes });
     }
 
+    /// Takes over the strikes that another host knows of, and passes on what is new here, since
+    /// hosts of other data centres are linked to a few hosts only.
+    pub fn learn_strikes(&self, digest: u64, strikes: u8) {
+        let now = self.clock.now();
+        if self.strikes.borrow_mut().learn(digest, strikes, now) {
+            self.broadcast(&LinkMessage::Strike { digest, strikes });
+        }
+    }
+
     /// Forgets the strikes of a request that finished.
     pub fn clear_strikes(&self, digest: u64) {
         self.strikes.borrow_mut().clear(digest);
@@ -203,7 +219,10 @@
                 log_event!(self.log, LogEvent::OutcomeUnknown, "request" => id, "code" => code);
             }
         }
-        self.journal.borrow_mut().end(request, end);
+        let mut journal = self.journal.borrow_mut();
+        if let Some(record) = journal.end(request, end) {
+            metering::request_ended(&self.metrics, record, self.clock.now());
+        }
     }
 
     /// Sends a message to every host that is linked.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -36,6 +36,7 @@
 use crate::member::MemberChange;
 use crate::member::MemberService;
 use crate::member::MemberSettings;
+use crate::metrics::MetricSet;
 use crate::network::HostNetwork;
 use crate::operator::OperatorService;
 use crate::platform::PlatformClient;
@@ -146,6 +147,7 @@
         settings: Rc::new(settings),
         clock,
         log,
+        metrics: MetricSet::new()?,
         keeper,
         members,
         links,
@@ -194,8 +196,7 @@
     context.keeper.receive(from, &message);
     match message {
         LinkMessage::Strike { digest, strikes } => {
-            let now = context.clock.now();
-            context.strikes.borrow_mut().learn(digest, strikes, now);
+            context.learn_strikes(digest, strikes);
         }
         LinkMessage::Query { number, text } => query::answer(context, from, number, text),
         LinkMessage::QueryAnswer { number, rows } => context.queries.answered(number, from, &rows),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -31,6 +31,7 @@
 use crate::kernel::quarantine::QuarantineVerdict;
 use crate::kernel::rule::Placement;
 use crate::kernel::rule::RequestFacts;
+use crate::metering;
 use crate::once;
 use crate::relay;
 use crate::reply::CallerError;
@@ -47,6 +48,7 @@
         match request.path() {
             "/health/live" => return text(StatusCode::OK, "live\n"),
             "/health/ready" => return readiness(&context),
+            "/metrics" => return metrics(&context),
             _ => (),
         }
     }
@@ -77,6 +79,13 @@
     }
 }
 
+fn metrics(context: &HostContext) -> Response<BoxBody> {
+    match metering::render(context) {
+        Ok(metrics) => text(StatusCode::OK, metrics),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
+
 async fn serve(
     context: &Rc<HostContext>,
     id: RequestId,
@@ -142,7 +151,8 @@
     };
     let once = check_idempotency(&placed, placement.non_idempotent)?;
     open_record(context, &placed, placement);
-    Ok((placed, ActiveRequest::new(Rc::clone(context), id), once))
+    let active = ActiveRequest::new(Rc::clone(context), &placed);
+    Ok((placed, active, once))
 }
 
 fn authenticate<'a>(
@@ -285,6 +295,7 @@
         code: None,
         ran: None,
         retry_after: None,
+        refusal: None,
         steps: Vec::new(),
     };
     let mut journal = context.journal.borrow_mut();
--- a/src/execution.rs
+++ b/src/execution.rs
@@ -110,7 +110,7 @@
     let now = context.clock.now();
     match context.cells.ask(placed.ask(now), placed.deadline).await {
         Some(SlotAnswer::Granted { grant, received }) => {
-            active.step(format!("granted {}: {}", grant.worker, grant.choice));
+            active.granted(&grant);
             let lease = SlotLease::new(Rc::clone(&context.cells), grant.clone());
             Ok((life.granted(grant, received), lease))
         }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::kernel::ask::RefusalReason;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::RunOutcome;
 use crate::kernel::name::ModelName;
@@ -94,6 +95,8 @@
     pub ran: Option<RunOutcome>,
     /// The time after which the caller may come back, as it was told.
     pub retry_after: Option<Duration>,
+    /// The reason of the refusal, if it was refused.
+    pub refusal: Option<RefusalReason>,
     /// What happened, oldest first.
     pub steps: Vec<RequestStep>,
 }
@@ -109,6 +112,8 @@
     pub ran: RunOutcome,
     /// The time after which the caller may come back, as it was told.
     pub retry_after: Option<Duration>,
+    /// The reason of the refusal, if it was refused.
+    pub refusal: Option<RefusalReason>,
 }
 
 /// The records of the requests that this host holds, and of the last ones that ended.
@@ -171,19 +176,24 @@
         }
     }
 
-    /// Records the end of a request; a second end is ignored.
-    pub fn end(&mut self, request: RequestId, end: RequestEnd) {
-        let Some(mut record) = self.active.remove(&request) else {
-            return;
-        };
+    /// Records the end of a request and returns its record; a second end is ignored.
+    pub fn end(&mut self, request: RequestId, end: RequestEnd) -> Option<&RequestRecord> {
+        let mut record = self.active.remove(&request)?;
         record.phase = end.phase;
         record.code = end.code;
         record.ran = Some(end.ran);
         record.retry_after = end.retry_after;
+        record.refusal = end.refusal;
         if self.ended.len() >= MAX_ENDED {
             self.ended.pop_front();
         }
         self.ended.push_back(record);
+        self.ended.back()
+    }
+
+    /// Returns the requests that have not ended.
+    pub fn active(&self) -> impl Iterator<Item = &RequestRecord> {
+        self.active.values()
     }
 
     /// Returns the record of a request that is active or ended lately.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod link;
 pub mod logging;
 pub mod member;
+pub mod metering;
 pub mod metrics;
 pub mod network;
 pub mod once;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -34,6 +34,10 @@
 use crate::kernel::lifecycle::DispatchedState;
 use crate::kernel::lifecycle::RequestLife;
 use crate::kernel::name::RequestId;
+use crate::metering;
+use crate::metrics::TrafficCarrier;
+use crate::metrics::TrafficDirection;
+use crate::metrics::TrafficDistance;
 use crate::reply::CallerError;
 use crate::reply::response_builder;
 use crate::request::ActiveRequest;
@@ -117,6 +121,43 @@
     }
 }
 
+/// Counts the bytes of one answer when it ends, in whatever way.
+struct TrafficCount {
+    context: Rc<HostContext>,
+    distance: TrafficDistance,
+    received: u64,
+}
+
+impl TrafficCount {
+    /// Counts the bytes that were sent and starts to count those that arrive.
+    fn new(context: &Rc<HostContext>, placed: &PlacedRequest, lease: &SlotLease) -> Self {
+        let distance = metering::worker_distance(context, &lease.grant().worker);
+        let sent = placed.incoming.body.len() as u64;
+        let direction = TrafficDirection::Sent;
+        context
+            .metrics
+            .traffic(TrafficCarrier::Worker, direction, distance, sent);
+        Self {
+            context: Rc::clone(context),
+            distance,
+            received: 0,
+        }
+    }
+}
+
+impl Drop for TrafficCount {
+    fn drop(&mut self) {
+        let metrics = &self.context.metrics;
+        let direction = TrafficDirection::Received;
+        metrics.traffic(
+            TrafficCarrier::Worker,
+            direction,
+            self.distance,
+            self.received,
+        );
+    }
+}
+
 /// One answer on its way.
 struct Relay {
     context: Rc<HostContext>,
@@ -133,6 +174,7 @@
     resumes: u32,
     expected: Option<u64>,
     passed: u64,
+    traffic: TrafficCount,
     cut: bool,
 }
 
@@ -146,6 +188,7 @@
         address: SocketAddr,
     ) -> Self {
         let last_event = context.clock.now();
+        let traffic = TrafficCount::new(&context, placed, &lease);
         Self {
             context,
             active,
@@ -161,6 +204,7 @@
             resumes: 0,
             expected: None,
             passed: 0,
+            traffic,
             cut: false,
         }
     }
@@ -211,6 +255,7 @@
         match tokio::time::timeout(limit.max(STREAM_SILENCE), body.next()).await {
             Ok(Some(Ok(bytes))) => {
                 self.passed += bytes.len() as u64;
+                self.traffic.received = self.passed;
                 self.note_event();
                 if self.expected == Some(self.passed) {
                     self.finish();
@@ -234,6 +279,7 @@
             let body = self.body.as_mut()?;
             match tokio::time::timeout(STREAM_SILENCE, body.next()).await {
                 Ok(Some(Ok(bytes))) => {
+                    self.traffic.received += bytes.len() as u64;
                     self.events.push(&bytes);
                     if let Some(whole) = self.take_events() {
                         return Some(Ok(whole));
@@ -262,9 +308,13 @@
         let now = self.context.clock.now();
         if self.first_event.is_none() {
             self.first_event = Some(now);
+            self.active.first_token();
             if let (Some(lease), Some(life)) = (&self.lease, &self.life) {
                 lease.first_token(now.since(life.dispatched()));
             }
+        } else {
+            let gap = now.since(self.last_event);
+            self.active.next_tokens(self.events.events(), gap);
         }
         self.last_event = now;
     }
@@ -291,7 +341,7 @@
             };
             match upstream::resume(self.address, request, after).await {
                 Ok(answer) => {
-                    self.active.step(format!("resumed after event {after}"));
+                    self.active.resumed(after);
                     return Ok(answer);
                 }
                 Err(ResumeError::Send(error)) => {
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -37,6 +37,8 @@
     pub ran: RunOutcome,
     /// The time after which the caller may come back; `None` where coming back does not help.
     pub retry_after: Option<Duration>,
+    /// The reason of the refusal, if the request was refused by a broker or this host.
+    pub refusal: Option<RefusalReason>,
 }
 
 #[derive(Serialize)]
@@ -64,6 +66,7 @@
             message: message.into(),
             ran: RunOutcome::No,
             retry_after: None,
+            refusal: None,
         }
     }
 
@@ -78,6 +81,7 @@
             message: message.into(),
             ran,
             retry_after,
+            refusal: None,
         }
     }
 
@@ -153,7 +157,9 @@
                 "this host holds no configuration that is known to be in force",
             ),
         };
-        Self::not_run(status, code, message).retry_after(refusal.retry_after)
+        let mut error = Self::not_run(status, code, message);
+        error.refusal = Some(refusal.reason);
+        error.retry_after(refusal.retry_after)
     }
 }
 
--- a/src/request.rs
+++ b/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 
@@ -10,12 +11,14 @@
 use crate::journal::RequestEnd;
 use crate::journal::RequestPhase;
 use crate::kernel::ask::Ask;
+use crate::kernel::ask::Grant;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::RunOutcome;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::TierName;
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkspaceName;
+use crate::metrics::WorkLabels;
 use crate::reply::CallerError;
 
 /// A request that was placed in a tier.
@@ -68,17 +71,21 @@
     id: RequestId,
     outcome: Cell<RunOutcome>,
     ended: Cell<bool>,
+    labels: WorkLabels,
+    received: ClockTime,
 }
 
 impl ActiveRequest {
     /// Creates the guard of a request whose record was opened.
     #[must_use]
-    pub const fn new(context: Rc<HostContext>, id: RequestId) -> Self {
+    pub fn new(context: Rc<HostContext>, placed: &PlacedRequest) -> Self {
         Self {
             context,
-            id,
+            id: placed.id,
             outcome: Cell::new(RunOutcome::No),
             ended: Cell::new(false),
+            labels: WorkLabels::new(&placed.tier, &placed.incoming.service),
+            received: placed.received,
         }
     }
 
@@ -88,6 +95,35 @@
         self.context.journal.borrow_mut().step(self.id, now, text);
     }
 
+    /// Records that a slot was granted.
+    pub fn granted(&self, grant: &Grant) {
+        self.step(format!("granted {}: {}", grant.worker, grant.choice));
+        let metrics = &self.context.metrics;
+        metrics.request_granted(&self.labels, self.age());
+    }
+
+    /// Records that the first bytes of the answer arrived.
+    pub fn first_token(&self) {
+        let metrics = &self.context.metrics;
+        metrics.first_token(&self.labels, self.age());
+    }
+
+    /// Records further tokens, how many have arrived, and the time since those before.
+    pub fn next_tokens(&self, count: u32, gap: Duration) {
+        self.context.metrics.token_gap(&self.labels, gap);
+        self.context.journal.borrow_mut().answered(self.id, count);
+    }
+
+    /// Records that the stream was resumed on a new connection.
+    pub fn resumed(&self, after: u64) {
+        self.step(format!("resumed after event {after}"));
+        self.context.metrics.stream_resumed(&self.labels);
+    }
+
+    fn age(&self) -> Duration {
+        self.context.clock.now().since(self.received)
+    }
+
     /// Records that the request may have run from here on.
     pub fn crossed(&self) {
         self.outcome.set(RunOutcome::Unknown);
@@ -114,11 +150,13 @@
         }
         let code = error.map(|error| error.code);
         let retry_after = error.and_then(|error| error.retry_after);
+        let refusal = error.and_then(|error| error.refusal);
         let end = RequestEnd {
             phase,
             code,
             ran,
             retry_after,
+            refusal,
         };
         self.context.request_ended(self.id, end);
     }
