Test a link's time bounds in virtual time

Cause: the test with the relay shows that a silent link is closed, not when. A link now runs on any stream, so that a pair of pipes under paused time shows it: closed exactly two seconds after the last byte, kept for ten minutes by pings alone.

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -8,12 +8,14 @@
 use futures_util::StreamExt;
 use futures_util::stream::SplitSink;
 use futures_util::stream::SplitStream;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::sync::Notify;
 use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
 use super::error::LinkError;
-use super::handshake::LinkStream;
 use super::handshake::ProvenPeer;
 use super::queue::SendQueue;
 use crate::kernel::name::HostName;
@@ -70,13 +72,16 @@
 pub type MessageReceiver = Rc<dyn Fn(&HostName, LinkMessage)>;
 
 /// Runs an established link until it ends, and returns the reason.
-pub async fn run_link(
-    stream: LinkStream,
+pub async fn run_link<S>(
+    stream: WebSocketStream<S>,
     handle: &LinkHandle,
     own_incarnation: u64,
     times: LinkTimes,
     receiver: &MessageReceiver,
-) -> LinkError {
+) -> LinkError
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     let peer_incarnation = handle.peer.incarnation;
     let encoder = FrameEncoder::new(LinkIncarnations {
         sender: own_incarnation,
@@ -94,12 +99,15 @@
     }
 }
 
-async fn send_all(
-    mut sink: SplitSink<LinkStream, Message>,
+async fn send_all<S>(
+    mut sink: SplitSink<WebSocketStream<S>, Message>,
     handle: &LinkHandle,
     mut encoder: FrameEncoder,
     ping_interval: Duration,
-) -> LinkError {
+) -> LinkError
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     loop {
         let filled = timeout(ping_interval, handle.queue.filled()).await;
         let message = match filled {
@@ -145,13 +153,16 @@
     )
 }
 
-async fn receive_all(
-    mut stream: SplitStream<LinkStream>,
+async fn receive_all<S>(
+    mut stream: SplitStream<WebSocketStream<S>>,
     handle: &LinkHandle,
     mut decoder: FrameDecoder,
     silence_timeout: Duration,
     receiver: &MessageReceiver,
-) -> LinkError {
+) -> LinkError
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     loop {
         let Ok(next) = timeout(silence_timeout, stream.next()).await else {
             return LinkError::Silent;
--- a/src/link/queue.rs
+++ b/src/link/queue.rs
@@ -43,6 +43,10 @@
     /// Appends a message.
     ///
     /// A heartbeat or a configuration replaces an older one that still waits at the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the queue is full.
     pub fn push(&self, message: LinkMessage) -> Result<(), QueueFull> {
         let mut state = self.state.borrow_mut();
         let bytes = text_bytes(&message);
--- /dev/null
+++ b/tests/link_times.rs
@@ -0,0 +1,159 @@
+//! The time bounds of one link, in virtual time.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use borageladder::kernel::configuration::ConfigVersion;
+use borageladder::kernel::name::HostName;
+use borageladder::link::LinkError;
+use borageladder::link::LinkHandle;
+use borageladder::link::LinkTimes;
+use borageladder::link::MessageReceiver;
+use borageladder::link::ProvenPeer;
+use borageladder::link::run_link;
+use borageladder::wire::FrameDecoder;
+use borageladder::wire::LinkIncarnations;
+use borageladder::wire::LinkMessage;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tokio::io::DuplexStream;
+use tokio::io::duplex;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::Role;
+
+const TIMES: LinkTimes = LinkTimes {
+    ping_interval: Duration::from_millis(500),
+    silence_timeout: Duration::from_secs(2),
+};
+
+const OWN_INCARNATION: u64 = 1;
+const PEER_INCARNATION: u64 = 2;
+
+type Socket = WebSocketStream<DuplexStream>;
+
+async fn sockets() -> (Socket, Socket) {
+    const BUFFER_BYTES: usize = 1 << 20;
+    let (one, other) = duplex(BUFFER_BYTES);
+    let one = WebSocketStream::from_raw_socket(one, Role::Client, None).await;
+    let other = WebSocketStream::from_raw_socket(other, Role::Server, None).await;
+    (one, other)
+}
+
+fn host(name: &str) -> HostName {
+    HostName::try_from(name).expect("a valid name")
+}
+
+fn handle() -> LinkHandle {
+    let peer = ProvenPeer {
+        host: host("b"),
+        incarnation: PEER_INCARNATION,
+        address: "127.0.0.1:7000".parse().expect("an address"),
+    };
+    LinkHandle::new(peer, host("a"))
+}
+
+fn ignore() -> MessageReceiver {
+    Rc::new(|_, _| ())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_link_is_closed_exactly_when_it_was_silent_for_the_bound() {
+    let (socket, mut peer) = sockets().await;
+    let handle = handle();
+    let last = Duration::from_millis(1_300);
+    let start = Instant::now();
+    let speak = async {
+        sleep(last).await;
+        peer.send(Message::Ping(bytes::Bytes::new()))
+            .await
+            .expect("an open socket");
+        // The other end keeps the connection open and says nothing more.
+        std::future::pending::<()>().await;
+    };
+    let receiver = ignore();
+    let error = tokio::select! {
+        error = run_link(socket, &handle, OWN_INCARNATION, TIMES, &receiver) => error,
+        () = speak => unreachable!(),
+    };
+    assert!(matches!(error, LinkError::Silent));
+    assert_eq!(start.elapsed(), last + TIMES.silence_timeout);
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_idle_ends_keep_their_link_by_pings() {
+    let (socket, other) = sockets().await;
+    let (here, there) = (handle(), handle());
+    let receiver = ignore();
+    let ended = tokio::select! {
+        _ = run_link(socket, &here, OWN_INCARNATION, TIMES, &receiver) => true,
+        _ = run_link(other, &there, PEER_INCARNATION, TIMES, &receiver) => true,
+        () = sleep(Duration::from_mins(10)) => false,
+    };
+    assert!(!ended);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_queued_goes_into_one_frame() {
+    let (socket, mut peer) = sockets().await;
+    let handle = handle();
+    for number in 0..100 {
+        let message = LinkMessage::ConfigurationWanted(ConfigVersion(number));
+        handle.queue.push(message).expect("room in the queue");
+    }
+    let receiver = ignore();
+    let frame = tokio::select! {
+        error = run_link(socket, &handle, OWN_INCARNATION, TIMES, &receiver) => panic!("{error}"),
+        frame = peer.next() => frame,
+    };
+    let frame = frame.expect("an open socket").expect("a frame").into_data();
+    let incarnations = LinkIncarnations {
+        sender: OWN_INCARNATION,
+        receiver: PEER_INCARNATION,
+    };
+    let messages = FrameDecoder::new(incarnations).decode(&frame);
+    assert_eq!(messages.expect("a valid frame").len(), 100);
+}
+
+#[yare::parameterized(
+    garbage = { Message::binary(vec![0xff; 40]) },
+    text = { Message::text("hello") },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn a_frame_that_can_t_be_decoded_closes_the_link(message: Message) {
+    let (socket, mut peer) = sockets().await;
+    peer.send(message).await.expect("an open socket");
+    let handle = handle();
+    let received = Rc::new(Cell::new(0));
+    let count = Rc::clone(&received);
+    let receiver: MessageReceiver = Rc::new(move |_, _| count.set(count.get() + 1));
+    let start = Instant::now();
+    let error = run_link(socket, &handle, OWN_INCARNATION, TIMES, &receiver).await;
+    assert!(
+        matches!(error, LinkError::Codec(_) | LinkError::Closed),
+        "{error}"
+    );
+    assert_eq!(start.elapsed(), Duration::ZERO);
+    assert_eq!(received.get(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn messages_pass_between_two_running_ends() {
+    let (socket, other) = sockets().await;
+    let (here, there) = (handle(), handle());
+    let received = Rc::new(RefCell::new(Vec::new()));
+    let sink = Rc::clone(&received);
+    let receiver: MessageReceiver = Rc::new(move |_, message| sink.borrow_mut().push(message));
+    let message = LinkMessage::ConfigurationWanted(ConfigVersion(3));
+    here.queue.push(message.clone()).expect("room in the queue");
+    tokio::select! {
+        error = run_link(socket, &here, OWN_INCARNATION, TIMES, &receiver) => panic!("{error}"),
+        error = run_link(other, &there, PEER_INCARNATION, TIMES, &receiver) => panic!("{error}"),
+        () = sleep(Duration::from_secs(1)) => {}
+    }
+    assert_eq!(*received.borrow(), [message]);
+}
