Send configuration changes as differences, and split large files

Ruled out: a longer time between pushes (the change must be in force within seconds) and compression (several times smaller, not thousands).

Hosts now keep the last 64 differences between consecutive versions and answer with those since the asker's version, or with the whole if they are not kept or hold more than 500 entries. A host whose version moved on meanwhile ignores differences that do not fit and asks again from where it is.

The keeper, the model's search and the tests of the encoding are split by job. Ran: kernel/tests/delta.rs, tests/link_bytes.rs, and the tests that moved.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod clock;
 pub mod configuration;
+pub mod delta;
 pub mod estimate;
 pub mod lifecycle;
 pub mod limit;
--- a/kernel/tests/rollout_model/mod.rs
+++ b/kernel/tests/rollout_model/mod.rs
@@ -2,10 +2,10 @@
 //! breadth-first search through everything that can happen to it.
 
 pub mod scenarios;
+mod search;
 mod state;
 
 use std::collections::BTreeSet;
-use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -124,68 +124,7 @@
     pub mutation: Mutation,
 }
 
-/// What a search found.
-#[derive(Debug, Default)]
-pub struct SearchResult {
-    /// The number of different states.
-    pub states: usize,
-    /// The events on the way to the first state that breaks the invariant.
-    pub violation: Option<Vec<ModelStep>>,
-    /// The highest version that was accepted in any state.
-    pub accepted: u64,
-    /// Whether a change was reported as recorded in any state.
-    pub recorded: bool,
-    /// Whether a host refused work in any state because it may be outdated.
-    pub refused: bool,
-    /// Whether, in any state, a host served a version below one that is in the table.
-    pub served_older: bool,
-}
-
 impl Scenario {
-    /// Searches all states, nearest first, until the invariant is broken: after a version was
-    /// accepted, no host that serves has a lower one.
-    pub fn search(&self) -> SearchResult {
-        let mut result = SearchResult::default();
-        let mut seen = HashSet::new();
-        let mut paths: Vec<(usize, ModelStep)> = Vec::new();
-        let mut queue = VecDeque::new();
-        let start = self.warm_up();
-        seen.insert(start.clone());
-        paths.push((0, ModelStep::Pass));
-        queue.push_back((0, start));
-        while let Some((index, state)) = queue.pop_front() {
-            result.states += 1;
-            for step in self.steps(&state) {
-                let mut next = state.clone();
-                let sound = self.apply(&mut next, step);
-                paths.push((index, step));
-                let at = paths.len() - 1;
-                if !sound {
-                    result.violation = Some(path(&paths, at));
-                    return result;
-                }
-                Self::observe(&next, &mut result);
-                if seen.insert(next.clone()) {
-                    queue.push_back((at, next));
-                }
-            }
-        }
-        result
-    }
-
-    fn observe(state: &ModelState, result: &mut SearchResult) {
-        result.accepted = result.accepted.max(state.accepted);
-        result.recorded |= state.recorded;
-        for host in &state.hosts {
-            let Some(process) = host.process.as_ref().filter(|_| !host.frozen) else {
-                continue;
-            };
-            let serves = process.may_take_work(state.now);
-            result.refused |= !serves;
-            result.served_older |= serves && process.applied().0 < state.table;
-        }
-    }
-
     fn warm_up(&self) -> ModelState {
         let hosts = self.hosts.iter().enumerate().map(|(number, datacenter)| {
             let runs = !self.stopped.contains(&number);
@@ -460,15 +399,3 @@
         }
     }
 }
-
-fn path(paths: &[(usize, ModelStep)], end: usize) -> Vec<ModelStep> {
-    let mut steps = Vec::new();
-    let mut at = end;
-    while at != 0 {
-        let (before, step) = paths[at];
-        steps.push(step);
-        at = before;
-    }
-    steps.reverse();
-    steps
-}
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -3,11 +3,13 @@
 mod audit;
 mod change;
 mod error;
+mod history;
+mod spread;
 mod store;
+mod table;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -40,6 +42,7 @@
 use change::read_audit;
 use change::read_current;
 use change::write_change;
+use history::DeltaHistory;
 
 pub use crate::kernel::rollout::RolloutLack;
 pub use audit::AuditRecord;
@@ -59,9 +62,6 @@
 /// The time between two looks at the state of the rollout.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The time between two looks for a newer version in the table.
-const TABLE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// How an operator's change ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ChangeOutcome {
@@ -96,6 +96,7 @@
     log: Logger,
     rollout: RefCell<Rollout>,
     current: watch::Sender<Arc<Configuration>>,
+    history: RefCell<DeltaHistory>,
     waiting: RefCell<BTreeMap<ConfigVersion, oneshot::Sender<ChangeProgress>>>,
     fetching: RefCell<bool>,
 }
@@ -131,6 +132,7 @@
             log: log.clone(),
             rollout: RefCell::new(rollout),
             current: watch::Sender::new(Arc::new(Configuration::default())),
+            history: RefCell::default(),
             waiting: RefCell::default(),
             fetching: RefCell::new(false),
         });
@@ -187,7 +189,7 @@
         );
         let (sender, progress) = oneshot::channel();
         self.waiting.borrow_mut().insert(version, sender);
-        self.adopt(Arc::new(configuration));
+        self.adopt(&Arc::new(configuration));
         let actions = self.rollout.borrow_mut().watch((self.clock)(), version);
         self.perform(actions);
         let progress = progress.await;
@@ -228,7 +230,8 @@
     pub fn receive(&self, from: &HostName, message: &LinkMessage) {
         match message {
             LinkMessage::Heartbeat(heartbeat) => self.receive_heartbeat(from, heartbeat),
-            LinkMessage::Configuration(configuration) => self.adopt(Arc::clone(configuration)),
+            LinkMessage::Configuration(configuration) => self.adopt(configuration),
+            LinkMessage::ConfigurationDeltas(deltas) => self.apply_deltas(deltas),
             LinkMessage::ConfigurationWanted(version) => self.offer(from, *version),
             _ => {}
         }
@@ -249,36 +252,6 @@
         self.perform(actions);
     }
 
-    fn offer(&self, to: &HostName, version: ConfigVersion) {
-        let configuration = self.configuration();
-        if configuration.version > version {
-            // An answer that can't be queued is made up for when the other host asks again.
-            let _ = self
-                .links
-                .send(to, LinkMessage::Configuration(configuration));
-        }
-    }
-
-    /// Puts a configuration in force if it is newer than the one that is.
-    fn adopt(&self, configuration: Arc<Configuration>) {
-        let now = (self.clock)();
-        let datacenters = |gone: bool| -> BTreeSet<DatacenterName> {
-            let datacenters = configuration.datacenters.iter();
-            let datacenters = datacenters.filter(|(_, spec)| spec.gone == gone);
-            datacenters.map(|(name, _)| name.clone()).collect()
-        };
-        let version = configuration.version;
-        let mut rollout = self.rollout.borrow_mut();
-        let (newer, actions) =
-            rollout.obtained(now, version, datacenters(false), datacenters(true));
-        drop(rollout);
-        if newer {
-            log_event!(self.log, LogEvent::ConfigurationApplied, "version" => version.0);
-            self.current.send_replace(configuration);
-        }
-        self.perform(actions);
-    }
-
     fn perform(&self, actions: Vec<RolloutAction>) {
         for action in actions {
             match action {
@@ -316,62 +289,6 @@
         drop(rollout);
         self.perform(actions);
     }
-
-    async fn run_table(self: Rc<Self>) {
-        let mut looked = None;
-        loop {
-            let now = (self.clock)();
-            let due = looked.is_none_or(|looked| now.since(looked) >= TABLE_INTERVAL);
-            let fetching = self.fetching.take();
-            if fetching || (due && self.must_look(now)) {
-                looked = Some(now);
-                if let Err(error) = self.look(now, fetching).await {
-                    self.log_store_error(&error);
-                }
-            }
-            sleep(TICK_INTERVAL).await;
-        }
-    }
-
-    fn log_store_error(&self, error: &StoreError) {
-        let text = error.to_string();
-        match error {
-            StoreError::Protocol(_) => {
-                log_event!(self.log, LogEvent::ConfigurationInvalid, "error" => text);
-            }
-            StoreError::Unreachable(_) | StoreError::Unknown(_) => {
-                log_event!(self.log, LogEvent::PlatformFailed, "error" => text);
-            }
-        }
-    }
-
-    /// Returns whether this host has to look into the table: one host of each data centre does,
-    /// and every host that no other keeps up to date.
-    fn must_look(&self, now: ClockTime) -> bool {
-        let alive = self.members.alive(&self.datacenter);
-        let first = alive.first() == Some(self.links.host());
-        first || !self.rollout.borrow().may_take_work(now + TABLE_INTERVAL)
-    }
-
-    async fn look(&self, asked: ClockTime, fetching: bool) -> Result<(), StoreError> {
-        let store = self.store.as_ref();
-        let known = self.rollout.borrow().known();
-        let next = ConfigVersion(known.0 + 1);
-        // A version comes with its audit record, which is much smaller.
-        let read_whole = fetching || known.0 == 0 || read_audit(store, next).await?.is_some();
-        let version = if read_whole {
-            let (stored, _) = read_current(store).await?;
-            let version = stored.configuration.version;
-            self.adopt(Arc::new(stored.configuration));
-            version
-        } else {
-            known
-        };
-        let now = (self.clock)();
-        let actions = self.rollout.borrow_mut().table_read(now, asked, version);
-        self.perform(actions);
-        Ok(())
-    }
 }
 
 fn change_state(progress: ChangeProgress) -> ChangeState {
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -44,6 +44,7 @@
 
 impl LinkHandle {
     /// Creates the handle of a link to a proven peer.
+    #[must_use]
     pub fn new(peer: ProvenPeer, dialer: HostName) -> Self {
         Self {
             peer,
@@ -149,7 +150,10 @@
 fn is_self_contained(message: &LinkMessage) -> bool {
     matches!(
         message,
-        LinkMessage::Configuration(_) | LinkMessage::Query { .. } | LinkMessage::QueryAnswer { .. }
+        LinkMessage::Configuration(_)
+            | LinkMessage::ConfigurationDeltas(_)
+            | LinkMessage::Query { .. }
+            | LinkMessage::QueryAnswer { .. }
     )
 }
 
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -37,6 +37,7 @@
 const QUERY: u8 = 12;
 const QUERY_ANSWER: u8 = 13;
 const MEMBERS: u8 = 14;
+const CONFIGURATION_DELTAS: u8 = 15;
 
 /// The kind of the first of the reports, which have one kind for each kind of progress.
 const REPORT: u8 = 16;
@@ -128,6 +129,7 @@
             LinkMessage::Configuration(configuration) => {
                 write(frame, CONFIGURATION, configuration.as_ref())
             }
+            LinkMessage::ConfigurationDeltas(deltas) => write(frame, CONFIGURATION_DELTAS, deltas),
             LinkMessage::ConfigurationWanted(version) => {
                 write(frame, CONFIGURATION_WANTED, version)
             }
@@ -194,6 +196,7 @@
             }
             SUMMARY => LinkMessage::Summary(state.decode_summary(read(rest, limit)?)?),
             CONFIGURATION => LinkMessage::Configuration(Arc::new(read(rest, MAX_FRAME_BYTES)?)),
+            CONFIGURATION_DELTAS => LinkMessage::ConfigurationDeltas(read(rest, limit)?),
             CONFIGURATION_WANTED => LinkMessage::ConfigurationWanted(read(rest, limit)?),
             STRIKE => {
                 let (digest, strikes) = read(rest, limit)?;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,6 +21,7 @@
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::configuration::Configuration;
+use crate::kernel::delta::ConfigurationDelta;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
@@ -74,6 +75,8 @@
     Summary(CellSummary),
     /// A whole configuration version, which the receiver asked for.
     Configuration(Arc<Configuration>),
+    /// The differences from the version that the receiver has to the one that the sender has.
+    ConfigurationDeltas(Vec<Arc<ConfigurationDelta>>),
     /// The sender wants a configuration newer than the version.
     ConfigurationWanted(ConfigVersion),
     /// A request crashed a worker.
--- /dev/null
+++ b/tests/link_bytes.rs
@@ -0,0 +1,113 @@
+//! How many bytes messages take on a link.
+
+mod link_support;
+
+use std::sync::Arc;
+
+use borageladder::kernel::ask::Ask;
+use borageladder::kernel::ask::Grant;
+use borageladder::kernel::configuration::ConfigVersion;
+use borageladder::kernel::configuration::Configuration;
+use borageladder::kernel::configuration::WorkerState;
+use borageladder::kernel::delta::ConfigurationDelta;
+use borageladder::wire::FrameEncoder;
+use borageladder::wire::Heartbeat;
+use borageladder::wire::LinkMessage;
+use link_support::samples::BACK;
+use link_support::samples::FORWARD;
+use link_support::samples::ask;
+use link_support::samples::heartbeat;
+use link_support::samples::large_configuration;
+use link_support::samples::permission;
+use proptest::collection::vec;
+
+/// The bytes of the WebSocket header before a frame from a dialer, which masks its frames.
+fn header_bytes(frame: &[u8]) -> usize {
+    const LONGEST_SHORT_FRAME: usize = 125;
+    if frame.len() <= LONGEST_SHORT_FRAME {
+        6
+    } else {
+        8
+    }
+}
+
+fn encoded(encoder: &mut FrameEncoder, messages: &[LinkMessage]) -> usize {
+    let mut frame = Vec::new();
+    for message in messages {
+        encoder
+            .encode(message, &mut frame)
+            .expect("a short message");
+    }
+    frame.len() + header_bytes(&frame)
+}
+
+/// The bytes of asks, grants and reports for one request, where each frame carries `batch` of them.
+fn bytes_per_request(batch: u64) -> usize {
+    const REQUESTS: u64 = 1_000;
+    let mut forward = FrameEncoder::new(FORWARD);
+    let mut back = FrameEncoder::new(BACK);
+    let mut bytes = 0;
+    for first in (0..REQUESTS).step_by(usize::try_from(batch).expect("a small number")) {
+        let sequences = first + 4_000_000_000..first + batch + 4_000_000_000;
+        let asks = sequences
+            .clone()
+            .map(|one| LinkMessage::Ask(Box::new(ask(one))));
+        let grants = sequences
+            .clone()
+            .map(|one| LinkMessage::Grant(permission(one)));
+        let reports = sequences.flat_map(reports);
+        bytes += encoded(&mut forward, &asks.collect::<Vec<_>>());
+        bytes += encoded(&mut back, &grants.collect::<Vec<_>>());
+        for kind in 0..3 {
+            let kinds = reports.clone().skip(kind).step_by(3);
+            bytes += encoded(&mut forward, &kinds.collect::<Vec<_>>());
+        }
+    }
+    bytes / usize::try_from(REQUESTS).expect("a small number")
+}
+
+#[test]
+fn a_request_takes_at_most_a_hundred_bytes() {
+    let batched = bytes_per_request(8);
+    let single = bytes_per_request(1);
+    println!("bytes for each request: {batched} in frames of 8, {single} in frames of 1");
+    assert!(batched <= 100, "{batched} bytes");
+}
+
+#[test]
+fn heartbeats_fit_the_budget_of_a_node() {
+    const LOCAL_PEERS: usize = 33;
+    const REMOTE_LINKS: usize = 2 * 2 * 10;
+    const HEARTBEATS_PER_SECOND: usize = 2;
+    const PACKET_BYTES: usize = 40;
+    const NODE_BYTES_PER_SECOND: usize = 24_000;
+    let mut encoder = FrameEncoder::new(FORWARD);
+    let first = encoded(&mut encoder, &[LinkMessage::Heartbeat(heartbeat(0))]);
+    let mut largest = 0;
+    for second in 1..100 {
+        let beat = LinkMessage::Heartbeat(heartbeat(second));
+        largest = largest.max(encoded(&mut encoder, &[beat]));
+    }
+    let packets = (LOCAL_PEERS + REMOTE_LINKS) * HEARTBEATS_PER_SECOND;
+    let rate = packets * (largest + PACKET_BYTES);
+    println!("heartbeat: {first} bytes first, then {largest}; {rate} bytes a second and node");
+    assert!(rate <= NODE_BYTES_PER_SECOND, "{rate} bytes a second");
+}
+
+#[test]
+fn a_change_is_sent_as_its_difference() {
+    const WORKERS: u32 = 7_900;
+    const MAX_DELTA_BYTES: usize = 400;
+    let before = large_configuration(WORKERS);
+    let mut after = before.clone();
+    after.version = ConfigVersion(2);
+    let worker = after.workers.values_mut().next().expect("a worker");
+    worker.state = WorkerState::Draining;
+    let delta = ConfigurationDelta::between(&before, &after);
+    let mut encoder = FrameEncoder::new(FORWARD);
+    let deltas = LinkMessage::ConfigurationDeltas(vec![Arc::new(delta)]);
+    let small = encoded(&mut encoder, &[deltas]);
+    let whole = encoded(&mut encoder, &[LinkMessage::Configuration(Arc::new(after))]);
+    println!("configuration of {WORKERS} workers: {whole} bytes, difference: {small} bytes");
+    assert!(small <= MAX_DELTA_BYTES, "{small} bytes");
+}
--- a/tests/link_support/mod.rs
+++ b/tests/link_support/mod.rs
@@ -1,6 +1,8 @@
 //! Hosts, relays and a table in memory for the tests of links, members and keepers.
 #![allow(dead_code, reason = "each test file uses a part of these")]
 
+pub mod samples;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- /dev/null
+++ b/tests/link_support/samples.rs
@@ -0,0 +1,258 @@
+//! Messages as hosts send them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use borageladder::kernel::ask::Ask;
+use borageladder::kernel::ask::Grant;
+use borageladder::kernel::ask::Refusal;
+use borageladder::kernel::ask::RefusalReason;
+use borageladder::kernel::ask::RunningWork;
+use borageladder::kernel::ask::WorkProgress;
+use borageladder::kernel::ask::WorkReport;
+use borageladder::kernel::clock::ClockTime;
+use borageladder::kernel::configuration::ConfigVersion;
+use borageladder::kernel::configuration::Configuration;
+use borageladder::kernel::configuration::WorkerSpec;
+use borageladder::kernel::configuration::WorkerState;
+use borageladder::kernel::configuration::WorkspaceSpec;
+use borageladder::kernel::delta::ConfigurationDelta;
+use borageladder::kernel::name::BlockDigest;
+use borageladder::kernel::name::GrantId;
+use borageladder::kernel::name::NameError;
+use borageladder::kernel::name::RequestId;
+use borageladder::kernel::name::TierRank;
+use borageladder::wire::CellSummary;
+use borageladder::wire::Heartbeat;
+use borageladder::wire::LinkIncarnations;
+use borageladder::wire::LinkMessage;
+use borageladder::wire::MemberEntry;
+use borageladder::wire::MemberList;
+use borageladder::wire::Referral;
+use proptest::collection::vec;
+
+pub const ENTRY: u64 = 0x9f2c_41d0_a3b5_e671;
+pub const BROKER: u64 = 0x1b7d_0042_c3d4_0919;
+pub const FORWARD: LinkIncarnations = LinkIncarnations {
+    sender: ENTRY,
+    receiver: BROKER,
+};
+pub const BACK: LinkIncarnations = LinkIncarnations {
+    sender: BROKER,
+    receiver: ENTRY,
+};
+
+pub fn name<N: for<'a> TryFrom<&'a str, Error = NameError>>(text: &str) -> N {
+    N::try_from(text).expect("a valid name")
+}
+
+pub fn request(sequence: u64) -> RequestId {
+    RequestId {
+        incarnation: ENTRY,
+        sequence,
+    }
+}
+
+pub fn grant(sequence: u64) -> GrantId {
+    GrantId {
+        broker: 0x77aa_0000_1111_2222,
+        sequence,
+    }
+}
+
+/// The ask of a letter whose prompt shares its first two blocks with others and has two of its own.
+pub fn ask(sequence: u64) -> Ask {
+    let own = sequence.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 << 63;
+    Ask {
+        request: request(sequence),
+        service: name("drafter"),
+        model: Some(name("letter-writer-70b")),
+        workspace: name("hokkaido-grievances"),
+        tier: TierRank(1),
+        budget: Duration::from_millis(19_500),
+        prompt_tokens: 3_000,
+        max_answer_tokens: 1_200,
+        prefix: vec![
+            BlockDigest(0xfedc_ba98_7654_3210),
+            BlockDigest(0xa5a5_5a5a_0f0f_f0f0),
+            BlockDigest(own),
+            BlockDigest(!own),
+        ],
+        suspect: false,
+    }
+}
+
+pub fn permission(sequence: u64) -> Grant {
+    Grant {
+        grant: grant(sequence / 2),
+        request: request(sequence),
+        worker: name("drafter-worker-17"),
+        expires_in: Duration::from_secs(2),
+        choice: format!(
+            "best of 12 with room: finish in {} ms, {} prompt tokens cached",
+            4_000 + sequence % 9_000,
+            64 * (sequence % 40)
+        ),
+    }
+}
+
+pub fn report(sequence: u64, progress: WorkProgress) -> LinkMessage {
+    LinkMessage::Report {
+        service: name("drafter"),
+        report: WorkReport {
+            request: request(sequence),
+            grant: grant(sequence / 2),
+            worker: name("drafter-worker-17"),
+            progress,
+        },
+    }
+}
+
+pub fn reports(sequence: u64) -> [LinkMessage; 3] {
+    let after = Duration::from_millis(520);
+    let finished = WorkProgress::Finished {
+        answer_tokens: 900,
+        token_gap: Duration::from_millis(27),
+    };
+    [
+        report(sequence, WorkProgress::Dispatched),
+        report(sequence, WorkProgress::FirstToken { after }),
+        report(sequence, finished),
+    ]
+}
+
+pub fn heartbeat(second: u64) -> Heartbeat {
+    Heartbeat {
+        datacenter: name("sapporo-a"),
+        incarnation: ENTRY,
+        applied: ConfigVersion(6_000_000),
+        known: ConfigVersion(6_000_001),
+        confirmed: ConfigVersion(6_000_000),
+        fresh: true,
+        stopping: false,
+        sent: ClockTime::from_millis(second * 500),
+        echo: Some(ClockTime::from_millis(second * 500 + 7_000)),
+    }
+}
+
+/// A configuration of the given number of workers, with one workspace for every ten of them.
+pub fn large_configuration(workers: u32) -> Configuration {
+    let mut configuration = Configuration {
+        version: ConfigVersion(1),
+        ..Configuration::default()
+    };
+    for number in 0..workers {
+        let worker = WorkerSpec {
+            service: name("drafter"),
+            datacenter: name("sapporo-a"),
+            address: "10.20.30.40:8000".parse().expect("an address"),
+            max_running: 16,
+            state: WorkerState::Active,
+        };
+        let key = name(&format!("drafter-worker-{number}"));
+        configuration.workers.insert(key, worker);
+    }
+    for number in 0..workers / 10 {
+        let workspace = WorkspaceSpec {
+            key_digest: "0123456789abcdef".repeat(4),
+            max_requests: 100,
+        };
+        let key = name(&format!("workspace-{number}"));
+        configuration.workspaces.insert(key, workspace);
+    }
+    configuration
+}
+
+pub fn all_messages() -> Vec<LinkMessage> {
+    let mut messages = vec![
+        LinkMessage::Heartbeat(heartbeat(1)),
+        LinkMessage::Members(MemberList {
+            datacenter: name("sapporo-a"),
+            members: vec![MemberEntry {
+                host: name("host-1"),
+                address: "127.0.0.1:7000".parse().expect("an address"),
+                incarnation: 5,
+                stopping: true,
+            }],
+        }),
+        LinkMessage::Ask(Box::new(ask(70))),
+        LinkMessage::Withdraw {
+            service: name("drafter"),
+            request: RequestId {
+                incarnation: 3,
+                sequence: u64::MAX,
+            },
+        },
+        LinkMessage::Declare {
+            service: name("drafter"),
+            running: vec![RunningWork {
+                request: request(9),
+                grant: grant(4),
+                worker: name("drafter-worker-1"),
+                tier: TierRank(3),
+                prompt_tokens: 17,
+            }],
+        },
+        LinkMessage::Summary(CellSummary {
+            service: name("drafter"),
+            datacenter: name("sapporo-a"),
+            free_slots: 3,
+            waiting: vec![0, 1, 70_000],
+        }),
+        LinkMessage::Configuration(Arc::new(Configuration::default())),
+        LinkMessage::ConfigurationDeltas(vec![Arc::new(ConfigurationDelta::between(
+            &Configuration::default(),
+            &large_configuration(2),
+        ))]),
+        LinkMessage::ConfigurationWanted(ConfigVersion(8)),
+        LinkMessage::Strike {
+            digest: u64::MAX,
+            strikes: 2,
+        },
+        LinkMessage::Query {
+            number: 1,
+            text: "show waiting".to_owned(),
+        },
+        LinkMessage::QueryAnswer {
+            number: 1,
+            rows: "[]".to_owned(),
+        },
+    ];
+    messages.extend(reports(70));
+    for progress in [
+        WorkProgress::Stopped,
+        WorkProgress::Failed,
+        WorkProgress::Released,
+    ] {
+        messages.push(report(71, progress));
+    }
+    messages
+}
+
+pub fn answers() -> Vec<LinkMessage> {
+    let reasons = [
+        RefusalReason::Capacity,
+        RefusalReason::Deadline,
+        RefusalReason::Dropped,
+        RefusalReason::NoWorker,
+        RefusalReason::Platform,
+        RefusalReason::Quarantined,
+        RefusalReason::Stale,
+    ];
+    let mut messages = vec![
+        LinkMessage::Grant(permission(70)),
+        LinkMessage::Refer(Referral {
+            request: request(70),
+            datacenter: name("kushiro-a"),
+            host: name("host-2"),
+        }),
+    ];
+    messages.extend(reasons.map(|reason| {
+        LinkMessage::Refuse(Refusal {
+            request: request(71),
+            reason,
+            retry_after: Duration::from_secs(3),
+        })
+    }));
+    messages
+}
