--- a/tests/link_bytes.rs
+++ b/tests/link_bytes.rs
@@ -4,14 +4,10 @@
 
 use std::sync::Arc;
 
-use borageladder::kernel::ask::Ask;
-use borageladder::kernel::ask::Grant;
 use borageladder::kernel::configuration::ConfigVersion;
-use borageladder::kernel::configuration::Configuration;
 use borageladder::kernel::configuration::WorkerState;
 use borageladder::kernel::delta::ConfigurationDelta;
 use borageladder::wire::FrameEncoder;
-use borageladder::wire::Heartbeat;
 use borageladder::wire::LinkMessage;
 use link_support::samples::BACK;
 use link_support::samples::FORWARD;
@@ -19,7 +15,7 @@
 use link_support::samples::heartbeat;
 use link_support::samples::large_configuration;
 use link_support::samples::permission;
-use proptest::collection::vec;
+use link_support::samples::reports;
 
 /// The bytes of the WebSocket header before a frame from a dialer, which masks its frames.
 fn header_bytes(frame: &[u8]) -> usize {
--- a/tests/link_frames.rs
+++ b/tests/link_frames.rs
@@ -2,8 +2,6 @@
 
 mod link_support;
 
-use borageladder::kernel::ask::Ask;
-use borageladder::kernel::ask::Grant;
 use borageladder::kernel::configuration::ConfigVersion;
 use borageladder::wire::CodecError;
 use borageladder::wire::FrameDecoder;
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -29,7 +29,6 @@
 use borageladder::wire::MemberEntry;
 use borageladder::wire::MemberList;
 use borageladder::wire::Referral;
-use proptest::collection::vec;
 
 pub const ENTRY: u64 = 0x9f2c_41d0_a3b5_e671;
 pub const BROKER: u64 = 0x1b7d_0042_c3d4_0919;
--- a/tests/link_times.rs
+++ b/tests/link_times.rs
@@ -145,8 +145,8 @@
 async fn messages_pass_between_two_running_ends() {
     let (socket, other) = sockets().await;
     let (here, there) = (handle(), handle());
-    let received = Rc::new(RefCell::new(Vec::new()));
-    let sink = Rc::clone(&received);
+    let arrived = Rc::new(RefCell::new(Vec::new()));
+    let sink = Rc::clone(&arrived);
     let receiver: MessageReceiver = Rc::new(move |_, message| sink.borrow_mut().push(message));
     let message = LinkMessage::ConfigurationWanted(ConfigVersion(3));
     here.queue.push(message.clone()).expect("room in the queue");
@@ -155,5 +155,5 @@
         error = run_link(other, &there, PEER_INCARNATION, TIMES, &receiver) => panic!("{error}"),
         () = sleep(Duration::from_secs(1)) => {}
     }
-    assert_eq!(*received.borrow(), [message]);
+    assert_eq!(*arrived.borrow(), [message]);
 }
