Tell an unreadable kept answer from a claim that could not be taken

Cause: a repeat whose kept answer could not be read because the object store did not answer got the platform's error, which the entry tells as not run, although the request with that key had run.

What was ruled out: to let the entry tell the two apart by the time of the error.

The stand-in's object store can now be down alone (objects_down).

Conclusion: every error after an answered claim is ClaimError::Answer.

--- a/src/claims/answer.rs
+++ b/src/claims/answer.rs
@@ -5,6 +5,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::platform::PlatformError;
+
 /// The byte between the head of a kept answer and its body.
 const HEAD_END: u8 = b'\n';
 
@@ -31,6 +33,9 @@
 /// The reason why an object is no kept answer.
 #[derive(Debug, Error)]
 pub enum AnswerError {
+    /// The object store does not answer.
+    #[error(transparent)]
+    Platform(#[from] PlatformError),
     /// The object is gone.
     #[error("the object is gone")]
     Missing,
--- a/src/claims/settle.rs
+++ b/src/claims/settle.rs
@@ -82,10 +82,8 @@
     /// An answer that the holder kept before it died stays.
     async fn keep_settled(&self, object: &str, operator: &OperatorName) -> Result<(), ClaimError> {
         match self.store.answer(object).await {
-            Err(ClaimError::Answer(AnswerError::Missing)) => {
-                self.store.keep(object, &settled_answer(operator)).await
-            }
-            other => other.map(drop),
+            Err(AnswerError::Missing) => self.store.keep(object, &settled_answer(operator)).await,
+            other => Ok(other.map(drop)?),
         }
     }
 }
--- a/src/claims/store.rs
+++ b/src/claims/store.rs
@@ -74,10 +74,9 @@
     }
 
     /// Reads a kept answer.
-    pub async fn answer(&self, object: &str) -> Result<KeptAnswer, ClaimError> {
+    pub async fn answer(&self, object: &str) -> Result<KeptAnswer, AnswerError> {
         let bytes = self.platform.object(object).await?;
-        let bytes = bytes.ok_or(AnswerError::Missing)?;
-        Ok(KeptAnswer::from_object(&bytes)?)
+        KeptAnswer::from_object(&bytes.ok_or(AnswerError::Missing)?)
     }
 
     async fn read(&self, key: &ClaimKey) -> Result<TableReply, ClaimError> {
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -30,6 +30,8 @@
     pub down: Option<bool>,
     /// The time that each call waits before it is handled, in milliseconds.
     pub delay_ms: Option<u64>,
+    /// Whether calls to the platform's object store are closed without an answer.
+    pub objects_down: Option<bool>,
     /// How many of the next writes are applied and closed without an answer.
     pub lose_replies: Option<u32>,
     /// Whether the connections that are open now stay open and carry nothing more back.
@@ -50,6 +52,7 @@
 #[derive(Debug, Default)]
 pub struct FaultState {
     down: Cell<bool>,
+    objects_down: Cell<bool>,
     delay: Cell<Duration>,
     lose_replies: Cell<u32>,
     read_then_close: Cell<u32>,
@@ -68,6 +71,7 @@
         set_if_given(&self.read_then_close, command.read_then_close);
         set_if_given(&self.close_before_read, command.close_before_read);
         set_if_given(&self.down, command.down);
+        set_if_given(&self.objects_down, command.objects_down);
         set_if_given(&self.delay, command.delay_ms.map(Duration::from_millis));
         if command.slowdown.is_some() {
             self.slowdown.set(command.slowdown);
@@ -107,6 +111,12 @@
         self.down.get()
     }
 
+    /// Returns whether the object store alone is down.
+    #[must_use]
+    pub fn is_object_store_down(&self) -> bool {
+        self.objects_down.get()
+    }
+
     /// Returns the time that each call waits before it is handled.
     #[must_use]
     pub fn delay(&self) -> Duration {
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -200,6 +200,10 @@
     }
 
     fn object(&self, call: &ServiceCall, key: &str) -> Response<BoxBody> {
+        if self.state.faults.is_object_store_down() {
+            call.connection.reset();
+            return empty_answer();
+        }
         let mut objects = self.objects.borrow_mut();
         match call.method.as_str() {
             "GET" => match objects.get(key) {
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -20,6 +20,7 @@
 use borageladder_standin::control::FaultCommand;
 use borageladder_standin::hosts::HostListing;
 use borageladder_standin::platform::PlatformService;
+use serde_json::Value;
 use yare::parameterized;
 
 struct Bench {
@@ -163,6 +164,35 @@
     });
 }
 
+#[test]
+fn a_kept_answer_that_cannot_be_read_is_no_refusal() {
+    System::new().block_on(async {
+        let bench = Bench::start();
+        let claimed = hold(&bench.first).await.dispatch();
+        bench.first.answered(claimed, &kept_answer()).await.unwrap();
+        for (down, found) in [(true, false), (false, true)] {
+            let command = FaultCommand {
+                objects_down: Some(down),
+                ..FaultCommand::default()
+            };
+            bench.control(command).await;
+            let outcome = claim(&bench.second, 1).await;
+            let answered = matches!(outcome, Ok(ClaimOutcome::Answered(_)));
+            assert_eq!(answered, found, "{outcome:?}");
+            assert_eq!(matches!(outcome, Err(ClaimError::Answer(_))), down);
+        }
+        let client = PlatformClient::new(bench.platform, PlatformTimeouts::default());
+        let objects = client.rows("claims/", "", 1).await.unwrap();
+        let row: Value = serde_json::from_str(&objects[0].value).unwrap();
+        let object = row["object"].as_str().unwrap();
+        client.put_object(object, "cut".into()).await.unwrap();
+        assert_outcome!(claim(&bench.second, 1), Err(ClaimError::Answer(_)));
+        let url = format!("http://{}/objects/{object}", bench.platform);
+        Client::default().delete(url).send().await.unwrap();
+        assert_outcome!(claim(&bench.second, 1), Err(ClaimError::Answer(_)));
+    });
+}
+
 #[test]
 fn a_dropped_ticket_is_given_back() {
     System::new().block_on(async {
