--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -24,7 +24,7 @@
 pub(super) struct ServiceEstimate {
     /// The likely time at a worker of typical speed.
     pub work: Duration,
-    /// The cautious time at the fastest worker.
+    /// The time of a short answer at the fastest worker.
     pub quickest: Duration,
 }
 
@@ -184,7 +184,7 @@
         if ask.model.is_none() {
             return ServiceEstimate {
                 work: Duration::from_millis(u64::from(answer.likely)),
-                quickest: Duration::from_millis(u64::from(answer.cautious)),
+                quickest: Duration::from_millis(u64::from(answer.short)),
             };
         }
         let lane = &self.workers.lanes[lane];
@@ -192,7 +192,7 @@
         let uncached = ask.prompt_tokens.saturating_sub(held);
         ServiceEstimate {
             work: lane.typical.prefill(uncached) + lane.typical.decode(answer.likely),
-            quickest: lane.fastest.prefill(uncached) + lane.fastest.decode(answer.cautious),
+            quickest: lane.fastest.prefill(uncached) + lane.fastest.decode(answer.short),
         }
     }
 
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -19,7 +19,6 @@
 use crate::policy::Choice;
 use crate::policy::ChoiceReason;
 use crate::policy::ChoiceView;
-use crate::policy::WorkerCandidate;
 use crate::queue::QueueEntry;
 
 /// A prefix that a worker is computing.
@@ -64,24 +63,26 @@
         };
         let lane = record.lane;
         let remaining = record.deadline.since(now);
-        let mut list = std::mem::take(&mut self.scratch);
-        self.list_candidates(now, lane, &record.ask, &mut list);
-        if self.policy.refuses_early() && hopeless(&list.candidates, remaining) {
+        if self.policy.refuses_early()
+            && self.service_estimate(lane, &record.ask).quickest > remaining
+        {
             self.refuse_waiting(now, request, RefusalReason::Deadline, actions);
-        } else {
-            let first = record.ask.prefix.first();
-            let holders = first.map_or(0, |digest| self.workers.index.holders(*digest).len());
-            let view = ChoiceView {
-                ask: &record.ask,
-                remaining,
-                patience_spent: record.patience_spent,
-                grants: self.granted,
-                holders,
-                candidates: &list.candidates,
-            };
-            let choice = self.policy.choose(&view);
-            self.carry_out(now, request, choice, &list.workers, actions);
+            return;
         }
+        let mut list = std::mem::take(&mut self.scratch);
+        self.list_candidates(now, lane, &record.ask, &mut list);
+        let first = record.ask.prefix.first();
+        let holders = first.map_or(0, |digest| self.workers.index.holders(*digest).len());
+        let view = ChoiceView {
+            ask: &record.ask,
+            remaining,
+            patience_spent: record.patience_spent,
+            grants: self.granted,
+            holders,
+            candidates: &list.candidates,
+        };
+        let choice = self.policy.choose(&view);
+        self.carry_out(now, request, choice, &list.workers, actions);
         self.scratch = list;
     }
 
@@ -322,13 +323,3 @@
         }
     }
 }
-
-/// Returns whether no worker could finish in time even if it were free at once.
-fn hopeless(candidates: &[WorkerCandidate], remaining: Duration) -> bool {
-    let best = |candidate: &WorkerCandidate| candidate.prefill + candidate.decode;
-    candidates
-        .iter()
-        .map(best)
-        .min()
-        .is_none_or(|best| best > remaining)
-}
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -267,7 +267,7 @@
             self.straggler_answered(now, worker, gap);
             return;
         }
-        record.speed.record_gap(gap);
+        record.speed.record_gap(answer_tokens, gap);
         let gap_micros = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX);
         record.limit.finished(
             now,
--- a/kernel/src/estimate.rs
+++ b/kernel/src/estimate.rs
@@ -18,15 +18,26 @@
 /// The number of samples at which the weight of older samples is halved.
 const SAMPLES_KEPT: u64 = 1_024;
 
+/// The answer length from which on a token gap has its full weight, in tokens.
+const GAP_WEIGHT_TOKENS: u32 = 100;
+
+/// The sum of the weights of a new token gap and of those before it.
+const GAP_WEIGHT_SUM: u64 = 800;
+
 /// The number of workspaces whose lengths are kept apart.
 const WORKSPACES_KEPT: usize = 1_024;
 
+/// The quantile of the lengths that the short estimate uses.
+const SHORT_QUANTILE: f64 = 0.3;
+
 /// The quantile of the lengths that the cautious estimate uses.
 const CAUTIOUS_QUANTILE: f64 = 0.7;
 
 /// The estimated length of one answer: tokens for engines, milliseconds for plain services.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnswerEstimate {
+    /// A length that most answers exceed.
+    pub short: u32,
     /// The mean length.
     pub likely: u32,
     /// A length that most answers stay under.
@@ -34,10 +45,11 @@
 }
 
 impl AnswerEstimate {
-    /// Returns the estimate with both lengths held at or below `most`.
+    /// Returns the estimate with all lengths held at or below `most`.
     #[must_use]
     pub fn capped(self, most: u32) -> Self {
         Self {
+            short: self.short.min(most),
             likely: self.likely.min(most),
             cautious: self.cautious.min(most),
         }
@@ -54,6 +66,7 @@
     fn new() -> Option<Self> {
         let counts = Histogram::new_with_bounds(1, LARGEST_VALUE, 1).ok()?;
         let estimate = AnswerEstimate {
+            short: 0,
             likely: 0,
             cautious: 0,
         };
@@ -90,8 +103,10 @@
             count += here;
         }
         let mean = weighted / count.max(1);
+        let short = self.counts.value_at_quantile(SHORT_QUANTILE);
         let cautious = self.counts.value_at_quantile(CAUTIOUS_QUANTILE);
         self.estimate = AnswerEstimate {
+            short: u32::try_from(short).unwrap_or(u32::MAX),
             likely: u32::try_from(mean).unwrap_or(u32::MAX),
             cautious: u32::try_from(cautious).unwrap_or(u32::MAX),
         };
@@ -161,6 +176,7 @@
             .and_then(LengthHistogram::ready);
         let common = || self.tiers.get(&tier).and_then(LengthHistogram::ready);
         own.or_else(common).unwrap_or(AnswerEstimate {
+            short: 1,
             likely: self.unknown,
             cautious: self.unknown,
         })
@@ -266,10 +282,17 @@
         self.prefill_nanos = Some(smoothed(self.prefill_nanos, sample));
     }
 
-    /// Learns the mean time between two tokens of one answer.
-    pub fn record_gap(&mut self, gap: Duration) {
+    /// Learns the mean time between two tokens of an answer of `tokens` tokens.
+    ///
+    /// Short answers weigh less, as one prompt computed beside them changes their mean.
+    pub fn record_gap(&mut self, tokens: u32, gap: Duration) {
         let sample = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX).max(1);
-        self.gap_micros = Some(smoothed(self.gap_micros, sample));
+        let weight = u64::from(tokens.min(GAP_WEIGHT_TOKENS));
+        let mixed = self.gap_micros.map_or(sample, |old| {
+            let kept = old.saturating_mul(GAP_WEIGHT_SUM - weight);
+            kept.saturating_add(sample.saturating_mul(weight)) / GAP_WEIGHT_SUM
+        });
+        self.gap_micros = Some(mixed);
         let lowest = self.lowest_gap_micros.map_or(sample, |lowest| {
             let raised = lowest + lowest / 256;
             raised.min(sample)
@@ -280,7 +303,7 @@
     /// Replaces the learned time between two tokens, as after a change of state.
     pub fn replace_gap(&mut self, gap: Duration) {
         self.gap_micros = None;
-        self.record_gap(gap);
+        self.record_gap(GAP_WEIGHT_TOKENS, gap);
     }
 }
 
--- a/kernel/src/limit.rs
+++ b/kernel/src/limit.rs
@@ -6,7 +6,7 @@
 use crate::clock::ClockTime;
 
 /// The limit with which a worker starts, in requests.
-const FIRST_LIMIT: u32 = 8;
+const FIRST_LIMIT: u32 = 16;
 
 /// The lowest limit, in requests.
 const LOWEST_LIMIT: u32 = 1;
@@ -18,7 +18,7 @@
 const CUT_FACTOR: u32 = 800;
 
 /// The factor over the lowest token gap from which on a worker counts as overloaded, in percent.
-const GAP_TOLERANCE: u64 = 220;
+const GAP_TOLERANCE: u64 = 600;
 
 /// The factor over the expected first-token time from which on a worker counts as overloaded.
 const FIRST_TOKEN_TOLERANCE: u32 = 3;
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -6,6 +6,7 @@
 mod arrival_order;
 mod least_loaded;
 mod predicted_finish;
+mod predicted_finish_patient;
 mod prefix_hash;
 mod round_robin;
 mod view;
