Check what rules name, and print digests of keys and tokens

Ruled out: checking models likewise, since a rule may well be written before an engine serves a model.

--- a/kernel/src/change/check.rs
+++ b/kernel/src/change/check.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use crate::change::ChangeError;
+use crate::configuration::Comparison;
+use crate::configuration::ConditionSpec;
 use crate::configuration::Configuration;
+use crate::configuration::RuleSpec;
 use crate::configuration::ServiceKind;
 use crate::rule::compile;
 
@@ -101,11 +104,41 @@
                 name: rule.name.to_string(),
                 source,
             })?;
+            check_condition(configuration, rule, condition)?;
         }
     }
     Ok(())
 }
 
+/// Checks that a workspace or service that a condition names in full exists.
+fn check_condition(
+    configuration: &Configuration,
+    rule: &RuleSpec,
+    condition: &ConditionSpec,
+) -> Result<(), ChangeError> {
+    if !matches!(
+        condition.comparison,
+        Comparison::Equal | Comparison::NotEqual
+    ) {
+        return Ok(());
+    }
+    let used = condition.value.as_str();
+    let (used_kind, found) = match condition.field.as_str() {
+        "service" => ("service", configuration.services.contains_key(used)),
+        "workspace" => ("workspace", configuration.workspaces.contains_key(used)),
+        _ => return Ok(()),
+    };
+    if found {
+        return Ok(());
+    }
+    Err(ChangeError::Reference {
+        kind: "rule",
+        name: rule.name.to_string(),
+        used_kind,
+        used: used.to_owned(),
+    })
+}
+
 fn check_services(configuration: &Configuration) -> Result<(), ChangeError> {
     for (name, service) in &configuration.services {
         let expected = match service.kind {
--- a/kernel/tests/changes.rs
+++ b/kernel/tests/changes.rs
@@ -11,6 +11,8 @@
 use borageladder_kernel::change::WorkspaceChange;
 use borageladder_kernel::change::apply;
 use borageladder_kernel::change::difference;
+use borageladder_kernel::configuration::Comparison;
+use borageladder_kernel::configuration::ConditionSpec;
 use borageladder_kernel::configuration::ConfigVersion;
 use borageladder_kernel::configuration::Configuration;
 use borageladder_kernel::configuration::ServiceKind;
@@ -163,6 +165,31 @@
     assert_eq!(error, expected);
 }
 
+#[parameterized(
+    workspace = { "workspace", Comparison::Equal, "night", false },
+    workspace_differs = { "workspace", Comparison::NotEqual, "night", false },
+    service = { "service", Comparison::Equal, "nothing", false },
+    known_workspace = { "workspace", Comparison::Equal, "reps", true },
+    known_service = { "service", Comparison::Equal, "drafter", true },
+    prefix = { "workspace", Comparison::StartsWith, "night", true },
+)]
+fn rules_name_what_exists(field: &str, comparison: Comparison, value: &str, valid: bool) {
+    let condition = ConditionSpec {
+        field: field.to_owned(),
+        comparison,
+        value: value.to_owned(),
+    };
+    let change = ConfigurationChange::SetRule(RuleChange {
+        name: name("hearing"),
+        tier: None,
+        conditions: Some(vec![condition]),
+        non_idempotent: None,
+        position: None,
+    });
+    let changed = apply(&base(), &[change]);
+    assert_eq!(changed.is_ok(), valid, "{changed:?}");
+}
+
 #[test]
 fn the_difference_shows_what_left_and_what_came() {
     let base = base();
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -33,6 +33,7 @@
   --token-file FILE   the file with your token [env: BORAGELADDER_TOKEN_FILE]
   --json              print the answer as JSON
   --watch SECONDS     repeat a question until interrupted
+  --digest FILE       print the digest of the key or token in a file, for key-digest and settings
   --help              print this text
   --version           print the version
 
@@ -48,6 +49,8 @@
 /// What the arguments ask for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CliAction {
+    /// Print the digest of the key or token in a file.
+    Digest(PathBuf),
     /// Print the usage.
     Help,
     /// Print the version.
@@ -106,6 +109,7 @@
         match argument {
             Arg::Long("help") | Arg::Short('h') => return Ok(CliAction::Help),
             Arg::Long("version") | Arg::Short('V') => return Ok(CliAction::Version),
+            Arg::Long("digest") => return Ok(CliAction::Digest(parser.value()?.into())),
             Arg::Long("host") => host = Some(parser.value()?),
             Arg::Long("token-file") => token_file = Some(parser.value()?.into()),
             Arg::Long("json") => json = true,
--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -26,13 +27,13 @@
     #[error("no token; give --token-file or set BORAGELADDER_TOKEN_FILE")]
     NoToken,
     /// The token file has no token.
-    #[error("the token file {} is empty", file.display())]
+    #[error("the key or token file {} is empty", file.display())]
     EmptyToken {
         /// The file.
         file: PathBuf,
     },
     /// The token file can't be read.
-    #[error("can't read the token file {}: {source}", file.display())]
+    #[error("can't read the key or token file {}: {source}", file.display())]
     Token {
         /// The file.
         file: PathBuf,
@@ -82,14 +83,7 @@
 
     fn try_from(arguments: &CliArguments) -> Result<Self, CallError> {
         let file = arguments.token_file.as_ref().ok_or(CallError::NoToken)?;
-        let token = fs::read_to_string(file).map_err(|source| CallError::Token {
-            file: file.clone(),
-            source,
-        })?;
-        let token = token.trim();
-        if token.is_empty() {
-            return Err(CallError::EmptyToken { file: file.clone() });
-        }
+        let token = read_secret(file)?;
         Ok(Self {
             host: arguments.host,
             authorization: format!("Bearer {token}"),
@@ -97,6 +91,21 @@
     }
 }
 
+/// Reads a key or token without the white space round it.
+pub fn read_secret(file: &Path) -> Result<String, CallError> {
+    let secret = fs::read_to_string(file).map_err(|source| CallError::Token {
+        file: file.to_owned(),
+        source,
+    })?;
+    let secret = secret.trim();
+    if secret.is_empty() {
+        return Err(CallError::EmptyToken {
+            file: file.to_owned(),
+        });
+    }
+    Ok(secret.to_owned())
+}
+
 impl CommandClient {
     /// Sends a script and waits for its answer; nothing is ever sent twice.
     pub async fn send(&self, script: &str) -> Result<CommandAnswer, CallError> {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 use std::io::IsTerminal;
 use std::io::Read;
 use std::io::Write;
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use crate::language::OperatorCommand;
 use crate::language::help::describe;
 use crate::language::parse_script;
+use crate::settings::KeyDigest;
 
 mod arguments;
 mod call;
@@ -92,6 +94,7 @@
 fn execute(arguments: impl IntoIterator<Item = OsString>) -> Result<CliStatus, CliError> {
     let action = arguments::parse(arguments, |name| std::env::var_os(name))?;
     let arguments = match action {
+        CliAction::Digest(file) => return print_digest(&file),
         CliAction::Help => return print(arguments::USAGE),
         CliAction::Version => {
             return print(concat!("borageladder ", env!("CARGO_PKG_VERSION"), "\n"));
@@ -119,6 +122,11 @@
     })
 }
 
+fn print_digest(file: &Path) -> Result<CliStatus, CliError> {
+    let secret = call::read_secret(file)?;
+    print(&format!("{}\n", KeyDigest::of(&secret)))
+}
+
 /// Returns whether the commands may be repeated; what can't be parsed here may be a change.
 fn only_questions(commands: &[OperatorCommand]) -> bool {
     let question = |command: &OperatorCommand| {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -24,39 +24,32 @@
 use borageladder::language::answer::CommandErrorCode;
 use borageladder::language::answer::CommandResult;
 use borageladder::language::parse;
+use borageladder::settings::KeyDigest;
 use serde_json::json;
 use yare::parameterized;
 
-/// A host that answers one request and tells what it was asked.
+/// A host that answers some requests and tells what it was asked.
 struct FakeHost {
     address: SocketAddr,
     thread: JoinHandle<String>,
 }
 
 impl FakeHost {
-    fn start(status: u16, body: String) -> Self {
+    fn start(status: u16, bodies: Vec<String>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let thread = thread::spawn(move || {
-            let (stream, _) = listener.accept().expect("the command line connects");
-            let mut reader = BufReader::new(&stream);
-            let request = read_request(&mut reader);
-            let head = format!(
-                "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
-                body.len()
-            );
-            let mut writer = &stream;
-            writer
-                .write_all(format!("{head}{body}").as_bytes())
-                .expect("the command line reads");
-            request
+            let requests = bodies
+                .iter()
+                .map(|body| answer_one(&listener, status, body));
+            requests.collect::<Vec<String>>().concat()
         });
         Self { address, thread }
     }
 
     fn answering(answer: &CommandAnswer) -> Self {
         let body = serde_json::to_string(answer).expect("an answer is JSON");
-        Self::start(200, body)
+        Self::start(200, vec![body])
     }
 
     fn request(self) -> String {
@@ -64,6 +57,20 @@
     }
 }
 
+fn answer_one(listener: &TcpListener, status: u16, body: &str) -> String {
+    let (stream, _) = listener.accept().expect("the command line connects");
+    let mut reader = BufReader::new(&stream);
+    let request = read_request(&mut reader);
+    let length = body.len();
+    let head =
+        format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n");
+    let mut writer = &stream;
+    writer
+        .write_all(format!("{head}{body}").as_bytes())
+        .expect("the command line reads");
+    request
+}
+
 fn read_request(reader: &mut impl BufRead) -> String {
     let mut request = String::new();
     let mut length = 0;
@@ -211,9 +218,32 @@
     assert_eq!(output.status.code(), Some(1));
 }
 
+#[test]
+fn a_watched_question_is_repeated_until_it_fails() {
+    let failure = CommandAnswer {
+        results: Vec::new(),
+        error: Some(CommandError::new(CommandErrorCode::Unavailable, "stop")),
+    };
+    let bodies = [tiers(), tiers(), failure];
+    let bodies = bodies.map(|answer| serde_json::to_string(&answer).expect("it is JSON"));
+    let host = FakeHost::start(200, bodies.to_vec());
+    let output = borageladder(host.address, &["--watch", "0.1", "show tiers"], "");
+    assert_eq!(host.request().matches("show tiers").count(), 3);
+    assert_eq!(text(&output.stdout).matches("urgent").count(), 2);
+    assert_eq!(output.status.code(), Some(1));
+}
+
+#[test]
+fn the_digest_of_a_token_is_printed() {
+    let file = TOKEN_FILE.to_str().expect("the path is text");
+    let output = borageladder(unused_address(), &["--digest", file], "");
+    let expected = format!("{}\n", KeyDigest::of("an operator's token"));
+    assert_eq!(text(&output.stdout), expected);
+}
+
 #[test]
 fn an_answer_without_a_result_is_a_failure() {
-    let host = FakeHost::start(500, "oops".to_owned());
+    let host = FakeHost::start(500, vec!["oops".to_owned()]);
     let output = borageladder(host.address, &["show tiers"], "");
     drop(host.request());
     assert!(text(&output.stderr).contains("status 500"));
