Let the error event of a cut stream reach its caller

Cause: tests/streams.rs kills an engine under its streams. The caller's connection ended without the end of its body, as it must, but the error event before it never arrived (seen: a body of one token, then the end). The HTTP server drops what it has buffered when a body fails, and the event and the failure came in one poll.

Ruled out: the event being cut off by the harness (it reads to the end of the connection); a flush of the server (it has none for bodies).

Change: the body fails ERROR_FLUSH (100 ms) after the event, so that the event is written first.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -48,6 +48,9 @@
 /// The most times that one stream is resumed without an event in between.
 pub const MAX_RESUMES: u32 = 3;
 
+/// The time that an error event has to be written before its connection is closed.
+const ERROR_FLUSH: Duration = Duration::from_millis(100);
+
 /// The answer was cut; the connection to the caller ends without the end of the body.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("the answer was cut")]
@@ -229,6 +232,8 @@
     async fn next_events(&mut self) -> Option<Result<Bytes, CutError>> {
         loop {
             if self.cut {
+                // The server drops what it has not written yet when a body fails.
+                actix_rt::time::sleep(ERROR_FLUSH).await;
                 return Some(Err(CutError));
             }
             let body = self.body.as_mut()?;
--- a/tests/harness/client.rs
+++ b/tests/harness/client.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 /// The time after which a call of a test counts as hung.
@@ -93,6 +94,12 @@
         Ok(stream)
     }
 
+    /// Makes the call in a thread of its own, so that several are under way at once.
+    pub fn start(&self, address: SocketAddr) -> PendingCall {
+        let call = self.clone();
+        PendingCall(thread::spawn(move || call.send(address)))
+    }
+
     /// Makes the call and reads the answer to its end.
     pub fn send(&self, address: SocketAddr) -> Answer {
         match self.open(address) {
@@ -102,6 +109,27 @@
     }
 }
 
+/// A call that is under way.
+#[derive(Debug)]
+pub struct PendingCall(thread::JoinHandle<Answer>);
+
+impl PendingCall {
+    /// Waits for the answer.
+    pub fn answer(self) -> Answer {
+        self.0.join().expect("a caller does not panic")
+    }
+
+    /// Returns whether the answer has been read to its end.
+    pub fn has_ended(&self) -> bool {
+        self.0.is_finished()
+    }
+}
+
+/// Waits for the answers of calls that are under way.
+pub fn answers(calls: Vec<PendingCall>) -> Vec<Answer> {
+    calls.into_iter().map(PendingCall::answer).collect()
+}
+
 impl Answer {
     /// Reads an answer until the connection ends.
     pub fn read(mut stream: TcpStream) -> Self {
@@ -124,6 +152,46 @@
         serde_json::from_str(&self.body).unwrap_or_default()
     }
 
+    /// Returns the identifier of the request; empty if the answer has no head.
+    pub fn request(&self) -> String {
+        self.header("x-borageladder-request")
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    /// Returns the text that an engine generated.
+    pub fn text(&self) -> String {
+        let events = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let parts = events.filter_map(|data| {
+            let value: serde_json::Value = serde_json::from_str(data).ok()?;
+            let text = value["choices"][0]["delta"]["content"].as_str()?;
+            Some(text.to_owned())
+        });
+        let streamed: String = parts.collect();
+        if streamed.is_empty() {
+            let content = &self.json()["choices"][0]["message"]["content"];
+            return content.as_str().unwrap_or_default().to_owned();
+        }
+        streamed
+    }
+
+    /// Returns whether this is a streamed answer that looks complete to its caller.
+    pub fn looks_whole(&self) -> bool {
+        self.whole && self.status == 200 && self.body.ends_with("data: [DONE]\n\n")
+    }
+
+    /// Fails the test if an engine's answer has a token of another request, or not all of its own
+    /// in order.
+    pub fn assert_own(&self) {
+        let request = self.request();
+        for (index, word) in self.text().split_whitespace().enumerate() {
+            assert_eq!(word, format!("{request}:{}", index + 1), "{}", self.body);
+        }
+    }
+
     /// Returns the code of the error in the body.
     pub fn code(&self) -> String {
         self.json()["error"]["code"]
--- a/tests/harness/deployment.rs
+++ b/tests/harness/deployment.rs
@@ -1,19 +1,28 @@
 //! A whole deployment on loopback: platform, engines, plain services and hosts.
 
 use std::cell::RefCell;
+use std::fmt::Debug;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use borageladder::kernel::clock::ClockTime;
+use borageladder::kernel::membership::LifeSign;
+use borageladder::kernel::membership::Membership;
+use borageladder::kernel::name::HostName;
+
 use super::client::Answer;
 use super::client::Call;
+use super::client::PendingCall;
 use super::process::TestProcess;
 use super::process::free_addresses;
 use super::process::program;
+use super::relay::TestRelay;
 
 /// The key of the workspace that every deployment has.
 pub const KEY: &str = "test-workspace-key";
@@ -38,6 +47,8 @@
     pub plain: Vec<&'static str>,
     /// Further lines of the operators' script.
     pub script: String,
+    /// Whether links and the platform are reached through relays that can be cut.
+    pub relayed: bool,
 }
 
 impl Default for DeploymentPlan {
@@ -47,6 +58,7 @@
             engines: vec![("sapporo-a", Vec::new()), ("sapporo-a", Vec::new())],
             plain: vec!["sapporo-a"],
             script: String::new(),
+            relayed: false,
         }
     }
 }
@@ -62,6 +74,12 @@
     pub operator: SocketAddr,
     /// The address for links.
     pub link: SocketAddr,
+    /// The data centre.
+    pub datacenter: &'static str,
+    /// The relay through which other hosts reach this one.
+    link_relay: Option<TestRelay>,
+    /// The relay through which this host reaches the platform.
+    platform_relay: Option<TestRelay>,
     settings: PathBuf,
 }
 
@@ -86,6 +104,16 @@
     /// The hosts, named `host-1` and so on.
     pub hosts: Vec<TestHost>,
     folder: PathBuf,
+    relayed: bool,
+}
+
+impl TestHost {
+    /// Returns the address at which other hosts reach this one.
+    fn link_address(&self) -> SocketAddr {
+        self.link_relay
+            .as_ref()
+            .map_or(self.link, TestRelay::address)
+    }
 }
 
 impl TestStandin {
@@ -124,6 +152,7 @@
             plain: casebooks,
             hosts: Vec::new(),
             folder,
+            relayed: plan.relayed,
         };
         deployment.add_hosts(&plan.hosts);
         let script = deployment.script(plan);
@@ -134,12 +163,14 @@
         deployment
     }
 
+    /// Returns the call that runs an operators' script.
+    pub fn operator_call(script: &str) -> Call {
+        Call::post("/operator/command", script).key(TOKEN)
+    }
+
     /// Runs an operators' script on a host and returns the whole answer.
     pub fn command(&self, host: usize, script: &str) -> serde_json::Value {
-        let address = self.hosts[host].operator;
-        let answer = Call::post("/operator/command", script)
-            .key(TOKEN)
-            .send(address);
+        let answer = Self::operator_call(script).send(self.hosts[host].operator);
         let value = answer.json();
         assert!(
             value["error"].is_null(),
@@ -155,6 +186,84 @@
         call.clone().key(KEY).send(self.hosts[host].entry)
     }
 
+    /// Starts a call at the entry of a host, with the workspace key.
+    pub fn start_call(&self, host: usize, call: &Call) -> PendingCall {
+        call.clone().key(KEY).start(self.hosts[host].entry)
+    }
+
+    /// Sends a signal to the process of a host.
+    pub fn signal(&self, host: usize, name: &str) {
+        let process = self.hosts[host].process.as_ref();
+        process.expect("the host runs").signal(name);
+    }
+
+    /// Cuts the links that other hosts dialed to a host, and its way to the platform.
+    pub fn cut(&self, host: usize) {
+        for relay in self.relays(host) {
+            relay.cut();
+        }
+    }
+
+    /// Cuts the links that other hosts dialed to a host.
+    pub fn cut_links(&self, host: usize) {
+        let relay = self.hosts[host].link_relay.as_ref();
+        relay.expect("the deployment is relayed").cut();
+    }
+
+    /// Ends what [`Self::cut`] and [`Self::cut_links`] did.
+    pub fn mend(&self, host: usize) {
+        for relay in self.relays(host) {
+            relay.mend();
+        }
+    }
+
+    /// Waits until the hosts know of at least so many running requests.
+    pub fn wait_running(&self, host: usize, count: usize) {
+        wait_until("the requests run", || {
+            self.rows(host, "show running").len() >= count
+        });
+    }
+
+    /// Waits until the hosts know of at least so many waiting requests.
+    pub fn wait_waiting(&self, host: usize, count: usize) {
+        wait_until("the requests wait", || {
+            self.rows(host, "show waiting").len() >= count
+        });
+    }
+
+    /// Waits until every host of the indices shows exactly these hosts as alive.
+    pub fn wait_linked(&self, hosts: &[usize]) {
+        for host in hosts {
+            wait_until("the hosts are linked", || {
+                self.rows(*host, "show hosts").len() == hosts.len()
+            });
+        }
+    }
+
+    /// Returns the index of the broker's host if all hosts of the data centre are alive.
+    pub fn broker_of(&self, service: &str, datacenter: &str) -> usize {
+        let inside = self.hosts.iter().enumerate();
+        let inside = inside.filter(|(_, host)| host.datacenter == datacenter);
+        let names: Vec<(usize, HostName)> = inside
+            .map(|(index, _)| (index, parsed(&format!("host-{}", index + 1))))
+            .collect();
+        let (_, first) = names.first().expect("the data centre has a host");
+        let mut membership = Membership::new(first.clone(), parsed(datacenter));
+        for (index, name) in &names {
+            let sign = LifeSign {
+                datacenter: parsed(datacenter),
+                incarnation: 0,
+                stopping: false,
+                address: self.hosts[*index].link,
+                sent: ClockTime::ZERO,
+            };
+            membership.heard(ClockTime::ZERO, name, sign);
+        }
+        let broker = membership.broker(&parsed(service), &parsed(datacenter));
+        let found = names.iter().find(|(_, name)| Some(name) == broker);
+        found.expect("a broker is alive").0
+    }
+
     /// Fails the test if any upstream received a request more than once, or two did.
     pub fn assert_no_double_dispatch(&self) {
         let upstreams = self.engines.iter().chain(&self.plain);
@@ -174,7 +283,7 @@
     }
 
     /// Starts a further host in the data centre and returns its index.
-    pub fn add_host(&mut self, datacenter: &str) -> usize {
+    pub fn add_host(&mut self, datacenter: &'static str) -> usize {
         self.add_hosts(&[datacenter]);
         self.hosts.len() - 1
     }
@@ -207,7 +316,12 @@
         self.hosts[host].process = Some(process);
     }
 
-    fn add_hosts(&mut self, datacenters: &[&str]) {
+    fn relays(&self, host: usize) -> impl Iterator<Item = &TestRelay> {
+        let host = &self.hosts[host];
+        host.link_relay.iter().chain(&host.platform_relay)
+    }
+
+    fn add_hosts(&mut self, datacenters: &[&'static str]) {
         for datacenter in datacenters {
             let number = self.hosts.len() + 1;
             let addresses = free_addresses(3);
@@ -217,6 +331,11 @@
                 entry: addresses[0],
                 operator: addresses[1],
                 link: addresses[2],
+                datacenter,
+                link_relay: self.relayed.then(|| TestRelay::start(addresses[2])),
+                platform_relay: self
+                    .relayed
+                    .then(|| TestRelay::start(self.platform.address)),
                 settings,
             };
             fs::write(
@@ -235,11 +354,12 @@
         let peers: Vec<String> = self
             .hosts
             .iter()
-            .map(|other| format!("{:?}", other.link.to_string()))
+            .map(|other| format!("{:?}", other.link_address().to_string()))
             .collect();
         format!(
             "host = \"host-{number}\"\ndatacenter = \"{datacenter}\"\nregion = \"{}\"\n\
              entry_listen = \"{}\"\noperator_listen = \"{}\"\nlink_listen = \"{}\"\n\
+             link_advertise = \"{}\"\n\
              peers = [{}]\nplatform = \"{}\"\nshared_key_file = \"shared.key\"\n\
              [[operators]]\nname = \"tester\"\ntoken_digest = \"{}\"\n\
              [limits]\nmax_body_bytes = 1048576\n[log]\nformat = \"json\"\nlevel = \"debug\"\n",
@@ -247,8 +367,11 @@
             host.entry,
             host.operator,
             host.link,
+            host.link_address(),
             peers.join(", "),
-            self.platform.address,
+            host.platform_relay
+                .as_ref()
+                .map_or(self.platform.address, TestRelay::address),
             blake3::hash(TOKEN.as_bytes()).to_hex(),
         )
     }
@@ -322,6 +445,13 @@
     panic!("waited in vain until {what}");
 }
 
+fn parsed<T: FromStr>(text: &str) -> T
+where
+    T::Err: Debug,
+{
+    text.parse().expect("the text is a name")
+}
+
 fn worker_line(name: &str, service: &str, datacenter: &str, address: SocketAddr) -> String {
     format!(
         "set worker {name} service {service} datacenter {datacenter} address {address} max-running 8"
