--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,159 @@
+//! Every request is dispatched at most once, and "not run" is true, whatever fails in between.
+
+mod harness;
+
+use std::thread;
+use std::time::Duration;
+
+use harness::Answer;
+use harness::Call;
+use harness::Deployment;
+use harness::DeploymentPlan;
+use harness::DispatchLedger;
+use harness::PendingCall;
+use harness::answers;
+use harness::wait_until;
+use serde_json::json;
+
+/// The lifetime of a grant and a margin, after which a frozen host holds lapsed grants.
+const PAST_GRANT: Duration = Duration::from_secs(4);
+
+const SLOTS: usize = 16;
+
+fn plan(hosts: usize) -> DeploymentPlan {
+    DeploymentPlan {
+        hosts: vec!["sapporo-a"; hosts],
+        engines: vec![("sapporo-a", vec!["--gap-ms", "100"]); 2],
+        plain: Vec::new(),
+        ..DeploymentPlan::default()
+    }
+}
+
+fn chat(tokens: u32, stream: bool) -> Call {
+    Call::chat("quill-8b", "draft a letter", tokens, stream)
+}
+
+/// Starts so many calls in turn at the hosts that some run and the others wait.
+fn start_load(deployment: &Deployment, hosts: usize, count: usize) -> Vec<PendingCall> {
+    let start = |index| deployment.start_call(index % hosts, &chat(30, index % 2 == 0));
+    (0..count).map(start).collect()
+}
+
+/// Sends requests until one is answered that its outcome is unknown.
+fn send_until_unknown(deployment: &Deployment, fault: &str, stream: bool) -> Vec<Answer> {
+    let mut all = Vec::new();
+    wait_until("the fault meets a request", || {
+        deployment.engines[0].control(&json!({ fault: 1 }));
+        deployment.engines[1].control(&json!({ fault: 1 }));
+        all.push(deployment.call(0, &chat(2, stream)));
+        all.iter().any(|answer| answer.ran() == "unknown")
+    });
+    all
+}
+
+#[test]
+fn a_connection_that_closes_after_the_line_is_never_followed_by_another() {
+    let deployment = Deployment::start(&plan(1));
+    for fault in ["close_before_read", "read_then_close"] {
+        for stream in [false, true] {
+            let all = send_until_unknown(&deployment, fault, stream);
+            DispatchLedger::default().check(&deployment, &all);
+            for answer in &all {
+                let expected = answer.status == 200 || answer.code() == "outcome_unknown";
+                assert!(expected, "{fault}: {} {}", answer.status, answer.body);
+            }
+        }
+        deployment.engines[0].control(&json!({ fault: 0 }));
+        deployment.engines[1].control(&json!({ fault: 0 }));
+    }
+}
+
+#[test]
+fn a_refused_connection_is_before_the_line() {
+    let mut deployment = Deployment::start(&plan(1));
+    deployment.engines[0].process.get_mut().signal("KILL");
+    deployment.engines[0].process.get_mut().wait();
+    let calls: Vec<PendingCall> = (0..8)
+        .map(|_| deployment.start_call(0, &chat(2, false)))
+        .collect();
+    let all = answers(calls);
+    assert!(all.iter().all(|answer| answer.status == 200), "{all:?}");
+    DispatchLedger::default().check(&deployment, &all);
+    deployment.engines[1].process.get_mut().signal("KILL");
+    deployment.engines[1].process.get_mut().wait();
+    let refused = deployment.call(0, &chat(2, false));
+    assert_eq!(refused.ran(), "no", "{} {}", refused.status, refused.body);
+    assert!(refused.header("retry-after").is_some(), "{}", refused.head);
+}
+
+#[test]
+fn a_killed_host_leaves_nothing_dispatched_twice() {
+    let mut deployment = Deployment::start(&plan(3));
+    deployment.wait_linked(&[0, 1, 2]);
+    let broker = deployment.broker_of("drafter", "sapporo-a");
+    let calls = start_load(&deployment, 3, SLOTS + 9);
+    deployment.wait_running(broker, SLOTS);
+    deployment.hosts[broker].process = None;
+    let other = (broker + 1) % 3;
+    let (cut, kept): (Vec<_>, Vec<_>) = calls
+        .into_iter()
+        .enumerate()
+        .partition(|(index, _)| index % 3 == broker);
+    let cut: Vec<Answer> = cut.into_iter().map(|(_, call)| call.answer()).collect();
+    let kept: Vec<Answer> = kept.into_iter().map(|(_, call)| call.answer()).collect();
+    assert!(cut.iter().all(|answer| !answer.looks_whole()));
+    assert!(kept.iter().all(|answer| answer.status == 200), "{kept:?}");
+    assert!(kept.iter().all(|answer| answer.whole), "{kept:?}");
+    let again = deployment.call(other, &chat(2, false));
+    assert_eq!(again.status, 200, "{}", again.body);
+    DispatchLedger::default().check(&deployment, &kept);
+    deployment.start_host(broker);
+    deployment.wait_ready(broker);
+    assert_eq!(deployment.call(broker, &chat(2, false)).status, 200);
+    deployment.assert_no_double_dispatch();
+}
+
+#[test]
+fn a_host_that_was_frozen_past_its_grants_dispatches_nothing_by_them() {
+    let deployment = Deployment::start(&plan(2));
+    deployment.wait_linked(&[0, 1]);
+    for frozen in [0, 1, 0] {
+        let calls = start_load(&deployment, 2, SLOTS + 8);
+        deployment.wait_waiting(1 - frozen, 8);
+        deployment.signal(frozen, "STOP");
+        thread::sleep(PAST_GRANT);
+        deployment.signal(frozen, "CONT");
+        let all = answers(calls);
+        DispatchLedger::default().check(&deployment, &all);
+        for answer in &all {
+            assert!(answer.status == 200 && answer.whole, "{answer:?}");
+        }
+    }
+}
+
+#[test]
+fn two_brokers_at_once_dispatch_nothing_twice() {
+    let plan = DeploymentPlan {
+        relayed: true,
+        ..plan(2)
+    };
+    let deployment = Deployment::start(&plan);
+    deployment.wait_linked(&[0, 1]);
+    let calls = start_load(&deployment, 2, SLOTS + 8);
+    deployment.wait_waiting(0, 8);
+    // The table still vouches for the configuration, so both hosts go on, each with its broker.
+    deployment.cut_links(0);
+    deployment.cut_links(1);
+    let more = start_load(&deployment, 2, 8);
+    deployment.wait_linked(&[0]);
+    deployment.wait_linked(&[1]);
+    let apart = start_load(&deployment, 2, 4);
+    deployment.mend(0);
+    deployment.mend(1);
+    deployment.wait_linked(&[0, 1]);
+    let all: Vec<Answer> = [calls, more, apart].into_iter().flat_map(answers).collect();
+    DispatchLedger::default().check(&deployment, &all);
+    for answer in &all {
+        assert!(answer.status == 200 && answer.whole, "{answer:?}");
+    }
+}
