Bound what a host holds by tier, and reach cells without a linked broker

Cause: the settings' bounds on requests and on bytes of waiting bodies were read and not kept; a message to a broker of another data centre was lost where no link stood; a data centre without hosts left its workers without a broker; a broker went on after its role was gone; a refused request was referred without a look at its tier; counting a workspace's requests went through all.

Ruled out: refusing whoever comes last, which refuses urgent work while batch work waits; linking every host with every other.

--- a/kernel/src/ask.rs
+++ b/kernel/src/ask.rs
@@ -252,5 +252,7 @@
         host: HostName,
         /// The refusal.
         refusal: Refusal,
+        /// The tier of the refused request.
+        tier: TierRank,
     },
 }
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -142,7 +142,11 @@
             reason,
             retry_after: late.clamp(SHORTEST_RETRY, LONGEST_RETRY),
         };
-        actions.push(BrokerAction::Refuse { host, refusal });
+        actions.push(BrokerAction::Refuse {
+            host,
+            refusal,
+            tier: ask.tier,
+        });
     }
 
     /// Returns the time until the work before a request is done.
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -15,7 +15,7 @@
 use crate::kernel::configuration::Configuration;
 use crate::kernel::configuration::WorkerState;
 use crate::kernel::name::HostName;
-use crate::kernel::name::ServiceName;
+use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerName;
 use crate::wire::CellSummary;
 
@@ -158,19 +158,22 @@
         );
     }
 
-    /// Returns a cell of the service in another data centre that has room for the tier, with the
+    /// Returns a cell of the same service in another data centre that has room for the tier, with the
     /// host of its broker; cells of the preferred data centres come first.
     #[must_use]
     pub fn elsewhere(
         &self,
         now: ClockTime,
-        service: &ServiceName,
-        tier: usize,
+        refusing: &CellId,
+        tier: TierRank,
         rank: impl Fn(&CellId) -> u8,
     ) -> Option<(&CellId, &HostName)> {
         let fresh = |known: &KnownSummary| now.since(known.at) < SUMMARY_LIFETIME;
         let candidates = self.summaries.iter().filter(|(cell, known)| {
-            cell.service == *service && fresh(known) && has_room(&known.summary, tier)
+            cell.service == refusing.service
+                && *cell != refusing
+                && fresh(known)
+                && has_room(&known.summary, tier)
         });
         let best = candidates.min_by_key(|(cell, _)| rank(cell));
         best.map(|(cell, known)| (cell, &known.host))
@@ -193,8 +196,9 @@
     }
 }
 
-fn has_room(summary: &CellSummary, tier: usize) -> bool {
-    let ahead: u32 = summary.waiting.iter().take(tier + 1).sum();
+fn has_room(summary: &CellSummary, tier: TierRank) -> bool {
+    let tiers = usize::from(tier.0) + 1;
+    let ahead: u32 = summary.waiting.iter().take(tiers).sum();
     summary.free_slots > ahead
 }
 
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -1,6 +1,7 @@
 //! The cells of this host, joined with the other hosts.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
@@ -33,6 +34,7 @@
 use crate::kernel::name::RegionName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
+use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerName;
 use crate::kernel::pause::PauseDetector;
 use crate::wire::CellSummary;
@@ -216,6 +218,7 @@
     pub fn tick(&self) {
         let now = self.clock.now();
         self.pauses.borrow_mut().tick(now);
+        self.retire_brokers();
         let actions = self.brokers.borrow_mut().tick(now);
         self.act(actions);
         self.asks.borrow_mut().expire(now);
@@ -223,6 +226,16 @@
         self.send_due();
     }
 
+    /// Stops the brokers of cells whose role has gone to another host; entries ask that one again.
+    fn retire_brokers(&self) {
+        for cell in self.own_cells() {
+            let broker = self.network.broker(&cell);
+            if broker.is_some_and(|host| host != *self.network.host()) {
+                self.brokers.borrow_mut().stop(&cell);
+            }
+        }
+    }
+
     /// Returns the time at which a broker wants to act, if any does.
     #[must_use]
     pub fn next_wake(&self) -> Option<ClockTime> {
@@ -364,7 +377,7 @@
     }
 
     fn broker_event(&self, service: ServiceName, event: BrokerEvent) {
-        let datacenter = self.network.datacenter().clone();
+        let datacenter = self.home(&service);
         self.cell_event(
             &CellId {
                 service,
@@ -391,15 +404,19 @@
                 BrokerAction::Grant { host, grant } => {
                     self.network.send(&host, LinkMessage::Grant(grant));
                 }
-                BrokerAction::Refuse { host, refusal } => {
-                    let message = self.refer_or_refuse(&cell, refusal);
+                BrokerAction::Refuse {
+                    host,
+                    refusal,
+                    tier,
+                } => {
+                    let message = self.refer_or_refuse(&cell, refusal, tier);
                     self.network.send(&host, message);
                 }
             }
         }
     }
 
-    fn refer_or_refuse(&self, cell: &CellId, refusal: Refusal) -> LinkMessage {
+    fn refer_or_refuse(&self, cell: &CellId, refusal: Refusal, tier: TierRank) -> LinkMessage {
         let lacks_room = matches!(
             refusal.reason,
             RefusalReason::Capacity | RefusalReason::Deadline | RefusalReason::NoWorker
@@ -412,7 +429,7 @@
         let rank =
             |other: &CellId| u8::from(region_of(&configuration, &other.datacenter) != own_region);
         let brokers = self.brokers.borrow();
-        let found = brokers.elsewhere(self.clock.now(), &cell.service, 0, rank);
+        let found = brokers.elsewhere(self.clock.now(), cell, tier, rank);
         match found {
             Some((other, host)) => LinkMessage::Refer(Referral {
                 request: refusal.request,
@@ -445,10 +462,18 @@
 
     fn send_due(&self) {
         let now = self.clock.now();
-        let due = self
-            .asks
-            .borrow_mut()
-            .due(now, |cell| self.network.broker(cell));
+        // Many asks share a cell, and the hash over the members is the dearest step here.
+        let known: RefCell<BTreeMap<CellId, Option<HostName>>> = RefCell::default();
+        let broker_of = |cell: &CellId| {
+            let mut known = known.borrow_mut();
+            if let Some(host) = known.get(cell) {
+                return host.clone();
+            }
+            let host = self.network.broker(cell);
+            known.insert(cell.clone(), host.clone());
+            host
+        };
+        let due = self.asks.borrow_mut().due(now, broker_of);
         for outgoing in due {
             self.network
                 .send(&outgoing.host, LinkMessage::Ask(Box::new(outgoing.ask)));
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -38,6 +38,7 @@
 use crate::reply::text;
 use crate::request::ActiveRequest;
 use crate::request::PlacedRequest;
+use crate::room;
 
 /// The time after which a caller may come back to a host that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
@@ -150,6 +151,7 @@
         headers: request.headers().clone(),
     };
     let once = check_idempotency(&placed, placement.non_idempotent)?;
+    room::make_room(context, &placed)?;
     open_record(context, &placed, placement);
     let active = ActiveRequest::new(Rc::clone(context), &placed);
     Ok((placed, active, once))
@@ -285,6 +287,9 @@
         service: placed.incoming.service.clone(),
         model: placed.incoming.model.clone(),
         tier: placed.tier.clone(),
+        rank: placed.rank,
+        body_bytes: placed.incoming.body.len(),
+        gave_way: false,
         rule: placement.rule,
         phase: RequestPhase::Waiting,
         received: placed.received,
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -12,6 +12,7 @@
 use crate::kernel::name::RuleName;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::TierName;
+use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
 
@@ -75,6 +76,12 @@
     pub model: Option<ModelName>,
     /// The tier in which it was placed.
     pub tier: TierName,
+    /// The rank of the tier.
+    pub rank: TierRank,
+    /// The length of the body, in bytes.
+    pub body_bytes: usize,
+    /// Whether it was refused to make room and its caller is about to be told.
+    pub gave_way: bool,
     /// The rule that placed it; `None` if no rule matched.
     pub rule: Option<RuleName>,
     /// Where it stands.
@@ -121,14 +128,52 @@
 pub struct RequestJournal {
     active: BTreeMap<RequestId, RequestRecord>,
     ended: VecDeque<RequestRecord>,
+    by_workspace: BTreeMap<WorkspaceName, usize>,
+    waiting_bytes: usize,
+    giving_way: usize,
 }
 
 impl RequestJournal {
     /// Adds a request that arrived.
     pub fn open(&mut self, record: RequestRecord) {
+        self.waiting_bytes += record.body_bytes;
+        *self
+            .by_workspace
+            .entry(record.workspace.clone())
+            .or_default() += 1;
         self.active.insert(record.request, record);
     }
 
+    /// Returns the number of requests that take room: the active ones but for those that gave way.
+    #[must_use]
+    pub fn held_requests(&self) -> usize {
+        self.active.len() - self.giving_way
+    }
+
+    /// Returns the bytes of the bodies of waiting requests, but for those that gave way.
+    #[must_use]
+    pub const fn waiting_bytes(&self) -> usize {
+        self.waiting_bytes
+    }
+
+    /// Returns the requests that wait and did not give way.
+    pub fn waiting(&self) -> impl Iterator<Item = &RequestRecord> {
+        let records = self.active.values();
+        records.filter(|record| record.phase == RequestPhase::Waiting && !record.gave_way)
+    }
+
+    /// Takes a waiting request that is being refused out of the count of what is held.
+    pub fn give_way(&mut self, request: RequestId) {
+        let Some(record) = self.active.get_mut(&request) else {
+            return;
+        };
+        if record.phase == RequestPhase::Waiting && !record.gave_way {
+            record.gave_way = true;
+            self.giving_way += 1;
+            self.waiting_bytes -= record.body_bytes;
+        }
+    }
+
     /// Returns the number of requests that have not ended.
     #[must_use]
     pub fn active_count(&self) -> usize {
@@ -138,10 +183,7 @@
     /// Returns the number of active requests of a workspace.
     #[must_use]
     pub fn workspace_count(&self, workspace: &WorkspaceName) -> usize {
-        self.active
-            .values()
-            .filter(|record| record.workspace == *workspace)
-            .count()
+        self.by_workspace.get(workspace).copied().unwrap_or(0)
     }
 
     /// Adds a step to an active request.
@@ -165,6 +207,9 @@
         let Some(record) = self.active.get_mut(&request) else {
             return;
         };
+        if record.phase == RequestPhase::Waiting && !record.gave_way {
+            self.waiting_bytes -= record.body_bytes;
+        }
         record.phase = RequestPhase::Running;
         record.worker = Some(worker.clone());
     }
@@ -179,6 +224,7 @@
     /// Records the end of a request and returns its record; a second end is ignored.
     pub fn end(&mut self, request: RequestId, end: RequestEnd) -> Option<&RequestRecord> {
         let mut record = self.active.remove(&request)?;
+        self.forget_room(&record);
         record.phase = end.phase;
         record.code = end.code;
         record.ran = Some(end.ran);
@@ -191,6 +237,20 @@
         self.ended.back()
     }
 
+    fn forget_room(&mut self, record: &RequestRecord) {
+        if record.gave_way {
+            self.giving_way -= 1;
+        } else if record.phase == RequestPhase::Waiting {
+            self.waiting_bytes -= record.body_bytes;
+        }
+        if let Some(count) = self.by_workspace.get_mut(&record.workspace) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_workspace.remove(&record.workspace);
+            }
+        }
+    }
+
     /// Returns the requests that have not ended.
     pub fn active(&self) -> impl Iterator<Item = &RequestRecord> {
         self.active.values()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod relay;
 pub mod reply;
 pub mod request;
+pub mod room;
 pub mod rows;
 pub mod server;
 pub mod settings;
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -121,6 +121,14 @@
         membership.broker(service, datacenter).cloned()
     }
 
+    /// Dials a live host to which no link is kept, such as the broker of a far cell.
+    pub fn dial(&self, host: &HostName) {
+        let membership = self.membership.borrow();
+        if let Some(live) = membership.others().get(host) {
+            self.links.dial(live.address);
+        }
+    }
+
     /// Returns the live hosts of a data centre, this one included.
     #[must_use]
     pub fn alive(&self, datacenter: &DatacenterName) -> Vec<HostName> {
--- a/src/metering.rs
+++ b/src/metering.rs
@@ -93,6 +93,8 @@
     metrics.set_ready(context.is_ready());
     metrics.set_links(context.links.connected().len() as u64);
     metrics.set_live_hosts(context.members.all_alive().len() as u64);
+    let waiting_bytes = context.journal.borrow().waiting_bytes();
+    metrics.set_waiting_bytes(waiting_bytes as u64);
     set_work(context);
     set_slots(context);
     metrics.render()
--- a/src/network.rs
+++ b/src/network.rs
@@ -38,12 +38,16 @@
     }
 
     fn broker(&self, cell: &CellId) -> Option<HostName> {
-        self.members.broker(&cell.service, &cell.datacenter)
+        // Workers of a data centre without hosts are served by the hosts of this one.
+        let there = self.members.broker(&cell.service, &cell.datacenter);
+        there.or_else(|| self.members.broker(&cell.service, &self.datacenter))
     }
 
     fn send(&self, host: &HostName, message: LinkMessage) {
-        // A lost ask is sent again; a lost report is made up for by the grant's expiry.
-        let _ = self.links.send(host, message);
+        if self.links.send(host, message).is_err() {
+            // A lost ask is sent again, by then over the link that is dialed here.
+            self.members.dial(host);
+        }
     }
 
     fn configuration(&self) -> Arc<Configuration> {
--- a/src/once.rs
+++ b/src/once.rs
@@ -23,6 +23,7 @@
 use crate::execution::lost_answer;
 use crate::kernel::claim::ContentDigest;
 use crate::kernel::lifecycle::RunOutcome;
+use crate::metrics;
 use crate::reply::CallerError;
 use crate::reply::response_builder;
 use crate::request::ActiveRequest;
@@ -75,6 +76,7 @@
         .claims
         .claim(&placed.workspace, key, placed.id, digest)
         .await;
+    count_claim(context, claimed.as_ref().ok());
     match claimed.map_err(|error| claim_error(&error))? {
         ClaimOutcome::Held(ticket) => {
             active.step("claimed its idempotency key");
@@ -213,3 +215,15 @@
     }
     caller_error.retry_after(PLATFORM_RETRY)
 }
+
+/// Counts an attempt to claim; one without outcome found the platform unavailable.
+fn count_claim(context: &HostContext, outcome: Option<&ClaimOutcome>) {
+    let label = match outcome {
+        Some(ClaimOutcome::Held(_)) => metrics::ClaimOutcome::Won,
+        Some(ClaimOutcome::Answered(_) | ClaimOutcome::Mismatch) => metrics::ClaimOutcome::Repeated,
+        Some(ClaimOutcome::InProgress(_)) => metrics::ClaimOutcome::InProgress,
+        Some(ClaimOutcome::Unknown(_)) => metrics::ClaimOutcome::Unknown,
+        None => metrics::ClaimOutcome::Unavailable,
+    };
+    context.metrics.claim_ended(label);
+}
