--- a/kernel/src/rollout/mod.rs
+++ b/kernel/src/rollout/mod.rs
@@ -211,13 +211,19 @@
         (newer, self.conclude(now, before))
     }
 
-    /// Watches a version that an operator's change made through this host.
+    /// Watches a version that an operator's change made through this host, which was asked for at
+    /// `asked`.
     ///
-    /// A [`RolloutAction::Report`] follows at the latest after [`RolloutTimes::deadline`].
-    pub fn watch(&mut self, now: ClockTime, version: ConfigVersion) -> Vec<RolloutAction> {
+    /// A [`RolloutAction::Report`] follows, at the latest [`RolloutTimes::deadline`] after `asked`.
+    pub fn watch(
+        &mut self,
+        now: ClockTime,
+        asked: ClockTime,
+        version: ConfigVersion,
+    ) -> Vec<RolloutAction> {
         self.advance(now);
         let before = self.report(now);
-        let deadline = now + self.times.deadline;
+        let deadline = asked + self.times.deadline;
         let change = PendingChange {
             deadline,
             complete: None,
--- a/kernel/tests/rollout_model/mod.rs
+++ b/kernel/tests/rollout_model/mod.rs
@@ -244,7 +244,7 @@
         let now = state.now;
         let process = state.hosts[host].process.as_mut();
         let process = process.expect("only hosts that run hear answers");
-        let actions = process.watch(now, ConfigVersion(version));
+        let actions = process.watch(now, now, ConfigVersion(version));
         self.perform(state, host, actions);
     }
 
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -8,6 +8,7 @@
 mod store;
 mod table;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -86,6 +87,9 @@
     },
 }
 
+/// Called with each configuration that comes into force on this host.
+pub type ApplyListener = Rc<dyn Fn(&Arc<Configuration>)>;
+
 /// Holds the configuration in force.
 pub struct Keeper {
     datacenter: DatacenterName,
@@ -97,8 +101,10 @@
     rollout: RefCell<Rollout>,
     current: watch::Sender<Arc<Configuration>>,
     history: RefCell<DeltaHistory>,
+    listeners: RefCell<Vec<ApplyListener>>,
     waiting: RefCell<BTreeMap<ConfigVersion, oneshot::Sender<ChangeProgress>>>,
-    fetching: RefCell<bool>,
+    fetching: Cell<bool>,
+    stale: Cell<bool>,
 }
 
 impl fmt::Debug for Keeper {
@@ -133,8 +139,10 @@
             rollout: RefCell::new(rollout),
             current: watch::Sender::new(Arc::new(Configuration::default())),
             history: RefCell::default(),
+            listeners: RefCell::default(),
             waiting: RefCell::default(),
-            fetching: RefCell::new(false),
+            fetching: Cell::new(false),
+            stale: Cell::new(true),
         });
         let this = Rc::downgrade(&keeper);
         let own = keeper.rollout.borrow().report(now);
@@ -159,6 +167,12 @@
         self.current.subscribe()
     }
 
+    /// Registers a function that is called with each configuration as it comes into force, before
+    /// any other host hears that it is.
+    pub fn on_apply(&self, listener: ApplyListener) {
+        self.listeners.borrow_mut().push(listener);
+    }
+
     /// Returns whether new work may be taken; to be asked right before each dispatch.
     #[must_use]
     pub fn may_take_work(&self, now: ClockTime) -> bool {
@@ -175,6 +189,7 @@
         request: ChangeRequest,
         apply: impl Fn(&Configuration) -> Result<Configuration, String>,
     ) -> Result<ChangeOutcome, ChangeError> {
+        let asked = (self.clock)();
         let written = write_change(self.store.as_ref(), &request, unix_millis(), apply).await?;
         let WrittenVersion {
             before,
@@ -190,7 +205,10 @@
         let (sender, progress) = oneshot::channel();
         self.waiting.borrow_mut().insert(version, sender);
         self.adopt(&Arc::new(configuration));
-        let actions = self.rollout.borrow_mut().watch((self.clock)(), version);
+        let actions = self
+            .rollout
+            .borrow_mut()
+            .watch((self.clock)(), asked, version);
         self.perform(actions);
         let progress = progress.await;
         let state = progress.map_or_else(|_closed| unwatched(), change_state);
@@ -263,7 +281,7 @@
                         .links
                         .send(&host, LinkMessage::ConfigurationWanted(applied));
                 }
-                RolloutAction::FetchFromTable => *self.fetching.borrow_mut() = true,
+                RolloutAction::FetchFromTable => self.fetching.set(true),
                 RolloutAction::Report { version, progress } => {
                     let waiting = self.waiting.borrow_mut().remove(&version);
                     // The operator may have gone.
@@ -286,7 +304,12 @@
         let mut rollout = self.rollout.borrow_mut();
         rollout.set_alone(alone);
         let actions = rollout.tick(now);
+        let stale = !rollout.may_take_work(now);
         drop(rollout);
+        if stale && !self.stale.replace(stale) {
+            log_event!(self.log, LogEvent::HostStale);
+        }
+        self.stale.set(stale);
         self.perform(actions);
     }
 }
--- a/src/keeper/spread.rs
+++ b/src/keeper/spread.rs
@@ -4,13 +4,11 @@
 use std::sync::Arc;
 
 use super::Keeper;
-use crate::event::LogEvent;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::delta::ConfigurationDelta;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
-use crate::log_event;
 use crate::wire::LinkMessage;
 
 impl Keeper {
@@ -57,9 +55,12 @@
             rollout.obtained(now, version, datacenters(false), datacenters(true));
         drop(rollout);
         if newer {
-            log_event!(self.log, LogEvent::ConfigurationApplied, "version" => version.0);
             let before = self.current.send_replace(Arc::clone(configuration));
             self.history.borrow_mut().add(&before, configuration);
+            let listeners = self.listeners.borrow().clone();
+            for listener in listeners {
+                listener(configuration);
+            }
         }
         self.perform(actions);
     }
