Count a request with a place in the batch as running in the load report

A request that arrived while a step was under way counted as waiting until the next step. Ruled out: the tolerance of the token gaps (280, 350 and 450 instead of 220 percent changed nothing).

--- a/standin/src/model/mod.rs
+++ b/standin/src/model/mod.rs
@@ -183,11 +183,16 @@
     }
 
     /// Returns the load at the time of the last call that carried one.
+    ///
+    /// A request that has a place in the batch counts as running, also before the step that takes
+    /// it in begins.
     #[must_use]
     pub fn load(&self) -> LoadReport {
+        let all = self.running.len() + self.waiting.len();
+        let running = all.min(self.profile.max_batch);
         LoadReport {
-            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
-            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            waiting: u32::try_from(all - running).unwrap_or(u32::MAX),
             leaving: false,
         }
     }
