Add the policy prefix-affinity

Cause: predicted-finish recomputes prefixes that another worker holds, since a freed slot goes to the first request in order whatever its prefix, so caches hold copies of the popular prefixes and evict the rest. At twice the load most of the waste was of requests with much slack whose patience (1.5 times the predicted wait) ended before their worker had a slot. Change: a cold prefix goes to its home by rendezvous hashing, at 3 s a place; a wait counts in proportion to the slack; patience is at least half of the slack.

--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -6,6 +6,7 @@
 mod arrival_order;
 mod least_loaded;
 mod predicted_finish;
+mod prefix_affinity;
 mod prefix_hash;
 mod round_robin;
 mod view;
--- /dev/null
+++ b/kernel/src/policy/prefix_affinity.rs
@@ -0,0 +1,192 @@
+//! The project's policy: predicted finish, a home for each prefix, and patience with slack.
+//!
+//! A prompt whose prefix nobody has cached goes to the worker that comes first for that prefix by
+//! rendezvous hashing, so that caches divide the prefixes among them. A request waits for the worker
+//! that holds its prefix while its deadline allows it, and the more slack it has the less its wait
+//! counts.
+
+use std::time::Duration;
+
+use super::Choice;
+use super::ChoiceReason;
+use super::ChoiceView;
+use super::OpenCandidate;
+use super::PolicyEntry;
+use super::WorkerCandidate;
+use super::WorkerPolicy;
+use crate::limit::LimitMode;
+use crate::queue::QueueOrder;
+
+/// How often the prefill of uncached tokens counts, since it takes time from other requests too.
+const PREFILL_WEIGHT: u32 = 3;
+
+/// What a request without a cached prefix pays for a worker that is one place further from home.
+const PLACE_COST: Duration = Duration::from_secs(3);
+
+/// The slack up to which a predicted wait counts in full; beyond it, it counts in proportion.
+const FULL_WAIT_SLACK: Duration = Duration::from_secs(5);
+
+/// The most of its slack that a request is predicted to wait for one worker, in percent.
+const WAIT_PERCENT: u32 = 90;
+
+/// The share of its slack for which a request stays patient, in percent.
+const SLACK_PATIENCE_PERCENT: u32 = 50;
+
+/// The factor on a predicted wait for which a request stays patient at least, in percent.
+const WAIT_PATIENCE_PERCENT: u32 = 150;
+
+struct PrefixAffinity;
+
+impl WorkerPolicy for PrefixAffinity {
+    fn name(&self) -> &'static str {
+        "prefix-affinity"
+    }
+
+    fn order(&self) -> QueueOrder {
+        QueueOrder::TierDeadline
+    }
+
+    fn limits(&self) -> LimitMode {
+        LimitMode::Learned
+    }
+
+    fn refuses_early(&self) -> bool {
+        true
+    }
+
+    fn choose(&self, view: &ChoiceView<'_>) -> Choice {
+        let Some(best) = best_open(view) else {
+            return waiting_for(view, 0);
+        };
+        if !view.patience_spent
+            && let Some(position) = better_by_waiting(view, &best)
+        {
+            return waiting_for(view, position);
+        }
+        let reason = ChoiceReason::Soonest {
+            finish: best.candidate.finish(),
+            cached_tokens: best.candidate.cached_tokens,
+            open: view.open().count(),
+        };
+        Choice::Worker {
+            candidate: best.position,
+            reason,
+        }
+    }
+}
+
+inventory::submit! {
+    PolicyEntry { policy: &PrefixAffinity }
+}
+
+/// Returns the open candidate with the lowest cost, those that finish in time before the others.
+fn best_open<'a>(view: &'a ChoiceView<'_>) -> Option<OpenCandidate<'a>> {
+    view.open()
+        .min_by_key(|open| (late(view, open.candidate), cost_now(view, open.candidate)))
+}
+
+/// Returns the candidate for which waiting in time costs least, if it costs less than `best` does.
+fn better_by_waiting(view: &ChoiceView<'_>, best: &OpenCandidate<'_>) -> Option<usize> {
+    let bound = if late(view, best.candidate) {
+        Duration::MAX
+    } else {
+        cost_now(view, best.candidate)
+    };
+    let candidates = view.candidates.iter().enumerate();
+    candidates
+        .filter_map(|(position, candidate)| Some((cost_later(view, candidate)?, position)))
+        .filter(|(cost, _)| *cost < bound)
+        .min()
+        .map(|(_, position)| position)
+}
+
+fn late(view: &ChoiceView<'_>, candidate: &WorkerCandidate) -> bool {
+    candidate.finish() > view.remaining
+}
+
+/// Returns the cost of a candidate for a request that does not wait for a prefix.
+fn cost_now(view: &ChoiceView<'_>, candidate: &WorkerCandidate) -> Duration {
+    let wait = scaled_wait(view, candidate);
+    let finish = wait + candidate.backlog + candidate.prefill + candidate.decode;
+    let weight = candidate.prefill * (PREFILL_WEIGHT - 1);
+    let distance = if candidate.cached_tokens > 0 {
+        Duration::ZERO
+    } else {
+        home_distance(view, candidate)
+    };
+    finish + weight + distance
+}
+
+/// Returns the cost of waiting for a slot or a prefix of a candidate, if it ends in time.
+fn cost_later(view: &ChoiceView<'_>, candidate: &WorkerCandidate) -> Option<Duration> {
+    let most = slack(view, candidate) * WAIT_PERCENT / 100;
+    if predicted_wait(candidate) > most {
+        return None;
+    }
+    if candidate.computes_prefix() {
+        let finish = candidate.finish_after_pending();
+        let weight = candidate.pending_prefill * (PREFILL_WEIGHT - 1);
+        (finish <= view.remaining).then_some(finish + weight)
+    } else if candidate.open || late(view, candidate) {
+        None
+    } else {
+        Some(cost_now(view, candidate))
+    }
+}
+
+/// Returns the decision to wait for a candidate longer than predicted if there is slack.
+fn waiting_for(view: &ChoiceView<'_>, position: usize) -> Choice {
+    let candidate = &view.candidates[position];
+    let slack = slack(view, candidate);
+    let wait = predicted_wait(candidate) * WAIT_PATIENCE_PERCENT / 100;
+    let patience = wait.max(slack * SLACK_PATIENCE_PERCENT / 100);
+    Choice::Wait {
+        candidate: position,
+        patience: patience.min(slack * WAIT_PERCENT / 100),
+    }
+}
+
+/// Returns the time until the candidate has a slot and what it computes of the prefix is cached.
+fn predicted_wait(candidate: &WorkerCandidate) -> Duration {
+    if candidate.computes_prefix() {
+        candidate.slot_wait.max(candidate.pending_wait)
+    } else {
+        candidate.slot_wait
+    }
+}
+
+/// Returns the time that the request can wait if it runs on the candidate.
+fn slack(view: &ChoiceView<'_>, candidate: &WorkerCandidate) -> Duration {
+    let needed = candidate.prefill + candidate.decode;
+    view.remaining.saturating_sub(needed)
+}
+
+/// Returns the wait for a slot, scaled down if the request has slack.
+fn scaled_wait(view: &ChoiceView<'_>, candidate: &WorkerCandidate) -> Duration {
+    let slack = slack(view, candidate);
+    if slack <= FULL_WAIT_SLACK {
+        return candidate.slot_wait;
+    }
+    let share = FULL_WAIT_SLACK.as_secs_f64() / slack.as_secs_f64();
+    candidate.slot_wait.mul_f64(share)
+}
+
+/// Returns the cost of a candidate's distance from the home of the prefix.
+///
+/// The distance is the number of candidates that are expected to come before this one.
+fn home_distance(view: &ChoiceView<'_>, candidate: &WorkerCandidate) -> Duration {
+    let Some(digest) = view.ask.prefix.first() else {
+        return Duration::ZERO;
+    };
+    let weight = mixed(candidate.identity ^ mixed(digest.0));
+    let farthest = PLACE_COST.as_micros() * view.candidates.len() as u128;
+    let distance = (farthest * u128::from(u64::MAX - weight)) >> u64::BITS;
+    Duration::from_micros(u64::try_from(distance).unwrap_or(u64::MAX))
+}
+
+/// Spreads the bits of a number over the whole word.
+const fn mixed(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
