--- a/kernel/src/broker/settings.rs
+++ b/kernel/src/broker/settings.rs
@@ -18,7 +18,7 @@
 /// let settings = BrokerSettings::default()
 ///     .with_incarnation(0x51)
 ///     .with_takeover_time(Duration::ZERO);
-/// assert_eq!(settings.policy, "predicted-finish");
+/// assert_eq!(settings.policy, "prefix-affinity");
 /// ```
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BrokerSettings {
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -21,7 +21,7 @@
 use crate::queue::QueueOrder;
 
 /// The name of the policy that is used unless another one is set.
-pub const DEFAULT_POLICY: &str = "predicted-finish";
+pub const DEFAULT_POLICY: &str = "prefix-affinity";
 
 /// A way to order what waits and to choose a worker.
 pub trait WorkerPolicy: Sync {
