Check the policy's bounds in the tests

A test with a bound of 20 shows that the lowest tier is shed first, and one with arrival-order that the check finds a higher tier shed before a lower one.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -15,6 +15,7 @@
 use borageladder_standin::experiment::ExperimentResult;
 use borageladder_standin::experiment::ExperimentSpec;
 use borageladder_standin::experiment::FaultKind;
+use borageladder_standin::experiment::MAX_WAITING;
 use borageladder_standin::trace::DeploymentKind;
 use lexopt::ValueExt;
 use serde_json::json;
@@ -104,6 +105,7 @@
                         policy,
                         seed: self.seed,
                         length: self.length,
+                        max_waiting: MAX_WAITING,
                     }));
                 }
             }
--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -38,6 +38,9 @@
 use self::run::ExperimentRun;
 use crate::trace::DeploymentKind;
 
+/// The most requests that may wait for a broker, unless an experiment is about that bound.
+pub const MAX_WAITING: usize = 100_000;
+
 /// What an experiment runs.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct ExperimentSpec {
@@ -53,6 +56,8 @@
     pub seed: u64,
     /// The time from the first to the last arrival.
     pub length: Duration,
+    /// The most requests that may wait for the broker.
+    pub max_waiting: usize,
 }
 
 /// The reason why an experiment can't run.
@@ -90,6 +95,7 @@
 ///     policy: "round-robin",
 ///     seed: 7,
 ///     length: Duration::from_secs(5),
+///     max_waiting: experiment::MAX_WAITING,
 /// })?;
 /// assert_eq!(result.dispatched_twice, 0);
 /// # Ok(())
--- a/standin/tests/experiment.rs
+++ b/standin/tests/experiment.rs
@@ -8,6 +8,7 @@
 use borageladder_standin::experiment::ExperimentResult;
 use borageladder_standin::experiment::ExperimentSpec;
 use borageladder_standin::experiment::FaultKind;
+use borageladder_standin::experiment::MAX_WAITING;
 use borageladder_standin::trace::DeploymentKind;
 use yare::parameterized;
 
@@ -19,6 +20,7 @@
         policy: "predicted-finish",
         seed: 3,
         length: Duration::from_secs(40),
+        max_waiting: MAX_WAITING,
     }
 }
 
@@ -91,3 +93,27 @@
     let result = experiment::run(&spec);
     assert!(matches!(result, Err(ExperimentError::Broker(_))));
 }
+
+#[test]
+fn a_full_queue_sheds_the_lowest_tier_first() {
+    let mut spec = spec(FaultKind::Burst);
+    spec.scale = 2.0;
+    spec.max_waiting = 20;
+    let result = experiment::run(&spec).expect("the policy is registered");
+    let shed = result
+        .refused
+        .iter()
+        .find(|count| count.reason == RefusalReason::Capacity);
+    assert!(shed.is_some_and(|count| count.requests > 10), "{result:#?}");
+    assert_eq!(result.higher_tier_sheds, 0);
+}
+
+#[test]
+fn the_check_of_sheds_finds_a_policy_without_tiers() {
+    let mut spec = spec(FaultKind::Burst);
+    spec.scale = 4.0;
+    spec.max_waiting = 20;
+    spec.policy = "arrival-order";
+    let result = experiment::run(&spec).expect("the policy is registered");
+    assert!(result.higher_tier_sheds > 0, "{result:#?}");
+}
