--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -6,6 +6,7 @@
 mod arrival_order;
 mod least_loaded;
 mod predicted_finish;
+mod predicted_finish_patient;
 mod prefix_affinity;
 mod prefix_hash;
 mod round_robin;
@@ -85,6 +86,8 @@
     Hashed,
     /// The worker had the least load.
     LeastLoaded,
+    /// The worker was a straggler and the request, which has time to spare, shows whether it still is.
+    Probe,
     /// It was the worker's turn.
     Turn,
     /// The worker is predicted to finish first, counting the weight of its cached prefix.
@@ -104,6 +107,7 @@
             Self::Alone => f.write_str("idle worker for a request that must run alone"),
             Self::Hashed => f.write_str("first worker for the prefix below the load bound"),
             Self::LeastLoaded => f.write_str("least load"),
+            Self::Probe => f.write_str("probe of a straggler"),
             Self::Turn => f.write_str("its turn"),
             Self::Soonest {
                 finish,
--- a/kernel/src/policy/prefix_affinity.rs
+++ b/kernel/src/policy/prefix_affinity.rs
@@ -15,6 +15,7 @@
 use super::WorkerCandidate;
 use super::WorkerPolicy;
 use crate::limit::LimitMode;
+use crate::prefix::mixed;
 use crate::queue::QueueOrder;
 
 /// How often the prefill of uncached tokens counts, since it takes time from other requests too.
@@ -205,10 +206,3 @@
         candidate.slot_wait
     }
 }
-
-/// Spreads the bits of a number over the whole word.
-const fn mixed(number: u64) -> u64 {
-    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    number ^ (number >> 31)
-}
