--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod least_loaded;
 mod predicted_finish;
 mod predicted_finish_patient;
+mod prefix_affinity;
 mod prefix_hash;
 mod round_robin;
 mod view;
@@ -21,7 +22,7 @@
 use crate::queue::QueueOrder;
 
 /// The name of the policy that is used unless another one is set.
-pub const DEFAULT_POLICY: &str = "predicted-finish-patient";
+pub const DEFAULT_POLICY: &str = "prefix-affinity";
 
 /// A way to order what waits and to choose a worker.
 pub trait WorkerPolicy: Sync {
