--- a/standin/src/load/report.rs
+++ b/standin/src/load/report.rs
@@ -111,7 +111,7 @@
 pub struct LoadSummary {
     /// The time from the first to the last request.
     pub length: Duration,
-    /// The requests that were not sent, because too many calls were open.
+    /// The requests that were not sent, because too many calls were open or no entry was ready.
     pub not_sent: u64,
     tiers: BTreeMap<String, TierSummary>,
     refusals: Vec<RefusalCount>,
@@ -256,7 +256,11 @@
             )?;
         }
         if self.not_sent > 0 {
-            writeln!(f, "not sent, too many calls open: {}", self.not_sent)?;
+            writeln!(
+                f,
+                "not sent, too many calls open or no entry ready: {}",
+                self.not_sent
+            )?;
         }
         Ok(())
     }
