Name the hosts that did not answer a question

Cause: rows of a host that did not answer in time were missing without a word, so a partial table read as a whole one, for instance when operators look for a request that waits.

Ruled out: failing the question, since the other rows are still wanted during a cut.

Change: ResultTable carries the silent hosts that the query already collected; they are printed below the rows and stand in the JSON answer.

--- a/src/language/table.rs
+++ b/src/language/table.rs
@@ -100,6 +100,9 @@
     /// The number of rows left out because of a limit.
     #[serde(default)]
     pub omitted: usize,
+    /// The hosts that did not answer, so that their rows are missing.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<String>,
 }
 
 impl ResultTable {
@@ -111,6 +114,7 @@
             columns: columns.collect(),
             rows: Vec::new(),
             omitted: 0,
+            silent: Vec::new(),
         }
     }
 
@@ -118,6 +122,7 @@
     pub fn append(&mut self, other: Self) {
         self.rows.extend(other.rows);
         self.omitted += other.omitted;
+        self.silent.extend(other.silent);
     }
 
     /// Removes the rows that a query does not want.
@@ -216,6 +221,10 @@
         if self.omitted > 0 {
             writeln!(f, "({} more rows)", self.omitted)?;
         }
+        if !self.silent.is_empty() {
+            let hosts = printable(&self.silent.join(", "));
+            writeln!(f, "(no answer from {hosts})")?;
+        }
         Ok(())
     }
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -187,6 +187,7 @@
             HostQuestion::Table(table) => ResultTable::new(table).columns,
             HostQuestion::Steps(_) => STEP_COLUMNS.iter().map(ToString::to_string).collect(),
         };
+        let silent = gathered.silent.iter().map(ToString::to_string).collect();
         let rows = gathered
             .answers
             .into_iter()
@@ -196,6 +197,7 @@
             columns,
             rows,
             omitted: 0,
+            silent,
         }
     }
 
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -78,10 +78,12 @@
         .rows
         .push(vec![json!("kushiro-a"), escape, json!(true)]);
     table.omitted = 3;
+    table.silent = vec!["kushiro-1".to_owned(), "kushiro-2".to_owned()];
     let expected = "datacenter  region       gone\n\
                     sapporo-a   sapporo      false\n\
                     kushiro-a   kushiro?[2J  true\n\
-                    (3 more rows)\n";
+                    (3 more rows)\n\
+                    (no answer from kushiro-1, kushiro-2)\n";
     assert_eq!(table.to_string(), expected);
 }
 
