--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -40,7 +40,7 @@
 /// The length of the trace from which the rate at scale 1 is taken.
 const PROBE_LENGTH: Duration = Duration::from_mins(10);
 
-/// The time for which open calls are awaited after the last one was sent, past their deadlines.
+/// The pause between two looks at whether all calls have ended.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
 /// What load is sent, and where.
