--- a/tests/keeper.rs
+++ b/tests/keeper.rs
@@ -2,9 +2,11 @@
 
 mod link_support;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use borageladder::keeper::AuditRecord;
@@ -24,6 +26,7 @@
 use borageladder::kernel::name::OperatorName;
 use borageladder::kernel::name::RegionName;
 use borageladder::kernel::name::ServiceName;
+use borageladder::kernel::rollout::FRESHNESS_BOUND;
 use borageladder::link::LinkSet;
 use borageladder::link::MessageReceiver;
 use borageladder::member::ClockSource;
@@ -42,6 +45,8 @@
     members: Rc<MemberService>,
     keeper: Rc<Keeper>,
     clock: ClockSource,
+    /// The time that the host spent frozen.
+    frozen: Rc<Cell<Duration>>,
 }
 
 #[derive(Default)]
@@ -57,7 +62,9 @@
 impl TestHost {
     async fn start(name: &str, place: &str, peers: &[SocketAddr], store: &Rc<MemoryStore>) -> Self {
         let start = Instant::now();
-        let clock: ClockSource = Rc::new(move || ClockTime::ZERO + start.elapsed());
+        let frozen = Rc::new(Cell::new(Duration::ZERO));
+        let lost = Rc::clone(&frozen);
+        let clock: ClockSource = Rc::new(move || ClockTime::ZERO + start.elapsed() + lost.get());
         let modules = Rc::new(Modules::default());
         let targets = Rc::clone(&modules);
         let receive: MessageReceiver = Rc::new(move |from: &HostName, message| {
@@ -93,6 +100,7 @@
             members,
             keeper,
             clock,
+            frozen,
         }
     }
 
@@ -161,7 +169,7 @@
             failed,
             Err(ChangeError::Platform(StoreError::Unreachable(_)))
         ));
-        let later = (a.clock)() + borageladder::kernel::rollout::FRESHNESS_BOUND;
+        let later = (a.clock)() + FRESHNESS_BOUND;
         until(|| (a.clock)() > later && a.takes_work()).await;
         assert_eq!(a.version(), 1);
     });
@@ -278,3 +286,35 @@
         assert!(!c.takes_work());
     });
 }
+
+#[test]
+fn a_host_that_was_frozen_asks_before_it_takes_work() {
+    run(async {
+        let store = Rc::new(MemoryStore::default());
+        let a = TestHost::start("a", "d1", &[], &store).await;
+        let b = TestHost::start("b", "d1", &[a.address()], &store).await;
+        until(|| a.takes_work() && b.takes_work()).await;
+        store.faults.down.set(true);
+        b.frozen.set(FRESHNESS_BOUND);
+        // Nothing ran in between, as after a freeze.
+        assert!(!b.takes_work());
+        until(|| b.takes_work()).await;
+    });
+}
+
+#[test]
+fn a_listener_hears_of_a_version_before_it_is_announced() {
+    run(async {
+        let store = Rc::new(MemoryStore::default());
+        let a = TestHost::start("a", "d1", &[], &store).await;
+        until(|| a.takes_work()).await;
+        let applied = Rc::new(Cell::new(0));
+        let sink = Rc::clone(&applied);
+        a.keeper.on_apply(Rc::new(move |configuration| {
+            sink.set(configuration.version.0);
+        }));
+        let outcome = a.change(request("first", None), &[("d1", false)]).await;
+        assert!(outcome.is_ok_and(|outcome| outcome.state == ChangeState::Accepted));
+        assert_eq!(applied.get(), 1);
+    });
+}
