Count bytes, not whole frames, against a link's silence

Cause: a whole configuration of about 1 MB takes more than the two seconds of the silence timeout on a link slower than 4 Mbit/s, and was then cut off every time, although its bytes arrived. Ruled out: a longer timeout, which finds silent links later. The stream now remembers when bytes last arrived.

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -12,12 +12,15 @@
 use tokio::io::AsyncWrite;
 use tokio::sync::Notify;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
 use super::error::LinkError;
 use super::handshake::ProvenPeer;
 use super::queue::SendQueue;
+use super::watched::ArrivalTime;
+use super::watched::WatchedStream;
 use crate::kernel::name::HostName;
 use crate::wire::CodecError;
 use crate::wire::FrameDecoder;
@@ -74,7 +77,7 @@
 
 /// Runs an established link until it ends, and returns the reason.
 pub async fn run_link<S>(
-    stream: WebSocketStream<S>,
+    stream: WebSocketStream<WatchedStream<S>>,
     handle: &LinkHandle,
     own_incarnation: u64,
     times: LinkTimes,
@@ -92,16 +95,17 @@
         sender: peer_incarnation,
         receiver: own_incarnation,
     });
+    let arrival = stream.get_ref().arrival();
     let (sink, stream) = stream.split();
     tokio::select! {
         error = send_all(sink, handle, encoder, times.ping_interval) => error,
-        error = receive_all(stream, handle, decoder, times.silence_timeout, receiver) => error,
+        error = receive_all(stream, &arrival, handle, decoder, times.silence_timeout, receiver) => error,
         () = handle.close.notified() => LinkError::Closed,
     }
 }
 
 async fn send_all<S>(
-    mut sink: SplitSink<WebSocketStream<S>, Message>,
+    mut sink: SplitSink<WebSocketStream<WatchedStream<S>>, Message>,
     handle: &LinkHandle,
     mut encoder: FrameEncoder,
     ping_interval: Duration,
@@ -158,7 +162,8 @@
 }
 
 async fn receive_all<S>(
-    mut stream: SplitStream<WebSocketStream<S>>,
+    mut stream: SplitStream<WebSocketStream<WatchedStream<S>>>,
+    arrival: &ArrivalTime,
     handle: &LinkHandle,
     mut decoder: FrameDecoder,
     silence_timeout: Duration,
@@ -168,7 +173,12 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     loop {
-        let Ok(next) = timeout(silence_timeout, stream.next()).await else {
+        let silent_at = arrival.get() + silence_timeout;
+        let Ok(next) = timeout_at(silent_at, stream.next()).await else {
+            if arrival.get() + silence_timeout > silent_at {
+                // A long frame is still arriving.
+                continue;
+            }
             return LinkError::Silent;
         };
         let frame = match next {
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -23,6 +23,7 @@
 use super::error::LinkError;
 use super::settings::LinkSettings;
 use super::settings::SharedKey;
+use super::watched::WatchedStream;
 use crate::kernel::name::HostName;
 use crate::wire::MAX_FRAME_BYTES;
 
@@ -42,7 +43,7 @@
 const LISTENER_LABEL: &[u8] = b"borageladder link listener";
 
 /// A WebSocket connection between two hosts.
-pub type LinkStream = WebSocketStream<TcpStream>;
+pub type LinkStream = WebSocketStream<WatchedStream<TcpStream>>;
 
 /// The end of a link that this host is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -140,9 +141,11 @@
 
 async fn open_socket(connection: TcpStream, end: LinkEnd) -> Result<LinkStream, LinkError> {
     let config = Some(socket_config());
+    let address = connection.peer_addr()?;
+    let connection = WatchedStream::new(connection);
     match end {
         LinkEnd::Dialer => {
-            let url = format!("ws://{}/link", connection.peer_addr()?);
+            let url = format!("ws://{address}/link");
             let client = client_async_with_config(url, connection, config).await;
             client.map(|(stream, _)| stream).map_err(socket_error)
         }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -10,6 +10,7 @@
 mod handshake;
 mod queue;
 mod settings;
+mod watched;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -51,6 +52,8 @@
 pub use settings::PING_INTERVAL;
 pub use settings::SILENCE_TIMEOUT;
 pub use settings::SharedKey;
+pub use watched::ArrivalTime;
+pub use watched::WatchedStream;
 
 /// The most connections whose handshake is not complete.
 const MAX_HANDSHAKES: usize = 16;
--- a/tests/link_times.rs
+++ b/tests/link_times.rs
@@ -12,12 +12,14 @@
 use borageladder::link::LinkTimes;
 use borageladder::link::MessageReceiver;
 use borageladder::link::ProvenPeer;
+use borageladder::link::WatchedStream;
 use borageladder::link::run_link;
 use borageladder::wire::FrameDecoder;
 use borageladder::wire::LinkIncarnations;
 use borageladder::wire::LinkMessage;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use tokio::io::AsyncWriteExt;
 use tokio::io::DuplexStream;
 use tokio::io::duplex;
 use tokio::time::Instant;
@@ -34,11 +36,13 @@
 const OWN_INCARNATION: u64 = 1;
 const PEER_INCARNATION: u64 = 2;
 
-type Socket = WebSocketStream<DuplexStream>;
+type Socket = WebSocketStream<WatchedStream<DuplexStream>>;
+
+const BUFFER_BYTES: usize = 1 << 20;
 
 async fn sockets() -> (Socket, Socket) {
-    const BUFFER_BYTES: usize = 1 << 20;
     let (one, other) = duplex(BUFFER_BYTES);
+    let (one, other) = (WatchedStream::new(one), WatchedStream::new(other));
     let one = WebSocketStream::from_raw_socket(one, Role::Client, None).await;
     let other = WebSocketStream::from_raw_socket(other, Role::Server, None).await;
     (one, other)
@@ -84,6 +88,35 @@
     assert_eq!(start.elapsed(), last + TIMES.silence_timeout);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_long_frame_that_still_arrives_keeps_the_link() {
+    const PIECES: u32 = 20;
+    const PIECE_INTERVAL: Duration = Duration::from_millis(1_900);
+    /// The header of a binary frame of 64 KiB.
+    const HEADER: [u8; 10] = [0x82, 127, 0, 0, 0, 0, 0, 1, 0, 0];
+    let (socket, mut peer) = duplex(BUFFER_BYTES);
+    let socket = WatchedStream::new(socket);
+    let socket = WebSocketStream::from_raw_socket(socket, Role::Client, None).await;
+    let handle = handle();
+    let start = Instant::now();
+    let speak = async {
+        peer.write_all(&HEADER).await.expect("an open pipe");
+        for _ in 0..PIECES {
+            sleep(PIECE_INTERVAL).await;
+            peer.write_all(&[0; 100]).await.expect("an open pipe");
+        }
+        std::future::pending::<()>().await;
+    };
+    let receiver = ignore();
+    let error = tokio::select! {
+        error = run_link(socket, &handle, OWN_INCARNATION, TIMES, &receiver) => error,
+        () = speak => unreachable!(),
+    };
+    assert!(matches!(error, LinkError::Silent));
+    let expected = PIECE_INTERVAL * PIECES + TIMES.silence_timeout;
+    assert_eq!(start.elapsed(), expected);
+}
+
 #[tokio::test(start_paused = true)]
 async fn two_idle_ends_keep_their_link_by_pings() {
     let (socket, other) = sockets().await;
