Keep only settings that take effect, and bound heads and the time for bodies

Cause: six bounds in the settings were checked and then used by nobody. For two of them nothing else stood in: a caller could send its body for ever, and a head was bounded by the library only.

Ruled out: wiring the bounds on frames, links and explanations and the time for heads, which are constants beside the code that they protect and need no choice by operators; they leave the settings, where they are now unknown keys. max_waiting_bytes and max_requests are in force through the room check.

Change: a body must be complete within body_timeout_ms (408 body_timeout), a head within max_header_bytes (431 head_too_large); both say that the request did not run.

--- a/src/body.rs
+++ b/src/body.rs
@@ -1,5 +1,7 @@
 //! Request bodies, read up to a bound.
 
+use std::time::Duration;
+
 use actix_http::HttpMessage;
 use actix_http::Request;
 use actix_http::header;
@@ -20,15 +22,30 @@
     /// The connection ended or broke the protocol before the body was complete.
     #[error("the body ended before it was complete")]
     Incomplete,
+    /// The body was not complete in time.
+    #[error("the body was not complete within {timeout:?}")]
+    TimedOut {
+        /// The bound.
+        timeout: Duration,
+    },
 }
 
 /// Reads the whole body of a request.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is larger than `limit` bytes or is not complete. A body whose
-/// declared length is too large is rejected before any of it is read.
-pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
+/// Returns an error if the body is larger than `limit` bytes or is not complete within `timeout`.
+/// A body whose declared length is too large is rejected before any of it is read.
+pub async fn read_body(
+    request: &mut Request,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, BodyError> {
+    let read = tokio::time::timeout(timeout, read_bounded(request, limit)).await;
+    read.unwrap_or(Err(BodyError::TimedOut { timeout }))
+}
+
+async fn read_bounded(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
     if declared_length(request).is_some_and(|length| length > limit) {
         return Err(BodyError::TooLarge { limit });
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -132,8 +132,10 @@
     let applied = context.applied();
     let workspace = authenticate(&applied, request.headers())?.clone();
     check_room(context, &applied, &workspace)?;
-    let limit = context.settings.limits.max_body_bytes;
-    let body = read_body(request, limit).await.map_err(body_error)?;
+    let limits = &context.settings.limits;
+    check_head(request, limits.max_header_bytes)?;
+    let body = read_body(request, limits.max_body_bytes, limits.body_timeout);
+    let body = body.await.map_err(body_error)?;
     let raw = RawRequest {
         configuration: &applied.configuration,
         method: request.method(),
@@ -203,9 +205,22 @@
     Err(error.retry_after(NOT_READY_RETRY))
 }
 
+fn check_head(request: &Request, limit: usize) -> Result<(), CallerError> {
+    let headers = request.headers().iter();
+    let lengths = headers.map(|(name, value)| name.as_str().len() + value.len());
+    let length = request.uri().to_string().len() + lengths.sum::<usize>();
+    if length <= limit {
+        return Ok(());
+    }
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let message = format!("the head is larger than {limit} bytes");
+    Err(CallerError::not_run(status, "head_too_large", message))
+}
+
 fn body_error(error: BodyError) -> CallerError {
     let (status, code) = match error {
         BodyError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        BodyError::TimedOut { .. } => (StatusCode::REQUEST_TIMEOUT, "body_timeout"),
         BodyError::Incomplete => (StatusCode::BAD_REQUEST, "incomplete_body"),
     };
     CallerError::not_run(status, code, error.to_string())
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -94,8 +94,8 @@
             let message = "the token is missing or not known";
             return failure(CommandError::new(CommandErrorCode::Unauthorized, message));
         };
-        let limit = self.context.settings.limits.max_script_bytes;
-        match read_body(&mut request, limit).await {
+        let limits = &self.context.settings.limits;
+        match read_body(&mut request, limits.max_script_bytes, limits.body_timeout).await {
             Ok(script) => {
                 self.run_script(&operator, &String::from_utf8_lossy(&script))
                     .await
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -156,20 +156,14 @@
     fn try_from(raw: &RawLimits) -> Result<Self, CheckError> {
         let body = raw.max_body_bytes.as_ref();
         let waiting = raw.max_waiting_bytes.as_ref();
-        let frame = raw.max_frame_bytes.as_ref();
         let script = raw.max_script_bytes.as_ref();
-        let kept = raw.max_explanations.as_ref();
         let limits = Self {
             max_body_bytes: bounded(body, 2 * MIB, KIB, 64 * MIB)?,
             max_header_bytes: bounded(raw.max_header_bytes.as_ref(), 16 * KIB, KIB, MIB)?,
             max_connections: bounded(raw.max_connections.as_ref(), 4096, 1, 1_000_000)?,
             max_requests: bounded(raw.max_requests.as_ref(), 4096, 1, 1_000_000)?,
             max_waiting_bytes: bounded(waiting, 32 * MIB, KIB, 1024 * MIB)?,
-            max_frame_bytes: bounded(frame, 4 * MIB, 64 * KIB, 64 * MIB)?,
-            max_links: bounded(raw.max_links.as_ref(), 512, 1, 10_000)?,
             max_script_bytes: bounded(script, 256 * KIB, KIB, 4 * MIB)?,
-            max_explanations: bounded(kept, 1024, 1, 1_000_000)?,
-            head_timeout: timeout(raw.head_timeout_ms.as_ref(), 10_000)?,
             body_timeout: timeout(raw.body_timeout_ms.as_ref(), 30_000)?,
         };
         if let Some(body) = body
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -80,16 +80,8 @@
     pub max_requests: usize,
     /// The most bytes of bodies of waiting requests.
     pub max_waiting_bytes: usize,
-    /// The largest frame on a link between hosts, in bytes.
-    pub max_frame_bytes: usize,
-    /// The most links with other hosts.
-    pub max_links: usize,
     /// The largest script of an operator, in bytes.
     pub max_script_bytes: usize,
-    /// The most explanations of finished requests that are kept.
-    pub max_explanations: usize,
-    /// The time within which a caller must have sent the head of its request.
-    pub head_timeout: Duration,
     /// The time within which a caller must have sent the body of its request.
     pub body_timeout: Duration,
 }
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -66,16 +66,8 @@
     pub max_requests: Option<Spanned<usize>>,
     /// The most bytes of waiting bodies.
     pub max_waiting_bytes: Option<Spanned<usize>>,
-    /// The largest frame on a link, in bytes.
-    pub max_frame_bytes: Option<Spanned<usize>>,
-    /// The most links with other hosts.
-    pub max_links: Option<Spanned<usize>>,
     /// The largest script, in bytes.
     pub max_script_bytes: Option<Spanned<usize>>,
-    /// The most explanations kept.
-    pub max_explanations: Option<Spanned<usize>>,
-    /// The time for the head of a request, in milliseconds.
-    pub head_timeout_ms: Option<Spanned<usize>>,
     /// The time for the body of a request, in milliseconds.
     pub body_timeout_ms: Option<Spanned<usize>>,
 }
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -9,6 +9,9 @@
 
 const MAX_BODY: usize = 1_048_576;
 
+/// The largest head that the settings allow by default, in bytes.
+const MAX_HEAD: usize = 16_384;
+
 fn small_plan() -> DeploymentPlan {
     DeploymentPlan {
         hosts: vec!["sapporo-a"],
@@ -25,6 +28,7 @@
     let deployment = Deployment::start(&small_plan());
     let entry = deployment.hosts[0].entry;
     let completions = "/v1/completions";
+    let long_header = "n".repeat(MAX_HEAD);
     let long_key = "k".repeat(257);
     let cases = [
         ("missing_workspace_key", 401, chat()),
@@ -57,6 +61,11 @@
             413,
             Call::post(completions, "x".repeat(MAX_BODY + 1)).key(KEY),
         ),
+        (
+            "head_too_large",
+            431,
+            chat().key(KEY).header("x-notes", &long_header),
+        ),
         (
             "missing_idempotency_key",
             400,
