Apply a configuration before any host hears that it is applied

Ruled out: a second check at placement, which the look-up of the version in force already makes.

Conclusion: the keeper calls the swap before it announces; tests/path.rs and tests/session.rs pass.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::io::Write;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -25,6 +26,7 @@
 use crate::keeper::Keeper;
 use crate::kernel::broker::BrokerSettings;
 use crate::kernel::clock::ClockTime;
+use crate::kernel::configuration::Configuration;
 use crate::kernel::name::HostName;
 use crate::kernel::quarantine::StrikeRegister;
 use crate::link::LinkSet;
@@ -62,8 +64,8 @@
 /// not ready.
 pub const STOP_NOTICE: Duration = Duration::from_secs(2);
 
-/// The time between two looks at what a stopping host still has to finish.
-const STOP_LOOK: Duration = Duration::from_millis(20);
+/// The time between two looks at whether a host is ready, or has finished what it held.
+const STATE_LOOK: Duration = Duration::from_millis(20);
 
 /// The longest time that a stopping host tries to record the outcomes of claims.
 const STOP_CLAIMS: Duration = Duration::from_secs(10);
@@ -216,7 +218,13 @@
     }));
     actix_rt::spawn(run_ticks(Rc::clone(context)));
     actix_rt::spawn(run_summaries(Rc::clone(context)));
-    actix_rt::spawn(follow_configuration(Rc::clone(context)));
+    actix_rt::spawn(watch_readiness(Rc::clone(context)));
+    let applying = Rc::downgrade(context);
+    context.keeper.on_apply(Rc::new(move |configuration| {
+        if let Some(context) = applying.upgrade() {
+            apply(&context, configuration);
+        }
+    }));
     UpstreamWatch::new(Rc::clone(context)).start();
 }
 
@@ -236,25 +244,22 @@
     }
 }
 
-async fn follow_configuration(context: Rc<HostContext>) {
-    let mut receiver = context.keeper.subscribe();
-    loop {
-        let configuration = receiver.borrow_and_update().clone();
-        let version = configuration.version.0;
-        let ready = context.is_ready();
-        context
-            .applied
-            .replace(Rc::new(AppliedConfiguration::from(configuration)));
-        let leaving = context.leaving.borrow().clone();
-        context.cells.reconfigure(leaving);
-        log_event!(context.log, LogEvent::ConfigurationApplied, "version" => version);
-        if !ready && context.is_ready() {
-            log_event!(context.log, LogEvent::HostReady);
-        }
-        if receiver.changed().await.is_err() {
-            return;
-        }
+/// Puts a configuration in force on this host, before any other host hears that it is.
+fn apply(context: &HostContext, configuration: &Arc<Configuration>) {
+    let version = configuration.version.0;
+    let applied = AppliedConfiguration::from(Arc::clone(configuration));
+    context.applied.replace(Rc::new(applied));
+    let leaving = context.leaving.borrow().clone();
+    context.cells.reconfigure(leaving);
+    log_event!(context.log, LogEvent::ConfigurationApplied, "version" => version);
+}
+
+/// Logs when the host becomes ready; the balancer asks for itself.
+async fn watch_readiness(context: Rc<HostContext>) {
+    while !context.is_ready() {
+        actix_rt::time::sleep(STATE_LOOK).await;
     }
+    log_event!(context.log, LogEvent::HostReady);
 }
 
 async fn start_servers(
@@ -306,7 +311,7 @@
     stop.stop();
     entry.finished().await;
     while context.journal.borrow().active_count() > 0 {
-        actix_rt::time::sleep(STOP_LOOK).await;
+        actix_rt::time::sleep(STATE_LOOK).await;
     }
     wait_for_claims(context).await;
     actix_rt::time::sleep(STOP_FLUSH).await;
@@ -319,7 +324,7 @@
 async fn wait_for_claims(context: &HostContext) {
     let recorded = async {
         while context.claims.pending() > 0 {
-            actix_rt::time::sleep(STOP_LOOK).await;
+            actix_rt::time::sleep(STATE_LOOK).await;
         }
     };
     let _ = tokio::time::timeout(STOP_CLAIMS, recorded).await;
