Learn nothing wrong from answers that are not streamed

Cause: the first bytes of an answer that is not streamed come after its last token. They were reported as its first token, which the broker takes for a slow prefill and answers with a lower limit; the answer counted as zero tokens, which pulls the learned lengths down.

Ruled out: asking engines for a stream in every case, which changes what the caller gets back.

Change: such an answer reports no first token and no gap, and its tokens are those that it states.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,5 +42,6 @@
 pub mod sse;
 pub mod table;
 pub mod upstream;
+pub mod usage;
 pub mod watch;
 pub mod wire;
--- a/src/once.rs
+++ b/src/once.rs
@@ -33,6 +33,7 @@
 use crate::upstream;
 use crate::upstream::UpstreamAnswer;
 use crate::upstream::UpstreamBody;
+use crate::usage::UsageCollector;
 
 /// The largest answer that is kept for repeats, in bytes.
 pub const MAX_KEPT_BYTES: usize = 8_388_608;
@@ -157,7 +158,9 @@
         let _ran = life.lose();
         return Err(lost_answer("the upstream gave no whole answer"));
     };
-    lease.finished(0, Duration::ZERO);
+    let mut usage = UsageCollector::default();
+    usage.push(&answer.body);
+    lease.finished(usage.tokens(), Duration::ZERO);
     let _ran = life.finish();
     if let Err(error) = context.claims.answered(claim, &answer).await {
         active.step(format!("the answer is not kept yet: {error}"));
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -42,6 +42,7 @@
 use crate::upstream::ResumeError;
 use crate::upstream::UpstreamAnswer;
 use crate::upstream::UpstreamBody;
+use crate::usage::UsageCollector;
 
 /// The time between two events after which a connection counts as silent.
 pub const STREAM_SILENCE: Duration = Duration::from_secs(3);
@@ -106,6 +107,7 @@
     expected: Option<u64>,
     passed: u64,
     traffic: TrafficCount,
+    usage: Option<UsageCollector>,
     cut: bool,
 }
 
@@ -136,12 +138,14 @@
             expected: None,
             passed: 0,
             traffic,
+            usage: None,
             cut: false,
         }
     }
 
     fn plain(mut self, placed: &PlacedRequest, answer: UpstreamAnswer) -> Response<BoxBody> {
         self.expected = answer.declared_length();
+        self.usage = Some(UsageCollector::default());
         let mut response = response_head(placed, &answer);
         let length = self.expected;
         self.body = Some(answer.into_body());
@@ -186,6 +190,9 @@
         match tokio::time::timeout(limit.max(STREAM_SILENCE), body.next()).await {
             Ok(Some(Ok(bytes))) => {
                 self.passed += bytes.len() as u64;
+                if let Some(usage) = &mut self.usage {
+                    usage.push(&bytes);
+                }
                 self.traffic.received = self.passed;
                 self.note_event();
                 if self.expected == Some(self.passed) {
@@ -242,9 +249,7 @@
         if self.first_event.is_none() {
             self.first_event = Some(now);
             self.active.first_token();
-            if let (Some(lease), Some(life)) = (&self.lease, &self.life) {
-                lease.first_token(now.since(life.dispatched()));
-            }
+            self.report_first_token(now);
         } else {
             let gap = now.since(self.last_event);
             self.active.next_tokens(self.events.events(), gap);
@@ -252,6 +257,17 @@
         self.last_event = now;
     }
 
+    /// Reports the time to the first token; the first bytes of an answer that is not streamed come
+    /// after its last token and would pass for a very slow prefill.
+    fn report_first_token(&self, now: ClockTime) {
+        if self.usage.is_some() {
+            return;
+        }
+        if let (Some(lease), Some(life)) = (&self.lease, &self.life) {
+            lease.first_token(now.since(life.dispatched()));
+        }
+    }
+
     async fn reconnect(&mut self) -> Result<(), String> {
         let answer = self.resume().await?;
         self.events.discard_partial();
@@ -309,7 +325,9 @@
         self.body = None;
         let Some(life) = self.life.take() else { return };
         let _ran = life.finish();
-        let tokens = self.events.events();
+        let streamed = self.events.events();
+        let tokens = self.usage.as_ref().map_or(streamed, UsageCollector::tokens);
+        self.active.answered(tokens);
         if let Some(lease) = self.lease.take() {
             lease.finished(tokens, self.token_gap(tokens));
         }
@@ -317,7 +335,11 @@
         self.active.finished();
     }
 
+    /// Returns the mean time between tokens; zero, which nobody learns from, if it is not known.
     fn token_gap(&self, tokens: u32) -> Duration {
+        if self.usage.is_some() {
+            return Duration::ZERO;
+        }
         let span = self
             .last_event
             .since(self.first_event.unwrap_or(self.last_event));
--- a/src/request.rs
+++ b/src/request.rs
@@ -115,6 +115,11 @@
     /// Records further tokens, how many have arrived, and the time since those before.
     pub fn next_tokens(&self, count: u32, gap: Duration) {
         self.context.metrics.token_gap(&self.labels, gap);
+        self.answered(count);
+    }
+
+    /// Records how many tokens of the answer have arrived.
+    pub fn answered(&self, count: u32) {
         self.context.journal.borrow_mut().answered(self.id, count);
     }
 
