--- a/standin/tests/experiment.rs
+++ b/standin/tests/experiment.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use borageladder_kernel::ask::RefusalReason;
+use borageladder_kernel::policy::DEFAULT_POLICY;
 use borageladder_standin::experiment;
 use borageladder_standin::experiment::ExperimentError;
 use borageladder_standin::experiment::ExperimentResult;
@@ -17,7 +18,7 @@
         deployment: DeploymentKind::Sargam,
         scale: 1.0,
         fault,
-        policy: "predicted-finish",
+        policy: DEFAULT_POLICY,
         seed: 3,
         length: Duration::from_secs(40),
         max_waiting: MAX_WAITING,
