--- a/standin/src/experiment/entry.rs
+++ b/standin/src/experiment/entry.rs
@@ -11,6 +11,7 @@
 use borageladder_kernel::ask::WorkProgress;
 use borageladder_kernel::ask::WorkReport;
 use borageladder_kernel::name::RequestId;
+use borageladder_kernel::quarantine::QuarantineVerdict;
 
 use super::event::ExperimentEvent;
 use super::life::LifeOutcome;
@@ -74,7 +75,7 @@
             prompt_tokens: request.prompt_tokens,
             max_answer_tokens: request.max_answer_tokens,
             prefix: request.blocks[..blocks].to_vec(),
-            suspect: life.poison.is_some() && self.strikes.suspects(),
+            suspect: self.verdict(life) == QuarantineVerdict::Suspect,
         };
         let host = self.names.hosts[life.host].clone();
         self.send_broker(BrokerEvent::Asked { host, ask });
@@ -150,6 +151,7 @@
             }
             WorkProgress::Finished { answer_tokens, .. } => {
                 life.phase = LifePhase::Ended(LifeOutcome::InTime);
+                self.strikes.clear(life.digest());
                 WorkProgress::Finished {
                     answer_tokens,
                     token_gap: life.token_gap(now),
@@ -233,7 +235,8 @@
         request.at = self.queue.now();
         let life = self.begin(self.live_host(0), request);
         self.lives[life].poison = Some(attempt);
-        if self.strikes.refuses() {
+        let verdict = self.verdict(&self.lives[life]);
+        if matches!(verdict, QuarantineVerdict::Refused { .. }) {
             let outcome = LifeOutcome::Refused(RefusalReason::Quarantined);
             self.lives[life].phase = LifePhase::Ended(outcome);
         } else {
@@ -241,11 +244,17 @@
         }
     }
 
+    fn verdict(&self, life: &RequestLife) -> QuarantineVerdict {
+        self.strikes.verdict(life.digest(), self.queue.now())
+    }
+
+    /// Notes that a worker died under a request; the caller of a crashing one sends it again.
     fn count_strike(&mut self, life: usize) {
-        let Some(attempt) = self.lives[life].poison else {
+        let life = &self.lives[life];
+        self.strikes.strike(life.digest(), self.queue.now());
+        let Some(attempt) = life.poison else {
             return;
         };
-        self.strikes.add();
         if attempt < MAX_RESENDS {
             let at = self.queue.now() + RESEND_TIME;
             let attempt = attempt + 1;
--- a/standin/src/experiment/life.rs
+++ b/standin/src/experiment/life.rs
@@ -9,6 +9,9 @@
 
 use crate::trace::TraceRequest;
 
+/// The digest of the content that crashes workers.
+const POISON_DIGEST: u64 = u64::MAX;
+
 /// How far a request is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum LifePhase {
@@ -80,6 +83,15 @@
         self.deadline().since(now)
     }
 
+    /// Returns the digest of the request's content; the crashing request has one whenever it is sent.
+    pub(super) fn digest(&self) -> u64 {
+        if self.poison.is_some() {
+            POISON_DIGEST
+        } else {
+            self.id.sequence
+        }
+    }
+
     pub(super) fn in_time(&self) -> bool {
         self.phase == LifePhase::Ended(LifeOutcome::InTime)
     }
--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -9,7 +9,6 @@
 mod fault;
 mod life;
 mod measure;
-mod quarantine;
 mod run;
 mod upstream;
 mod worker;
--- a/standin/src/experiment/run.rs
+++ b/standin/src/experiment/run.rs
@@ -16,6 +16,7 @@
 use borageladder_kernel::name::NameError;
 use borageladder_kernel::name::ServiceName;
 use borageladder_kernel::name::WorkspaceName;
+use borageladder_kernel::quarantine::StrikeRegister;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -28,7 +29,6 @@
 use super::life::RequestLife;
 use super::measure::RunCounts;
 use super::measure::measure;
-use super::quarantine::StrikeCount;
 use super::worker::WorkerFleet;
 use crate::trace::DeploymentKind;
 use crate::trace::TIER_COUNT;
@@ -100,7 +100,7 @@
     pub(super) slot: BrokerSlot,
     pub(super) lives: Vec<RequestLife>,
     pub(super) hosts_alive: [bool; HOSTS],
-    pub(super) strikes: StrikeCount,
+    pub(super) strikes: StrikeRegister,
     pub(super) counts: RunCounts,
 }
 
@@ -129,7 +129,7 @@
             lives: Vec::with_capacity(trace.requests.len()),
             trace: trace.requests,
             hosts_alive: [true; HOSTS],
-            strikes: StrikeCount::default(),
+            strikes: StrikeRegister::default(),
             counts: RunCounts::default(),
         };
         run.install_broker(Duration::ZERO)?;
