--- a/src/operator.rs
+++ b/src/operator.rs
@@ -187,6 +187,7 @@
             HostQuestion::Table(table) => ResultTable::new(table).columns,
             HostQuestion::Steps(_) => STEP_COLUMNS.iter().map(ToString::to_string).collect(),
         };
+        let silent = gathered.silent.iter().map(ToString::to_string).collect();
         let rows = gathered
             .answers
             .into_iter()
@@ -196,6 +197,7 @@
             columns,
             rows,
             omitted: 0,
+            silent,
         }
     }
 
@@ -248,7 +250,11 @@
             .keeper
             .change(request, apply)
             .await
-            .map_err(|error| change_error(&error))?;
+            .map_err(|error| {
+                let reason = error.to_string();
+                log_event!(self.context.log, LogEvent::ChangeRefused, "reason" => reason);
+                change_error(&error)
+            })?;
         let after = self.context.keeper.configuration();
         let (state, lacking) = match outcome.state {
             keeper::ChangeState::Accepted => (ChangeState::Accepted, Vec::new()),
