Drop a waiting request at any host, and show a change's own difference

Cause: drop request found requests of the asked host only; the difference of a change was taken after it was confirmed, when another change may have followed; show versions told the version applied as the highest known.

Ruled out: reading the difference back from the audit record, which holds JSON.

After: tests/operators.rs drops a request that waits on another host: its caller was told at once, ran: no, with a time to come back, explain shows it, and the engine never saw it.

--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -167,6 +167,12 @@
         self.current.subscribe()
     }
 
+    /// Returns the highest version that this host knows to exist.
+    #[must_use]
+    pub fn known_version(&self) -> ConfigVersion {
+        self.rollout.borrow().report((self.clock)()).known
+    }
+
     /// Registers a function that is called with each configuration as it comes into force, before
     /// any other host hears that it is.
     pub fn on_apply(&self, listener: ApplyListener) {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -2,8 +2,8 @@
 
 mod errors;
 
+use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::HttpMessage;
 use actix_http::Method;
@@ -27,13 +27,12 @@
 use crate::keeper;
 use crate::keeper::ChangeRequest;
 use crate::keeper::RolloutLack;
-use crate::kernel::ask::Refusal;
-use crate::kernel::ask::RefusalReason;
 use crate::kernel::change;
 use crate::kernel::change::ConfigurationChange;
 use crate::kernel::claim::ClaimRow;
 use crate::kernel::claim::ClaimState;
 use crate::kernel::claim::Settlement;
+use crate::kernel::configuration::Configuration;
 use crate::kernel::name::OperatorName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::WorkspaceName;
@@ -62,9 +61,6 @@
 /// The path of the operators' interface.
 pub const COMMAND_PATH: &str = "/operator/command";
 
-/// The time after which the caller of a dropped request may come back.
-const DROPPED_RETRY: Duration = Duration::from_secs(30);
-
 /// The prefix of the rows that hold claims.
 const CLAIM_PREFIX: &str = "claims/";
 
@@ -166,7 +162,7 @@
                 key,
                 outcome,
             } => self.settle(operator, &workspace, &key, outcome).await,
-            OperatorCommand::DropRequest(request) => self.drop_request(request),
+            OperatorCommand::DropRequest(request) => self.drop_request(request).await,
             OperatorCommand::Help(verb) => help(verb.as_deref()),
         }
     }
@@ -192,6 +188,7 @@
         let columns: Vec<String> = match question {
             HostQuestion::Table(table) => ResultTable::new(table).columns,
             HostQuestion::Steps(_) => STEP_COLUMNS.iter().map(ToString::to_string).collect(),
+            HostQuestion::Drop(_) => vec!["request".to_owned()],
         };
         let silent = gathered.silent.iter().map(ToString::to_string).collect();
         let rows = gathered
@@ -247,9 +244,13 @@
         request: ChangeRequest,
         changes: &[ConfigurationChange],
     ) -> Result<CommandResult, CommandError> {
-        let before = self.context.keeper.configuration();
-        let apply = |configuration: &_| {
-            change::apply(configuration, changes).map_err(|error| error.to_string())
+        // The difference is taken where the change is made, since another one may follow while
+        // this one is being confirmed.
+        let difference = RefCell::default();
+        let apply = |before: &Configuration| {
+            let after = change::apply(before, changes).map_err(|error| error.to_string())?;
+            difference.replace(change::difference(before, &after));
+            Ok(after)
         };
         let outcome = self
             .context
@@ -261,7 +262,6 @@
                 log_event!(self.context.log, LogEvent::ChangeRefused, "reason" => reason);
                 change_error(&error)
             })?;
-        let after = self.context.keeper.configuration();
         let (state, lacking) = match outcome.state {
             keeper::ChangeState::Accepted => (ChangeState::Accepted, Vec::new()),
             keeper::ChangeState::Recorded { lacking } => (
@@ -272,7 +272,7 @@
         Ok(CommandResult::Change(ChangeResult {
             version: outcome.version,
             before: outcome.before,
-            diff: change::difference(&before, &after),
+            diff: difference.into_inner(),
             state,
             lacking,
         }))
@@ -309,19 +309,19 @@
         Ok(table)
     }
 
-    fn drop_request(&self, request: RequestId) -> Result<CommandResult, CommandError> {
-        let reason = RefusalReason::Dropped;
-        let refusal = Refusal {
-            request,
-            reason,
-            retry_after: DROPPED_RETRY,
-        };
-        if self.context.cells.drop_ask(refusal) {
+    async fn drop_request(&self, request: RequestId) -> Result<CommandResult, CommandError> {
+        let question = HostQuestion::Drop(request).to_text();
+        let gathered = query::gather(&self.context, &question).await;
+        if gathered
+            .answers
+            .iter()
+            .any(|answer| !answer.rows.is_empty())
+        {
             return Ok(CommandResult::Text(format!(
                 "request {request} was dropped"
             )));
         }
-        let message = format!("request {request} does not wait on this host");
+        let message = format!("request {request} does not wait on any host that answered");
         Err(CommandError::new(CommandErrorCode::NotFound, message))
     }
 }
--- a/src/rows.rs
+++ b/src/rows.rs
@@ -1,5 +1,7 @@
 //! What this host has to say to an operator's query, as rows.
 
+use std::time::Duration;
+
 use serde_json::Value;
 use serde_json::json;
 
@@ -7,6 +9,8 @@
 use crate::journal::RequestPhase;
 use crate::journal::RequestRecord;
 use crate::journal::RequestStep;
+use crate::kernel::ask::Refusal;
+use crate::kernel::ask::RefusalReason;
 use crate::kernel::broker::WorkerView;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::configuration::WorkerSpec;
@@ -23,6 +27,11 @@
 
 const EXPLAIN: &str = "explain ";
 
+const DROP: &str = "drop ";
+
+/// The time after which the caller of a dropped request may come back.
+const DROPPED_RETRY: Duration = Duration::from_secs(30);
+
 /// A question that each host answers from its own state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HostQuestion {
@@ -30,6 +39,8 @@
     Table(TableName),
     /// The steps of one request.
     Steps(RequestId),
+    /// The refusal of a waiting request, on the word of an operator; one row if it waited there.
+    Drop(RequestId),
 }
 
 impl HostQuestion {
@@ -39,6 +50,7 @@
         match self {
             Self::Table(table) => table.as_str().to_owned(),
             Self::Steps(request) => format!("{EXPLAIN}{request}"),
+            Self::Drop(request) => format!("{DROP}{request}"),
         }
     }
 
@@ -48,6 +60,9 @@
         if let Some(request) = text.strip_prefix(EXPLAIN) {
             return request.parse().ok().map(Self::Steps);
         }
+        if let Some(request) = text.strip_prefix(DROP) {
+            return request.parse().ok().map(Self::Drop);
+        }
         let table = TableName::ALL.iter().find(|table| table.as_str() == text);
         table.copied().map(Self::Table)
     }
@@ -59,6 +74,7 @@
     let mut rows = match HostQuestion::from_text(text) {
         Some(HostQuestion::Table(table)) => table_rows(context, table),
         Some(HostQuestion::Steps(request)) => step_rows(context, request),
+        Some(HostQuestion::Drop(request)) => drop_request(context, request),
         None => Vec::new(),
     };
     let surplus = rows.len().saturating_sub(MAX_HOST_ROWS);
@@ -66,6 +82,18 @@
     rows
 }
 
+fn drop_request(context: &HostContext, request: RequestId) -> Vec<Vec<Value>> {
+    let refusal = Refusal {
+        request,
+        reason: RefusalReason::Dropped,
+        retry_after: DROPPED_RETRY,
+    };
+    if context.cells.drop_ask(refusal) {
+        return vec![vec![json!(request.to_string())]];
+    }
+    Vec::new()
+}
+
 fn table_rows(context: &HostContext, table: TableName) -> Vec<Vec<Value>> {
     match table {
         TableName::Waiting => request_rows(context, RequestPhase::Waiting, waiting_row),
@@ -234,6 +262,6 @@
         json!(context.host()),
         json!(context.datacenter()),
         json!(context.applied().configuration.version.0),
-        json!(context.applied().configuration.version.0),
+        json!(context.keeper.known_version().0),
     ]
 }
