Start the session's deployment from the default plan

Ruled out: a plan without the field, since relays need to be asked for. No change of what is tested.

--- a/tests/session.rs
+++ b/tests/session.rs
@@ -106,7 +106,7 @@
             ("sapporo-a", vec!["--gap-ms", "2"]),
         ],
         plain: vec!["kushiro-a"],
-        script: String::new(),
+        ..DeploymentPlan::default()
     };
     let deployment = Deployment::start(&plan);
     let mut transcript = Transcript::default();
