Place requests only by a configuration known to be in force

Cause: tests/configuration.rs freezes a host, has a change accepted elsewhere, and wakes the host with a request in its socket. The host placed it by the version before (tier "normal", expected "urgent"). It had caught up by the time of the dispatch, so the check there passed. The same file starts a host that nobody vouches for: it told a caller with a good key 401 unknown_workspace_key, as if the key were wrong.

Ruled out: placing again at the dispatch (a request that came before the change may be served as it was placed; one that came after may not); refusing at once (a host that woke is up to date within a heartbeat).

Change: a request is read and placed once the host knows that its version is in force, and waits for that at most CATCH_UP_TIME (2 s); else it is refused as not_ready, not run. A request whose slots were given back because the configuration was stale is refused for that reason, not for a lack of workers.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -41,6 +41,12 @@
 /// The time after which a caller may come back to a host that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
+/// The longest time that a request waits until the configuration is known to be in force.
+const CATCH_UP_TIME: Duration = Duration::from_secs(2);
+
+/// The time between two looks at whether the configuration is known to be in force.
+const CATCH_UP_LOOK: Duration = Duration::from_millis(20);
+
 /// Handles one request of a caller, the balancer or a metrics collector.
 pub async fn handle(context: Rc<HostContext>, mut request: Request) -> Response<BoxBody> {
     if *request.method() == Method::GET {
@@ -104,17 +110,39 @@
     }
 }
 
+/// Returns the configuration once it is known to be in force, so that a host that was frozen during
+/// a change places nothing by the version before.
+async fn configuration_in_force(
+    context: &HostContext,
+) -> Result<Rc<AppliedConfiguration>, CallerError> {
+    let give_up = context.clock.now() + CATCH_UP_TIME;
+    loop {
+        let now = context.clock.now();
+        let applied = context.applied();
+        let newest = context.keeper.configuration().version;
+        if context.may_take_work(now) && applied.configuration.version == newest {
+            return Ok(applied);
+        }
+        if applied.rules.is_none() || now >= give_up {
+            return Err(not_ready());
+        }
+        actix_rt::time::sleep(CATCH_UP_LOOK).await;
+    }
+}
+
 /// Reads, checks and places a request.
 async fn admit(
     context: &Rc<HostContext>,
     id: RequestId,
     request: &mut Request,
 ) -> Result<(PlacedRequest, ActiveRequest, Option<String>), CallerError> {
-    let applied = context.applied();
+    let applied = configuration_in_force(context).await?;
     let workspace = authenticate(&applied, request.headers())?.clone();
     check_room(context, &applied, &workspace)?;
     let limit = context.settings.limits.max_body_bytes;
     let body = read_body(request, limit).await.map_err(body_error)?;
+    // The body may have taken long, or this host may have been frozen meanwhile.
+    let applied = configuration_in_force(context).await?;
     let raw = RawRequest {
         configuration: &applied.configuration,
         method: request.method(),
@@ -222,7 +250,7 @@
 }
 
 fn not_ready() -> CallerError {
-    let message = "this host holds no configuration yet";
+    let message = "this host holds no configuration that is known to be in force";
     let error = CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message);
     error.retry_after(NOT_READY_RETRY)
 }
--- a/src/execution.rs
+++ b/src/execution.rs
@@ -56,6 +56,16 @@
     Dispatch(#[from] DispatchError),
 }
 
+impl SlotError {
+    /// Returns the reason for the refusal when no further slot is tried.
+    const fn refusal_reason(&self) -> RefusalReason {
+        match self {
+            Self::Stale => RefusalReason::Stale,
+            Self::WorkerGone | Self::Unreachable(_) | Self::Dispatch(_) => RefusalReason::NoWorker,
+        }
+    }
+}
+
 /// Waits for a slot, opens a connection and hands the request to the upstream, once.
 ///
 /// Calls `crossed` right before the first byte is written.
@@ -70,6 +80,7 @@
     mut crossed: impl FnMut(),
 ) -> Result<DispatchedRequest, CallerError> {
     let mut life = RequestLife::waiting(placed.id, placed.rank, placed.deadline);
+    let mut reason = RefusalReason::NoWorker;
     for _ in 0..MAX_SLOTS {
         let (granted, lease) = wait_for_slot(context, active, placed, life).await?;
         match use_slot(context, granted, lease).await {
@@ -94,11 +105,12 @@
             }
             Err((error, waiting)) => {
                 active.step(format!("slot not used: {error}"));
+                reason = error.refusal_reason();
                 life = waiting;
             }
         }
     }
-    Err(refused(placed, RefusalReason::NoWorker, UNREACHABLE_RETRY))
+    Err(refused(placed, reason, UNREACHABLE_RETRY))
 }
 
 async fn wait_for_slot(
