Check leaving upstreams, planned stops and crashing requests

A worker leaves by drain, by its own word and by the host list (which stays in force while the platform is down): nothing new after 7 s, what runs finishes whole. Every host in turn gets SIGTERM under load, twice; the broker's host stops while the platform is down. A request that crashes engines is sent six times in turn at two hosts: two engines are lost, what ran beside it is served at the latest on its repeat, and then it is refused as quarantined.

--- /dev/null
+++ b/tests/crashes.rs
@@ -0,0 +1,83 @@
+//! A request that crashes the engines that run it costs two of them, and only itself is refused.
+
+mod harness;
+
+use harness::Answer;
+use harness::Call;
+use harness::Deployment;
+use harness::DeploymentPlan;
+use harness::PendingCall;
+use harness::answers;
+use serde_json::json;
+
+/// The most engines that a request may crash before it is refused.
+const MAX_CRASHES: usize = 2;
+
+const ENGINES: usize = 4;
+
+fn innocent(index: usize) -> Call {
+    let prompt = format!("draft letter {index}");
+    Call::chat("quill-8b", &prompt, 20, index.is_multiple_of(2))
+}
+
+fn start_innocents(deployment: &Deployment) -> Vec<PendingCall> {
+    (0..8)
+        .map(|index| deployment.start_call(index % 2, &innocent(index)))
+        .collect()
+}
+
+/// Fails the test unless every innocent request is served, at the latest when it is sent again.
+fn assert_served(deployment: &Deployment, all: &[Answer]) {
+    for (index, answer) in all.iter().enumerate() {
+        if answer.status == 200 && answer.whole {
+            continue;
+        }
+        let again = deployment.call(index % 2, &innocent(index));
+        assert_eq!(again.status, 200, "{index}: {}", again.body);
+        assert!(again.whole, "{index}: {}", again.body);
+        again.assert_own();
+    }
+}
+
+fn crashed(deployment: &Deployment) -> usize {
+    let engines = deployment.engines.iter();
+    engines
+        .filter(|engine| engine.process.borrow_mut().has_ended())
+        .count()
+}
+
+#[test]
+fn a_crashing_request_costs_two_engines_and_no_innocent() {
+    let deployment = Deployment::start(&DeploymentPlan {
+        hosts: vec!["sapporo-a", "sapporo-a"],
+        engines: vec![("sapporo-a", vec!["--gap-ms", "100"]); ENGINES],
+        plain: Vec::new(),
+        ..DeploymentPlan::default()
+    });
+    deployment.wait_linked(&[0, 1]);
+    for engine in &deployment.engines {
+        engine.control(&json!({ "crash_on": "poison" }));
+    }
+    for round in 0..6 {
+        let innocents = start_innocents(&deployment);
+        deployment.wait_running(0, ENGINES);
+        // The caller sends it again at another host, streamed or not.
+        let poison = Call::chat("quill-8b", "poison", 20, true);
+        let answer = deployment.call(round % 2, &poison);
+        assert_served(&deployment, &answers(innocents));
+        let crashes = crashed(&deployment);
+        assert!(crashes <= MAX_CRASHES, "round {round}: {crashes} engines");
+        if round < MAX_CRASHES {
+            assert_eq!(crashes, round + 1, "{}", answer.body);
+            assert!(
+                !answer.looks_whole() && answer.ran() != "no",
+                "{}",
+                answer.body
+            );
+        } else {
+            assert_eq!(answer.code(), "request_quarantined", "{}", answer.body);
+            assert_eq!(answer.ran(), "no", "{}", answer.body);
+            assert!(answer.header("retry-after").is_some(), "{}", answer.head);
+        }
+    }
+}
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,98 @@
+//! An upstream that is leaving gets nothing new after a few seconds, whoever says it first.
+
+mod harness;
+
+use std::thread;
+use std::time::Duration;
+
+use harness::Answer;
+use harness::Call;
+use harness::Deployment;
+use harness::DeploymentPlan;
+use harness::DispatchLedger;
+use harness::PendingCall;
+use harness::answers;
+use harness::wait_until;
+use serde_json::json;
+
+/// The time after which a worker that is said to leave gets nothing new.
+const LEAVING_BOUND: Duration = Duration::from_secs(7);
+
+fn start() -> Deployment {
+    Deployment::start(&DeploymentPlan {
+        engines: vec![("sapporo-a", vec!["--gap-ms", "250"]); 2],
+        plain: Vec::new(),
+        ..DeploymentPlan::default()
+    })
+}
+
+/// Waits until the first engine runs something.
+fn wait_running_there(deployment: &Deployment) {
+    wait_until("the worker runs something", || {
+        let rows = deployment.rows(0, "show running where worker = engine-1");
+        !rows.is_empty()
+    });
+}
+
+fn start_streams(deployment: &Deployment, tokens: u32) -> Vec<PendingCall> {
+    let call = Call::chat("quill-8b", "draft", tokens, true);
+    (0..9)
+        .map(|index| deployment.start_call(index % 3, &call))
+        .collect()
+}
+
+/// Fails the test if the first engine gets anything new once the bound has passed, or a running
+/// stream is cut.
+fn assert_leaves(deployment: &Deployment, running: Vec<PendingCall>) {
+    thread::sleep(LEAVING_BOUND);
+    let before = deployment.engines[0].received().len();
+    let later = answers(start_streams(deployment, 2));
+    assert_eq!(deployment.engines[0].received().len(), before);
+    let running = answers(running);
+    for answer in running.iter().chain(&later) {
+        assert!(answer.looks_whole(), "{} {}", answer.head, answer.body);
+    }
+    let all: Vec<Answer> = running.into_iter().chain(later).collect();
+    DispatchLedger::default().check(deployment, &all);
+}
+
+fn assert_returns(deployment: &Deployment) {
+    let before = deployment.engines[0].received().len();
+    wait_until("the worker gets work again", || {
+        answers(start_streams(deployment, 2));
+        deployment.engines[0].received().len() > before
+    });
+}
+
+#[test]
+fn a_leaving_upstream_gets_nothing_new_and_finishes_what_runs() {
+    let deployment = start();
+    deployment.wait_linked(&[0, 1, 2]);
+    let running = start_streams(&deployment, 32);
+    wait_running_there(&deployment);
+    deployment.command(1, "drain worker engine-1");
+    assert_leaves(&deployment, running);
+    deployment.command(2, "undrain worker engine-1");
+    assert_returns(&deployment);
+
+    let running = start_streams(&deployment, 32);
+    wait_running_there(&deployment);
+    deployment.engines[0].control(&json!({ "leaving": true }));
+    assert_leaves(&deployment, running);
+    deployment.engines[0].control(&json!({ "leaving": false }));
+    assert_returns(&deployment);
+
+    let running = start_streams(&deployment, 32);
+    wait_running_there(&deployment);
+    deployment
+        .platform
+        .control(&json!({ "leaving": ["engine-1"] }));
+    assert_leaves(&deployment, running);
+    // What the list said stays in force while the platform is down.
+    deployment.platform.control(&json!({ "down": true }));
+    assert_leaves(&deployment, Vec::new());
+    deployment
+        .platform
+        .control(&json!({ "down": false, "leaving": [] }));
+    assert_returns(&deployment);
+}
--- /dev/null
+++ b/tests/stop.rs
@@ -0,0 +1,101 @@
+//! A planned stop cuts off no request, on whichever host and whatever else fails.
+
+mod harness;
+
+use harness::Answer;
+use harness::Call;
+use harness::Deployment;
+use harness::DeploymentPlan;
+use harness::DispatchLedger;
+use harness::PendingCall;
+use harness::answers;
+use harness::wait_until;
+use serde_json::json;
+
+fn start() -> Deployment {
+    Deployment::start(&DeploymentPlan {
+        hosts: vec!["sapporo-a"; 3],
+        engines: vec![("sapporo-a", vec!["--gap-ms", "100"]); 2],
+        ..DeploymentPlan::default()
+    })
+}
+
+/// Starts more streams than there are slots, so that some wait.
+fn start_load(deployment: &Deployment, hosts: &[usize]) -> Vec<PendingCall> {
+    let call = Call::chat("quill-8b", "draft", 40, true);
+    (0..24)
+        .map(|index| deployment.start_call(hosts[index % hosts.len()], &call))
+        .collect()
+}
+
+fn assert_whole(deployment: &Deployment, calls: Vec<PendingCall>) {
+    let all: Vec<Answer> = answers(calls);
+    for answer in &all {
+        assert!(answer.looks_whole(), "{} {}", answer.head, answer.body);
+    }
+    DispatchLedger::default().check(deployment, &all);
+}
+
+fn wait_not_ready(deployment: &Deployment, host: usize) {
+    let entry = deployment.hosts[host].entry;
+    wait_until("the balancer is told", || {
+        Call::get("/health/ready").send(entry).status != 200
+    });
+}
+
+/// Waits for the end of a host that was asked to stop.
+fn assert_stopped(deployment: &mut Deployment, host: usize) {
+    let mut process = deployment.hosts[host].process.take();
+    let process = process.as_mut().expect("the host runs");
+    assert!(process.wait(), "host {host} did not exit with code 0");
+}
+
+#[test]
+fn a_rolling_restart_under_load_cuts_nothing() {
+    let mut deployment = start();
+    deployment.wait_linked(&[0, 1, 2]);
+    for host in 0..3 {
+        let calls = start_load(&deployment, &[0, 1, 2]);
+        deployment.wait_waiting(host, 1);
+        deployment.signal(host, "TERM");
+        wait_not_ready(&deployment, host);
+        let others = [(host + 1) % 3, (host + 2) % 3];
+        let more = start_load(&deployment, &others);
+        // A further signal changes nothing.
+        deployment.signal(host, "TERM");
+        assert_stopped(&mut deployment, host);
+        assert_whole(&deployment, calls);
+        assert_whole(&deployment, more);
+        deployment.start_host(host);
+        deployment.wait_ready(host);
+    }
+}
+
+#[test]
+fn a_stop_while_the_platform_is_down_cuts_nothing() {
+    let mut deployment = start();
+    deployment.wait_linked(&[0, 1, 2]);
+    let broker = deployment.broker_of("drafter", "sapporo-a");
+    let other = (broker + 1) % 3;
+    let filing = Call::post("/services/casebook/file", "{}").header("idempotency-key", "stop");
+    deployment.plain[0].control(&json!({ "delay_ms": 3_000 }));
+    let filing = deployment.start_call(broker, &filing);
+    deployment.wait_running(other, 1);
+    deployment.platform.control(&json!({ "down": true }));
+    let calls = start_load(&deployment, &[0, 1, 2]);
+    deployment.wait_waiting(other, 1);
+    deployment.signal(broker, "TERM");
+    wait_not_ready(&deployment, broker);
+    deployment.signal(broker, "INT");
+    assert_whole(&deployment, calls);
+    let filed = filing.answer();
+    assert_eq!(filed.status, 200, "{}", filed.body);
+    deployment.platform.control(&json!({ "down": false }));
+    assert_stopped(&mut deployment, broker);
+    // The outcome was recorded before the exit, since the table answered again.
+    let again = Call::post("/services/casebook/file", "{}").header("idempotency-key", "stop");
+    let repeat = deployment.call(other, &again);
+    assert_eq!(repeat.header("x-borageladder-replayed"), Some("true"));
+    deployment.plain[0].control(&json!({ "delay_ms": 0 }));
+    deployment.assert_no_double_dispatch();
+}
