Start the path bench's deployment from the default plan

Ruled out: a default inside the harness, since the struct is built by name. No change of what is measured.

--- a/benches/path/main.rs
+++ b/benches/path/main.rs
@@ -52,7 +52,7 @@
         hosts: vec!["sapporo-a"],
         engines: vec![("sapporo-a", vec!["--gap-ms", "1", "--max-batch", "256"])],
         plain: vec!["sapporo-a"],
-        script: String::new(),
+        ..DeploymentPlan::default()
     };
     let deployment = Deployment::start(&plan);
     lift_limits(&deployment);
