Take the tests' ports from below those of outgoing connections

Cause: in a full run a host of tests/configuration.rs could not start, "can't listen on 127.0.0.1:44835: Address already in use". The harness took a port that the system had picked, closed it and gave it to the host; an outgoing connection of another test had it by then, since both come from 32768 to 60999.

Ruled out: a second try with other ports (the other hosts' settings name the first ones).

Change: ports from 12000 to 31999, at a distance for each test process, tried by a bind.

--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -8,6 +8,17 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+/// The first port that tests listen on.
+const FIRST_PORT: u16 = 12_000;
+
+/// The number of ports that tests listen on.
+const PORT_COUNT: u16 = 20_000;
+
+/// The distance between the first ports of two test processes that were started in turn.
+const PORT_STRIDE: u32 = 61;
 
 /// A process that is killed when it is dropped.
 #[derive(Debug)]
@@ -88,9 +99,22 @@
 }
 
 /// Returns loopback addresses whose ports are free now.
+///
+/// They lie below the ports that the system gives to outgoing connections, one of which could take
+/// a port before the process that it is meant for listens on it.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("a listener is bound");
-    listeners.iter().map(address).collect()
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORT_STRIDE);
+    let candidates = std::iter::repeat_with(|| {
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        let offset = start.wrapping_add(tried) % u32::from(PORT_COUNT);
+        let port = u32::from(FIRST_PORT) + offset;
+        SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).unwrap_or(FIRST_PORT)))
+    });
+    let is_free = |address: &SocketAddr| TcpListener::bind(address).is_ok();
+    candidates
+        .take(usize::from(PORT_COUNT))
+        .filter(is_free)
+        .take(count)
+        .collect()
 }
