--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,6 +17,7 @@
 use crate::clock::utc_hour;
 use crate::context::AppliedConfiguration;
 use crate::context::HostContext;
+use crate::event::LogEvent;
 use crate::execution;
 use crate::intake::IncomingRequest;
 use crate::intake::RawRequest;
@@ -31,6 +32,7 @@
 use crate::kernel::quarantine::QuarantineVerdict;
 use crate::kernel::rule::Placement;
 use crate::kernel::rule::RequestFacts;
+use crate::log_event;
 use crate::metering;
 use crate::once;
 use crate::relay;
@@ -38,6 +40,7 @@
 use crate::reply::text;
 use crate::request::ActiveRequest;
 use crate::request::PlacedRequest;
+use crate::room;
 
 /// The time after which a caller may come back to a host that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
@@ -61,7 +64,14 @@
     let id = context.next_request();
     match serve(&context, id, &mut request).await {
         Ok(response) => response,
-        Err(rejection) => rejection.error.to_response(id, rejection.tier.as_ref()),
+        Err(rejection) => {
+            if rejection.tier.is_none() {
+                let code = rejection.error.code;
+                log_event!(context.log, LogEvent::RequestRejected,
+                    "request" => id.to_string(), "code" => code);
+            }
+            rejection.error.to_response(id, rejection.tier.as_ref())
+        }
     }
 }
 
@@ -148,8 +158,10 @@
     let applied = configuration_in_force(context).await?;
     let workspace = authenticate(&applied, request.headers())?.clone();
     check_room(context, &applied, &workspace)?;
-    let limit = context.settings.limits.max_body_bytes;
-    let body = read_body(request, limit).await.map_err(body_error)?;
+    let limits = &context.settings.limits;
+    check_head(request, limits.max_header_bytes)?;
+    let body = read_body(request, limits.max_body_bytes, limits.body_timeout);
+    let body = body.await.map_err(body_error)?;
     // The body may have taken long, or this host may have been frozen meanwhile.
     let applied = configuration_in_force(context).await?;
     let raw = RawRequest {
@@ -178,6 +190,7 @@
         headers: request.headers().clone(),
     };
     let once = check_idempotency(&placed, placement.non_idempotent)?;
+    room::make_room(context, &placed)?;
     open_record(context, &placed, placement);
     let active = ActiveRequest::new(Rc::clone(context), &placed);
     Ok((placed, active, once))
@@ -220,9 +233,22 @@
     Err(error.retry_after(NOT_READY_RETRY))
 }
 
+fn check_head(request: &Request, limit: usize) -> Result<(), CallerError> {
+    let headers = request.headers().iter();
+    let lengths = headers.map(|(name, value)| name.as_str().len() + value.len());
+    let length = request.uri().to_string().len() + lengths.sum::<usize>();
+    if length <= limit {
+        return Ok(());
+    }
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let message = format!("the head is larger than {limit} bytes");
+    Err(CallerError::not_run(status, "head_too_large", message))
+}
+
 fn body_error(error: BodyError) -> CallerError {
     let (status, code) = match error {
         BodyError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        BodyError::TimedOut { .. } => (StatusCode::REQUEST_TIMEOUT, "body_timeout"),
         BodyError::Incomplete => (StatusCode::BAD_REQUEST, "incomplete_body"),
     };
     CallerError::not_run(status, code, error.to_string())
@@ -279,6 +305,8 @@
         QuarantineVerdict::Clear => Ok(false),
         QuarantineVerdict::Suspect => Ok(true),
         QuarantineVerdict::Refused { retry_after } => {
+            log_event!(context.log, LogEvent::RequestQuarantined,
+                "request" => request.to_string());
             let reason = RefusalReason::Quarantined;
             Err(CallerError::from(&Refusal {
                 request,
@@ -313,6 +341,9 @@
         service: placed.incoming.service.clone(),
         model: placed.incoming.model.clone(),
         tier: placed.tier.clone(),
+        rank: placed.rank,
+        body_bytes: placed.incoming.body.len(),
+        gave_way: false,
         rule: placement.rule,
         phase: RequestPhase::Waiting,
         received: placed.received,
@@ -326,6 +357,8 @@
         refusal: None,
         steps: Vec::new(),
     };
+    log_event!(context.log, LogEvent::RequestPlaced,
+        "request" => placed.id.to_string(), "tier" => placed.tier.to_string());
     let mut journal = context.journal.borrow_mut();
     journal.open(record);
     journal.step(placed.id, placed.received, step);
