--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -20,6 +20,7 @@
 use crate::policy::ChoiceReason;
 use crate::policy::ChoiceView;
 use crate::queue::QueueEntry;
+use crate::queue::TierQueue;
 
 /// How often a request must be able to finish at a worker in the time that is left to be its probe.
 const PROBE_SLACK: u32 = 2;
@@ -126,16 +127,24 @@
         };
         let target = &self.workers.records[worker];
         let cached = target.cache.cached(&record.ask.prefix);
-        let place = match target.cache.pending(&record.ask.prefix, cached) {
-            Some(pending) => WaitPlace::Prefill {
+        let pending = target.cache.pending(&record.ask.prefix, cached);
+        let pending = pending.map(|pending| PrefillKey {
+            worker,
+            block: pending.block,
+        });
+        let room = usize::try_from(target.limit.slots()).unwrap_or(usize::MAX);
+        let waiters = |key: &PrefillKey| self.prefill_waiters.get(key).map_or(0, TierQueue::len);
+        let place = match pending {
+            // More than fit on the worker gain nothing from being woken by the prefill.
+            Some(key) if waiters(&key) < room => WaitPlace::Prefill {
                 worker,
-                block: pending.block,
+                block: key.block,
             },
-            None if target.open => {
+            _ if target.open => {
                 self.grant(now, request, worker, ChoiceReason::Turn, actions);
                 return;
             }
-            None => WaitPlace::Slot { worker },
+            _ => WaitPlace::Slot { worker },
         };
         let until = now + patience.max(Duration::from_millis(1));
         record.patient_until = Some(until);
--- a/kernel/src/broker/workers.rs
+++ b/kernel/src/broker/workers.rs
@@ -204,7 +204,7 @@
 }
 
 impl WorkerTable {
-    pub(super) const fn new(mode: LimitMode) -> Self {
+    pub(super) fn new(mode: LimitMode) -> Self {
         Self {
             mode,
             names: BTreeMap::new(),
--- a/kernel/src/prefix.rs
+++ b/kernel/src/prefix.rs
@@ -30,23 +30,25 @@
 /// Which workers of a cell hold or compute each block.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixIndex {
-    blocks: BTreeMap<BlockDigest, BlockHolders>,
+    // Looked up by digest only.
+    blocks: HashMap<BlockDigest, BlockHolders>,
 }
 
 impl PrefixIndex {
     /// Creates an index of no blocks.
     #[must_use]
-    pub const fn new() -> Self {
-        Self {
-            blocks: BTreeMap::new(),
-        }
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// Returns the number of leading blocks that at least one worker holds.
     #[must_use]
     pub fn held(&self, prefix: &[BlockDigest]) -> usize {
-        let held = |digest: &&BlockDigest| !self.holders(**digest).is_empty();
-        prefix.iter().take_while(held).count()
+        let held = |digest: &BlockDigest| !self.holders(*digest).is_empty();
+        match prefix.last() {
+            Some(last) if held(last) => prefix.len(),
+            _ => prefix.partition_point(held),
+        }
     }
 
     /// Returns the positions of the workers that hold a block.
@@ -138,7 +140,8 @@
     // Looked up by digest only; whatever iterates does so in the order of the last use.
     blocks: HashMap<BlockDigest, CachedBlock>,
     recency: BTreeMap<u64, BlockDigest>,
-    pending: BTreeMap<BlockDigest, PendingBlock>,
+    // Looked up by digest only.
+    pending: HashMap<BlockDigest, PendingBlock>,
     uses: u64,
     next_event: Option<u64>,
 }
@@ -151,7 +154,7 @@
             worker,
             blocks: HashMap::new(),
             recency: BTreeMap::new(),
-            pending: BTreeMap::new(),
+            pending: HashMap::new(),
             uses: 0,
             next_event: None,
         }
--- /dev/null
+++ b/kernel/tests/prefix.rs
@@ -0,0 +1,87 @@
+//! Knowledge of cached prefixes: what is sent, what events say, and gaps in their numbers.
+
+use borageladder_kernel::ask::CacheBatch;
+use borageladder_kernel::ask::CacheChange;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::BlockDigest;
+use borageladder_kernel::prefix::PrefixCache;
+use borageladder_kernel::prefix::PrefixIndex;
+
+const PREFIX: [BlockDigest; 3] = [BlockDigest(1), BlockDigest(2), BlockDigest(3)];
+const WORKER: usize = 5;
+
+fn stored(first: u64, digests: &[BlockDigest]) -> CacheBatch {
+    let changes = digests.iter().copied().map(CacheChange::Stored).collect();
+    CacheBatch { first, changes }
+}
+
+fn known() -> (PrefixCache, PrefixIndex) {
+    (PrefixCache::new(WORKER), PrefixIndex::new())
+}
+
+#[test]
+fn a_sent_prefix_is_cached_after_its_first_token() {
+    let (mut cache, mut index) = known();
+    let ready_at = ClockTime::from_millis(300);
+    cache.sent(&PREFIX, ready_at, &mut index);
+    assert_eq!(cache.cached(&PREFIX), 0);
+    let pending = cache.pending(&PREFIX, 0).expect("the prefix is computed");
+    assert_eq!((pending.blocks, pending.ready_at), (3, ready_at));
+    assert_eq!(index.computing(PREFIX[0]), [WORKER]);
+    cache.prefilled(&PREFIX, &mut index);
+    assert_eq!(cache.cached(&PREFIX), 3);
+    assert_eq!(cache.pending(&PREFIX, 3), None);
+    assert_eq!(index.holders(PREFIX[2]), [WORKER]);
+    assert!(index.computing(PREFIX[0]).is_empty());
+}
+
+#[test]
+fn an_abandoned_prefix_is_not_cached() {
+    let (mut cache, mut index) = known();
+    cache.sent(&PREFIX, ClockTime::ZERO, &mut index);
+    cache.sent(&PREFIX, ClockTime::ZERO, &mut index);
+    cache.abandoned(&PREFIX, &mut index);
+    assert!(
+        cache.pending(&PREFIX, 0).is_some(),
+        "another request computes it"
+    );
+    cache.abandoned(&PREFIX, &mut index);
+    assert_eq!(cache.pending(&PREFIX, 0), None);
+    assert_eq!(cache.cached(&PREFIX), 0);
+}
+
+#[test]
+fn evictions_are_believed() {
+    let (mut cache, mut index) = known();
+    cache.apply(&stored(1, &PREFIX), &mut index);
+    let changes = vec![CacheChange::Evicted(PREFIX[2])];
+    cache.apply(&CacheBatch { first: 4, changes }, &mut index);
+    assert_eq!(cache.cached(&PREFIX), 2);
+    assert_eq!(index.held(&PREFIX), 2);
+}
+
+#[test]
+fn a_gap_forgets_what_no_event_confirmed() {
+    let (mut cache, mut index) = known();
+    cache.apply(&stored(1, &PREFIX[..2]), &mut index);
+    cache.sent(&PREFIX, ClockTime::ZERO, &mut index);
+    cache.prefilled(&PREFIX, &mut index);
+    assert_eq!(cache.cached(&PREFIX), 3);
+    cache.apply(&stored(9, &[]), &mut index);
+    assert_eq!(cache.cached(&PREFIX), 2);
+    cache.apply(&stored(19, &[]), &mut index);
+    assert_eq!(
+        cache.cached(&PREFIX),
+        0,
+        "a second gap leaves nothing confirmed"
+    );
+    assert_eq!(index.held(&PREFIX), 0);
+}
+
+#[test]
+fn numbers_that_begin_again_forget_all() {
+    let (mut cache, mut index) = known();
+    cache.apply(&stored(1, &PREFIX), &mut index);
+    cache.apply(&stored(1, &PREFIX[..1]), &mut index);
+    assert_eq!(cache.cached(&PREFIX), 1);
+}
