Count the load of a worker in the predicted time of an answer

Cause: the predicted time took the learned gap of a worker as it was, however many requests ran there.

--- a/kernel/src/broker/candidates.rs
+++ b/kernel/src/broker/candidates.rs
@@ -23,6 +23,9 @@
 /// The most workers that hold or compute the request's prefix and are weighed for it.
 const HOLDERS_WEIGHED: usize = 8;
 
+/// The most slots for which the load of a worker counts in its speed.
+const MOST_SLOTS_WEIGHED: u32 = 1_024;
+
 /// What is known of a request when its candidates are listed.
 #[derive(Clone, Copy, Debug)]
 struct CandidateDemand<'a> {
@@ -139,7 +142,9 @@
     });
     let speed = record.speed.speed(lane.typical);
     let decode = if ask.model.is_some() {
-        speed.decode(demand.answer.cautious)
+        let slots = record.limit.slots().clamp(1, MOST_SLOTS_WEIGHED);
+        let load = 3 * slots + 2 * record.used.min(slots);
+        speed.decode(demand.answer.cautious).saturating_mul(load) / (4 * slots)
     } else {
         Duration::from_millis(u64::from(demand.answer.cautious))
     };
