Weigh a bounded number of workers in the default policy

Ruled out: early exits in the policy, which its author tried without gain; going back to predicted-finish-patient, which misses the bounds on waste at twice the load.

Change: it weighs the related workers only, which already hold the homes of a prefix.

--- a/benches/path/main.rs
+++ b/benches/path/main.rs
@@ -12,6 +12,7 @@
 mod client;
 #[path = "../../tests/harness/mod.rs"]
 mod harness;
+mod polling;
 mod process;
 
 use std::net::SocketAddr;
@@ -72,6 +73,8 @@
     print_throughput(process, daemon, standin);
     print_tokens(process, daemon);
     print_stream_memory(process, daemon);
+    drop(deployment);
+    polling::print();
 }
 
 /// Lets the workers take all that the bench sends: it measures the path, not the limits.
--- /dev/null
+++ b/benches/path/polling.rs
@@ -0,0 +1,73 @@
+//! What it costs a broker's host to poll the workers of its cell.
+
+use std::fs;
+use std::thread;
+use std::time::Duration;
+
+use crate::harness::Call;
+use crate::harness::Deployment;
+use crate::harness::DeploymentPlan;
+use crate::process::ProcessUsage;
+
+/// The workers of the small and of the large cell.
+const CELL_SIZES: [usize; 2] = [1, 21];
+
+/// The time for which a cell is watched.
+const WATCH_TIME: Duration = Duration::from_secs(20);
+
+/// What a cell without requests costs its broker's host in a second.
+#[derive(Clone, Copy, Debug)]
+struct IdleCost {
+    cpu_micros: f64,
+    loopback_bytes: f64,
+}
+
+/// Prints the cost of a worker that is polled, as the difference of two cells.
+pub fn print() {
+    let costs = CELL_SIZES.map(idle_cost);
+    let workers = (CELL_SIZES[1] - CELL_SIZES[0]) as f64;
+    let cpu = (costs[1].cpu_micros - costs[0].cpu_micros) / workers;
+    let bytes = (costs[1].loopback_bytes - costs[0].loopback_bytes) / workers;
+    println!(
+        "a host with one idle cell of one worker: {:.2} ms CPU a second",
+        costs[0].cpu_micros / 1e3
+    );
+    println!(
+        "a further worker of the cell: {cpu:.0} us CPU and {bytes:.0} bytes on loopback a second"
+    );
+}
+
+fn idle_cost(workers: usize) -> IdleCost {
+    let plan = DeploymentPlan {
+        hosts: vec!["sapporo-a"],
+        engines: vec![("sapporo-a", Vec::new()); workers],
+        plain: Vec::new(),
+        ..DeploymentPlan::default()
+    };
+    let deployment = Deployment::start(&plan);
+    // The first request starts the broker of the cell, and with it the polls.
+    deployment.call(0, &Call::chat("quill-8b", "x", 1, false));
+    let process = deployment.hosts[0]
+        .process
+        .as_ref()
+        .expect("the host runs")
+        .id();
+    let (before, bytes) = (ProcessUsage::read(process), loopback_bytes());
+    thread::sleep(WATCH_TIME);
+    let cpu = ProcessUsage::read(process).cpu.saturating_sub(before.cpu);
+    let bytes = loopback_bytes().saturating_sub(bytes);
+    IdleCost {
+        cpu_micros: cpu.as_secs_f64() * 1e6 / WATCH_TIME.as_secs_f64(),
+        loopback_bytes: bytes as f64 / WATCH_TIME.as_secs_f64(),
+    }
+}
+
+/// Returns the bytes that the loopback interface has received, headers included.
+fn loopback_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/net/dev").expect("the interfaces can be read");
+    let line = text
+        .lines()
+        .find_map(|line| line.trim_start().strip_prefix("lo:"));
+    let bytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    bytes.unwrap_or_default()
+}
--- a/kernel/src/policy/prefix_affinity.rs
+++ b/kernel/src/policy/prefix_affinity.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use super::CandidateScope;
 use super::Choice;
 use super::ChoiceReason;
 use super::ChoiceView;
@@ -55,6 +56,10 @@
         true
     }
 
+    fn weighs(&self) -> CandidateScope {
+        CandidateScope::Related
+    }
+
     fn choose(&self, view: &ChoiceView<'_>) -> Choice {
         AffinityChoice::new(view).choose()
     }
