--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub use borageladder_kernel as kernel;
 pub use slog;
 
+pub mod admission;
 pub mod body;
 pub mod cell;
 pub mod claims;
