--- a/src/watch.rs
+++ b/src/watch.rs
@@ -29,9 +29,13 @@
 use crate::kernel::table::ListedState;
 use crate::log_event;
 
-/// The time between two polls of a worker.
+/// The shortest time between two polls of a worker.
 pub const WORKER_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time that each polled worker adds to the time between two polls, which bounds the polls of a
+/// host that is the broker of large cells.
+pub const WORKER_POLL_SPACING: Duration = Duration::from_millis(100);
+
 /// The time between two polls of the host list.
 pub const HOST_LIST_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -105,8 +109,8 @@
         let watch = Rc::clone(self);
         actix_rt::spawn(async move {
             loop {
-                watch.poll_workers().await;
-                actix_rt::time::sleep(WORKER_POLL_INTERVAL).await;
+                let polled = watch.poll_workers().await;
+                actix_rt::time::sleep(poll_pause(polled)).await;
             }
         });
         let watch = Rc::clone(self);
@@ -132,7 +136,8 @@
         self.publish();
     }
 
-    async fn poll_workers(&self) {
+    /// Polls the workers of this host's cells and returns their number.
+    async fn poll_workers(&self) -> usize {
         let polled = self.polled_workers();
         join_all(polled.iter().map(|worker| self.poll_worker(worker))).await;
         let names: BTreeSet<&WorkerName> = polled.iter().map(|polled| &polled.worker).collect();
@@ -141,6 +146,7 @@
             .reported
             .retain(|worker| names.contains(worker));
         self.publish();
+        polled.len()
     }
 
     async fn poll_worker(&self, polled: &PolledWorker) {
@@ -227,6 +233,12 @@
     }
 }
 
+fn poll_pause(workers: usize) -> Duration {
+    let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+    let spaced = WORKER_POLL_SPACING.saturating_mul(workers);
+    spaced.max(WORKER_POLL_INTERVAL)
+}
+
 fn cache_change(entry: &CacheEntry) -> Option<CacheChange> {
     let digest = |hex: &str| u64::from_str_radix(hex, 16).ok().map(BlockDigest);
     match entry {
