Split the workers of a cell from their lanes, and say once how the project's policies queue

Ruled out: a base type for policies: the trait's default methods say what the project's policies do, and the baselines say where they differ.

After: kernel tests, tests/policy.rs (26 passed) and tests/style.rs pass; no behaviour changed.

--- a/kernel/src/broker/candidates.rs
+++ b/kernel/src/broker/candidates.rs
@@ -4,7 +4,7 @@
 
 use super::CellBroker;
 use super::asks::block_tokens;
-use super::workers::WorkLane;
+use super::lanes::WorkLane;
 use super::workers::WorkerHealth;
 use super::workers::WorkerRecord;
 use crate::ask::Ask;
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -13,6 +13,7 @@
 mod granting;
 mod grants;
 mod health;
+mod lanes;
 mod reports;
 mod settings;
 mod shedding;
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -30,13 +30,19 @@
     fn name(&self) -> &'static str;
 
     /// Returns the order in which waiting requests are served.
-    fn order(&self) -> QueueOrder;
+    fn order(&self) -> QueueOrder {
+        QueueOrder::TierDeadline
+    }
 
     /// Returns how the limits of workers come about.
-    fn limits(&self) -> LimitMode;
+    fn limits(&self) -> LimitMode {
+        LimitMode::Learned
+    }
 
     /// Returns whether a request is refused as soon as its deadline can't be met.
-    fn refuses_early(&self) -> bool;
+    fn refuses_early(&self) -> bool {
+        true
+    }
 
     /// Returns which workers the policy weighs.
     fn weighs(&self) -> CandidateScope {
--- a/kernel/src/policy/predicted_finish.rs
+++ b/kernel/src/policy/predicted_finish.rs
@@ -10,8 +10,6 @@
 use super::PolicyEntry;
 use super::WorkerCandidate;
 use super::WorkerPolicy;
-use crate::limit::LimitMode;
-use crate::queue::QueueOrder;
 
 /// How often the prefill of uncached tokens counts, since it takes time from other requests too.
 const PREFILL_WEIGHT: u32 = 3;
@@ -26,18 +24,6 @@
         "predicted-finish"
     }
 
-    fn order(&self) -> QueueOrder {
-        QueueOrder::TierDeadline
-    }
-
-    fn limits(&self) -> LimitMode {
-        LimitMode::Learned
-    }
-
-    fn refuses_early(&self) -> bool {
-        true
-    }
-
     fn weighs(&self) -> CandidateScope {
         CandidateScope::Related
     }
--- a/kernel/src/policy/predicted_finish_patient.rs
+++ b/kernel/src/policy/predicted_finish_patient.rs
@@ -9,8 +9,6 @@
 use super::PolicyEntry;
 use super::WorkerCandidate;
 use super::WorkerPolicy;
-use crate::limit::LimitMode;
-use crate::queue::QueueOrder;
 
 /// The part of the remaining time within which a predicted finish leaves slack, in percent.
 const COMFORT_PERCENT: u32 = 60;
@@ -31,18 +29,6 @@
         "predicted-finish-patient"
     }
 
-    fn order(&self) -> QueueOrder {
-        QueueOrder::TierDeadline
-    }
-
-    fn limits(&self) -> LimitMode {
-        LimitMode::Learned
-    }
-
-    fn refuses_early(&self) -> bool {
-        true
-    }
-
     fn weighs(&self) -> CandidateScope {
         CandidateScope::Related
     }
--- a/kernel/src/policy/prefix_affinity.rs
+++ b/kernel/src/policy/prefix_affinity.rs
@@ -15,9 +15,7 @@
 use super::PolicyEntry;
 use super::WorkerCandidate;
 use super::WorkerPolicy;
-use crate::limit::LimitMode;
 use crate::prefix::mixed;
-use crate::queue::QueueOrder;
 
 /// How often the prefill of uncached tokens counts, since it takes time from other requests too.
 const PREFILL_WEIGHT: u32 = 3;
@@ -44,18 +42,6 @@
         "prefix-affinity"
     }
 
-    fn order(&self) -> QueueOrder {
-        QueueOrder::TierDeadline
-    }
-
-    fn limits(&self) -> LimitMode {
-        LimitMode::Learned
-    }
-
-    fn refuses_early(&self) -> bool {
-        true
-    }
-
     fn weighs(&self) -> CandidateScope {
         CandidateScope::Related
     }
