Show that work without room moves to another data centre

Cause: referring was written and never run.

Ruled out: a test with processes of two data centres, where what each cell knows of the other depends on when summaries arrive.

After: tests/cells.rs, 3 passed: two data centres joined by a network that the test delivers by hand. Its second test failed first, because the test let a granted slot go without a lease, which no code of the daemon does.

--- /dev/null
+++ b/tests/cells.rs
@@ -0,0 +1,223 @@
+//! Cells of several data centres, joined by a network that the test delivers by hand.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use borageladder::cell::CellId;
+use borageladder::cell::CellNetwork;
+use borageladder::cell::CellService;
+use borageladder::cell::SlotAnswer;
+use borageladder::cell::SlotLease;
+use borageladder::cell::SlotWait;
+use borageladder::clock::ProcessClock;
+use borageladder::kernel::ask::Ask;
+use borageladder::kernel::ask::RefusalReason;
+use borageladder::kernel::broker::BrokerSettings;
+use borageladder::kernel::change;
+use borageladder::kernel::configuration::Configuration;
+use borageladder::kernel::name::DatacenterName;
+use borageladder::kernel::name::HostName;
+use borageladder::kernel::name::RequestId;
+use borageladder::kernel::name::TierRank;
+use borageladder::language;
+use borageladder::language::OperatorCommand;
+use borageladder::wire::LinkMessage;
+use futures_util::FutureExt;
+
+const CONFIGURATION: &str = "\
+set datacenter near region north
+set datacenter far region south
+set tier urgent deadline 30s
+set tier batch deadline 60s
+set service drafter engine models quill-8b
+set worker near-1 service drafter datacenter near address 127.0.0.1:1 max-running 1
+set worker far-1 service drafter datacenter far address 127.0.0.1:2 max-running 1
+";
+
+/// A message on its way, with its sender and its receiver.
+type Parcel = (HostName, HostName, LinkMessage);
+
+#[derive(Clone)]
+struct FakeNetwork {
+    host: HostName,
+    datacenter: DatacenterName,
+    configuration: Arc<Configuration>,
+    parcels: Rc<RefCell<VecDeque<Parcel>>>,
+}
+
+impl CellNetwork for FakeNetwork {
+    fn host(&self) -> &HostName {
+        &self.host
+    }
+
+    fn datacenter(&self) -> &DatacenterName {
+        &self.datacenter
+    }
+
+    /// Each data centre has one host, which has its name.
+    fn broker(&self, cell: &CellId) -> Option<HostName> {
+        cell.datacenter.as_str().parse().ok()
+    }
+
+    fn send(&self, host: &HostName, message: LinkMessage) {
+        let parcel = (self.host.clone(), host.clone(), message);
+        self.parcels.borrow_mut().push_back(parcel);
+    }
+
+    fn configuration(&self) -> Arc<Configuration> {
+        Arc::clone(&self.configuration)
+    }
+}
+
+struct TwoDatacenters {
+    near: Rc<CellService>,
+    far: Rc<CellService>,
+    parcels: Rc<RefCell<VecDeque<Parcel>>>,
+}
+
+impl TwoDatacenters {
+    fn start() -> Self {
+        let parcels = Rc::default();
+        let configuration = Arc::new(configuration());
+        let start = |name: &str, incarnation| {
+            let network = FakeNetwork {
+                host: name.parse().expect("a valid name"),
+                datacenter: name.parse().expect("a valid name"),
+                configuration: Arc::clone(&configuration),
+                parcels: Rc::clone(&parcels),
+            };
+            let settings = BrokerSettings {
+                incarnation,
+                ..BrokerSettings::default().with_takeover_time(Duration::ZERO)
+            };
+            let clock = ProcessClock::start();
+            Rc::new(CellService::new(Box::new(network), clock, settings))
+        };
+        Self {
+            near: start("near", 1),
+            far: start("far", 2),
+            parcels,
+        }
+    }
+
+    /// Delivers messages until none is on its way.
+    fn deliver(&self) {
+        loop {
+            let parcel = self.parcels.borrow_mut().pop_front();
+            let Some((from, to, message)) = parcel else {
+                return;
+            };
+            let receiver = if to.as_str() == "near" {
+                &self.near
+            } else {
+                &self.far
+            };
+            receiver.receive(&from, message);
+        }
+    }
+
+    /// Lets brokers act and tell each other what room they have.
+    fn settle(&self) {
+        for service in [&self.near, &self.far] {
+            service.tick();
+        }
+        self.deliver();
+        for service in [&self.near, &self.far] {
+            service.send_summaries();
+        }
+        self.deliver();
+    }
+}
+
+fn configuration() -> Configuration {
+    let commands = language::parse_script(CONFIGURATION).expect("the script is valid");
+    let apply = |configuration: Configuration, command| match command {
+        OperatorCommand::Change { changes, .. } => {
+            change::apply(&configuration, &changes).expect("the change fits")
+        }
+        other => panic!("{other:?} is no change"),
+    };
+    commands.into_iter().fold(Configuration::default(), apply)
+}
+
+fn ask(service: &Rc<CellService>, sequence: u64, budget: Duration) -> SlotWait {
+    let ask = Ask {
+        request: RequestId {
+            incarnation: 9,
+            sequence,
+        },
+        service: "drafter".parse().expect("a valid name"),
+        model: "quill-8b".parse().ok(),
+        workspace: "reps".parse().expect("a valid name"),
+        tier: TierRank(0),
+        budget,
+        prompt_tokens: 64,
+        max_answer_tokens: 16,
+        prefix: Vec::new(),
+        suspect: false,
+    };
+    let deadline = ProcessClock::start().now() + Duration::from_mins(10);
+    service.ask(ask, deadline)
+}
+
+/// Returns the worker that was granted, the reason of the refusal, or nothing yet; the slot is given
+/// back.
+fn outcome(service: &Rc<CellService>, wait: SlotWait) -> Option<Result<String, RefusalReason>> {
+    match wait.now_or_never()?? {
+        SlotAnswer::Granted { grant, .. } => {
+            let worker = grant.worker.to_string();
+            drop(SlotLease::new(Rc::clone(service), grant));
+            Some(Ok(worker))
+        }
+        SlotAnswer::Refused(refusal) => Some(Err(refusal.reason)),
+    }
+}
+
+#[test]
+fn a_request_is_granted_in_its_own_data_centre_while_there_is_room() {
+    let cells = TwoDatacenters::start();
+    let first = ask(&cells.near, 1, Duration::from_secs(30));
+    cells.settle();
+    assert_eq!(outcome(&cells.near, first), Some(Ok("near-1".to_owned())));
+}
+
+#[test]
+fn a_worker_of_the_own_data_centre_that_leaves_moves_work_to_another_with_room() {
+    let cells = TwoDatacenters::start();
+    // A request starts the broker of each cell, so that both tell of their room.
+    for (sequence, service) in [(1, &cells.near), (2, &cells.far)] {
+        let wait = ask(service, sequence, Duration::from_secs(30));
+        cells.settle();
+        assert!(matches!(outcome(service, wait), Some(Ok(_))));
+        cells.settle();
+    }
+    let leaving = ["near-1".parse().expect("a valid name")];
+    cells.near.reconfigure(leaving.into_iter().collect());
+    cells.settle();
+    let wait = ask(&cells.near, 3, Duration::from_secs(30));
+    cells.settle();
+    cells.settle();
+    assert_eq!(outcome(&cells.near, wait), Some(Ok("far-1".to_owned())));
+}
+
+#[test]
+fn a_request_that_no_data_centre_has_room_for_is_refused_at_once() {
+    let cells = TwoDatacenters::start();
+    for service in [&cells.near, &cells.far] {
+        let wait = ask(service, 1, Duration::from_secs(30));
+        cells.settle();
+        drop(wait);
+        let names = ["near-1", "far-1"].map(|name| name.parse().expect("a valid name"));
+        service.reconfigure(names.into_iter().collect());
+    }
+    cells.settle();
+    let wait = ask(&cells.near, 2, Duration::from_secs(30));
+    cells.settle();
+    assert_eq!(
+        outcome(&cells.near, wait),
+        Some(Err(RefusalReason::NoWorker))
+    );
+}
