Read the wall clock by one function

Cause: claims and the keeper each had a copy of clock::unix_millis.

Ruled out for now: one read-back loop for the two claim attempts and one stream for the two watched ones, which differ in what they do and would want the whole run of tests.

--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -9,9 +9,8 @@
 
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
+use crate::clock::unix_millis;
 use crate::kernel::claim::ChangeEnd;
 use crate::kernel::claim::ChangeStep;
 use crate::kernel::claim::ClaimAttempt;
@@ -269,9 +268,3 @@
         }
     }
 }
-
-fn unix_millis() -> u64 {
-    let time = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = time.unwrap_or_default().as_millis();
-    u64::try_from(millis).unwrap_or(u64::MAX)
-}
--- a/src/claims/settle.rs
+++ b/src/claims/settle.rs
@@ -9,7 +9,7 @@
 use crate::claims::ClaimService;
 use crate::claims::KeptAnswer;
 use crate::claims::KeptHeader;
-use crate::claims::unix_millis;
+use crate::clock::unix_millis;
 use crate::kernel::claim::ChangeEnd;
 use crate::kernel::claim::ClaimChange;
 use crate::kernel::claim::ClaimKey;
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -15,13 +15,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use slog::Logger;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::clock::unix_millis;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
@@ -332,9 +332,3 @@
         lacking: Vec::new(),
     }
 }
-
-fn unix_millis() -> u64 {
-    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let millis = elapsed.unwrap_or(Duration::ZERO).as_millis();
-    u64::try_from(millis).unwrap_or(u64::MAX)
-}
