Close idle connections once the balancer knows of a stop

Ruled out: closing at the signal itself; the balancer asks once a second and takes a host out after two misses, so new connections still come for up to 2 s.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -52,8 +52,8 @@
     /// The caller closed the connection, or it failed.
     #[error("the connection ended")]
     Ended,
-    /// No request came in the time for which a connection may be idle.
-    #[error("the connection was idle for too long")]
+    /// No request came while one was waited for.
+    #[error("no request came while one was waited for")]
     Idle,
     /// The request did not come in time.
     #[error("the request did not come in time")]
@@ -87,10 +87,14 @@
     }
 }
 
-/// Accepts callers until the process ends.
+/// Accepts callers until the host takes no further requests.
 pub async fn accept_callers(host: Rc<GatewayHost>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = host.closing.stopped() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 actix_rt::spawn(serve_connection(Rc::clone(&host), stream));
             }
@@ -139,8 +143,14 @@
     async fn read_call(&mut self) -> Result<IncomingCall, ReadError> {
         let limits = self.host.limits();
         if self.received.is_empty() {
-            let read = timeout(limits.idle_time, self.read_more()).await;
-            read.map_err(|_elapsed| ReadError::Idle)??;
+            let closing = self.host.closing.clone();
+            tokio::select! {
+                biased;
+                read = timeout(limits.idle_time, self.read_more()) => {
+                    read.map_err(|_elapsed| ReadError::Idle)??;
+                }
+                () = closing.stopped() => return Err(ReadError::Idle),
+            }
         }
         let head = timeout(limits.head_time, self.read_head(limits.head_bytes)).await;
         let head = head.map_err(|_elapsed| ReadError::Slow)??;
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -64,6 +64,8 @@
     pub pool: WorkerPool,
     /// The signal that this host is asked to stop.
     pub draining: StopSignal,
+    /// The signal that no further request is taken.
+    pub closing: StopSignal,
     pub(super) state: Rc<GatewayState>,
     incarnation: u64,
     sequence: Cell<u64>,
@@ -154,6 +156,7 @@
             cells: parts.cells,
             pool: WorkerPool::default(),
             draining: StopSignal::default(),
+            closing: StopSignal::default(),
             state: parts.state,
             incarnation: parts.incarnation,
             sequence: Cell::new(0),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -52,12 +52,12 @@
 /// The time between two messages about what was given out of quotas.
 const USE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The time for which a stopping host serves on, until the balancer has seen twice that it is not
-/// ready.
-const STOP_NOTICE: Duration = Duration::from_millis(3_500);
+/// The time for which a stopping host takes requests, until the balancer has asked twice, a second
+/// apart, whether it is ready.
+const STOP_NOTICE: Duration = Duration::from_millis(2_500);
 
 /// The time before the kill at which a stopping host ends whatever it still holds.
-const STOP_RESERVE: Duration = Duration::from_millis(400);
+const STOP_RESERVE: Duration = Duration::from_millis(200);
 
 /// The time between two looks at whether a stopping host holds something.
 const STOP_LOOK: Duration = Duration::from_millis(50);
@@ -261,8 +261,9 @@
     }
 }
 
-/// Stops without cutting a request: the balancer and the other hosts are told, answers close their
-/// connections, and the process ends once nothing is held or the kill is near.
+/// Stops without cutting a request: the balancer and the other hosts are told, and answers close
+/// their connections; then idle connections are closed and nothing is taken any more; the process
+/// ends once nothing is held or the kill is near.
 async fn stop(host: &GatewayHost) {
     log_event!(host.log, LogEvent::StopRequested);
     let begin = host.clock.now();
@@ -273,6 +274,9 @@
         actix_rt::time::sleep(STOP_LOOK).await;
         let passed = host.clock.now().since(begin);
         let noticed = passed >= STOP_NOTICE;
+        if noticed {
+            host.closing.stop();
+        }
         if (noticed && host.held() == 0) || passed >= last {
             break;
         }
