--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -295,6 +295,7 @@
                 Ok(None)
             }
             AttemptEnd::Answered { erred: false } => {
+                self.log_answer(&worker, at);
                 lease.finished(self.relay.tokens(), self.relay.token_gap());
                 self.host
                     .with_strikes(|register| register.clear(self.planned.digest));
@@ -445,6 +446,25 @@
         }
     }
 
+    fn log_answer(&self, worker: &WorkerName, at: ClockTime) {
+        let planned = &self.planned;
+        let usage = planned.terms.usage;
+        let now = self.host.clock.now();
+        log_event!(self.host.log, LogEvent::RequestAnswered,
+            "request" => planned.attempt.as_str(),
+            "worker" => worker.as_str(),
+            "tier" => planned.tier.0,
+            "prompt_tokens" => usage.map_or(0, |usage| usage.prompt),
+            "most_tokens" => usage.map_or(0, |usage| usage.answer),
+            "hint_tokens" => planned.terms.answer_hint,
+            "answer_tokens" => self.relay.tokens(),
+            "gap_us" => micros(self.relay.token_gap()),
+            "first_us" => self.relay.first_after().map(micros),
+            "wait_us" => micros(at.since(planned.arrival)),
+            "total_us" => micros(now.since(planned.arrival)),
+        );
+    }
+
     /// Permits a further run if the kind of the work, its attempts and the budget allow one.
     fn repeat_permit(&mut self) -> Option<RepeatPermit> {
         let right = self.planned.route.kind.repeatable()?;
@@ -506,3 +526,7 @@
         error
     }
 }
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -46,6 +46,7 @@
     kind: WorkKind,
     events: EventBuffer,
     event_tokens: u32,
+    first_after: Option<Duration>,
     begun: Option<Instant>,
     last: Option<Instant>,
 }
@@ -58,6 +59,7 @@
             kind,
             events: EventBuffer::default(),
             event_tokens,
+            first_after: None,
             begun: None,
             last: None,
         }
@@ -80,6 +82,12 @@
         self.events.events().saturating_mul(self.event_tokens)
     }
 
+    /// Returns the time from the dispatch to the first event.
+    #[must_use]
+    pub const fn first_after(&self) -> Option<Duration> {
+        self.first_after
+    }
+
     /// Returns the mean time between two tokens.
     #[must_use]
     pub fn token_gap(&self) -> Duration {
@@ -123,7 +131,9 @@
             let now = Instant::now();
             if self.begun.is_none() {
                 self.begun = Some(now);
-                lease.first_token(head_after + (now - sent));
+                let after = head_after + (now - sent);
+                self.first_after = Some(after);
+                lease.first_token(after);
             }
             self.last = Some(now);
             if !caller.has_started() {
