Share one cell between all data centres, and choose workers that keep the aims

Long revisions were cut at their deadline on workers five times slower than others.

Change: a setting for the span of cells; the broker knows where hosts and workers stand; an ask carries when the first token is due, the longest pause and the hint of the length; the policy first-token prefers workers that keep all three, and near ones where the caller does not notice.

Ruled out: leaving cells by zone and referring earlier: a referral goes by a summary 0.5 s old.

--- a/benches/links.rs
+++ b/benches/links.rs
@@ -57,6 +57,7 @@
     let links = LinkSet::start(settings, &Logger::root(Discard, o!()), receive).await?;
     let member_settings = MemberSettings {
         datacenter: DatacenterName::try_from("d1")?,
+        remote_links: borageladder::member::REMOTE_LINKS,
         first_peers: first.to_vec(),
     };
     let members = MemberService::start(member_settings, Rc::clone(&links), clock);
--- a/kernel/benches/kernel.rs
+++ b/kernel/benches/kernel.rs
@@ -102,6 +102,7 @@
                 worker: format!("engine-{number:04}").parse().expect("a valid name"),
                 models: vec![self.model.clone()],
                 max_running: MAX_RUNNING,
+                place: None,
             })
             .collect();
         self.handle(BrokerEvent::WorkersChanged { workers });
@@ -144,6 +145,7 @@
             pause: None,
             prompt_tokens: self.random.random_range(600..6_000),
             max_answer_tokens: 300,
+            hinted_tokens: None,
             prefix: (prefix..prefix + PREFIX_BLOCKS).map(BlockDigest).collect(),
             suspect: false,
         }
--- a/kernel/src/ask.rs
+++ b/kernel/src/ask.rs
@@ -14,6 +14,7 @@
 use crate::name::TierRank;
 use crate::name::WorkerName;
 use crate::name::WorkspaceName;
+use crate::place::NetworkPlace;
 
 /// A request for a slot on a worker of one service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -38,6 +39,8 @@
     pub prompt_tokens: u32,
     /// The most tokens that the answer may have, as the request states it.
     pub max_answer_tokens: u32,
+    /// The caller's own estimate of the answer's tokens, right at the median but often far off.
+    pub hinted_tokens: Option<u32>,
     /// The digests of the leading blocks of the prompt, first block first.
     pub prefix: Vec<BlockDigest>,
     /// Whether the request may have crashed a worker and must run alone.
@@ -240,6 +243,8 @@
     pub models: Vec<ModelName>,
     /// The most requests that it may run at once, as the operators set it.
     pub max_running: u32,
+    /// Where it stands, if that is known.
+    pub place: Option<NetworkPlace>,
 }
 
 /// What a broker wants to be sent.
--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -170,6 +170,10 @@
 
     /// Returns the estimated length of the answer: tokens, or milliseconds for a plain service.
     pub(super) fn answer_estimate(&self, ask: &Ask) -> AnswerEstimate {
+        if let Some(hint) = ask.hinted_tokens {
+            let estimate = AnswerEstimate::hinted(hint);
+            return estimate.capped(ask.max_answer_tokens);
+        }
         if ask.model.is_some() {
             let estimate = self.lengths.estimate(&ask.workspace, ask.tier);
             estimate.capped(ask.max_answer_tokens)
--- a/kernel/src/broker/candidates.rs
+++ b/kernel/src/broker/candidates.rs
@@ -11,6 +11,8 @@
 use crate::clock::ClockTime;
 use crate::estimate::AnswerEstimate;
 use crate::name::TierRank;
+use crate::place::NetworkPlace;
+use crate::place::PlaceDistance;
 use crate::policy::CandidateScope;
 use crate::policy::WorkerCandidate;
 
@@ -32,6 +34,7 @@
     now: ClockTime,
     ask: &'a Ask,
     answer: AnswerEstimate,
+    near: Option<&'a NetworkPlace>,
     holders: &'a [usize],
     computing: &'a [usize],
 }
@@ -51,6 +54,7 @@
         now: ClockTime,
         lane: usize,
         ask: &Ask,
+        near: Option<&NetworkPlace>,
         list: &mut CandidateList,
     ) {
         let (holders, computing) = match ask.prefix.first() {
@@ -64,6 +68,7 @@
             now,
             ask,
             answer: self.answer_estimate(ask),
+            near,
             holders,
             computing,
         };
@@ -168,9 +173,18 @@
         decode,
         gap: Duration::from_micros(speed.gap_micros),
         faults: record.faults.thousandths(),
+        distance: distance(demand.near, record),
     }
 }
 
+fn distance(near: Option<&NetworkPlace>, record: &WorkerRecord) -> PlaceDistance {
+    let place = record.place.as_ref();
+    let both = near.zip(place);
+    both.map_or(PlaceDistance::BetweenRegions, |(near, place)| {
+        near.distance(place)
+    })
+}
+
 fn slot_wait(record: &WorkerRecord, tier: TierRank) -> Duration {
     let fit = record.eligible() && record.health == WorkerHealth::Healthy;
     match (record.open, fit) {
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -74,7 +74,8 @@
             return;
         }
         let mut list = std::mem::take(&mut self.scratch);
-        self.list_candidates(now, lane, &record.ask, &mut list);
+        let near = self.places.get(&record.host);
+        self.list_candidates(now, lane, &record.ask, near, &mut list);
         let first = record.ask.prefix.first();
         let holders = first.map_or(0, |digest| self.workers.index.holders(*digest).len());
         let view = ChoiceView {
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -51,6 +51,8 @@
 use crate::estimate::AnswerEstimator;
 use crate::policy;
 use crate::policy::WorkerPolicy;
+use crate::name::HostName;
+use crate::place::NetworkPlace;
 use crate::queue::QueueKey;
 use crate::queue::TierQueue;
 
@@ -85,6 +87,7 @@
 ///     worker: "engine-1".parse()?,
 ///     models: vec!["drafter-8b".parse()?],
 ///     max_running: 4,
+///     place: None,
 /// }];
 /// broker.handle(now, BrokerEvent::WorkersChanged { workers });
 /// let ask = Ask {
@@ -98,6 +101,7 @@
 ///     pause: None,
 ///     prompt_tokens: 200,
 ///     max_answer_tokens: 100,
+///     hinted_tokens: None,
 ///     prefix: Vec::new(),
 ///     suspect: false,
 /// };
@@ -125,6 +129,7 @@
     granted: u64,
     strays: Vec<StrayWork>,
     scratch: CandidateList,
+    places: BTreeMap<HostName, NetworkPlace>,
 }
 
 impl fmt::Debug for CellBroker {
@@ -165,6 +170,7 @@
             granted: 0,
             strays: Vec::new(),
             scratch: CandidateList::default(),
+            places: BTreeMap::new(),
         })
     }
 
@@ -218,6 +224,13 @@
             .map(worker_view)
     }
 
+    /// Notes where a host stands, to choose workers near it.
+    pub fn host_seen(&mut self, host: &HostName, place: NetworkPlace) {
+        if self.places.get(host) != Some(&place) {
+            self.places.insert(host.clone(), place);
+        }
+    }
+
     /// Returns the best predicted time until an answer would be whole, or `None` if no worker serves
     /// the request.
     #[must_use]
--- a/kernel/src/broker/workers.rs
+++ b/kernel/src/broker/workers.rs
@@ -18,6 +18,7 @@
 use crate::name::RequestId;
 use crate::name::TierRank;
 use crate::name::WorkerName;
+use crate::place::NetworkPlace;
 use crate::prefix::PrefixCache;
 use crate::prefix::PrefixIndex;
 use crate::queue::TierQueue;
@@ -50,6 +51,7 @@
     pub worker: WorkerName,
     pub identity: u64,
     pub models: Vec<ModelName>,
+    pub place: Option<NetworkPlace>,
     pub lanes: Vec<usize>,
     /// Whether the configuration lets the worker have new work.
     pub serving: bool,
@@ -81,6 +83,7 @@
             worker: worker.worker.clone(),
             identity: identity(&worker.worker),
             models: worker.models.clone(),
+            place: worker.place.clone(),
             lanes: Vec::new(),
             serving: true,
             leaving: false,
@@ -218,6 +221,7 @@
             let record = &mut self.records[position];
             record.serving = true;
             record.models.clone_from(&worker.models);
+            record.place.clone_from(&worker.place);
             record.limit.set_ceiling(worker.max_running);
             return;
         }
--- a/kernel/src/estimate.rs
+++ b/kernel/src/estimate.rs
@@ -30,6 +30,9 @@
 /// The quantile of the lengths that the short estimate uses.
 const SHORT_QUANTILE: f64 = 0.6;
 
+/// The factor between a caller's hint and the lengths that most answers exceed or stay under.
+const HINT_SPREAD: u32 = 2;
+
 /// The quantile of the lengths that the cautious estimate uses.
 const CAUTIOUS_QUANTILE: f64 = 0.9;
 
@@ -45,6 +48,16 @@
 }
 
 impl AnswerEstimate {
+    /// Returns the estimate from a caller's hint, which is right at the median.
+    #[must_use]
+    pub const fn hinted(hint: u32) -> Self {
+        Self {
+            short: hint / HINT_SPREAD,
+            likely: hint,
+            cautious: hint.saturating_mul(HINT_SPREAD),
+        }
+    }
+
     /// Returns the estimate with all lengths held at or below `most`.
     #[must_use]
     pub fn capped(self, most: u32) -> Self {
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod membership;
 pub mod name;
 pub mod pause;
+pub mod place;
 pub mod policy;
 pub mod prefix;
 pub mod prompt;
--- a/kernel/src/membership.rs
+++ b/kernel/src/membership.rs
@@ -65,6 +65,15 @@
     HostLost(HostName),
 }
 
+/// The host that is the broker of a cell and the one that takes over first.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BrokerPair<'a> {
+    /// The broker.
+    pub first: Option<&'a HostName>,
+    /// The host that takes over when the broker does not answer.
+    pub deputy: Option<&'a HostName>,
+}
+
 #[derive(Clone, Debug)]
 struct DirectPeer {
     sign: LifeSign,
@@ -212,15 +221,39 @@
     /// While all of them are stopping, one of these is the broker.
     #[must_use]
     pub fn broker(&self, service: &ServiceName, datacenter: &DatacenterName) -> Option<&HostName> {
+        let brokers = self.brokers(service, datacenter, |place| place == datacenter);
+        brokers.first
+    }
+
+    /// Returns the broker of the cell that a service has for several data centres, and its deputy;
+    /// `home` names the cell, and `within` tells which data centres share it.
+    #[must_use]
+    pub fn brokers(
+        &self,
+        service: &ServiceName,
+        home: &DatacenterName,
+        within: impl Fn(&DatacenterName) -> bool,
+    ) -> BrokerPair<'_> {
         let others = self.alive.iter();
-        let others = others.filter(|(_, live)| live.datacenter == *datacenter);
+        let others = others.filter(|(_, live)| within(&live.datacenter));
         let others = others.map(|(host, live)| (host, live.stopping));
-        let own = (self.datacenter == *datacenter).then_some((&self.host, self.stopping));
-        let candidates = others.chain(own);
-        let best = candidates.max_by_key(|(host, stopping)| {
-            (!stopping, rendezvous_hash(service, datacenter, host), *host)
-        });
-        best.map(|(host, _)| host)
+        let own = within(&self.datacenter).then_some((&self.host, self.stopping));
+        let mut pair = BrokerPair::default();
+        let mut ranks = [None, None];
+        for (host, stopping) in others.chain(own) {
+            let rank = Some((!stopping, rendezvous_hash(service, home, host), host));
+            if rank > ranks[0] {
+                ranks = [rank, ranks[0]];
+                pair = BrokerPair {
+                    first: Some(host),
+                    deputy: pair.first,
+                };
+            } else if rank > ranks[1] {
+                ranks[1] = rank;
+                pair.deputy = Some(host);
+            }
+        }
+        pair
     }
 
     fn refresh(&mut self, now: ClockTime) -> Vec<MemberChange> {
--- a/kernel/src/policy/first_token.rs
+++ b/kernel/src/policy/first_token.rs
@@ -1,7 +1,9 @@
-//! The gateway's policy: declared slots, and the worker with the soonest first token.
+//! The gateway's policy: declared slots, and workers that keep what the caller aims at.
 //!
-//! Callers of the gateway state when the first token is due and how long a pause may be, so a slow
-//! worker is worth its slots as long as it keeps both. Workers that fail what they run come last.
+//! Callers of the gateway state when the first token is due, how long a pause may be and about how
+//! long the answer will be. A slow worker is worth its slots as long as it keeps all three, so short
+//! answers go there and long ones wait a little for a faster one. Workers that fail what they run come
+//! last, and near ones go before far ones where the caller does not notice.
 
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use super::WorkerCandidate;
 use super::WorkerPolicy;
 use crate::limit::LimitMode;
+use crate::place::PlaceDistance;
 
 /// The name of the policy.
 pub const FIRST_TOKEN_POLICY: &str = "first-token";
@@ -20,6 +23,19 @@
 /// The time that a certain failure costs: more than any wait that is of use.
 const FAULT_COST: Duration = Duration::from_secs(10);
 
+/// The part of the time to generate an answer that counts, as a divisor: callers see only the pauses,
+/// but the slot is taken from others.
+const DECODE_DIVISOR: u32 = 5;
+
+/// The time that another data centre of the region costs, for the bytes between them.
+const REGION_COST: Duration = Duration::from_millis(30);
+
+/// The time that another region costs, for the bytes between them.
+const FAR_COST: Duration = Duration::from_millis(300);
+
+/// The part of the time to the first token that a request waits for a fit worker, as a divisor.
+const PATIENCE_DIVISOR: u32 = 2;
+
 struct FirstToken;
 
 impl WorkerPolicy for FirstToken {
@@ -45,11 +61,14 @@
             (misses(view, candidate), cost(candidate))
         });
         let Some(best) = best else {
-            return Choice::Wait {
-                candidate: 0,
-                patience: view.remaining,
-            };
+            return waiting(view, 0);
         };
+        if misses(view, best.candidate) > 0
+            && !view.patience_spent
+            && let Some(position) = fit_later(view)
+        {
+            return waiting(view, position);
+        }
         Choice::Worker {
             candidate: best.position,
             reason: ChoiceReason::FirstToken {
@@ -63,19 +82,42 @@
     PolicyEntry { policy: &FirstToken }
 }
 
+/// Returns the worker without room that is predicted to keep all aims once it has room.
+fn fit_later(view: &ChoiceView<'_>) -> Option<usize> {
+    let candidates = view.candidates.iter().enumerate();
+    let fit = candidates.filter(|(_, candidate)| !candidate.open && misses(view, candidate) == 0);
+    let best = fit.min_by_key(|(_, candidate)| candidate.slot_wait + cost(candidate));
+    best.map(|(position, _)| position)
+}
+
+fn waiting(view: &ChoiceView<'_>, candidate: usize) -> Choice {
+    let aim = view.ask.target.unwrap_or(view.remaining);
+    Choice::Wait {
+        candidate,
+        patience: aim.min(view.remaining) / PATIENCE_DIVISOR,
+    }
+}
+
 /// Returns how many of the caller's aims the worker is predicted to miss.
 fn misses(view: &ChoiceView<'_>, candidate: &WorkerCandidate) -> u8 {
-    let first = view.ask.target.is_some_and(|target| first_token(candidate) > target);
-    let pause = view.ask.pause.is_some_and(|pause| candidate.gap > pause);
-    u8::from(first) + u8::from(pause)
+    let first = candidate.slot_wait + first_token(candidate);
+    let late = view.ask.target.is_some_and(|target| first > target);
+    let halting = view.ask.pause.is_some_and(|pause| candidate.gap > pause);
+    let cut = first + candidate.decode > view.remaining;
+    u8::from(late) + u8::from(halting) + u8::from(cut)
 }
 
 fn first_token(candidate: &WorkerCandidate) -> Duration {
     candidate.backlog + candidate.prefill
 }
 
-/// Returns what a choice costs: the time that it takes and the failures that it risks.
+/// Returns what a choice costs: the time that it takes, the failures that it risks and the way.
 fn cost(candidate: &WorkerCandidate) -> Duration {
     let risk = FAULT_COST * candidate.faults / 1_000;
-    first_token(candidate) + candidate.decode + risk
+    let way = match candidate.distance {
+        PlaceDistance::Datacenter => Duration::ZERO,
+        PlaceDistance::Region => REGION_COST,
+        PlaceDistance::BetweenRegions => FAR_COST,
+    };
+    first_token(candidate) + candidate.decode / DECODE_DIVISOR + risk + way
 }
--- a/kernel/src/policy/view.rs
+++ b/kernel/src/policy/view.rs
@@ -4,6 +4,7 @@
 
 use crate::ask::Ask;
 use crate::ask::LoadReport;
+use crate::place::PlaceDistance;
 
 /// A worker that serves what the request asks for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,6 +47,8 @@
     pub gap: Duration,
     /// The rate at which the worker fails what it runs, in thousandths.
     pub faults: u32,
+    /// How far the worker is from the entry that holds the request.
+    pub distance: PlaceDistance,
 }
 
 impl WorkerCandidate {
--- a/kernel/tests/broker/harness.rs
+++ b/kernel/tests/broker/harness.rs
@@ -60,6 +60,7 @@
                 worker: worker.parse().expect("a valid name"),
                 models: vec![MODEL.parse().expect("a valid name")],
                 max_running: *max_running,
+                place: None,
             })
             .collect();
         self.handle(BrokerEvent::WorkersChanged { workers })
@@ -78,6 +79,7 @@
             pause: None,
             prompt_tokens: 200,
             max_answer_tokens: 40,
+            hinted_tokens: None,
             prefix: Vec::new(),
             suspect: false,
         }
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -17,6 +17,8 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerName;
+use crate::kernel::place::CellSpan;
+use crate::kernel::place::NetworkPlace;
 use crate::wire::CellSummary;
 
 /// The time for which a summary from another data centre is believed.
@@ -42,6 +44,7 @@
 #[derive(Debug)]
 pub struct BrokerTable {
     settings: BrokerSettings,
+    span: CellSpan,
     brokers: BTreeMap<CellId, CellBroker>,
     summaries: BTreeMap<CellId, KnownSummary>,
     leaving: BTreeSet<WorkerName>,
@@ -54,12 +57,18 @@
         let brokers = BTreeMap::new();
         Self {
             settings,
+            span: CellSpan::default(),
             brokers,
             summaries: BTreeMap::new(),
             leaving: BTreeSet::new(),
         }
     }
 
+    /// Sets which data centres share the cells of a service.
+    pub const fn set_span(&mut self, span: CellSpan) {
+        self.span = span;
+    }
+
     /// Hands an event to the broker of a cell, which is started if it does not run yet.
     ///
     /// # Errors
@@ -95,7 +104,7 @@
     ) -> Vec<CellAction> {
         let mut actions = Vec::new();
         for (cell, broker) in &mut self.brokers {
-            let workers = cell_workers(configuration, &self.leaving, cell);
+            let workers = cell_workers(configuration, &self.leaving, self.span, cell);
             actions.extend(wrap(
                 cell,
                 broker.handle(now, BrokerEvent::WorkersChanged { workers }),
@@ -136,6 +145,13 @@
         self.brokers.iter()
     }
 
+    /// Tells the broker of a cell where a host stands.
+    pub fn host_seen(&mut self, cell: &CellId, host: &HostName, place: NetworkPlace) {
+        if let Some(broker) = self.brokers.get_mut(cell) {
+            broker.host_seen(host, place);
+        }
+    }
+
     /// Stops the broker of a cell.
     pub fn stop(&mut self, cell: &CellId) {
         self.brokers.remove(cell);
@@ -189,7 +205,7 @@
             return Ok(Vec::new());
         }
         let mut broker = CellBroker::new(self.settings, now)?;
-        let workers = cell_workers(configuration, &self.leaving, cell);
+        let workers = cell_workers(configuration, &self.leaving, self.span, cell);
         let actions = broker.handle(now, BrokerEvent::WorkersChanged { workers });
         self.brokers.insert(cell.clone(), broker);
         Ok(wrap(cell, actions))
@@ -215,6 +231,7 @@
 pub fn cell_workers(
     configuration: &Configuration,
     leaving: &BTreeSet<WorkerName>,
+    span: CellSpan,
     cell: &CellId,
 ) -> Vec<CellWorker> {
     let Some(service) = configuration.services.get(&cell.service) else {
@@ -222,7 +239,7 @@
     };
     let here = configuration.workers.iter().filter(|(name, spec)| {
         spec.service == cell.service
-            && spec.datacenter == cell.datacenter
+            && *span.home(configuration, &spec.datacenter) == cell.datacenter
             && spec.state == WorkerState::Active
             && !leaving.contains(*name)
     });
@@ -230,6 +247,7 @@
         worker: name.clone(),
         models: service.models.clone(),
         max_running: spec.max_running,
+        place: Some(NetworkPlace::of(configuration, &spec.datacenter)),
     })
     .collect()
 }
--- a/src/cell/roles.rs
+++ b/src/cell/roles.rs
@@ -16,10 +16,12 @@
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::name::DatacenterName;
+use crate::kernel::name::HostName;
 use crate::kernel::name::RegionName;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerName;
+use crate::kernel::place::NetworkPlace;
 use crate::wire::CellSummary;
 use crate::wire::LinkMessage;
 use crate::wire::Referral;
@@ -106,6 +108,19 @@
         }
     }
 
+    /// Tells the broker of a service's cell here where a host stands that asks it.
+    pub(super) fn note_place(&self, service: &ServiceName, host: &HostName) {
+        let Some(datacenter) = self.network.datacenter_of(host) else {
+            return;
+        };
+        let cell = CellId {
+            service: service.clone(),
+            datacenter: self.home(service),
+        };
+        let place = NetworkPlace::of(&self.network.configuration(), &datacenter);
+        self.brokers.borrow_mut().host_seen(&cell, host, place);
+    }
+
     pub(super) fn broker_event(&self, service: ServiceName, event: BrokerEvent) {
         let datacenter = self.home(&service);
         self.cell_event(
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -29,6 +29,7 @@
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 use crate::kernel::pause::PauseDetector;
+use crate::kernel::place::CellSpan;
 use crate::wire::LinkMessage;
 use crate::wire::Referral;
 
@@ -46,6 +47,18 @@
     /// Sends a message; a message that can't be sent is lost and asked for again.
     fn send(&self, host: &HostName, message: LinkMessage);
 
+    /// Returns the host that takes over from the broker of a cell when that one does not answer.
+    fn deputy(&self, cell: &CellId) -> Option<HostName> {
+        let _ = cell;
+        None
+    }
+
+    /// Returns the data centre of a host, if the host is known.
+    fn datacenter_of(&self, host: &HostName) -> Option<DatacenterName> {
+        let _ = host;
+        None
+    }
+
     /// Returns the configuration in force.
     fn configuration(&self) -> Arc<Configuration>;
 }
@@ -54,6 +67,7 @@
 pub struct CellService {
     pub(super) network: Box<dyn CellNetwork>,
     pub(super) clock: ProcessClock,
+    pub(super) span: CellSpan,
     asks: RefCell<AskTable>,
     pub(super) brokers: RefCell<BrokerTable>,
     pauses: RefCell<PauseDetector>,
@@ -79,6 +93,7 @@
         Self {
             network,
             clock,
+            span: CellSpan::default(),
             asks: RefCell::default(),
             brokers: RefCell::new(BrokerTable::new(settings)),
             pauses: RefCell::new(PauseDetector::new(clock.now())),
@@ -86,6 +101,14 @@
         }
     }
 
+    /// Sets which data centres share the cells of a service.
+    #[must_use]
+    pub fn with_span(mut self, span: CellSpan) -> Self {
+        self.span = span;
+        self.brokers.get_mut().set_span(span);
+        self
+    }
+
     /// Asks for a slot until the deadline.
     #[must_use]
     pub fn ask(self: &Rc<Self>, ask: Ask, deadline: ClockTime) -> SlotWait {
@@ -155,6 +178,7 @@
         match message {
             LinkMessage::Ask(ask) => {
                 let service = ask.service.clone();
+                self.note_place(&service, from);
                 let event = BrokerEvent::Asked {
                     host: from.clone(),
                     ask: *ask,
@@ -303,7 +327,9 @@
         let nearest = workers
             .map(|spec| &spec.datacenter)
             .min_by_key(|name| distance(name));
-        nearest.unwrap_or(own).clone()
+        self.span
+            .home(&configuration, nearest.unwrap_or(own))
+            .clone()
     }
 
     fn send_due(&self) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::kernel::broker::BrokerSettings;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::name::HostName;
+use crate::kernel::place::CellSpan;
 use crate::kernel::quarantine::StrikeRegister;
 use crate::link::LinkSet;
 use crate::link::LinkSettings;
@@ -37,6 +38,7 @@
 use crate::member::MemberChange;
 use crate::member::MemberService;
 use crate::member::MemberSettings;
+use crate::member::REMOTE_LINKS;
 use crate::metrics::MetricSet;
 use crate::network::ConfigurationSource;
 use crate::network::HostNetwork;
@@ -110,6 +112,7 @@
     let links = start_links(&settings, incarnation, &log, &slot).await?;
     let member_settings = MemberSettings {
         datacenter: settings.datacenter.clone(),
+        remote_links: REMOTE_LINKS,
         first_peers: settings.peers.clone(),
     };
     let members = MemberService::start(member_settings, Rc::clone(&links), Rc::clone(&source));
@@ -125,6 +128,7 @@
     let network = HostNetwork {
         host: settings.host.clone(),
         datacenter: settings.datacenter.clone(),
+        span: CellSpan::default(),
         links: Rc::clone(&links),
         members: Rc::clone(&members),
         configuration: configuration_of(&keeper),
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -161,6 +161,7 @@
             pause: self.route.max_pause.map(|pause| pause / self.event_tokens.max(1)),
             prompt_tokens: usage.map_or(0, |usage| usage.prompt),
             max_answer_tokens: usage.map_or(0, |usage| usage.answer),
+            hinted_tokens: self.terms.answer_hint,
             prefix: Vec::new(),
             suspect: self.suspect,
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -62,6 +62,10 @@
 /// The time between two looks at whether a stopping host holds something.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
+/// The links to another data centre: to all of its hosts, as each may be the broker of a cell and all
+/// share quotas.
+const ALL_LINKS: usize = usize::MAX;
+
 /// What a gateway host is made of beside its settings.
 pub struct GatewayPlatform {
     /// The names and formats of headers.
@@ -203,6 +207,7 @@
     let source: ClockSource = Rc::new(move || clock.now());
     let member_settings = MemberSettings {
         datacenter: settings.datacenter.clone(),
+        remote_links: ALL_LINKS,
         first_peers: joined.hosts.iter().map(|record| record.link).collect(),
     };
     let members = MemberService::start(member_settings, Rc::clone(&links), source);
@@ -211,6 +216,7 @@
     let network = HostNetwork {
         host: settings.host.clone(),
         datacenter: settings.datacenter.clone(),
+        span: settings.cells,
         links: Rc::clone(&links),
         members: Rc::clone(&members),
         configuration,
@@ -218,7 +224,8 @@
     let broker_settings = BrokerSettings::default()
         .with_incarnation(incarnation)
         .with_policy(FIRST_TOKEN_POLICY);
-    let cells = Rc::new(CellService::new(Box::new(network), clock, broker_settings));
+    let cells = CellService::new(Box::new(network), clock, broker_settings);
+    let cells = Rc::new(cells.with_span(settings.cells));
     let host = Rc::new(GatewayHost::from(GatewayParts {
         settings,
         clock,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -13,6 +13,7 @@
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RegionName;
+use crate::kernel::place::CellSpan;
 use crate::kernel::retry::RetryBounds;
 
 /// The checked settings of a gateway host.
@@ -62,6 +63,9 @@
     pub store: SocketAddr,
     /// The data centres, each with its region.
     pub datacenters: BTreeMap<DatacenterName, RegionName>,
+    /// Which data centres share the cells of a service.
+    #[serde(default)]
+    pub cells: CellSpan,
     /// What the operators promise about the deployment.
     pub bounds: GatewayBounds,
 }
--- a/src/member/dialing.rs
+++ b/src/member/dialing.rs
@@ -14,8 +14,8 @@
 use crate::wire::MemberEntry;
 use crate::wire::MemberList;
 
-/// The links that a host keeps to every other data centre.
-const REMOTE_LINKS: usize = 2;
+/// The links that a host keeps to every other data centre unless its settings say otherwise.
+pub const REMOTE_LINKS: usize = 2;
 
 /// The addresses of another data centre that a host passes on.
 const MAX_HINTS: usize = 3;
@@ -31,6 +31,7 @@
 pub struct PeerDialer {
     datacenter: DatacenterName,
     own_address: SocketAddr,
+    remote_links: usize,
     first_peers: BTreeSet<SocketAddr>,
     unresolved: BTreeSet<SocketAddr>,
     joined: bool,
@@ -46,6 +47,7 @@
         Self {
             datacenter: settings.datacenter.clone(),
             own_address,
+            remote_links: settings.remote_links,
             unresolved: first_peers.clone(),
             first_peers,
             joined: false,
@@ -92,7 +94,7 @@
                 usize::MAX
             } else {
                 let linked = addresses.keys().filter(|host| links.is_connected(host));
-                REMOTE_LINKS.saturating_sub(linked.count())
+                self.remote_links.saturating_sub(linked.count())
             };
             let mut candidates: Vec<(&HostName, &SocketAddr)> = addresses.iter().collect();
             candidates.retain(|(host, address)| {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -11,6 +11,7 @@
 use slog::Logger;
 use tokio::time::sleep;
 
+use crate::cell::CellId;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
@@ -28,6 +29,7 @@
 use crate::wire::LinkMessage;
 use crate::wire::MemberEntry;
 use crate::wire::MemberList;
+pub use dialing::REMOTE_LINKS;
 use dialing::PeerDialer;
 
 pub use crate::kernel::membership::MemberChange;
@@ -51,6 +53,8 @@
     pub datacenter: DatacenterName,
     /// The addresses of the hosts to link to first.
     pub first_peers: Vec<SocketAddr>,
+    /// The links that the host keeps to every other data centre.
+    pub remote_links: usize,
 }
 
 /// Knows the live hosts, tells them that this one is alive and links to them.
@@ -121,6 +125,19 @@
         membership.broker(service, datacenter).cloned()
     }
 
+    /// Returns the broker of a cell and its deputy, among the hosts of the data centres that share
+    /// the cell.
+    #[must_use]
+    pub fn brokers(
+        &self,
+        cell: &CellId,
+        within: impl Fn(&DatacenterName) -> bool,
+    ) -> (Option<HostName>, Option<HostName>) {
+        let membership = self.membership.borrow();
+        let pair = membership.brokers(&cell.service, &cell.datacenter, within);
+        (pair.first.cloned(), pair.deputy.cloned())
+    }
+
     /// Dials a live host to which no link is kept, such as the broker of a far cell.
     pub fn dial(&self, host: &HostName) {
         let membership = self.membership.borrow();
--- a/src/network.rs
+++ b/src/network.rs
@@ -9,6 +9,7 @@
 use crate::kernel::configuration::Configuration;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
+use crate::kernel::place::CellSpan;
 use crate::link::LinkSet;
 use crate::member::MemberService;
 use crate::wire::LinkMessage;
@@ -22,6 +23,8 @@
     pub host: HostName,
     /// The data centre of this host.
     pub datacenter: DatacenterName,
+    /// Which data centres share the cells of a service.
+    pub span: CellSpan,
     /// The links.
     pub links: Rc<LinkSet>,
     /// The other hosts.
@@ -38,6 +41,15 @@
     }
 }
 
+impl HostNetwork {
+    fn brokers(&self, cell: &CellId) -> (Option<HostName>, Option<HostName>) {
+        let configuration = (self.configuration)();
+        self.members.brokers(cell, |datacenter| {
+            *self.span.home(&configuration, datacenter) == cell.datacenter
+        })
+    }
+}
+
 impl CellNetwork for HostNetwork {
     fn host(&self) -> &HostName {
         &self.host
@@ -48,11 +60,19 @@
     }
 
     fn broker(&self, cell: &CellId) -> Option<HostName> {
+        let there = self.brokers(cell).0;
         // Workers of a data centre without hosts are served by the hosts of this one.
-        let there = self.members.broker(&cell.service, &cell.datacenter);
         there.or_else(|| self.members.broker(&cell.service, &self.datacenter))
     }
 
+    fn deputy(&self, cell: &CellId) -> Option<HostName> {
+        self.brokers(cell).1
+    }
+
+    fn datacenter_of(&self, host: &HostName) -> Option<DatacenterName> {
+        self.members.datacenter(host)
+    }
+
     fn send(&self, host: &HostName, message: LinkMessage) {
         if self.links.send(host, message).is_err() {
             // A lost ask is sent again, by then over the link that is dialed here.
--- a/src/request.rs
+++ b/src/request.rs
@@ -61,6 +61,7 @@
             pause: None,
             prompt_tokens: self.incoming.prompt_tokens,
             max_answer_tokens: self.incoming.max_answer_tokens,
+            hinted_tokens: None,
             prefix: self.incoming.prefix.clone(),
             suspect: self.suspect,
         }
--- a/src/wire/work.rs
+++ b/src/wire/work.rs
@@ -57,8 +57,8 @@
     Vec<u32>,
 );
 
-/// Time to the first token in ms, time between two tokens in us.
-pub type AimRow = (Option<u64>, Option<u64>);
+/// Time to the first token in ms, time between two tokens in us, hinted tokens of the answer.
+pub type AimRow = (Option<u64>, Option<u64>, Option<u32>);
 
 /// Request, reason, retry time in ms.
 pub type RefusalRow = (RequestCode, u8, u64);
@@ -166,8 +166,12 @@
 
 fn aims(ask: &Ask) -> Option<AimRow> {
     let micros = |pause: Duration| u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
-    let aims = (ask.target.map(millis), ask.pause.map(micros));
-    (aims != (None, None)).then_some(aims)
+    let aims = (
+        ask.target.map(millis),
+        ask.pause.map(micros),
+        ask.hinted_tokens,
+    );
+    (aims != (None, None, None)).then_some(aims)
 }
 
 impl CodeState {
@@ -195,7 +199,7 @@
     /// Returns the ask of a row.
     pub fn decode_ask(&mut self, row: AskRow) -> Result<Ask, CodecError> {
         let (request, service, model, workspace, tier, budget, prompt, answer, codes, aims) = row;
-        let (target, pause) = aims.unwrap_or_default();
+        let (target, pause, hinted_tokens) = aims.unwrap_or_default();
         let suspect = tier & 1 == 1;
         let tier = u8::try_from(tier >> 1);
         let tier = tier.map_err(|_large| CodecError::Field { field: "tier" })?;
@@ -220,6 +224,7 @@
             pause: pause.map(Duration::from_micros),
             prompt_tokens: prompt,
             max_answer_tokens: answer,
+            hinted_tokens,
             prefix,
             suspect,
         })
--- a/standin/src/experiment/entry.rs
+++ b/standin/src/experiment/entry.rs
@@ -76,6 +76,7 @@
             pause: None,
             prompt_tokens: request.prompt_tokens,
             max_answer_tokens: request.max_answer_tokens,
+            hinted_tokens: None,
             prefix: request.blocks[..blocks].to_vec(),
             suspect: self.verdict(life) == QuarantineVerdict::Suspect,
         };
--- a/standin/src/experiment/worker.rs
+++ b/standin/src/experiment/worker.rs
@@ -65,6 +65,7 @@
             worker: worker.name.clone(),
             models: vec![self.model.clone()],
             max_running: worker.max_running,
+            place: None,
         })
         .collect()
     }
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -158,6 +158,7 @@
         pause: None,
         prompt_tokens: 64,
         max_answer_tokens: 16,
+        hinted_tokens: None,
         prefix: Vec::new(),
         suspect: false,
     };
--- a/tests/keeper.rs
+++ b/tests/keeper.rs
@@ -80,6 +80,7 @@
         let members = MemberService::start(
             MemberSettings {
                 datacenter: datacenter(place),
+                remote_links: borageladder::member::REMOTE_LINKS,
                 first_peers: peers.to_vec(),
             },
             Rc::clone(&links),
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -73,6 +73,7 @@
         pause: None,
         prompt_tokens: 3_000,
         max_answer_tokens: 1_200,
+        hinted_tokens: None,
         prefix: vec![
             BlockDigest(0xfedc_ba98_7654_3210),
             BlockDigest(0xa5a5_5a5a_0f0f_f0f0),
