Keep a deputy of each broker warm, and ask it when the broker is silent

Change: entries report to the broker and to its deputy, the next host by rendezvous hashing; a broker says at once when a request has to wait; an entry that hears nothing for 150 ms asks the deputy too, and withdraws from the other when one grants. Entries declare what they run every 2 s, since a lost report kept a slot taken. A broker that takes over waits 100 ms for declarations on the gateway.

Ruled out: a share of every worker for each entry: shares of ten slots among eight hosts lose most of the gain of one queue. Shorter heartbeats: a host that stalls for its share of the processor would be declared dead.

--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -20,6 +20,13 @@
 /// The time after which an unanswered ask is sent again.
 pub const REASK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time without any answer after which a broker's deputy is asked too: a few round trips between
+/// regions, and longer than a host is held up by its share of the processor.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(150);
+
+/// The time for which a broker that gave no answer is not relied on.
+const SUSPICION_TIME: Duration = Duration::from_secs(1);
+
 /// The time after which a caller may come back when no broker answered.
 const NO_BROKER_RETRY: Duration = Duration::from_secs(2);
 
@@ -40,6 +47,7 @@
     visited: Vec<DatacenterName>,
     deadline: ClockTime,
     sent: Option<SentAsk>,
+    deputy: Option<HostName>,
     sender: oneshot::Sender<SlotAnswer>,
 }
 
@@ -47,6 +55,26 @@
 struct SentAsk {
     host: HostName,
     at: ClockTime,
+    /// Whether the broker said that the request waits.
+    heard: bool,
+}
+
+/// The hosts that grant slots of a cell.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CellBrokers {
+    /// The broker.
+    pub first: Option<HostName>,
+    /// The host that is asked when the broker does not answer.
+    pub deputy: Option<HostName>,
+}
+
+/// A request that a broker is told to forget.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OutgoingWithdrawal {
+    /// The host of the broker.
+    pub host: HostName,
+    /// The cell.
+    pub cell: CellId,
 }
 
 /// A dispatched or granted request and the cell that granted it.
@@ -70,6 +98,7 @@
 pub struct AskTable {
     pending: BTreeMap<RequestId, PendingAsk>,
     held: BTreeMap<RequestId, HeldSlot>,
+    suspects: BTreeMap<HostName, ClockTime>,
 }
 
 impl AskTable {
@@ -88,52 +117,81 @@
             visited,
             deadline,
             sent: None,
+            deputy: None,
             sender,
         };
         self.pending.insert(pending.ask.request, pending);
         receiver
     }
 
-    /// Removes an ask and returns the host of the broker that knows of it.
-    pub fn close(&mut self, request: RequestId) -> Option<(CellId, HostName)> {
-        let pending = self.pending.remove(&request)?;
-        Some((pending.cell, pending.sent?.host))
+    /// Removes an ask and returns the brokers that know of it.
+    pub fn close(&mut self, request: RequestId) -> Vec<OutgoingWithdrawal> {
+        let pending = self.pending.remove(&request);
+        pending.map_or_else(Vec::new, |pending| pending.withdrawals(None))
     }
 
-    /// Returns the cell and the host of the broker that knows of an ask.
+    /// Returns the brokers that know of an ask.
     #[must_use]
-    pub fn sent_to(&self, request: RequestId) -> Option<(CellId, HostName)> {
-        let pending = self.pending.get(&request)?;
-        let sent = pending.sent.as_ref()?;
-        Some((pending.cell.clone(), sent.host.clone()))
+    pub fn sent_to(&self, request: RequestId) -> Vec<OutgoingWithdrawal> {
+        let pending = self.pending.get(&request);
+        pending.map_or_else(Vec::new, |pending| pending.withdrawals(None))
     }
 
-    /// Returns the asks to send now: those that were never sent, whose broker changed or that have
-    /// had no answer for `REASK_INTERVAL`.
-    pub fn due<F>(&mut self, now: ClockTime, broker_of: F) -> Vec<OutgoingAsk>
+    /// Returns the asks to send now: to the broker those that were never sent, whose broker changed or
+    /// that have had no answer for `REASK_INTERVAL`; to the deputy those on which the broker was
+    /// silent for `SILENCE_LIMIT`, and all while the broker is suspected.
+    pub fn due<F>(&mut self, now: ClockTime, brokers_of: F) -> Vec<OutgoingAsk>
     where
-        F: Fn(&CellId) -> Option<HostName>,
+        F: Fn(&CellId) -> CellBrokers,
     {
         let mut outgoing = Vec::new();
+        self.suspects.retain(|_, until| now < *until);
         for pending in self.pending.values_mut() {
-            let Some(host) = broker_of(&pending.cell) else {
+            let brokers = brokers_of(&pending.cell);
+            let Some(first) = brokers.first else {
                 continue;
             };
-            if !pending.is_due(now, &host) {
-                continue;
+            if pending.is_due(now, &first) {
+                let sent = SentAsk {
+                    host: first.clone(),
+                    at: now,
+                    heard: false,
+                };
+                pending.sent = Some(sent);
+                pending.deputy = None;
+                outgoing.push(pending.outgoing(now, &first));
+            }
+            if pending.is_silent(now) {
+                self.suspects.insert(first.clone(), now + SUSPICION_TIME);
+            }
+            let suspected = pending.deputy.is_none()
+                && !pending.is_heard()
+                && self.suspects.contains_key(&first);
+            if suspected && let Some(deputy) = brokers.deputy {
+                outgoing.push(pending.outgoing(now, &deputy));
+                pending.deputy = Some(deputy);
             }
-            pending.sent = Some(SentAsk {
-                host: host.clone(),
-                at: now,
-            });
-            outgoing.push(OutgoingAsk {
-                host,
-                ask: pending.with_budget(now),
-            });
         }
         outgoing
     }
 
+    /// Notes that a broker answered that a request waits.
+    pub fn heard(&mut self, from: &HostName, request: RequestId) {
+        self.suspects.remove(from);
+        let pending = self.pending.get_mut(&request);
+        let sent = pending.and_then(|pending| pending.sent.as_mut());
+        if let Some(sent) = sent.filter(|sent| sent.host == *from) {
+            sent.heard = true;
+        }
+    }
+
+    /// Returns the brokers other than `from` that are to forget a request, since that one answered.
+    #[must_use]
+    pub fn others(&self, from: &HostName, request: RequestId) -> Vec<OutgoingWithdrawal> {
+        let pending = self.pending.get(&request);
+        pending.map_or_else(Vec::new, |pending| pending.withdrawals(Some(from)))
+    }
+
     /// Returns the requests whose deadline has passed and answers them with a refusal.
     pub fn expire(&mut self, now: ClockTime) -> Vec<RequestId> {
         let is_late = |pending: &PendingAsk| now >= pending.deadline;
@@ -194,6 +252,7 @@
         pending.visited.push(datacenter.clone());
         pending.cell.datacenter = datacenter.clone();
         pending.sent = None;
+        pending.deputy = None;
         true
     }
 
@@ -243,6 +302,33 @@
         }
     }
 
+    fn is_heard(&self) -> bool {
+        self.sent.as_ref().is_some_and(|sent| sent.heard)
+    }
+
+    fn is_silent(&self, now: ClockTime) -> bool {
+        let sent = self.sent.as_ref();
+        sent.is_some_and(|sent| !sent.heard && now.since(sent.at) >= SILENCE_LIMIT)
+    }
+
+    fn outgoing(&self, now: ClockTime, host: &HostName) -> OutgoingAsk {
+        OutgoingAsk {
+            host: host.clone(),
+            ask: self.with_budget(now),
+        }
+    }
+
+    fn withdrawals(&self, except: Option<&HostName>) -> Vec<OutgoingWithdrawal> {
+        let first = self.sent.as_ref().map(|sent| &sent.host);
+        let hosts = first.into_iter().chain(&self.deputy);
+        let hosts = hosts.filter(|host| Some(*host) != except);
+        let withdrawal = |host: &HostName| OutgoingWithdrawal {
+            host: host.clone(),
+            cell: self.cell.clone(),
+        };
+        hosts.map(withdrawal).collect()
+    }
+
     fn with_budget(&self, now: ClockTime) -> Ask {
         Ask {
             budget: self.deadline.since(now),
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -15,6 +15,7 @@
 use crate::kernel::configuration::Configuration;
 use crate::kernel::configuration::WorkerState;
 use crate::kernel::name::HostName;
+use crate::kernel::name::RequestId;
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerName;
 use crate::kernel::place::CellSpan;
@@ -33,6 +34,17 @@
     pub action: BrokerAction,
 }
 
+impl CellAction {
+    /// Returns the request that the action answers.
+    #[must_use]
+    pub const fn request(&self) -> RequestId {
+        match &self.action {
+            BrokerAction::Grant { grant, .. } => grant.request,
+            BrokerAction::Refuse { refusal, .. } => refusal.request,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct KnownSummary {
     summary: CellSummary,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -12,7 +12,9 @@
 mod ticker;
 
 pub use self::asks::AskTable;
+pub use self::asks::CellBrokers;
 pub use self::asks::CellId;
+pub use self::asks::OutgoingWithdrawal;
 pub use self::brokers::BrokerTable;
 pub use self::service::CellNetwork;
 pub use self::service::CellService;
--- a/src/cell/roles.rs
+++ b/src/cell/roles.rs
@@ -18,6 +18,7 @@
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RegionName;
+use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerName;
@@ -29,9 +30,10 @@
 impl CellService {
     /// Stops the brokers of cells whose role has gone to another host; entries ask that one again.
     pub(super) fn retire_brokers(&self) {
+        let own = Some(self.network.host().clone());
         for cell in self.own_cells() {
-            let broker = self.network.broker(&cell);
-            if broker.is_some_and(|host| host != *self.network.host()) {
+            let brokers = self.brokers_of(&cell);
+            if brokers.first.is_some() && brokers.first != own && brokers.deputy != own {
                 self.brokers.borrow_mut().stop(&cell);
             }
         }
@@ -121,7 +123,8 @@
         self.brokers.borrow_mut().host_seen(&cell, host, place);
     }
 
-    pub(super) fn broker_event(&self, service: ServiceName, event: BrokerEvent) {
+    /// Hands an event to the broker of a service's cell here; returns the requests that it answered.
+    pub(super) fn broker_event(&self, service: ServiceName, event: BrokerEvent) -> Vec<RequestId> {
         let datacenter = self.home(&service);
         self.cell_event(
             &CellId {
@@ -129,10 +132,10 @@
                 datacenter,
             },
             event,
-        );
+        )
     }
 
-    fn cell_event(&self, cell: &CellId, event: BrokerEvent) {
+    fn cell_event(&self, cell: &CellId, event: BrokerEvent) -> Vec<RequestId> {
         let configuration = self.network.configuration();
         let now = self.clock.now();
         let handled = self
@@ -140,7 +143,10 @@
             .borrow_mut()
             .handle(now, cell, event, &configuration);
         // The policy's name was checked when the settings were read.
-        self.act(handled.unwrap_or_default());
+        let actions = handled.unwrap_or_default();
+        let answered = actions.iter().map(CellAction::request).collect();
+        self.act(actions);
+        answered
     }
 
     pub(super) fn act(&self, actions: Vec<CellAction>) {
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -1,13 +1,17 @@
 //! The cells of this host, joined with the other hosts.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::asks::AskTable;
+use super::asks::CellBrokers;
 use super::asks::CellId;
+use super::asks::OutgoingWithdrawal;
 use super::asks::REASK_INTERVAL;
 use super::brokers::BrokerTable;
 use super::roles::region_of;
@@ -33,6 +37,9 @@
 use crate::wire::LinkMessage;
 use crate::wire::Referral;
 
+/// The time after which an entry declares again what it runs.
+const DECLARE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// What the cells need of the other hosts.
 pub trait CellNetwork {
     /// Returns the name of this host.
@@ -72,6 +79,7 @@
     pub(super) brokers: RefCell<BrokerTable>,
     pauses: RefCell<PauseDetector>,
     known_brokers: RefCell<Vec<(CellId, HostName)>>,
+    declared: Cell<ClockTime>,
 }
 
 impl fmt::Debug for CellService {
@@ -98,6 +106,7 @@
             brokers: RefCell::new(BrokerTable::new(settings)),
             pauses: RefCell::new(PauseDetector::new(clock.now())),
             known_brokers: RefCell::default(),
+            declared: Cell::new(clock.now()),
         }
     }
 
@@ -126,29 +135,29 @@
     /// Withdraws an ask that nobody waits for any more.
     pub fn withdraw(&self, request: RequestId) {
         let closed = self.asks.borrow_mut().close(request);
-        if let Some((cell, host)) = closed {
-            self.network.send(
-                &host,
-                LinkMessage::Withdraw {
-                    service: cell.service,
-                    request,
-                },
-            );
+        self.send_withdrawals(request, closed);
+    }
+
+    fn send_withdrawals(&self, request: RequestId, withdrawals: Vec<OutgoingWithdrawal>) {
+        for withdrawal in withdrawals {
+            let service = withdrawal.cell.service;
+            self.network
+                .send(&withdrawal.host, LinkMessage::Withdraw { service, request });
         }
     }
 
-    /// Sends a report to the broker of the cell that granted the slot.
+    /// Sends a report to the broker of the cell that granted the slot, and to its deputy.
     pub fn report(&self, report: WorkReport) {
         let cell = self.asks.borrow().held_cell(report.request).cloned();
         let Some(cell) = cell else { return };
-        if let Some(host) = self.network.broker(&cell) {
-            self.network.send(
-                &host,
-                LinkMessage::Report {
-                    service: cell.service,
-                    report,
-                },
-            );
+        // The deputy hears everything too, so that it can grant at once when the broker is silent.
+        let brokers = self.brokers_of(&cell);
+        for host in brokers.first.iter().chain(&brokers.deputy) {
+            let message = LinkMessage::Report {
+                service: cell.service.clone(),
+                report: report.clone(),
+            };
+            self.network.send(host, message);
         }
     }
 
@@ -165,10 +174,8 @@
             .asks
             .borrow_mut()
             .answer(request, SlotAnswer::Refused(refusal));
-        if let (true, Some((cell, host))) = (waited, sent) {
-            let service = cell.service;
-            self.network
-                .send(&host, LinkMessage::Withdraw { service, request });
+        if waited {
+            self.send_withdrawals(request, sent);
         }
         waited
     }
@@ -176,15 +183,7 @@
     /// Handles a message from another host or from this one.
     pub fn receive(self: &Rc<Self>, from: &HostName, message: LinkMessage) {
         match message {
-            LinkMessage::Ask(ask) => {
-                let service = ask.service.clone();
-                self.note_place(&service, from);
-                let event = BrokerEvent::Asked {
-                    host: from.clone(),
-                    ask: *ask,
-                };
-                self.broker_event(service, event);
-            }
+            LinkMessage::Ask(ask) => self.asked(from, *ask),
             LinkMessage::Withdraw { service, request } => {
                 self.broker_event(
                     service,
@@ -213,12 +212,8 @@
                 );
             }
             LinkMessage::Grant(grant) => self.granted(from, grant),
-            LinkMessage::Refuse(refusal) => {
-                let request = refusal.request;
-                self.asks
-                    .borrow_mut()
-                    .answer(request, SlotAnswer::Refused(refusal));
-            }
+            LinkMessage::Refuse(refusal) => self.refused(from, refusal),
+            LinkMessage::Waiting(request) => self.asks.borrow_mut().heard(from, request),
             LinkMessage::Refer(referral) => self.referred(&referral),
             LinkMessage::Summary(summary) => {
                 self.brokers
@@ -237,7 +232,7 @@
         let actions = self.brokers.borrow_mut().tick(now);
         self.act(actions);
         self.asks.borrow_mut().expire(now);
-        self.declare_to_new_brokers();
+        self.declare_running();
         self.send_due();
     }
 
@@ -255,10 +250,32 @@
             .borrow_mut()
             .handle_all(self.clock.now(), &event);
         self.act(actions);
-        self.declare_to_new_brokers();
+        self.declare_running();
         self.send_due();
     }
 
+    /// Hands an ask to the broker here, and tells its entry if it has to wait.
+    fn asked(&self, from: &HostName, ask: Ask) {
+        let service = ask.service.clone();
+        let request = ask.request;
+        self.note_place(&service, from);
+        let host = from.clone();
+        let answered = self.broker_event(service, BrokerEvent::Asked { host, ask });
+        if !answered.contains(&request) {
+            self.network.send(from, LinkMessage::Waiting(request));
+        }
+    }
+
+    fn refused(&self, from: &HostName, refusal: Refusal) {
+        let request = refusal.request;
+        let others = self.asks.borrow().others(from, request);
+        self.asks.borrow_mut().heard(from, request);
+        self.asks
+            .borrow_mut()
+            .answer(request, SlotAnswer::Refused(refusal));
+        self.send_withdrawals(request, others);
+    }
+
     fn granted(&self, from: &HostName, grant: Grant) {
         let now = self.clock.now();
         // After a pause the grant may be older than it looks; the ask is sent again later.
@@ -267,7 +284,10 @@
             grant: grant.clone(),
             received: now,
         };
+        let others = self.asks.borrow().others(from, grant.request);
+        self.asks.borrow_mut().heard(from, grant.request);
         if !stale && self.asks.borrow_mut().answer(grant.request, answer) {
+            self.send_withdrawals(grant.request, others);
             return;
         }
         if !self.asks.borrow().holds(&grant) {
@@ -335,37 +355,48 @@
     fn send_due(&self) {
         let now = self.clock.now();
         // Many asks share a cell, and the hash over the members is the dearest step here.
-        let known: RefCell<BTreeMap<CellId, Option<HostName>>> = RefCell::default();
-        let broker_of = |cell: &CellId| {
+        let known: RefCell<BTreeMap<CellId, CellBrokers>> = RefCell::default();
+        let brokers_of = |cell: &CellId| {
             let mut known = known.borrow_mut();
-            if let Some(host) = known.get(cell) {
-                return host.clone();
+            if let Some(brokers) = known.get(cell) {
+                return brokers.clone();
             }
-            let host = self.network.broker(cell);
-            known.insert(cell.clone(), host.clone());
-            host
+            let brokers = self.brokers_of(cell);
+            known.insert(cell.clone(), brokers.clone());
+            brokers
         };
-        let due = self.asks.borrow_mut().due(now, broker_of);
+        let due = self.asks.borrow_mut().due(now, brokers_of);
         for outgoing in due {
             self.network
                 .send(&outgoing.host, LinkMessage::Ask(Box::new(outgoing.ask)));
         }
     }
 
-    /// Tells a broker that has just taken over a cell what this entry runs there.
-    fn declare_to_new_brokers(&self) {
+    pub(super) fn brokers_of(&self, cell: &CellId) -> CellBrokers {
+        CellBrokers {
+            first: self.network.broker(cell),
+            deputy: self.network.deputy(cell),
+        }
+    }
+
+    /// Tells brokers that have just taken over a cell what this entry runs there, and all brokers now
+    /// and then, since a report may have been lost.
+    fn declare_running(&self) {
+        let now = self.clock.now();
         let cells = self.asks.borrow().cells();
-        let broker_of = |cell: CellId| {
-            let host = self.network.broker(&cell)?;
-            Some((cell, host))
-        };
-        let current: Vec<(CellId, HostName)> = cells.into_iter().filter_map(broker_of).collect();
+        let mut current = Vec::new();
+        for cell in cells {
+            let brokers = self.brokers_of(&cell);
+            let hosts = brokers.first.into_iter().chain(brokers.deputy);
+            current.extend(hosts.map(|host| (cell.clone(), host)));
+        }
+        let known = std::mem::take(&mut *self.known_brokers.borrow_mut());
+        let all = now.since(self.declared.get()) >= DECLARE_INTERVAL;
+        if all {
+            self.declared.set(now);
+        }
         for (cell, host) in &current {
-            let known = self
-                .known_brokers
-                .borrow()
-                .contains(&(cell.clone(), host.clone()));
-            if !known {
+            if all || !known.contains(&(cell.clone(), host.clone())) {
                 let running = self.asks.borrow().running(cell);
                 let service = cell.service.clone();
                 self.network
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -66,6 +66,9 @@
 /// share quotas.
 const ALL_LINKS: usize = usize::MAX;
 
+/// The time in which the entries declare what they run to a broker that takes over.
+const TAKEOVER_TIME: Duration = Duration::from_millis(100);
+
 /// What a gateway host is made of beside its settings.
 pub struct GatewayPlatform {
     /// The names and formats of headers.
@@ -223,7 +226,8 @@
     };
     let broker_settings = BrokerSettings::default()
         .with_incarnation(incarnation)
-        .with_policy(FIRST_TOKEN_POLICY);
+        .with_policy(FIRST_TOKEN_POLICY)
+        .with_takeover_time(TAKEOVER_TIME);
     let cells = CellService::new(Box::new(network), clock, broker_settings);
     let cells = Rc::new(cells.with_span(settings.cells));
     let host = Rc::new(GatewayHost::from(GatewayParts {
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -13,6 +13,7 @@
 use super::error::CodecError;
 use super::state::CodeState;
 use super::state::LinkIncarnations;
+use super::state::RequestOwner;
 use super::work::ProgressKind;
 use crate::kernel::name::WorkspaceName;
 
@@ -45,6 +46,7 @@
 const REPORT: u8 = 16;
 
 const USAGE: u8 = 32;
+const WAITING: u8 = 33;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -138,6 +140,10 @@
                 write(frame, CONFIGURATION_WANTED, version)
             }
             LinkMessage::Strike { digest, strikes } => write(frame, STRIKE, &(digest, strikes)),
+            LinkMessage::Waiting(request) => {
+                let code = state.encode_request(*request, RequestOwner::Receiver);
+                write(frame, WAITING, &code)
+            }
             LinkMessage::Usage(uses) => {
                 let row: Vec<(&str, f64)> = uses
                     .iter()
@@ -213,6 +219,10 @@
                 let (digest, strikes) = read(rest, limit)?;
                 LinkMessage::Strike { digest, strikes }
             }
+            WAITING => {
+                let code = read(rest, limit)?;
+                LinkMessage::Waiting(state.decode_request(&code, RequestOwner::Receiver))
+            }
             USAGE => {
                 let row: Vec<(WorkspaceName, f64)> = read(rest, limit)?;
                 let used = |(workspace, units)| WorkspaceUse { workspace, units };
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -87,6 +87,8 @@
         /// How many crashes the sender knows of.
         strikes: u8,
     },
+    /// The sender's broker has no slot yet for the receiver's request, which waits.
+    Waiting(RequestId),
     /// What the sender's callers have used of their workspaces' quotas since its last such message.
     Usage(Vec<WorkspaceUse>),
     /// The sender runs an operator's query and wants the receiver's rows.
