Read answers without a length until their connection ends

The codec of actix-http gives an answer that states neither a length nor chunks no body, and such answers passed as whole.

Ruled out: a reset taken for an orderly end; no connection of such an answer was ever read to its end.

--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -197,17 +197,16 @@
 
 fn framing_of(codec: &ClientCodec, head: &ResponseHead) -> AnswerFraming {
     let headers = head.headers();
+    let framed = headers.contains_key(header::TRANSFER_ENCODING)
+        || headers.contains_key(header::CONTENT_LENGTH);
     let bodiless = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
     );
     // The codec has no body to decode where the head states a length of zero.
-    if bodiless || codec.message_type() == MessageType::None {
-        return AnswerFraming::Empty;
-    }
-    let framed = headers.contains_key(header::TRANSFER_ENCODING)
-        || headers.contains_key(header::CONTENT_LENGTH);
-    if framed {
+    if bodiless || (framed && codec.message_type() == MessageType::None) {
+        AnswerFraming::Empty
+    } else if framed {
         AnswerFraming::Framed
     } else {
         AnswerFraming::UntilClose
@@ -256,24 +255,34 @@
     ///
     /// Returns an error if the body is cut.
     pub async fn next(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        if self.framing == AnswerFraming::UntilClose {
+            return self.next_unframed().await;
+        }
         while !self.done {
             let item = self.codec.decode(&mut self.connection.received);
             match item.map_err(AnswerError::Body)? {
                 Some(Some(bytes)) if bytes.is_empty() => (),
                 Some(Some(bytes)) => return Ok(Some(bytes)),
                 Some(None) => self.done = true,
-                None => match self.connection.read_more().await {
-                    Ok(()) => (),
-                    Err(AnswerError::Ended) if self.framing == AnswerFraming::UntilClose => {
-                        self.done = true;
-                    }
-                    Err(error) => return Err(error),
-                },
+                None => self.connection.read_more().await?,
             }
         }
         Ok(None)
     }
 
+    /// Reads on until the connection ends; one that is reset cuts the body.
+    async fn next_unframed(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        while !self.done && self.connection.received.is_empty() {
+            match self.connection.read_more().await {
+                Ok(()) => (),
+                Err(AnswerError::Ended) => self.done = true,
+                Err(error) => return Err(error),
+            }
+        }
+        let bytes = self.connection.received.split().freeze();
+        Ok((!bytes.is_empty()).then_some(bytes))
+    }
+
     /// Returns the connection for a further request if the answer is whole and nothing follows it.
     #[must_use]
     pub fn into_connection(self) -> Option<WorkerConnection> {
