Refuse at once what can't start within its aim, and place by the workspace's priority first

The wait of lower tiers was predicted as if no higher tier arrived meanwhile.

Change: the policy bounds the wait by the time until the first token is due; the prediction leaves lower tiers what the arriving work of higher ones does not take; a tier is the workspace's priority, then the route's.

Ruled out: holding late requests for a free slot: in a burst each takes one from a request in time.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -16,6 +16,7 @@
 use crate::name::GrantId;
 use crate::name::HostName;
 use crate::name::RequestId;
+use crate::name::TierRank;
 use crate::prefix::BLOCK_TOKENS;
 use crate::queue::QueueKey;
 
@@ -28,6 +29,9 @@
     pub quickest: Duration,
 }
 
+/// The part of the slots that a tier is taken to get however much arrives above it.
+const LEFT_SHARE: f64 = 0.05;
+
 impl CellBroker {
     pub(super) fn asked(
         &mut self,
@@ -120,10 +124,14 @@
         let deadline = now + ask.budget;
         let key = QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals);
         let estimate = self.service_estimate(lane, &ask);
+        self.workers.lanes[lane]
+            .load
+            .arrived(now, ask.tier, estimate.work);
         if self.policy.refuses_early() && self.taken_over {
-            let needed = self.predicted_wait(lane, &key) + estimate.quickest;
-            if needed > ask.budget {
-                let excess = needed.saturating_sub(ask.budget);
+            let wait = self.predicted_wait(now, lane, &key);
+            let most = self.longest_wait(&ask, ask.budget, estimate.quickest);
+            if wait > most || estimate.quickest > ask.budget {
+                let excess = wait.saturating_sub(most);
                 Self::refuse_ask(host, &ask, RefusalReason::Deadline, excess, actions);
                 return;
             }
@@ -140,7 +148,7 @@
             key,
             since: now,
             deadline,
-            latest_start: self.latest_start(now, ask.budget, estimate.quickest),
+            latest_start: now + self.longest_wait(&ask, ask.budget, estimate.quickest),
             work: estimate.work,
             place,
             patient_until: None,
@@ -152,12 +160,16 @@
         self.shed_excess(now, actions);
     }
 
-    fn latest_start(&self, now: ClockTime, budget: Duration, quickest: Duration) -> ClockTime {
-        if self.policy.refuses_early() {
-            now + budget.saturating_sub(quickest)
-        } else {
-            now + budget
+    /// Returns the longest time that a request may wait for a slot, with the time that was left when
+    /// it arrived.
+    pub(super) fn longest_wait(&self, ask: &Ask, budget: Duration, quickest: Duration) -> Duration {
+        if !self.policy.refuses_early() {
+            return budget;
         }
+        let by_deadline = budget.saturating_sub(quickest);
+        let aim = ask.target.zip(self.policy.wait_percent());
+        let by_aim = aim.map(|(target, percent)| target * percent / 100);
+        by_aim.map_or(by_deadline, |by_aim| by_aim.min(by_deadline))
     }
 
     /// Returns whether a worker may serve the lane.
@@ -201,19 +213,35 @@
     }
 
     /// Returns the predicted time until a request with the key gets a slot.
-    pub(super) fn predicted_wait(&self, lane: usize, key: &QueueKey) -> Duration {
-        let lane = &self.workers.lanes[lane];
-        if lane.slots == 0 {
-            return Duration::ZERO;
-        }
-        lane.tally.before(key) / lane.slots
+    ///
+    /// Work of higher tiers that arrives meanwhile goes first, so only what it leaves counts.
+    pub(super) fn predicted_wait(&self, now: ClockTime, lane: usize, key: &QueueKey) -> Duration {
+        let slots = self.left_slots(now, lane, key.tier);
+        let before = self.workers.lanes[lane].tally.before(key);
+        before.div_f64(slots)
     }
 
     /// Returns the predicted time until a request that waits gets a slot.
-    pub(super) fn remaining_wait(&self, record: &WaitingRecord) -> Duration {
-        let slots = self.workers.lanes[record.lane].slots.max(1);
-        let wait = self.predicted_wait(record.lane, &record.key);
-        wait.saturating_sub(record.work / slots)
+    pub(super) fn remaining_wait(&self, now: ClockTime, record: &WaitingRecord) -> Duration {
+        let slots = self.left_slots(now, record.lane, record.key.tier);
+        let wait = self.predicted_wait(now, record.lane, &record.key);
+        wait.saturating_sub(record.work.div_f64(slots))
+    }
+
+    /// Returns the slots that higher tiers leave to a tier, and a few in any case.
+    fn left_slots(&self, now: ClockTime, lane: usize, tier: TierRank) -> f64 {
+        let lane = &self.workers.lanes[lane];
+        if lane.slots == 0 {
+            // Nothing is predicted while no worker is known.
+            return f64::INFINITY;
+        }
+        let slots = f64::from(lane.slots);
+        let above = if self.policy.wait_percent().is_some() {
+            lane.load.above(now, tier)
+        } else {
+            0.0
+        };
+        (slots - above).max(slots * LEFT_SHARE)
     }
 
     /// Returns the identifier of the next grant.
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -7,6 +7,7 @@
 use super::workers::WorkerRecord;
 use crate::clock::ClockTime;
 use crate::estimate::WorkerSpeed;
+use crate::load::ArrivalLoad;
 use crate::name::BlockDigest;
 use crate::name::ModelName;
 use crate::prefix::mixed;
@@ -43,6 +44,7 @@
     /// The worker that is kept free for a suspect.
     pub reserved: Option<usize>,
     pub tally: WorkTally,
+    pub load: ArrivalLoad,
     /// The workers on a hash ring, at several points each.
     pub ring: BTreeMap<u64, usize>,
 }
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -241,7 +241,7 @@
         }
         let deadline = now + ask.budget;
         let key = QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals);
-        Some(self.predicted_wait(lane, &key) + self.service_estimate(lane, ask).quickest)
+        Some(self.predicted_wait(now, lane, &key) + self.service_estimate(lane, ask).quickest)
     }
 
     fn waiting_view<'a>(&'a self, record: &'a WaitingRecord) -> WaitingView<'a> {
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -59,7 +59,7 @@
         let Some(record) = self.waiting.get(request) else {
             return i64::MAX;
         };
-        let start = now + self.remaining_wait(record);
+        let start = now + self.remaining_wait(now, record);
         signed(record.latest_start) - signed(start)
     }
 
@@ -87,7 +87,7 @@
         };
         let quickest = self.service_estimate(record.lane, &record.ask).quickest;
         let budget = record.deadline.since(record.since);
-        let latest_start = record.since + budget.saturating_sub(quickest);
+        let latest_start = record.since + self.longest_wait(&record.ask, budget, quickest);
         self.waiting.set_latest_start(request, latest_start);
     }
 
@@ -151,7 +151,7 @@
 
     /// Returns the time until the work before a request is done.
     fn lateness(&self, now: ClockTime, record: &WaitingRecord) -> Duration {
-        let start = now + self.predicted_wait(record.lane, &record.key);
+        let start = now + self.predicted_wait(now, record.lane, &record.key);
         start.since(record.latest_start).max(start.since(now))
     }
 }
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod freshness;
 pub mod lifecycle;
 pub mod limit;
+pub mod load;
 pub mod membership;
 pub mod name;
 pub mod pause;
--- /dev/null
+++ b/kernel/src/load.rs
@@ -0,0 +1,65 @@
+//! How much work arrives in each tier, to predict what a lower tier is left with.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::ClockTime;
+use crate::name::TierRank;
+
+/// The time over which arriving work is averaged.
+const AVERAGE_TIME: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Copy, Debug)]
+struct TierLoad {
+    /// The mean of the slots that arriving work keeps taken.
+    slots: f64,
+    updated: ClockTime,
+}
+
+impl TierLoad {
+    fn at(&self, now: ClockTime) -> f64 {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.slots * (-elapsed / AVERAGE_TIME.as_secs_f64()).exp()
+    }
+}
+
+/// The mean slots that the arriving work of each tier keeps taken.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use borageladder_kernel::clock::ClockTime;
+/// use borageladder_kernel::load::ArrivalLoad;
+/// use borageladder_kernel::name::TierRank;
+///
+/// let mut load = ArrivalLoad::default();
+/// load.arrived(ClockTime::ZERO, TierRank(0), Duration::from_secs(2));
+/// assert!(load.above(ClockTime::ZERO, TierRank(1)) > 0.9);
+/// assert!(load.above(ClockTime::ZERO, TierRank(0)) < 0.1);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ArrivalLoad {
+    tiers: BTreeMap<TierRank, TierLoad>,
+}
+
+impl ArrivalLoad {
+    /// Counts work that arrived.
+    pub fn arrived(&mut self, now: ClockTime, tier: TierRank, work: Duration) {
+        let load = self.tiers.entry(tier).or_insert(TierLoad {
+            slots: 0.0,
+            updated: now,
+        });
+        let added = work.as_secs_f64() / AVERAGE_TIME.as_secs_f64();
+        load.slots = load.at(now) + added;
+        load.updated = now;
+    }
+
+    /// Returns the slots that the work of all higher tiers keeps taken.
+    #[must_use]
+    pub fn above(&self, now: ClockTime, tier: TierRank) -> f64 {
+        let higher = self.tiers.range(..tier);
+        higher.map(|(_, load)| load.at(now)).sum()
+    }
+}
--- a/kernel/src/policy/first_token.rs
+++ b/kernel/src/policy/first_token.rs
@@ -36,6 +36,10 @@
 /// The part of the time to the first token that a request waits for a fit worker, as a divisor.
 const PATIENCE_DIVISOR: u32 = 2;
 
+/// The longest wait as a part of the time until the first token is due, in percent: a later answer is
+/// of little use, and takes the slot of one that would be in time.
+const WAIT_PERCENT: u32 = 100;
+
 struct FirstToken;
 
 impl WorkerPolicy for FirstToken {
@@ -51,6 +55,10 @@
         CandidateScope::All
     }
 
+    fn wait_percent(&self) -> Option<u32> {
+        Some(WAIT_PERCENT)
+    }
+
     fn straggler_factor(&self) -> Option<u64> {
         None
     }
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -54,6 +54,12 @@
         CandidateScope::All
     }
 
+    /// Returns the longest wait for a slot as a part of the time until the first token is due, in
+    /// percent; `None` if only the deadline of the whole answer bounds it.
+    fn wait_percent(&self) -> Option<u32> {
+        None
+    }
+
     /// Returns the factor over the median token gap from which on a worker is a straggler; `None` if
     /// slow workers are worth their slots.
     fn straggler_factor(&self) -> Option<u64> {
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -54,6 +54,18 @@
     pub unit: QuotaUnit,
 }
 
+impl ServingWorkspace {
+    /// Returns the tier of a request on a route: the workspace's priority goes before the route's.
+    #[must_use]
+    pub fn place(&self, route: TierRank) -> TierRank {
+        let first = self.tier.map_or(0, |tier| tier.0);
+        TierRank(first.saturating_mul(ROUTE_TIERS).saturating_add(route.0.min(ROUTE_TIERS - 1)))
+    }
+}
+
+/// The tiers that routes may have within one priority of workspaces.
+const ROUTE_TIERS: u8 = 16;
+
 /// What a quota counts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuotaUnit {
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -248,7 +248,7 @@
     let known = serving.services.get(&service);
     Ok(PlannedCall {
         id,
-        tier: route.tier,
+        tier: owner.map_or(route.tier, |(_, workspace)| workspace.place(route.tier)),
         arrival,
         deadline: arrival + patience,
         version: serving.version,
