--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -49,10 +49,10 @@
 use crate::ask::BrokerEvent;
 use crate::clock::ClockTime;
 use crate::estimate::AnswerEstimator;
-use crate::policy;
-use crate::policy::WorkerPolicy;
 use crate::name::HostName;
 use crate::place::NetworkPlace;
+use crate::policy;
+use crate::policy::WorkerPolicy;
 use crate::queue::QueueKey;
 use crate::queue::TierQueue;
 
--- a/kernel/src/freshness.rs
+++ b/kernel/src/freshness.rs
@@ -38,7 +38,7 @@
     #[must_use]
     pub fn new(bound: Duration) -> Self {
         Self {
-            bound: bound - bound / RESERVE_DIVISOR,
+            bound: bound.saturating_sub(bound / RESERVE_DIVISOR),
             begin: None,
         }
     }
--- a/kernel/src/quota.rs
+++ b/kernel/src/quota.rs
@@ -11,8 +11,8 @@
 use crate::clock::ClockTime;
 use crate::name::HostName;
 
-/// The time without word from a host after which its use is assumed.
-const SILENCE_TIME: Duration = Duration::from_secs(1);
+/// The time without word from a host after which its use is assumed, from its last word on.
+const SILENCE_TIME: Duration = Duration::from_millis(600);
 
 /// The time after which a host that is not heard counts as gone: longer than a window of the quota,
 /// so that what it may have given out has left the window.
@@ -37,14 +37,31 @@
 /// The use of a quota by another host.
 #[derive(Clone, Copy, Debug)]
 struct PeerUse {
+    /// All that it gave out since its start, as it last told.
+    total: f64,
     /// The mean use lately, in units a second.
     rate: f64,
     heard: ClockTime,
-    /// What was taken for its silence since it was heard.
+    /// The time at which it told its total.
+    told: ClockTime,
+    /// What was taken for its silence since then.
     assumed: f64,
     assumed_until: ClockTime,
 }
 
+impl PeerUse {
+    const fn new(now: ClockTime) -> Self {
+        Self {
+            total: 0.0,
+            rate: 0.0,
+            heard: now,
+            told: now,
+            assumed: 0.0,
+            assumed_until: now,
+        }
+    }
+}
+
 /// The bucket of one workspace on one host.
 ///
 /// # Examples
@@ -68,7 +85,8 @@
     bounds: QuotaBounds,
     level: f64,
     filled: ClockTime,
-    untold: f64,
+    total: f64,
+    told: f64,
     peers: BTreeMap<HostName, PeerUse>,
 }
 
@@ -80,7 +98,8 @@
             bounds,
             level: bounds.burst / START_DIVISOR,
             filled: now,
-            untold: 0.0,
+            total: 0.0,
+            told: 0.0,
             peers: BTreeMap::new(),
         }
     }
@@ -91,31 +110,42 @@
         self.level = self.level.min(bounds.burst);
     }
 
-    /// Notes what another host has used since it last told.
-    pub fn heard(&mut self, now: ClockTime, host: &HostName, units: f64) {
+    /// Notes that another host is there and has given out nothing new.
+    pub fn heard(&mut self, now: ClockTime, host: &HostName) {
+        let peer = self.peers.entry(host.clone());
+        let peer = peer.or_insert_with(|| PeerUse::new(now));
+        peer.heard = now;
+        peer.assumed_until = now;
+    }
+
+    /// Notes all that another host has given out since its start.
+    pub fn told(&mut self, now: ClockTime, host: &HostName, total: f64) {
         self.fill(now);
-        self.level -= units;
-        let mut rate = units / USE_TIME.as_secs_f64();
-        if let Some(before) = self.peers.get(host) {
-            // What it tells now is what was assumed.
-            self.level += before.assumed;
-            let elapsed = now.since(before.heard).as_secs_f64();
-            rate += before.rate * (-elapsed / USE_TIME.as_secs_f64()).exp();
-        }
-        let heard = PeerUse {
-            rate,
-            heard: now,
-            assumed: 0.0,
-            assumed_until: now + SILENCE_TIME,
+        let peer = self.peers.entry(host.clone());
+        let peer = peer.or_insert_with(|| PeerUse::new(now));
+        // A lower total comes from a host that has started again.
+        let used = if total < peer.total {
+            total
+        } else {
+            total - peer.total
+        };
+        // What it tells now takes the place of what was assumed.
+        self.level += peer.assumed - used;
+        let elapsed = now.since(peer.told).as_secs_f64();
+        let kept = (-elapsed / USE_TIME.as_secs_f64()).exp();
+        *peer = PeerUse {
+            total,
+            rate: peer.rate.mul_add(kept, used / USE_TIME.as_secs_f64()),
+            ..PeerUse::new(now)
         };
-        self.peers.insert(host.clone(), heard);
     }
 
-    /// Returns what this host has used since it last told the others.
-    pub const fn tell(&mut self) -> f64 {
-        let units = self.untold;
-        self.untold = 0.0;
-        units
+    /// Returns all that this host has given out since its start, if that is to be told: it changed
+    /// since the last call, or `all` is to be told.
+    pub fn tell(&mut self, all: bool) -> Option<f64> {
+        let changed = self.total.to_bits() != self.told.to_bits();
+        self.told = self.total;
+        (changed || all).then_some(self.total)
     }
 
     /// Takes units for a request.
@@ -130,7 +160,7 @@
         // A request larger than the whole burst is served by a full bucket, which it then indebts.
         if self.level >= units.min(self.bounds.burst) {
             self.level -= units;
-            self.untold += units;
+            self.total += units;
             return Ok(());
         }
         let missing = units.min(self.bounds.burst) - self.level;
@@ -141,7 +171,7 @@
     pub fn give_back(&mut self, units: u64) {
         let units = to_float(units);
         self.level += units;
-        self.untold -= units;
+        self.total -= units;
     }
 
     fn fill(&mut self, now: ClockTime) {
@@ -159,8 +189,8 @@
         let count = u32::try_from(hosts.max(known)).unwrap_or(u32::MAX);
         let part = self.bounds.rate / f64::from(count);
         for peer in self.peers.values_mut() {
-            let silent = now.since(peer.assumed_until).as_secs_f64();
-            if silent > 0.0 {
+            if now.since(peer.heard) > SILENCE_TIME {
+                let silent = now.since(peer.assumed_until).as_secs_f64();
                 let used = peer.rate.max(part) * silent;
                 self.level -= used;
                 peer.assumed += used;
--- /dev/null
+++ b/kernel/tests/attempts.rs
@@ -0,0 +1,102 @@
+//! Tests of what may be sent once more, and of the budget for it.
+
+use std::time::Duration;
+
+use borageladder_kernel::attempt::AttemptLedger;
+use borageladder_kernel::attempt::NotExecuted;
+use borageladder_kernel::attempt::WorkKind;
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::fault::FaultRate;
+use borageladder_kernel::retry::RetryBounds;
+use borageladder_kernel::retry::RetryBudget;
+use yare::parameterized;
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.2,
+    headroom: 56.0,
+    window: Duration::from_secs(10),
+};
+
+#[parameterized(
+    safe = { WorkKind::Safe, true },
+    unsafe_work = { WorkKind::Unsafe, false },
+    stream = { WorkKind::Stream { resumable: false }, false },
+    resumable = { WorkKind::Stream { resumable: true }, true },
+)]
+fn only_idempotent_work_may_be_repeated(kind: WorkKind, expected: bool) {
+    assert_eq!(kind.repeatable().is_some(), expected);
+}
+
+#[test]
+fn a_rejection_is_not_a_run() {
+    let mut attempts = AttemptLedger::new(1);
+    attempts.sent();
+    assert!(attempts.has_run());
+    let permit = attempts.not_executed(&NotExecuted::stated());
+    assert!(permit.is_some());
+    assert!(!attempts.has_run());
+}
+
+#[test]
+fn rejections_end_after_a_few_sends() {
+    let mut attempts = AttemptLedger::new(1);
+    let permits = (0..10).filter(|_| {
+        attempts.sent();
+        attempts.not_executed(&NotExecuted::stated()).is_some()
+    });
+    assert_eq!(permits.count(), 3);
+}
+
+#[test]
+fn all_hosts_together_keep_the_budget_in_each_window() {
+    let hosts = 8;
+    let mut budgets: Vec<RetryBudget> = (0..hosts).map(|_| RetryBudget::new(BOUNDS)).collect();
+    let mut log: Vec<(ClockTime, bool)> = Vec::new();
+    for millis in (0..40_000).step_by(20) {
+        let now = ClockTime::from_millis(millis);
+        // One host gets half of all requests, and every request fails once.
+        let host = if millis % 40 == 0 {
+            0
+        } else {
+            1 + (millis as usize / 40) % (hosts - 1)
+        };
+        budgets[host].request(now);
+        log.push((now, false));
+        if budgets[host].take(now, hosts) {
+            log.push((now, true));
+        }
+    }
+    for begin in (0..30_000).step_by(500) {
+        let begin = ClockTime::from_millis(begin);
+        let within = |at: &ClockTime| *at >= begin && at.since(begin) < BOUNDS.window;
+        let window = log.iter().filter(|(at, _)| within(at));
+        let (retries, requests): (Vec<&(ClockTime, bool)>, Vec<_>) =
+            window.partition(|(_, retry)| *retry);
+        let (retries, requests) = (retries.len() as f64, requests.len() as f64);
+        let most = requests.mul_add(BOUNDS.ratio, BOUNDS.headroom);
+        assert!(
+            retries <= most,
+            "{retries} retries where {most} are allowed"
+        );
+    }
+    assert!(log.iter().any(|(_, retry)| *retry));
+}
+
+#[test]
+fn a_worker_that_fails_often_is_told_from_one_that_fails_rarely() {
+    let (mut grey, mut sound) = (FaultRate::default(), FaultRate::default());
+    for number in 0..200 {
+        if number % 5 < 2 {
+            grey.erred()
+        } else {
+            grey.answered()
+        }
+        if number % 50 == 0 {
+            sound.erred()
+        } else {
+            sound.answered()
+        }
+    }
+    assert!(grey.thousandths() > 250);
+    assert!(sound.thousandths() < 100);
+}
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -147,7 +147,7 @@
     }
 
     /// Sends a report to the broker of the cell that granted the slot, and to its deputy.
-    pub fn report(&self, report: WorkReport) {
+    pub fn report(&self, report: &WorkReport) {
         let cell = self.asks.borrow().held_cell(report.request).cloned();
         let Some(cell) = cell else { return };
         // The deputy hears everything too, so that it can grant at once when the broker is silent.
--- a/src/cell/slot.rs
+++ b/src/cell/slot.rs
@@ -155,7 +155,7 @@
             worker: self.grant.worker.clone(),
             progress,
         };
-        self.cells.report(report);
+        self.cells.report(&report);
     }
 }
 
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -30,9 +30,7 @@
     /// Starts the clock at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self {
-            start: boot_time(),
-        }
+        Self { start: boot_time() }
     }
 
     /// Returns the time since the clock was started.
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -143,4 +143,3 @@
         self.writer.write_all(&out).await
     }
 }
-
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -59,7 +59,11 @@
     #[must_use]
     pub fn place(&self, route: TierRank) -> TierRank {
         let first = self.tier.map_or(0, |tier| tier.0);
-        TierRank(first.saturating_mul(ROUTE_TIERS).saturating_add(route.0.min(ROUTE_TIERS - 1)))
+        TierRank(
+            first
+                .saturating_mul(ROUTE_TIERS)
+                .saturating_add(route.0.min(ROUTE_TIERS - 1)),
+        )
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -179,13 +179,13 @@
                 Ok(used) => used,
                 Err((SlotError::Call(error), _)) => return Err(self.unsent(error).into()),
                 Err((SlotError::Dispatch(DispatchError::DeadlinePassed), _)) => {
-                    let error = self.refusal("the time ran out", UNREACHABLE_RETRY);
+                    let error = refusal("the time ran out", UNREACHABLE_RETRY);
                     return Err(self.unsent(error).into());
                 }
                 Err((error, waiting)) => {
                     unused += 1;
                     if unused >= MAX_SLOTS {
-                        let error = self.refusal(&error.to_string(), UNREACHABLE_RETRY);
+                        let error = refusal(&error.to_string(), UNREACHABLE_RETRY);
                         return Err(self.unsent(error).into());
                     }
                     life = waiting;
@@ -213,8 +213,8 @@
                 let lease = SlotLease::new(Rc::clone(&self.host.cells), grant.clone());
                 Ok((life.granted(grant, received), lease))
             }
-            Some(SlotAnswer::Refused(refusal)) => Err(self.unsent(self.refused(&refusal))),
-            None => Err(self.unsent(self.refusal("the host is stopping", UNREACHABLE_RETRY))),
+            Some(SlotAnswer::Refused(answer)) => Err(self.unsent(Self::refused(&answer))),
+            None => Err(self.unsent(refusal("the host is stopping", UNREACHABLE_RETRY))),
         }
     }
 
@@ -231,17 +231,16 @@
         };
         let now = self.host.clock.now();
         let kept = self.host.pool.take(now, &worker);
-        let connection = match kept {
-            Some(connection) => connection,
-            None => {
-                let opened = WorkerConnection::open(record.address, self.host.http.clone()).await;
-                match opened {
-                    Ok(connection) => connection,
-                    Err(error) => {
-                        self.host.pool.drop_worker(&worker);
-                        lease.failed();
-                        return Err((error.into(), granted.give_back()));
-                    }
+        let connection = if let Some(connection) = kept {
+            connection
+        } else {
+            let opened = WorkerConnection::open(record.address, self.host.http.clone()).await;
+            match opened {
+                Ok(connection) => connection,
+                Err(error) => {
+                    self.host.pool.drop_worker(&worker);
+                    lease.failed();
+                    return Err((error.into(), granted.give_back()));
                 }
             }
         };
@@ -309,12 +308,13 @@
                 drop(lease);
                 let proof = NotExecuted::stated();
                 let permit = self.attempts.not_executed(&proof);
-                let refusal = self.refusal("the worker was full", UNREACHABLE_RETRY);
-                let permit = permit.ok_or_else(|| self.unsent(refusal.clone()))?;
-                if !self.take_retry() {
-                    return Err(self.unsent(refusal).into());
+                match permit {
+                    Some(permit) if self.take_retry() => Ok(Some(life.repeat(permit))),
+                    _ => {
+                        let error = refusal("the worker was full", UNREACHABLE_RETRY);
+                        Err(self.unsent(error).into())
+                    }
                 }
-                Ok(Some(life.repeat(permit)))
             }
             AttemptEnd::Broken { error, died } => {
                 log_event!(self.host.log, LogEvent::WorkerFailed,
@@ -424,7 +424,10 @@
             let head = answer.head();
             let status = head.status.as_u16();
             let terms = self.host.dialect.answer_terms(status, head.headers());
-            let foreign = terms.id.as_ref().is_some_and(|id| *id != self.planned.attempt);
+            let foreign = terms
+                .id
+                .as_ref()
+                .is_some_and(|id| *id != self.planned.attempt);
             if !foreign {
                 return Ok((answer, terms));
             }
@@ -437,12 +440,17 @@
     async fn keep(&self, worker: &WorkerName, mut answer: WorkerAnswer, terms: &AnswerTerms) {
         // A rejection has a short body, and what can't be read at once is not worth a wait.
         let rest = async { while let Ok(Some(_)) = answer.next().await {} };
-        if tokio::time::timeout(Duration::from_millis(20), rest).await.is_err() {
+        if tokio::time::timeout(Duration::from_millis(20), rest)
+            .await
+            .is_err()
+        {
             return;
         }
         if let Some(connection) = answer.into_connection() {
             let now = self.host.clock.now();
-            self.host.pool.put(now, worker, connection, terms.keep_alive);
+            self.host
+                .pool
+                .put(now, worker, connection, terms.keep_alive);
         }
     }
 
@@ -493,8 +501,8 @@
         });
     }
 
-    fn refused(&self, refusal: &Refusal) -> CallError {
-        let reason = match refusal.reason {
+    fn refused(answer: &Refusal) -> CallError {
+        let reason = match answer.reason {
             RefusalReason::Capacity => "too much work waits",
             RefusalReason::Deadline => "no worker can answer in time",
             RefusalReason::Dropped => "the operators dropped the request",
@@ -503,14 +511,7 @@
             RefusalReason::Quarantined => "requests like this one crashed workers",
             RefusalReason::Stale => "no configuration is known to be in force",
         };
-        self.refusal(reason, refusal.retry_after)
-    }
-
-    fn refusal(&self, reason: &str, retry_after: Duration) -> CallError {
-        CallError::NoRoom {
-            reason: reason.to_owned(),
-            retry_after,
-        }
+        refusal(reason, answer.retry_after)
     }
 
     /// Gives back what the request took, since it was not sent.
@@ -527,6 +528,13 @@
     }
 }
 
+fn refusal(reason: &str, retry_after: Duration) -> CallError {
+    CallError::NoRoom {
+        reason: reason.to_owned(),
+        retry_after,
+    }
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -181,8 +181,7 @@
         loop {
             match self.codec.decode(&mut self.received) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
-                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
-                Ok(Some(Message::Item(_))) => return Ok(body.freeze()),
+                Ok(Some(Message::Chunk(None) | Message::Item(_))) => return Ok(body.freeze()),
                 Ok(None) => {
                     let read = timeout(idle, self.read_more()).await;
                     read.map_err(|_elapsed| ReadError::Slow)??;
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -14,6 +14,7 @@
 use super::dialect::GatewayDialect;
 use super::document::CallerLimits;
 use super::document::ServingConfiguration;
+use super::document::WorkspaceTable;
 use super::pool::WorkerPool;
 use super::settings::GatewaySettings;
 use crate::cell::CellService;
@@ -29,6 +30,7 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
+use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::quarantine::StrikeRegister;
 use crate::kernel::quota::QuotaBucket;
@@ -228,7 +230,7 @@
 
     /// Returns a worker that may get new work.
     #[must_use]
-    pub fn worker(&self, name: &crate::kernel::name::WorkerName) -> Option<UpstreamRecord> {
+    pub fn worker(&self, name: &WorkerName) -> Option<UpstreamRecord> {
         self.state.roster.borrow().find(name).cloned()
     }
 
@@ -272,7 +274,7 @@
     }
 
     /// Notes that a worker died while it ran a request, and tells the other hosts.
-    pub fn worker_died(&self, worker: &crate::kernel::name::WorkerName, digest: u64) {
+    pub fn worker_died(&self, worker: &WorkerName, digest: u64) {
         log_event!(self.log, LogEvent::WorkerFailed, "worker" => worker.as_str());
         let now = self.clock.now();
         let strikes = self.with_strikes(|register| register.strike(digest, now));
@@ -287,19 +289,17 @@
         }
     }
 
-    /// Tells the other hosts what was given out of each quota here.
-    pub fn tell_use(&self) {
+    /// Tells the other hosts what was given out of the quotas here, where it changed or of all.
+    pub fn tell_use(&self, all: bool) {
         let mut quotas = self.state.quotas.borrow_mut();
         let uses = quotas.iter_mut().filter_map(|(workspace, quota)| {
-            let units = quota.tell();
-            (units != 0.0).then(|| WorkspaceUse {
-                workspace: workspace.clone(),
-                units,
-            })
+            let units = quota.tell(all)?;
+            let workspace = workspace.clone();
+            Some(WorkspaceUse { workspace, units })
         });
         let uses: Vec<WorkspaceUse> = uses.collect();
         drop(quotas);
-        // An empty message says that nothing was given out.
+        // An empty message says that nothing more was given out.
         self.broadcast(&LinkMessage::Usage(uses));
     }
 
@@ -307,8 +307,11 @@
     pub fn learn_use(&self, from: &HostName, uses: &[WorkspaceUse]) {
         let now = self.clock.now();
         for (workspace, quota) in self.state.quotas.borrow_mut().iter_mut() {
-            let used = uses.iter().find(|used| used.workspace == *workspace);
-            quota.heard(now, from, used.map_or(0.0, |used| used.units));
+            let told = uses.iter().find(|told| told.workspace == *workspace);
+            match told {
+                Some(told) => quota.told(now, from, told.units),
+                None => quota.heard(now, from),
+            }
         }
     }
 
@@ -336,7 +339,8 @@
     fn apply_quotas(&self, now: ClockTime, configuration: &ServingConfiguration) {
         let mut quotas = self.state.quotas.borrow_mut();
         let mut named = BTreeSet::new();
-        let workspaces = configuration.workspaces.iter().flat_map(|w| w.iter());
+        let workspaces = configuration.workspaces.iter();
+        let workspaces = workspaces.flat_map(WorkspaceTable::iter);
         for (name, workspace) in workspaces {
             let Some(bounds) = workspace.quota else {
                 continue;
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use super::dialect::CallTerms;
+use super::dialect::TokenUsage;
 use super::document::ServingConfiguration;
 use super::front::IncomingCall;
 use super::host::GatewayHost;
@@ -96,11 +97,9 @@
             Self::OverQuota { retry_after }
             | Self::NoRoom { retry_after, .. }
             | Self::Quarantined { retry_after } => Some(*retry_after),
-            Self::NoIdentifier
-            | Self::NoRoute
-            | Self::UnknownKey
-            | Self::Lost
-            | Self::TimedOut => None,
+            Self::NoIdentifier | Self::NoRoute | Self::UnknownKey | Self::Lost | Self::TimedOut => {
+                None
+            }
         }
     }
 }
@@ -158,7 +157,10 @@
             tier: self.tier,
             budget: self.deadline.since(now),
             target: Some((self.arrival + self.route.target).since(now)),
-            pause: self.route.max_pause.map(|pause| pause / self.event_tokens.max(1)),
+            pause: self
+                .route
+                .max_pause
+                .map(|pause| pause / self.event_tokens.max(1)),
             prompt_tokens: usage.map_or(0, |usage| usage.prompt),
             max_answer_tokens: usage.map_or(0, |usage| usage.answer),
             hinted_tokens: self.terms.answer_hint,
@@ -243,7 +245,7 @@
     // The draw depends on the attempt only, so a request that is planned again keeps its service.
     let draw = first_u64(blake3::hash(attempt.as_bytes()));
     let service = route.backend(draw).ok_or(CallError::NoRoute)?.clone();
-    let tokens = terms.usage.map(|usage| usage.total());
+    let tokens = terms.usage.map(TokenUsage::total);
     let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
     let known = serving.services.get(&service);
     Ok(PlannedCall {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -49,6 +49,9 @@
 /// The time between two looks at old connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The messages about quotas of which one tells all, for hosts that missed some.
+const FULL_USE_TURNS: u32 = 8;
+
 /// The time between two messages about what was given out of quotas.
 const USE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -126,7 +129,14 @@
     let slot = HostSlot::default();
     let joined = join(&settings, &platform, &log).await;
     let links = start_links(&settings, incarnation, joined.key, &log, &slot).await?;
-    let host = start_parts(settings, &platform, log, (incarnation, joined), links, state);
+    let host = start_parts(
+        settings,
+        &platform,
+        log,
+        (incarnation, joined),
+        links,
+        state,
+    );
     // Nothing has waited since the links were started, so no message can have come before.
     let _ = slot.set(Rc::clone(&host));
     actix_rt::spawn(sync::follow_configuration(
@@ -266,9 +276,9 @@
 }
 
 async fn tell_use(host: Rc<GatewayHost>) {
-    loop {
+    for turn in (0..FULL_USE_TURNS).cycle() {
         actix_rt::time::sleep(USE_INTERVAL).await;
-        host.tell_use();
+        host.tell_use(turn == 0);
     }
 }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -11,7 +11,7 @@
 use crate::log_event;
 
 /// The longest time for which a read of the configuration waits for a change.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
 /// The time between two reads of the workers.
 const WORKER_INTERVAL: Duration = Duration::from_millis(900);
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -319,4 +319,3 @@
         })
     }
 }
-
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -29,8 +29,8 @@
 use crate::wire::LinkMessage;
 use crate::wire::MemberEntry;
 use crate::wire::MemberList;
-pub use dialing::REMOTE_LINKS;
 use dialing::PeerDialer;
+pub use dialing::REMOTE_LINKS;
 
 pub use crate::kernel::membership::MemberChange;
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -89,7 +89,7 @@
     },
     /// The sender's broker has no slot yet for the receiver's request, which waits.
     Waiting(RequestId),
-    /// What the sender's callers have used of their workspaces' quotas since its last such message.
+    /// What the sender has given out of the quotas that it used since its last such message.
     Usage(Vec<WorkspaceUse>),
     /// The sender runs an operator's query and wants the receiver's rows.
     Query {
@@ -135,7 +135,7 @@
 pub struct WorkspaceUse {
     /// The workspace.
     pub workspace: WorkspaceName,
-    /// The units of the quota.
+    /// All units that the host has given out since its start.
     pub units: f64,
 }
 
