--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_http::HttpMessage;
+use actix_http::StatusCode;
 use thiserror::Error;
 
 use super::caller::CallerWriter;
@@ -392,6 +393,14 @@
             self.keep(worker, answer, &terms).await;
             return Ok(AttemptEnd::Failed(permit));
         }
+        if promises_not_run(answer.head().status) {
+            // Passed on, the status would tell the caller that the request did not run.
+            self.keep(worker, answer, &terms).await;
+            return Ok(AttemptEnd::Broken {
+                error: CallError::Lost,
+                died: false,
+            });
+        }
         let erred = answer.head().status.is_server_error();
         let first = self.host.clock.now().since(at);
         let relaying = self.relay.pass_on(answer, caller, lease, first);
@@ -528,6 +537,17 @@
     }
 }
 
+/// Returns whether a status tells callers that the request did not run and never will.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn refusal(reason: &str, retry_after: Duration) -> CallError {
     CallError::NoRoom {
         reason: reason.to_owned(),
