--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -9,15 +9,6 @@
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
 
-/// A part of a prompt that requests may share.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PromptPart {
-    /// The identifier of the part's content.
-    pub digest: u64,
-    /// The length of the part, in tokens.
-    pub tokens: u32,
-}
-
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Default)]
 pub struct CallTerms {
@@ -31,12 +22,8 @@
     pub model: Option<ModelName>,
     /// The length of the prompt and the most tokens of the answer.
     pub usage: Option<TokenUsage>,
-    /// The parts of the prompt in their order.
-    pub parts: Vec<PromptPart>,
     /// The caller's guess of the length of the answer, in tokens.
     pub answer_hint: Option<u32>,
-    /// The event after which the caller wants a stream to go on.
-    pub resume_after: Option<u64>,
 }
 
 /// The tokens that a request states.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,6 @@
 pub use self::dialect::CallTerms;
 pub use self::dialect::DispatchStamp;
 pub use self::dialect::GatewayDialect;
-pub use self::dialect::PromptPart;
 pub use self::dialect::TokenUsage;
 pub use self::document::CallerLimits;
 pub use self::document::ConfigurationReading;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -29,13 +29,11 @@
 ///     callers_listen = "10.1.0.25:8221"
 ///     readiness_listen = "10.1.0.25:8224"
 ///     link_listen = "10.1.0.25:7600"
-///     metrics_listen = "10.1.0.25:7601"
 ///     store = "10.200.1.7:8225"
 ///     [datacenters]
 ///     sapporo-a = "sapporo"
 ///     [bounds]
 ///     revocation_ms = 5000
-///     drain_ms = 2500
 ///     stop_s = 8.0
 ///     retry_ratio = 0.2
 ///     retry_window_s = 10.0
@@ -57,8 +55,6 @@
     pub readiness_listen: SocketAddr,
     /// The address at which links from other hosts are accepted.
     pub link_listen: SocketAddr,
-    /// The address at which metrics are read.
-    pub metrics_listen: SocketAddr,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The data centres, each with its region.
@@ -75,8 +71,6 @@
 pub struct GatewayBounds {
     /// The time after which a key that was taken away must not work, in milliseconds.
     pub revocation_ms: u64,
-    /// The time after which a leaving worker must not get new work, in milliseconds.
-    pub drain_ms: u64,
     /// The time from the signal to stop until the process is killed, in seconds.
     pub stop_s: f64,
     /// The retries allowed for each request, over all hosts.
