--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -30,7 +30,7 @@
 }
 
 /// The part of the slots that a tier is taken to get however much arrives above it.
-const LEFT_SHARE: f64 = 0.3;
+const LEFT_SHARE: f64 = 0.05;
 
 impl CellBroker {
     pub(super) fn asked(
--- a/kernel/src/policy/first_token.rs
+++ b/kernel/src/policy/first_token.rs
@@ -38,7 +38,7 @@
 
 /// The longest wait as a part of the time until the first token is due, in percent: a later answer is
 /// of little use, and takes the slot of one that would be in time.
-const WAIT_PERCENT: u32 = 150;
+const WAIT_PERCENT: u32 = 100;
 
 struct FirstToken;
 
