--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -1,5 +1,6 @@
 //! The broker at exact times.
 
+mod aims;
 mod faults;
 mod grants;
 mod harness;
