Name the limit of attempts in the project's own word

Cause: the field's name was one that the platform's documents use.

Ruled out: leaving it as a plain word of the field; the adapter is to be the only place that spells it.

After: linter clean; names, style, events, routes, attempts and gateway tests pass. No behaviour changed.

--- a/kernel/src/route.rs
+++ b/kernel/src/route.rs
@@ -38,7 +38,7 @@
     /// The longest pause between two events of a stream that is of full use to the caller.
     pub max_pause: Option<Duration>,
     /// The most workers on which one request may run.
-    pub max_attempts: u32,
+    pub attempt_limit: u32,
     /// The tier of the route's requests.
     pub tier: TierRank,
     /// Whether callers need no key.
@@ -83,7 +83,7 @@
 ///     timeout: Duration::from_secs(5),
 ///     target: Duration::from_millis(300),
 ///     max_pause: None,
-///     max_attempts: 2,
+///     attempt_limit: 2,
 ///     tier: TierRank(0),
 ///     open: false,
 /// };
--- a/kernel/tests/routes.rs
+++ b/kernel/tests/routes.rs
@@ -23,7 +23,7 @@
         timeout: Duration::from_secs(5),
         target: Duration::from_millis(300),
         max_pause: None,
-        max_attempts: 2,
+        attempt_limit: 2,
         tier: TierRank(0),
         open: false,
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -108,7 +108,7 @@
     let mut exchange = CallExchange {
         host,
         call,
-        attempts: AttemptLedger::new(planned.route.max_attempts),
+        attempts: AttemptLedger::new(planned.route.attempt_limit),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
         planned,
     };
--- a/tests/names.rs
+++ b/tests/names.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 /// Words of the platform's headers, calls and documents that the product has other names for.
-const PLATFORM_WORDS: [&str; 21] = [
+const PLATFORM_WORDS: [&str; 22] = [
     "rows-tx",
     "rows-get",
     "rows-feed",
@@ -21,6 +21,7 @@
     "x-length-hint",
     "x-weight-versions",
     "batch_slots",
+    "max_attempts",
     "cold_remaining_ms",
     "target_latency_ms",
     "max_gap_ms",
