Copy a planned request only when the configuration has changed

Cause: the check before each dispatch copied the whole plan, with its route and names, also where the version was the same, which is nearly always.

Ruled out: checking less; the same comparison decides as before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -247,8 +247,9 @@
         };
         let now = self.host.clock.now();
         match plan::replan_call(self.host, self.call, &self.planned, now) {
-            Ok(planned) if planned.service == self.planned.service => self.planned = planned,
-            Ok(planned) => {
+            Ok(None) => (),
+            Ok(Some(planned)) if planned.service == self.planned.service => self.planned = planned,
+            Ok(Some(planned)) => {
                 self.planned = planned;
                 return Err((SlotError::WorkerGone, granted.give_back()));
             }
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -198,7 +198,8 @@
     Ok(planned)
 }
 
-/// Checks a planned request again, after a wait, by the configuration that is in force now.
+/// Checks a planned request again, after a wait, by the configuration that is in force now; returns
+/// the new plan if the version has changed.
 ///
 /// # Errors
 ///
@@ -208,20 +209,20 @@
     call: &IncomingCall,
     planned: &PlannedCall,
     now: ClockTime,
-) -> Result<PlannedCall, CallError> {
+) -> Result<Option<PlannedCall>, CallError> {
     let serving = host.serving(now).ok_or(CallError::NotReady)?;
     if serving.version == planned.version {
-        return Ok(planned.clone());
+        return Ok(None);
     }
     let terms = planned.terms.clone();
     let attempt = planned.attempt.clone();
     let id = planned.id;
     let again = place(&serving, call, terms, attempt, id, planned.arrival)?;
-    Ok(PlannedCall {
+    Ok(Some(PlannedCall {
         digest: planned.digest,
         suspect: planned.suspect,
         ..again
-    })
+    }))
 }
 
 fn place(
