Share the strikes, the accept loop and the brokers of a cell

Each report and ask hashed all members for the broker and again for its deputy; both kinds of host kept strikes and broadcasts of their own; a refusal read the caller's headers a second time; four loops accepted connections. One of the loops dropped its listener with connections still in its queue, which resets a caller that has already sent its request.

Change: CellNetwork::brokers gives both hosts at once, SharedStrikes serves daemon and gateway, LinkSet::broadcast, CallTerms are read once, accept_connections serves what waits in the queue before it ends. An outcome that is unknown is logged with the caller's identifier.

Ruled out: a pause before the listener closes, which only makes the window smaller.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -252,11 +252,7 @@
     request: RequestId,
     digest: u64,
 ) -> Result<bool, CallerError> {
-    match context
-        .strikes
-        .borrow()
-        .verdict(digest, context.clock.now())
-    {
+    match context.strikes.verdict(digest) {
         QuarantineVerdict::Clear => Ok(false),
         QuarantineVerdict::Suspect => Ok(true),
         QuarantineVerdict::Refused { retry_after } => {
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -48,18 +48,12 @@
     /// Returns the data centre of this host.
     fn datacenter(&self) -> &DatacenterName;
 
-    /// Returns the host that is the broker of a cell, if one is alive.
-    fn broker(&self, cell: &CellId) -> Option<HostName>;
+    /// Returns the hosts that grant slots of a cell, as far as they are alive.
+    fn brokers(&self, cell: &CellId) -> CellBrokers;
 
     /// Sends a message; a message that can't be sent is lost and asked for again.
     fn send(&self, host: &HostName, message: LinkMessage);
 
-    /// Returns the host that takes over from the broker of a cell when that one does not answer.
-    fn deputy(&self, cell: &CellId) -> Option<HostName> {
-        let _ = cell;
-        None
-    }
-
     /// Returns the data centre of a host, if the host is known.
     fn datacenter_of(&self, host: &HostName) -> Option<DatacenterName> {
         let _ = host;
@@ -151,7 +145,7 @@
         let cell = self.asks.borrow().held_cell(report.request).cloned();
         let Some(cell) = cell else { return };
         // The deputy hears everything too, so that it can grant at once when the broker is silent.
-        let brokers = self.brokers_of(&cell);
+        let brokers = self.network.brokers(&cell);
         for host in brokers.first.iter().chain(&brokers.deputy) {
             let message = LinkMessage::Report {
                 service: cell.service.clone(),
@@ -361,7 +355,7 @@
             if let Some(brokers) = known.get(cell) {
                 return brokers.clone();
             }
-            let brokers = self.brokers_of(cell);
+            let brokers = self.network.brokers(cell);
             known.insert(cell.clone(), brokers.clone());
             brokers
         };
@@ -372,13 +366,6 @@
         }
     }
 
-    pub(super) fn brokers_of(&self, cell: &CellId) -> CellBrokers {
-        CellBrokers {
-            first: self.network.broker(cell),
-            deputy: self.network.deputy(cell),
-        }
-    }
-
     /// Tells brokers that have just taken over a cell what this entry runs there, and all brokers now
     /// and then, since a report may have been lost.
     fn declare_running(&self) {
@@ -386,7 +373,7 @@
         let cells = self.asks.borrow().cells();
         let mut current = Vec::new();
         for cell in cells {
-            let brokers = self.brokers_of(&cell);
+            let brokers = self.network.brokers(&cell);
             let hosts = brokers.first.into_iter().chain(brokers.deputy);
             current.extend(hosts.map(|host| (cell.clone(), host)));
         }
--- a/src/context.rs
+++ b/src/context.rs
@@ -27,7 +27,6 @@
 use crate::kernel::name::RequestId;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
-use crate::kernel::quarantine::StrikeRegister;
 use crate::kernel::rule::PlacementRules;
 use crate::link::LinkSet;
 use crate::log_event;
@@ -39,7 +38,7 @@
 use crate::server::StopSignal;
 use crate::settings::HostSettings;
 use crate::settings::KeyDigest;
-use crate::wire::LinkMessage;
+use crate::strikes::SharedStrikes;
 
 /// What follows from one configuration version, computed once.
 #[derive(Debug)]
@@ -101,7 +100,7 @@
     /// The requests of this host.
     pub journal: RefCell<RequestJournal>,
     /// Requests that may crash workers.
-    pub strikes: RefCell<StrikeRegister>,
+    pub strikes: SharedStrikes,
     /// What follows from the configuration in force.
     pub applied: RefCell<Rc<AppliedConfiguration>>,
     /// The questions to other hosts that wait for answers.
@@ -183,22 +182,7 @@
         if let Some(spec) = self.applied().configuration.workers.get(worker) {
             self.metrics.worker_failed(&spec.service);
         }
-        let strikes = self.strikes.borrow_mut().strike(digest, self.clock.now());
-        self.broadcast(&LinkMessage::Strike { digest, strikes });
-    }
-
-    /// Takes over the strikes that another host knows of, and passes on what is new here, since
-    /// hosts of other data centres are linked to a few hosts only.
-    pub fn learn_strikes(&self, digest: u64, strikes: u8) {
-        let now = self.clock.now();
-        if self.strikes.borrow_mut().learn(digest, strikes, now) {
-            self.broadcast(&LinkMessage::Strike { digest, strikes });
-        }
-    }
-
-    /// Forgets the strikes of a request that finished.
-    pub fn clear_strikes(&self, digest: u64) {
-        self.strikes.borrow_mut().clear(digest);
+        self.strikes.strike(digest);
     }
 
     /// Records the end of a request.
@@ -224,12 +208,4 @@
             metering::request_ended(&self.metrics, record, self.clock.now());
         }
     }
-
-    /// Sends a message to every host that is linked.
-    pub fn broadcast(&self, message: &LinkMessage) {
-        for host in self.links.connected() {
-            // A host that misses the message learns the same by itself or asks again.
-            let _ = self.links.send(&host, message.clone());
-        }
-    }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,7 +28,6 @@
 use crate::kernel::configuration::Configuration;
 use crate::kernel::name::HostName;
 use crate::kernel::place::CellSpan;
-use crate::kernel::quarantine::StrikeRegister;
 use crate::link::LinkSet;
 use crate::link::LinkSettings;
 use crate::link::SharedKey;
@@ -50,6 +49,7 @@
 use crate::server::HttpServer;
 use crate::server::StopSignal;
 use crate::settings::HostSettings;
+use crate::strikes::SharedStrikes;
 use crate::watch::UpstreamWatch;
 use crate::wire::LinkMessage;
 
@@ -139,6 +139,7 @@
     };
     let cells = CellService::new(Box::new(network), clock, broker_settings);
     let claims = ClaimService::new(platform.clone(), settings.host.clone());
+    let strikes = SharedStrikes::new(Rc::clone(&links), clock);
     let applied = AppliedConfiguration::from(keeper.configuration());
     let context = Rc::new(HostContext {
         settings: Rc::new(settings),
@@ -152,7 +153,7 @@
         claims,
         platform,
         journal: RefCell::new(RequestJournal::default()),
-        strikes: RefCell::new(StrikeRegister::default()),
+        strikes,
         applied: RefCell::new(Rc::new(applied)),
         queries: QueryTable::default(),
         leaving: RefCell::new(BTreeSet::new()),
@@ -198,7 +199,7 @@
     context.keeper.receive(from, &message);
     match message {
         LinkMessage::Strike { digest, strikes } => {
-            context.learn_strikes(digest, strikes);
+            context.strikes.learn(digest, strikes);
         }
         LinkMessage::Query { number, text } => query::answer(context, from, number, text),
         LinkMessage::QueryAnswer { number, rows } => context.queries.answered(number, from, &rows),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 
 use super::caller::CallerWriter;
 use super::dialect::AnswerTerms;
+use super::dialect::CallTerms;
 use super::dialect::DispatchStamp;
 use super::front::IncomingCall;
 use super::host::GatewayHost;
@@ -73,10 +74,12 @@
     caller: &mut CallerWriter<'_>,
 ) -> bool {
     let arrival = host.clock.now();
-    match run(host, &call, caller, arrival).await {
+    let terms = host.dialect.call_terms(call.head.headers());
+    let id = terms.id.clone().unwrap_or_default();
+    match run(host, &call, terms, caller, arrival).await {
         Ok(()) => caller.keeps(),
         Err(ExchangeError::Call(error)) if !caller.has_started() => {
-            log_refusal(host, &call, &error);
+            log_refusal(host, &id, &error);
             let retry = error.retry_after();
             let retry = retry.map(|time| host.dialect.retry_after(time));
             let status = error.status();
@@ -85,26 +88,27 @@
             answered.is_ok() && caller.keeps()
         }
         Err(error) => {
-            log_event!(host.log, LogEvent::OutcomeUnknown, "error" => error.to_string());
+            log_event!(host.log, LogEvent::OutcomeUnknown,
+                "request" => id, "error" => error.to_string());
             false
         }
     }
 }
 
-fn log_refusal(host: &GatewayHost, call: &IncomingCall, error: &CallError) {
-    let id = host.dialect.call_terms(call.head.headers()).id;
+fn log_refusal(host: &GatewayHost, id: &str, error: &CallError) {
     let status = error.status().as_u16();
     log_event!(host.log, LogEvent::RequestRejected,
-        "request" => id.unwrap_or_default(), "status" => status, "reason" => error.to_string());
+        "request" => id, "status" => status, "reason" => error.to_string());
 }
 
 async fn run(
     host: &Rc<GatewayHost>,
     call: &IncomingCall,
+    terms: CallTerms,
     caller: &mut CallerWriter<'_>,
     arrival: ClockTime,
 ) -> Result<(), ExchangeError> {
-    let planned = plan::plan_call(host, call, arrival)?;
+    let planned = plan::plan_call(host, call, terms, arrival)?;
     let mut exchange = CallExchange {
         host,
         call,
@@ -298,8 +302,7 @@
             AttemptEnd::Answered { erred: false } => {
                 self.log_answer(&worker, at);
                 lease.finished(self.relay.tokens(), self.relay.token_gap());
-                self.host
-                    .with_strikes(|register| register.clear(self.planned.digest));
+                self.host.strikes.clear(self.planned.digest);
                 Ok(None)
             }
             AttemptEnd::Failed(permit) => {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -24,9 +24,7 @@
 use super::caller::CallerWriter;
 use super::exchange;
 use super::host::GatewayHost;
-
-/// The pause after a failed accept, such as when file descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use crate::listener::accept_connections;
 
 /// The first size of the buffer for requests, in bytes.
 const READ_BYTES: usize = 4 << 10;
@@ -89,18 +87,11 @@
 
 /// Accepts callers until the host takes no further requests.
 pub async fn accept_callers(host: Rc<GatewayHost>, listener: TcpListener) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = host.closing.stopped() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve_connection(Rc::clone(&host), stream));
-            }
-            Err(_) => actix_rt::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    let closing = host.closing.clone();
+    accept_connections(listener, &closing, |stream, _| {
+        actix_rt::spawn(serve_connection(Rc::clone(&host), stream));
+    })
+    .await;
 }
 
 async fn serve_connection(host: Rc<GatewayHost>, stream: TcpStream) {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -33,7 +33,6 @@
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
-use crate::kernel::quarantine::StrikeRegister;
 use crate::kernel::quota::QuotaBucket;
 use crate::kernel::retry::RetryBudget;
 use crate::kernel::roster::UpstreamRecord;
@@ -43,6 +42,7 @@
 use crate::log_event;
 use crate::member::MemberService;
 use crate::server::StopSignal;
+use crate::strikes::SharedStrikes;
 use crate::wire::LinkMessage;
 use crate::wire::UseReport;
 use crate::wire::WorkspaceUse;
@@ -65,6 +65,8 @@
     pub members: Rc<MemberService>,
     /// The cells.
     pub cells: Rc<CellService>,
+    /// The requests that may crash workers.
+    pub strikes: SharedStrikes,
     /// The idle connections to workers.
     pub pool: WorkerPool,
     /// The signal that this host is asked to stop.
@@ -89,7 +91,6 @@
     quotas: RefCell<BTreeMap<WorkspaceName, QuotaBucket>>,
     roster_changes: Cell<u64>,
     retries: RefCell<BTreeMap<ServiceName, RetryBudget>>,
-    strikes: RefCell<StrikeRegister>,
 }
 
 impl GatewayState {
@@ -106,7 +107,6 @@
             // Another start of the host must not repeat the numbers of this one.
             roster_changes: Cell::new(incarnation),
             retries: RefCell::default(),
-            strikes: RefCell::default(),
         }
     }
 
@@ -169,6 +169,7 @@
     fn from(parts: GatewayParts) -> Self {
         Self {
             settings: parts.settings,
+            strikes: SharedStrikes::new(Rc::clone(&parts.links), parts.clock),
             clock: parts.clock,
             log: parts.log,
             dialect: parts.dialect,
@@ -295,25 +296,10 @@
         self.state.quotas.borrow_mut().get_mut(workspace).map(act)
     }
 
-    /// Calls a function with the register of requests that may crash workers.
-    pub fn with_strikes<T>(&self, act: impl FnOnce(&mut StrikeRegister) -> T) -> T {
-        act(&mut self.state.strikes.borrow_mut())
-    }
-
     /// Notes that a worker died while it ran a request, and tells the other hosts.
     pub fn worker_died(&self, worker: &WorkerName, digest: u64) {
         log_event!(self.log, LogEvent::WorkerFailed, "worker" => worker.as_str());
-        let now = self.clock.now();
-        let strikes = self.with_strikes(|register| register.strike(digest, now));
-        self.broadcast(&LinkMessage::Strike { digest, strikes });
-    }
-
-    /// Takes over the strikes that another host knows of, and passes on what is new here.
-    pub fn learn_strikes(&self, digest: u64, strikes: u8) {
-        let now = self.clock.now();
-        if self.with_strikes(|register| register.learn(digest, strikes, now)) {
-            self.broadcast(&LinkMessage::Strike { digest, strikes });
-        }
+        self.strikes.strike(digest);
     }
 
     /// Tells the other hosts what was given out of the quotas here, where it changed or of all.
@@ -328,7 +314,8 @@
         drop(quotas);
         // An empty message says that nothing more was given out.
         let age = self.clock.now().since(ClockTime::ZERO);
-        self.broadcast(&LinkMessage::Usage(UseReport { age, uses }));
+        self.links
+            .broadcast(&LinkMessage::Usage(UseReport { age, uses }));
     }
 
     /// Learns what another host has given out of each quota.
@@ -343,13 +330,6 @@
         }
     }
 
-    fn broadcast(&self, message: &LinkMessage) {
-        for host in self.links.connected() {
-            // A host that misses the message learns the same by itself or with the next one.
-            let _ = self.links.send(&host, message.clone());
-        }
-    }
-
     /// Puts a configuration in force; an older one than before is left out.
     pub fn apply(&self, configuration: Arc<ServingConfiguration>) {
         let version = configuration.version;
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -178,15 +178,15 @@
 pub fn plan_call(
     host: &Rc<GatewayHost>,
     call: &IncomingCall,
+    terms: CallTerms,
     arrival: ClockTime,
 ) -> Result<PlannedCall, CallError> {
     let serving = host.serving(arrival).ok_or(CallError::NotReady)?;
-    let terms = host.dialect.call_terms(call.head.headers());
     let attempt = terms.id.clone().ok_or(CallError::NoIdentifier)?;
     let id = host.next_request();
     let mut planned = place(&serving, call, terms, attempt, id, arrival)?;
     planned.digest = digest(call, planned.workspace.as_ref());
-    match host.with_strikes(|register| register.verdict(planned.digest, arrival)) {
+    match host.strikes.verdict(planned.digest) {
         QuarantineVerdict::Clear => (),
         QuarantineVerdict::Suspect => planned.suspect = true,
         QuarantineVerdict::Refused { retry_after } => {
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -15,6 +15,8 @@
 
 use super::caller::CallerWriter;
 use super::host::GatewayHost;
+use crate::listener::accept_connections;
+use crate::server::StopSignal;
 
 /// The time for which a connection of the balancer may be idle.
 const IDLE_TIME: Duration = Duration::from_secs(15);
@@ -22,19 +24,14 @@
 /// The size of the buffer for a question, in bytes.
 const READ_BYTES: usize = 1 << 10;
 
-/// The pause after a failed accept, such as when file descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Answers the balancer until the process ends.
 pub async fn answer_questions(host: Rc<GatewayHost>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(answer_connection(Rc::clone(&host), stream));
-            }
-            Err(_) => actix_rt::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    // A host that stops answers on, with the status that it is not ready.
+    let never = StopSignal::default();
+    accept_connections(listener, &never, |stream, _| {
+        actix_rt::spawn(answer_connection(Rc::clone(&host), stream));
+    })
+    .await;
 }
 
 async fn answer_connection(host: Rc<GatewayHost>, mut stream: TcpStream) {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -103,7 +103,7 @@
         datacenter: span.home(&configuration, own).clone(),
     };
     let within = |datacenter: &_| *span.home(&configuration, datacenter) == cell.datacenter;
-    host.members.brokers(&cell, within).0
+    host.members.brokers(&cell, within).first
 }
 
 fn ask(host: &GatewayHost, reader: &HostName) {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -188,6 +188,15 @@
         queued.map_err(|queue::QueueFull| LinkError::QueueFull(to.clone()))
     }
 
+    /// Sends a message to every host that is linked.
+    ///
+    /// A host that misses it must learn the same by itself or from a later message.
+    pub fn broadcast(&self, message: &LinkMessage) {
+        for host in self.connected() {
+            let _ = self.send(&host, message.clone());
+        }
+    }
+
     /// Returns the hosts to which a link is up.
     #[must_use]
     pub fn connected(&self) -> Vec<HostName> {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -11,6 +11,7 @@
 use slog::Logger;
 use tokio::time::sleep;
 
+use crate::cell::CellBrokers;
 use crate::cell::CellId;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
@@ -128,14 +129,13 @@
     /// Returns the broker of a cell and its deputy, among the hosts of the data centres that share
     /// the cell.
     #[must_use]
-    pub fn brokers(
-        &self,
-        cell: &CellId,
-        within: impl Fn(&DatacenterName) -> bool,
-    ) -> (Option<HostName>, Option<HostName>) {
+    pub fn brokers(&self, cell: &CellId, within: impl Fn(&DatacenterName) -> bool) -> CellBrokers {
         let membership = self.membership.borrow();
         let pair = membership.brokers(&cell.service, &cell.datacenter, within);
-        (pair.first.cloned(), pair.deputy.cloned())
+        CellBrokers {
+            first: pair.first.cloned(),
+            deputy: pair.deputy.cloned(),
+        }
     }
 
     /// Dials a live host to which no link is kept, such as the broker of a far cell.
--- a/src/network.rs
+++ b/src/network.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use crate::cell::CellBrokers;
 use crate::cell::CellId;
 use crate::cell::CellNetwork;
 use crate::kernel::configuration::Configuration;
@@ -41,15 +42,6 @@
     }
 }
 
-impl HostNetwork {
-    fn brokers(&self, cell: &CellId) -> (Option<HostName>, Option<HostName>) {
-        let configuration = (self.configuration)();
-        self.members.brokers(cell, |datacenter| {
-            *self.span.home(&configuration, datacenter) == cell.datacenter
-        })
-    }
-}
-
 impl CellNetwork for HostNetwork {
     fn host(&self) -> &HostName {
         &self.host
@@ -59,14 +51,16 @@
         &self.datacenter
     }
 
-    fn broker(&self, cell: &CellId) -> Option<HostName> {
-        let there = self.brokers(cell).0;
-        // Workers of a data centre without hosts are served by the hosts of this one.
-        there.or_else(|| self.members.broker(&cell.service, &self.datacenter))
-    }
-
-    fn deputy(&self, cell: &CellId) -> Option<HostName> {
-        self.brokers(cell).1
+    fn brokers(&self, cell: &CellId) -> CellBrokers {
+        let configuration = (self.configuration)();
+        let mut brokers = self.members.brokers(cell, |datacenter| {
+            *self.span.home(&configuration, datacenter) == cell.datacenter
+        });
+        if brokers.first.is_none() {
+            // Workers of a data centre without hosts are served by the hosts of this one.
+            brokers.first = self.members.broker(&cell.service, &self.datacenter);
+        }
+        brokers
     }
 
     fn datacenter_of(&self, host: &HostName) -> Option<DatacenterName> {
--- a/src/server.rs
+++ b/src/server.rs
@@ -19,15 +19,14 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::listener::accept_connections;
+
 /// The time that a client has to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The time for which an idle connection is kept open.
 const KEEP_ALIVE: Duration = Duration::from_mins(1);
 
-/// The pause after a failed accept, such as when file descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// A failure to start a server.
 #[derive(Debug, Error)]
 pub enum ServerError {
@@ -153,14 +152,9 @@
             .map_err(|()| ServerError::Service)?;
         let service = Rc::new(service);
         let count = Rc::new(ConnectionCount::default());
-        let accept = accept_loop(listener, service, Rc::clone(&count), max_connections);
+        let serve = connection_server(service, Rc::clone(&count), max_connections);
         let signal = stop.clone();
-        actix_rt::spawn(async move {
-            tokio::select! {
-                () = signal.stopped() => (),
-                () = accept => (),
-            }
-        });
+        actix_rt::spawn(async move { accept_connections(listener, &signal, serve).await });
         Ok(Self {
             address,
             count,
@@ -183,21 +177,17 @@
     }
 }
 
-async fn accept_loop<S>(
-    listener: TcpListener,
+fn connection_server<S>(
     service: Rc<S>,
     count: Rc<ConnectionCount>,
     max_connections: usize,
-) where
+) -> impl Fn(TcpStream, SocketAddr)
+where
     S: Service<(TcpStream, Option<SocketAddr>), Response = ()> + 'static,
 {
-    loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            actix_rt::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    move |stream, peer| {
         if count.open.get() >= max_connections || stream.set_nodelay(true).is_err() {
-            continue;
+            return;
         }
         let guard = ConnectionGuard::new(&count);
         let service = Rc::clone(&service);
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use borageladder::cell::CellBrokers;
 use borageladder::cell::CellId;
 use borageladder::cell::CellNetwork;
 use borageladder::cell::CellService;
@@ -58,8 +59,11 @@
     }
 
     /// Each data centre has one host, which has its name.
-    fn broker(&self, cell: &CellId) -> Option<HostName> {
-        cell.datacenter.as_str().parse().ok()
+    fn brokers(&self, cell: &CellId) -> CellBrokers {
+        CellBrokers {
+            first: cell.datacenter.as_str().parse().ok(),
+            deputy: None,
+        }
     }
 
     fn send(&self, host: &HostName, message: LinkMessage) {
