Let the hosts of a data centre hear of the store through a relay

Each change of a worker sent the whole configuration again. A question that came during a read was replaced by the next one before it could be answered, so hosts took themselves for forgotten and read the store on their own.

Ruled out: every host reading by itself, which multiplies the calls to the store; longer times between questions, which delay what is taken away.

Change: above 24 hosts those of a data centre ask one of them, which asks the reader; an answer to it answers the questions that came before. News carry the configuration only if it changed. The reader's read waits 250 ms rather than 400, so answers are in time.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -330,18 +330,19 @@
         }
     }
 
-    /// Puts a configuration in force; an older one than before is left out.
-    pub fn apply(&self, configuration: Arc<ServingConfiguration>) {
+    /// Puts a configuration in force unless it is older than the one before; returns whether it is new.
+    pub fn apply(&self, configuration: Arc<ServingConfiguration>) -> bool {
         let version = configuration.version;
         let current = self.state.serving.borrow().as_ref().map(|c| c.version);
         if current.is_some_and(|current| current >= version) {
-            return;
+            return false;
         }
         let now = self.clock.now();
         self.apply_quotas(now, &configuration);
         *self.state.serving.borrow_mut() = Some(configuration);
         log_event!(self.log, LogEvent::ConfigurationApplied, "version" => version);
         self.update_cells();
+        true
     }
 
     fn apply_quotas(&self, now: ClockTime, configuration: &ServingConfiguration) {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -14,13 +14,17 @@
 use crate::cell::CellId;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
+use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
-use crate::kernel::name::ServiceName;
 use crate::kernel::roster::StoreRevision;
 use crate::kernel::roster::WorkerReading;
 use crate::kernel::share::AnswerWatch;
+use crate::kernel::share::DIRECT_HOSTS;
 use crate::kernel::share::QUESTION_INTERVAL;
 use crate::kernel::share::QuestionTable;
+use crate::kernel::share::RELAY_INTERVAL;
+use crate::kernel::share::SourceView;
+use crate::kernel::share::StateSource;
 use crate::log_event;
 use crate::wire::LinkMessage;
 use crate::wire::StateNews;
@@ -30,7 +34,7 @@
 const READER_ROLE: &str = "store-reader";
 
 /// The longest time for which a reader's read of the configuration waits for a change.
-const READER_WAIT: Duration = Duration::from_millis(400);
+const READER_WAIT: Duration = Duration::from_millis(250);
 
 /// The time between two reads of the workers.
 const WORKER_INTERVAL: Duration = Duration::from_millis(800);
@@ -76,33 +80,79 @@
     };
     reads.read(Duration::ZERO).await;
     loop {
-        match reader(&host) {
-            Some(reader) if reader != host.settings.host => {
-                ask(&host, &reader);
+        let roles = ReaderRoles::of(&host);
+        let source = roles.view(&host).source();
+        let interval = if roles.is_relay(&host) {
+            RELAY_INTERVAL
+        } else {
+            QUESTION_INTERVAL
+        };
+        match source {
+            StateSource::Store => reads.read(READER_WAIT).await,
+            StateSource::Reader(name) | StateSource::Relay(name) => {
+                ask(&host, name);
                 let news = host.shared.news.notified();
                 // Without news the next question comes when it is due.
-                let _ = actix_rt::time::timeout(QUESTION_INTERVAL, news).await;
+                let _ = actix_rt::time::timeout(interval, news).await;
                 let now = host.clock.now();
-                if host.shared.answers.borrow().is_overdue(now) {
+                let answers = &host.shared.answers;
+                let overdue = answers.borrow().is_overdue(now, source.timeout());
+                if overdue {
                     reads.read(Duration::ZERO).await;
                 }
             }
-            _ => reads.read(READER_WAIT).await,
         }
     }
 }
 
-/// Returns the host that reads for all that share a cell with this one.
-fn reader(host: &GatewayHost) -> Option<HostName> {
-    let configuration = host.state.cell_configuration();
-    let own = &host.settings.datacenter;
-    let span = host.settings.cells;
-    let service: ServiceName = READER_ROLE.parse().ok()?;
+/// The hosts that hear first what the store holds.
+struct ReaderRoles {
+    /// The host that reads for all that share a cell with this one.
+    reader: Option<HostName>,
+    /// The host that asks the reader for the others of this data centre.
+    relay: Option<HostName>,
+}
+
+impl ReaderRoles {
+    fn of(host: &GatewayHost) -> Self {
+        let configuration = host.state.cell_configuration();
+        let own = &host.settings.datacenter;
+        let span = host.settings.cells;
+        let home = span.home(&configuration, own);
+        let within = |datacenter: &_| span.home(&configuration, datacenter) == home;
+        Self {
+            reader: first_of(host, home, within),
+            relay: first_of(host, own, |datacenter| datacenter == own),
+        }
+    }
+
+    fn view<'a>(&'a self, host: &'a GatewayHost) -> SourceView<'a> {
+        let reader = self.reader.as_ref();
+        let place = reader.and_then(|reader| host.members.datacenter(reader));
+        SourceView {
+            own: &host.settings.host,
+            hosts: host.host_count(),
+            reader,
+            reader_near: place.as_ref() == Some(&host.settings.datacenter),
+            relay: self.relay.as_ref(),
+        }
+    }
+
+    fn is_relay(&self, host: &GatewayHost) -> bool {
+        let many = host.host_count() > DIRECT_HOSTS;
+        many && self.relay.as_ref() == Some(&host.settings.host)
+    }
+}
+
+fn first_of(
+    host: &GatewayHost,
+    datacenter: &DatacenterName,
+    within: impl Fn(&DatacenterName) -> bool,
+) -> Option<HostName> {
     let cell = CellId {
-        service,
-        datacenter: span.home(&configuration, own).clone(),
+        service: READER_ROLE.parse().ok()?,
+        datacenter: datacenter.clone(),
     };
-    let within = |datacenter: &_| *span.home(&configuration, datacenter) == cell.datacenter;
     host.members.brokers(&cell, within).first
 }
 
@@ -128,29 +178,79 @@
     questions.ask(now, from.clone(), question);
 }
 
-/// Takes over what another host has read.
+/// Takes over what another host has read, and passes it on to the hosts that ask this one.
 pub fn learned(host: &GatewayHost, from: &HostName, news: StateNews) {
-    if let Some(configuration) = news.configuration {
-        host.apply(configuration);
-    }
+    let mut change = StateChange {
+        configuration: news.configuration.is_some_and(|newer| host.apply(newer)),
+        workers: false,
+    };
     let Some(number) = news.number else {
+        tell_followers(host, change);
         host.shared.news.notify_one();
         return;
     };
-    let Some(asked) = host.shared.answers.borrow_mut().answered(number) else {
+    let asked = host.shared.answers.borrow_mut().answered(number);
+    let Some(asked) = asked else {
+        tell_followers(host, change);
         return;
     };
     host.state.freshness.borrow_mut().confirmed(asked);
     let newer = asked > host.shared.roster_at.get();
     if let Some(present) = news.workers.filter(|_| newer) {
         host.shared.roster_at.set(asked);
-        host.apply_workers(WorkerReading {
+        change.workers = host.apply_workers(WorkerReading {
             complete: true,
             present,
             ..WorkerReading::default()
         });
         *host.shared.source.borrow_mut() = Some((from.clone(), news.roster));
     }
+    tell(host, asked, change);
+}
+
+/// What a read, or an answer of another host, brought.
+#[derive(Clone, Copy, Debug, Default)]
+struct StateChange {
+    configuration: bool,
+    workers: bool,
+}
+
+/// Answers the questions that came before the time as of which this host knows the store, and tells
+/// all who asked lately of news.
+fn tell(host: &GatewayHost, begin: ClockTime, change: StateChange) {
+    let answered = host.shared.questions.borrow_mut().answered_by(begin);
+    let roster = host.state.roster_state();
+    for (name, question) in answered {
+        let newest = host.newest();
+        let news = StateNews {
+            number: Some(question.number),
+            configuration: newest.filter(|newest| newest.version > question.version),
+            workers: (question.roster != roster).then(|| host.state.known_workers()),
+            roster,
+        };
+        // A host that misses the answer asks again.
+        let _ = host.links.send(&name, LinkMessage::State(Box::new(news)));
+    }
+    tell_followers(host, change);
+}
+
+/// Tells all who asked lately of news; they may be held up on the way, so those who hear of them ask
+/// for the workers.
+fn tell_followers(host: &GatewayHost, change: StateChange) {
+    if !change.configuration && !change.workers {
+        return;
+    }
+    let news = StateNews {
+        number: None,
+        configuration: host.newest().filter(|_| change.configuration),
+        workers: None,
+        roster: host.state.roster_state(),
+    };
+    let mut questions = host.shared.questions.borrow_mut();
+    for name in questions.followers(host.clock.now()) {
+        let news = Box::new(news.clone());
+        let _ = host.links.send(name, LinkMessage::State(news));
+    }
 }
 
 impl StoreReads {
@@ -159,9 +259,9 @@
     async fn read(&mut self, wait: Duration) {
         let begin = self.host.clock.now();
         match self.read_all(begin, wait).await {
-            Ok(changed) => {
+            Ok(change) => {
                 self.pause = FAILURE_PAUSE;
-                self.tell(begin, changed);
+                tell(&self.host, begin, change);
             }
             Err(error) => {
                 let text = error.to_string();
@@ -174,17 +274,24 @@
         }
     }
 
-    async fn read_all(&mut self, begin: ClockTime, wait: Duration) -> Result<bool, StoreError> {
-        let mut changed = self.read_configuration(begin, wait).await?;
+    async fn read_all(
+        &mut self,
+        begin: ClockTime,
+        wait: Duration,
+    ) -> Result<StateChange, StoreError> {
+        let mut change = StateChange {
+            configuration: self.read_configuration(begin, wait).await?,
+            workers: false,
+        };
         let now = self.host.clock.now();
         let due = self
             .workers_read
             .is_none_or(|read| now.since(read) >= WORKER_INTERVAL);
         if due {
             self.workers_read = Some(now);
-            changed |= self.read_workers().await?;
+            change.workers = self.read_workers().await?;
         }
-        Ok(changed)
+        Ok(change)
     }
 
     async fn read_configuration(
@@ -195,10 +302,7 @@
         let read = self.store.configuration(self.configuration, wait).await;
         self.configuration = next_revision(&read, |reading| reading.revision, self.configuration);
         let configuration = read?.configuration;
-        let changed = configuration.is_some();
-        if let Some(configuration) = configuration {
-            self.host.apply(Arc::new(configuration));
-        }
+        let changed = configuration.is_some_and(|newer| self.host.apply(Arc::new(newer)));
         self.host.state.freshness.borrow_mut().confirmed(begin);
         Ok(changed)
     }
@@ -222,38 +326,6 @@
             }
         }
     }
-
-    /// Answers the questions that came before the reads began, and tells all who asked lately of news.
-    fn tell(&self, begin: ClockTime, changed: bool) {
-        let host = &self.host;
-        let mut questions = host.shared.questions.borrow_mut();
-        let roster = host.state.roster_state();
-        for (name, question) in questions.answered_by(begin) {
-            let newest = host.newest();
-            let news = StateNews {
-                number: Some(question.number),
-                configuration: newest.filter(|newest| newest.version > question.version),
-                workers: (question.roster != roster).then(|| host.state.known_workers()),
-                roster,
-            };
-            // A host that misses the answer asks again.
-            let _ = host.links.send(&name, LinkMessage::State(Box::new(news)));
-        }
-        if !changed {
-            return;
-        }
-        // News may be held up on the way, so those who hear of them ask for the workers.
-        let news = StateNews {
-            number: None,
-            configuration: host.newest(),
-            workers: None,
-            roster,
-        };
-        for name in questions.followers(host.clock.now()) {
-            let news = Box::new(news.clone());
-            let _ = host.links.send(name, LinkMessage::State(news));
-        }
-    }
 }
 
 /// Returns the revision to read on from; after a loss of history everything is read again.
