Leave unread what crosses a close, and keep what was promised to stay

An idle connection was read on for half a second after its close, so a request that crossed the close was taken and thrown away. And a connection whose answer began before a stop, with a head that promised to keep it, was closed behind that answer.

Change: a connection that ends without an answer is closed at once; the codec alone says whether a connection stays. Events 507 and 511.

--- a/src/event.rs
+++ b/src/event.rs
@@ -84,6 +84,7 @@
     508 Warning StreamResumed "stream-resumed" "A silent stream was resumed on a new connection.";
     509 Info RequestRejected "request-rejected" "A request was refused before it was placed in a tier and did not run.";
     510 Info RequestAnswered "request-answered" "The whole answer of a worker was passed on to the caller.";
+    511 Warning BytesDiscarded "bytes-discarded" "A caller sent more on a connection that was being closed; nothing was run.";
     520 Info ClaimSettled "claim-settled" "An operator settled the outcome of a claim.";
     600 Info WorkerLeaving "worker-leaving" "A worker is leaving and gets no new work.";
     601 Warning WorkerFailed "worker-failed" "A worker broke a connection or could not be reached.";
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -54,7 +54,8 @@
     /// Returns whether the connection can be used for another request after this answer.
     #[must_use]
     pub fn keeps(&self) -> bool {
-        self.codec.keep_alive() && !self.draining.is_stopped()
+        // The codec knows whether the head that was written said that the connection closes.
+        self.codec.keep_alive()
     }
 
     /// Writes the head of a worker's answer; without a length the body goes in chunks.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -76,7 +76,10 @@
     let arrival = host.clock.now();
     let terms = host.dialect.call_terms(call.head.headers());
     let id = terms.id.clone().unwrap_or_default();
-    match run(host, &call, terms, caller, arrival).await {
+    let watch = CallerWatch { host, id: &id };
+    let outcome = run(host, &call, terms, caller, arrival).await;
+    watch.ended();
+    match outcome {
         Ok(()) => caller.keeps(),
         Err(ExchangeError::Call(error)) if !caller.has_started() => {
             log_refusal(host, &id, &error);
@@ -95,6 +98,24 @@
     }
 }
 
+/// Logs that a caller left, if it is dropped before its request has ended.
+struct CallerWatch<'a> {
+    host: &'a GatewayHost,
+    id: &'a str,
+}
+
+impl CallerWatch<'_> {
+    fn ended(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for CallerWatch<'_> {
+    fn drop(&mut self) {
+        log_event!(self.host.log, LogEvent::CallerLeft, "request" => self.id.to_owned());
+    }
+}
+
 fn log_refusal(host: &GatewayHost, id: &str, error: &CallError) {
     let status = error.status().as_u16();
     log_event!(host.log, LogEvent::RequestRejected,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -24,7 +24,9 @@
 use super::caller::CallerWriter;
 use super::exchange;
 use super::host::GatewayHost;
+use crate::event::LogEvent;
 use crate::listener::accept_connections;
+use crate::log_event;
 
 /// The first size of the buffer for requests, in bytes.
 const READ_BYTES: usize = 4 << 10;
@@ -118,6 +120,9 @@
         loop {
             let call = match self.read_call().await {
                 Ok(call) => call,
+                // A request that crosses the close stays unread, which tells the caller that it did
+                // not run.
+                Err(ReadError::Ended | ReadError::Idle) => return,
                 Err(error) => {
                     self.reject(&error).await;
                     break;
@@ -219,14 +224,19 @@
         if self.stream.shutdown().await.is_err() {
             return;
         }
+        let mut discarded = self.received.len();
         let drain = async {
             self.received.clear();
             while self.read_more().await.is_ok() {
+                discarded += self.received.len();
                 self.received.clear();
             }
         };
         // What a caller sends after the end is not read.
         let _ = timeout(LINGER_TIME, drain).await;
+        if discarded > 0 {
+            log_event!(self.host.log, LogEvent::BytesDiscarded, "bytes" => discarded);
+        }
     }
 }
 
