Grant a free slot whatever waits for another worker

The work of requests that wait for one fast worker counted against all slots, so a short answer was refused although a slow worker stood free.

Ruled out: counting waiters per worker in the tally, which costs a look at each worker for each ask; a request that is first in order and finds an open worker needs no prediction.

Change: the predicted wait is nought for a request that comes before all that wait for any worker while one is open.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -219,6 +219,9 @@
     ///
     /// Work of higher tiers that arrives meanwhile goes first, so only what it leaves counts.
     pub(super) fn predicted_wait(&self, now: ClockTime, lane: usize, key: &QueueKey) -> Duration {
+        if self.workers.lanes[lane].starts_at_once(key) {
+            return Duration::ZERO;
+        }
         let slots = self.left_slots(now, lane, key.tier);
         let before = self.workers.lanes[lane].tally.before(key);
         before.div_f64(slots)
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -11,6 +11,7 @@
 use crate::name::BlockDigest;
 use crate::name::ModelName;
 use crate::prefix::mixed;
+use crate::queue::QueueKey;
 use crate::queue::TierQueue;
 use crate::queue::WorkTally;
 
@@ -52,6 +53,14 @@
 }
 
 impl WorkLane {
+    /// Returns whether a request with the key gets a free slot before all others that wait for any.
+    ///
+    /// What waits for one certain worker leaves the free slots of the others alone.
+    pub(super) fn starts_at_once(&self, key: &QueueKey) -> bool {
+        let first = self.ready.first();
+        !self.open.is_empty() && first.is_none_or(|first| *key <= first.key)
+    }
+
     /// Adds the workers that are to hold a prefix, by consistent hashing of its first block.
     pub(super) fn homes(&self, first: BlockDigest, homes: &mut Vec<usize>) {
         let start = mixed(first.0);
