Tell refused callers to come back one after the other

Each refused caller was told to come back after the excess of its predicted wait, which is nearly always the least, one second; all of a burst came back together, into the same burst, and most have one retry.

Ruled out: one long time for all, which moves the crowd but keeps it; the first room that the predicted load leaves, since in a burst it leaves none.

Change: a schedule for each lane and tier gives each refused caller the first time at which those told before it have taken a twentieth of the slots, at least a second and at most a third of the time that it has left.

Callers who come back are late, so they earn little.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -129,7 +129,8 @@
             let most = self.longest_wait(&ask, ask.budget, estimate.quickest);
             if wait > most || estimate.quickest > ask.budget {
                 let excess = wait.saturating_sub(most);
-                Self::refuse_ask(host, &ask, RefusalReason::Deadline, excess, actions);
+                let after = self.return_after(now, lane, &ask, ask.budget, excess);
+                Self::refuse_ask(host, &ask, RefusalReason::Deadline, after, actions);
                 return;
             }
         }
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -14,6 +14,7 @@
 use crate::queue::QueueKey;
 use crate::queue::TierQueue;
 use crate::queue::WorkTally;
+use crate::returns::ReturnSchedule;
 
 /// The number of workers that are to hold a prefix.
 const HOMES_KEPT: usize = 4;
@@ -48,6 +49,8 @@
     pub reserved: Option<usize>,
     pub tally: WorkTally,
     pub load: ArrivalLoad,
+    /// When those who were refused come back.
+    pub returns: ReturnSchedule,
     /// The workers on a hash ring, at several points each.
     pub ring: BTreeMap<u64, usize>,
 }
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -16,9 +16,8 @@
 use crate::name::HostName;
 use crate::name::RequestId;
 use crate::queue::QueueOrder;
-
-/// The shortest time after which a refused caller is told to come back.
-const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+use crate::returns::ReturnRequest;
+use crate::returns::SHORTEST_RETURN;
 
 /// The longest time after which a refused caller is told to come back.
 const LONGEST_RETRY: Duration = Duration::from_mins(5);
@@ -116,7 +115,9 @@
             return;
         };
         let late = self.lateness(now, &record);
-        Self::refuse_ask(record.host, &record.ask, reason, late, actions);
+        let remaining = record.deadline.since(now);
+        let after = self.return_after(now, record.lane, &record.ask, remaining, late);
+        Self::refuse_ask(record.host, &record.ask, reason, after, actions);
     }
 
     /// Refuses an ask that never waited.
@@ -126,21 +127,46 @@
         reason: RefusalReason,
         actions: &mut Vec<BrokerAction>,
     ) {
-        Self::refuse_ask(host, ask, reason, Duration::ZERO, actions);
+        Self::refuse_ask(host, ask, reason, SHORTEST_RETURN, actions);
     }
 
-    /// Refuses an ask that would be late by `late`, which is when the caller may come back.
+    /// Returns the time after which the caller of a refused ask is to come back, with the time that it
+    /// has left and the time by which it would have been late.
+    pub(super) fn return_after(
+        &mut self,
+        now: ClockTime,
+        lane: usize,
+        ask: &Ask,
+        remaining: Duration,
+        late: Duration,
+    ) -> Duration {
+        if !self.policy.spreads_returns() {
+            return late.clamp(SHORTEST_RETURN, LONGEST_RETRY);
+        }
+        let work = self.service_estimate(lane, ask).work;
+        let lane = &mut self.workers.lanes[lane];
+        let refused = ReturnRequest {
+            tier: ask.tier,
+            earliest: late,
+            remaining,
+            work,
+            slots: lane.slots,
+        };
+        lane.returns.book(now, &refused)
+    }
+
+    /// Refuses an ask whose caller may come back after a time.
     pub(super) fn refuse_ask(
         host: HostName,
         ask: &Ask,
         reason: RefusalReason,
-        late: Duration,
+        retry_after: Duration,
         actions: &mut Vec<BrokerAction>,
     ) {
         let refusal = Refusal {
             request: ask.request,
             reason,
-            retry_after: late.clamp(SHORTEST_RETRY, LONGEST_RETRY),
+            retry_after,
         };
         actions.push(BrokerAction::Refuse {
             host,
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod queue;
 pub mod quota;
 pub mod retry;
+pub mod returns;
 pub mod rollout;
 pub mod roster;
 pub mod route;
--- a/kernel/src/policy/first_token.rs
+++ b/kernel/src/policy/first_token.rs
@@ -59,6 +59,10 @@
         Some(WAIT_PERCENT)
     }
 
+    fn spreads_returns(&self) -> bool {
+        true
+    }
+
     fn straggler_factor(&self) -> Option<u64> {
         None
     }
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -60,6 +60,11 @@
         None
     }
 
+    /// Returns whether callers who are refused are told to come back one after the other.
+    fn spreads_returns(&self) -> bool {
+        false
+    }
+
     /// Returns the factor over the median token gap from which on a worker is a straggler; `None` if
     /// slow workers are worth their slots.
     fn straggler_factor(&self) -> Option<u64> {
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -5,4 +5,5 @@
 mod grants;
 mod harness;
 mod prefixes;
+mod returns;
 mod shedding;
