--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -23,10 +23,8 @@
 /// The slot time that a request is expected to need.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServiceEstimate {
-    /// The likely time at a worker of typical speed, corrected by how long slots were held.
+    /// The likely time at a worker of typical speed.
     pub work: Duration,
-    /// The same time as the speeds of the workers tell.
-    pub predicted: Duration,
     /// The time of a short answer at the fastest worker.
     pub quickest: Duration,
 }
@@ -153,7 +151,6 @@
             deadline,
             latest_start: now + self.longest_wait(&ask, ask.budget, estimate.quickest),
             work: estimate.work,
-            predicted: estimate.predicted,
             place,
             patient_until: None,
             patience_spent: false,
@@ -205,20 +202,16 @@
     pub(super) fn service_estimate(&self, lane: usize, ask: &Ask) -> ServiceEstimate {
         let answer = self.answer_estimate(ask);
         if ask.model.is_none() {
-            let likely = Duration::from_millis(u64::from(answer.likely));
             return ServiceEstimate {
-                work: likely,
-                predicted: likely,
+                work: Duration::from_millis(u64::from(answer.likely)),
                 quickest: Duration::from_millis(u64::from(answer.short)),
             };
         }
         let lane = &self.workers.lanes[lane];
         let held = block_tokens(self.workers.index.held(&ask.prefix));
         let uncached = ask.prompt_tokens.saturating_sub(held);
-        let predicted = lane.predicted_hold(uncached, answer.likely);
         ServiceEstimate {
-            work: lane.pace.correct(predicted),
-            predicted,
+            work: lane.typical.prefill(uncached) + lane.typical.decode(answer.likely),
             quickest: lane.fastest.prefill(uncached) + lane.fastest.decode(answer.short),
         }
     }
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -179,8 +179,6 @@
             workspace: waiting.ask.workspace,
             tier: waiting.ask.tier,
             tokens: waiting.ask.model.is_some(),
-            lane: waiting.lane,
-            predicted: waiting.predicted,
         };
         let record = GrantRecord {
             host: waiting.host.clone(),
--- a/kernel/src/broker/grants.rs
+++ b/kernel/src/broker/grants.rs
@@ -1,7 +1,6 @@
 //! The grants of a broker, from issue to release.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use crate::clock::ClockTime;
 use crate::name::BlockDigest;
@@ -34,10 +33,6 @@
     pub tier: TierRank,
     /// Whether the answer is measured in tokens rather than in time.
     pub tokens: bool,
-    /// The position of the lane.
-    pub lane: usize,
-    /// The time for which the slot was predicted to be held.
-    pub predicted: Duration,
 }
 
 /// A grant that holds a slot.
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -2,12 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use super::workers::WorkerHealth;
 use super::workers::WorkerRecord;
 use crate::clock::ClockTime;
-use crate::estimate::HoldPace;
 use crate::estimate::WorkerSpeed;
 use crate::load::ArrivalLoad;
 use crate::name::BlockDigest;
@@ -51,8 +49,6 @@
     pub reserved: Option<usize>,
     pub tally: WorkTally,
     pub load: ArrivalLoad,
-    /// How long slots are held against what was predicted.
-    pub pace: HoldPace,
     /// When those who were refused come back.
     pub returns: ReturnSchedule,
     /// The workers on a hash ring, at several points each.
@@ -60,11 +56,6 @@
 }
 
 impl WorkLane {
-    /// Returns the time for which a worker of typical speed needs a slot, as its speeds tell.
-    pub(super) fn predicted_hold(&self, uncached_tokens: u32, answer_tokens: u32) -> Duration {
-        self.typical.prefill(uncached_tokens) + self.typical.decode(answer_tokens)
-    }
-
     /// Returns whether a request with the key gets a free slot before all others that wait for any.
     ///
     /// What waits for one certain worker leaves the free slots of the others alone.
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -255,8 +255,6 @@
         let Some(lesson) = lesson else {
             return;
         };
-        let lane = &mut self.workers.lanes[lesson.lane];
-        lane.pace.record(lesson.predicted, held);
         if lesson.tokens {
             self.lengths
                 .record(&lesson.workspace, lesson.tier, answer_tokens);
--- a/kernel/src/broker/waiting.rs
+++ b/kernel/src/broker/waiting.rs
@@ -55,8 +55,6 @@
     pub latest_start: ClockTime,
     /// The slot time that the request is expected to need.
     pub work: Duration,
-    /// The slot time as the speeds of the workers tell.
-    pub predicted: Duration,
     /// Where it waits.
     pub place: WaitPlace,
     /// The time at which its patience ends, while it waits for a certain worker.
--- a/kernel/src/estimate.rs
+++ b/kernel/src/estimate.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -321,51 +320,6 @@
     }
 }
 
-/// The part of the older samples that a new one leaves in a hold pace: the mean of the last hundred.
-const PACE_KEPT: f64 = 0.99;
-
-/// The bounds of a hold pace, so that a few odd samples do not turn all predictions.
-const PACE_BOUNDS: RangeInclusive<f64> = 0.2..=2.0;
-
-/// How long slots are held against what was predicted.
-///
-/// # Examples
-///
-/// ```
-/// use std::time::Duration;
-///
-/// use borageladder_kernel::estimate::HoldPace;
-///
-/// let mut pace = HoldPace::default();
-/// let work = Duration::from_millis(100);
-/// assert_eq!(pace.correct(work), work);
-/// pace.record(work, Duration::from_millis(50));
-/// assert_eq!(pace.correct(work), Duration::from_millis(50));
-/// ```
-#[derive(Clone, Copy, Debug, Default)]
-pub struct HoldPace {
-    predicted: f64,
-    held: f64,
-}
-
-impl HoldPace {
-    /// Learns from a request that was predicted to hold a slot for one time and held it for another.
-    pub fn record(&mut self, predicted: Duration, held: Duration) {
-        self.predicted = self.predicted.mul_add(PACE_KEPT, predicted.as_secs_f64());
-        self.held = self.held.mul_add(PACE_KEPT, held.as_secs_f64());
-    }
-
-    /// Returns the time for which a slot will be held that is predicted to be held for `work`.
-    #[must_use]
-    pub fn correct(&self, work: Duration) -> Duration {
-        if self.predicted <= 0.0 {
-            return work;
-        }
-        let pace = self.held / self.predicted;
-        work.mul_f64(pace.clamp(*PACE_BOUNDS.start(), *PACE_BOUNDS.end()))
-    }
-}
-
 fn smoothed(old: Option<u64>, sample: u64) -> u64 {
     old.map_or(sample, |old| old - old / 8 + sample / 8)
 }
