Choose brokers among the strongest hosts

Cause: on the grown sites nine hosts in eleven have 0.12 of a core and 10 Mbit/s; hashing gave one of them the broker of all 112 workers, some 5,000 messages a second in a burst.

Ruled out: measured strength, which moves the roles whenever a host is busy; naming hosts in settings, since the platform may take any away.

Change: each host tells in its heartbeat one of four classes, from its share of cores and its link as its settings give them; brokers, deputies, the reader and the relays are hashed among the highest class that lives and is not stopping.

Sites of like hosts choose as before.

--- a/kernel/src/membership.rs
+++ b/kernel/src/membership.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::clock::ClockTime;
 use crate::name::DatacenterName;
 use crate::name::HostName;
@@ -15,6 +18,59 @@
 /// The time without a heartbeat after which a host is declared dead.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// How much a host can do beside its own callers' work: one of four classes.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder_kernel::membership::HostStrength;
+///
+/// let small = HostStrength::of(0.12, 10.0);
+/// let large = HostStrength::of(0.5, 200.0);
+/// assert!(small < large);
+/// // A slow link holds a fast processor back.
+/// assert_eq!(HostStrength::of(4.0, 10.0), small);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct HostStrength(u8);
+
+/// The processor cores from which on a host is of the next class.
+const CORE_CLASSES: [f64; 3] = [0.2, 0.4, 0.8];
+
+/// The highest class.
+const HIGHEST_CLASS: u8 = 3;
+
+/// The megabits a second from which on a link carries what a broker of many hosts sends and gets.
+const BROKER_MEGABITS: f64 = 50.0;
+
+impl HostStrength {
+    /// Returns the class of a host with a share of processor cores and a link in megabits a second.
+    #[must_use]
+    pub fn of(cores: f64, megabits: f64) -> Self {
+        if megabits < BROKER_MEGABITS {
+            return Self::default();
+        }
+        let reached = CORE_CLASSES.iter().filter(|class| cores >= **class);
+        Self(u8::try_from(reached.count()).unwrap_or_default())
+    }
+
+    /// Returns the number of the class, from nought to three.
+    #[must_use]
+    pub const fn class(self) -> u8 {
+        self.0
+    }
+
+    /// Returns the strength of a class; a number above the highest class stands for that one.
+    #[must_use]
+    pub const fn of_class(class: u8) -> Self {
+        Self(if class > HIGHEST_CLASS {
+            HIGHEST_CLASS
+        } else {
+            class
+        })
+    }
+}
+
 /// What a heartbeat says about the life of its sender.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LifeSign {
@@ -24,6 +80,8 @@
     pub incarnation: u64,
     /// Whether the host is stopping.
     pub stopping: bool,
+    /// How much the host can do beside its own callers' work.
+    pub strength: HostStrength,
     /// The address at which the host accepts links.
     pub address: SocketAddr,
     /// The host's clock when it sent the heartbeat.
@@ -52,6 +110,8 @@
     pub incarnation: u64,
     /// Whether the host is stopping.
     pub stopping: bool,
+    /// How much the host can do beside its own callers' work; nothing is known of a listed one.
+    pub strength: HostStrength,
     /// The address at which the host accepts links.
     pub address: SocketAddr,
 }
@@ -105,6 +165,7 @@
     host: HostName,
     datacenter: DatacenterName,
     stopping: bool,
+    strength: HostStrength,
     direct: BTreeMap<HostName, DirectPeer>,
     lists: BTreeMap<HostName, Vec<ListedMember>>,
     alive: BTreeMap<HostName, LiveMember>,
@@ -118,6 +179,7 @@
             host,
             datacenter,
             stopping: false,
+            strength: HostStrength::default(),
             direct: BTreeMap::new(),
             lists: BTreeMap::new(),
             alive: BTreeMap::new(),
@@ -132,6 +194,7 @@
         let known = self.alive.get(host).is_some_and(|live| {
             live.incarnation == sign.incarnation
                 && live.stopping == sign.stopping
+                && live.strength == sign.strength
                 && live.address == sign.address
         });
         let peer = DirectPeer { sign, heard: now };
@@ -169,6 +232,17 @@
         self.stopping
     }
 
+    /// Sets how much this host can do beside its own callers' work.
+    pub fn set_strength(&mut self, strength: HostStrength) {
+        self.strength = strength;
+    }
+
+    /// Returns how much this host can do beside its own callers' work.
+    #[must_use]
+    pub fn strength(&self) -> HostStrength {
+        self.strength
+    }
+
     /// Returns the `sent` time of the last heartbeat of a host, to be echoed to it, unless that
     /// heartbeat came from another incarnation of the host.
     #[must_use]
@@ -216,7 +290,7 @@
     }
 
     /// Returns the broker of the cell of a service in a data centre: among the live hosts there
-    /// that are not stopping, the one with the highest rendezvous hash.
+    /// that are not stopping, of the strongest the one with the highest rendezvous hash.
     ///
     /// While all of them are stopping, one of these is the broker.
     #[must_use]
@@ -236,12 +310,14 @@
     ) -> BrokerPair<'_> {
         let others = self.alive.iter();
         let others = others.filter(|(_, live)| within(&live.datacenter));
-        let others = others.map(|(host, live)| (host, live.stopping));
-        let own = within(&self.datacenter).then_some((&self.host, self.stopping));
+        let others = others.map(|(host, live)| (host, live.stopping, live.strength));
+        let own = (&self.host, self.stopping, self.strength);
+        let own = within(&self.datacenter).then_some(own);
         let mut pair = BrokerPair::default();
         let mut ranks = [None, None];
-        for (host, stopping) in others.chain(own) {
-            let rank = Some((!stopping, rendezvous_hash(service, home, host), host));
+        for (host, stopping, strength) in others.chain(own) {
+            let hash = rendezvous_hash(service, home, host);
+            let rank = Some((!stopping, strength, hash, host));
             if rank > ranks[0] {
                 ranks = [rank, ranks[0]];
                 pair = BrokerPair {
@@ -283,6 +359,7 @@
                 datacenter: sign.datacenter.clone(),
                 incarnation: sign.incarnation,
                 stopping: sign.stopping,
+                strength: sign.strength,
                 address: sign.address,
             };
             alive.insert(host.clone(), live);
@@ -310,6 +387,7 @@
         datacenter: datacenter.clone(),
         incarnation: member.incarnation,
         stopping: member.stopping,
+        strength: HostStrength::default(),
         address: member.address,
     }
 }
--- a/kernel/tests/membership.rs
+++ b/kernel/tests/membership.rs
@@ -5,6 +5,7 @@
 
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::membership::HEARTBEAT_TIMEOUT;
+use borageladder_kernel::membership::HostStrength;
 use borageladder_kernel::membership::LifeSign;
 use borageladder_kernel::membership::ListedMember;
 use borageladder_kernel::membership::MemberChange;
@@ -34,6 +35,7 @@
         datacenter: place(datacenter),
         incarnation,
         stopping: false,
+        strength: HostStrength::default(),
         address: "127.0.0.1:7000".parse().expect("an address"),
         sent: ClockTime::from_millis(77),
     }
@@ -127,6 +129,40 @@
     assert!(brokers.contains(&&host("a")) && brokers.contains(&&host("b")));
 }
 
+#[test]
+fn of_unlike_hosts_a_strong_one_is_the_broker_and_another_its_deputy() {
+    let mut members = membership();
+    let (weak, strong) = (HostStrength::of(0.12, 10.0), HostStrength::of(0.5, 200.0));
+    members.set_strength(weak);
+    for (name, strength) in [("b", weak), ("c", strong), ("d", weak), ("e", strong)] {
+        let sign = LifeSign {
+            strength,
+            ..sign("d1", 1)
+        };
+        members.heard(ClockTime::ZERO, &host(name), sign);
+    }
+    let strong = [host("c"), host("e")];
+    for number in 0..50 {
+        let pair = members.brokers(&service(number), &place("d1"), |_| true);
+        let first = pair.first.expect("a broker");
+        let deputy = pair.deputy.expect("a deputy");
+        assert!(strong.contains(first) && strong.contains(deputy) && first != deputy);
+    }
+}
+
+#[test]
+fn without_the_strong_hosts_a_weak_one_is_the_broker() {
+    let mut members = membership();
+    let mut strong = sign("d1", 1);
+    strong.strength = HostStrength::of(0.5, 200.0);
+    members.heard(ClockTime::ZERO, &host("b"), strong.clone());
+    assert_eq!(members.broker(&service(1), &place("d1")), Some(&host("b")));
+    // One that stops gives its roles up however strong it is.
+    strong.stopping = true;
+    members.heard(ClockTime::ZERO, &host("b"), strong);
+    assert_eq!(members.broker(&service(1), &place("d1")), Some(&host("a")));
+}
+
 #[test]
 fn every_host_names_the_same_broker_and_a_loss_moves_only_its_cells() {
     let names = ["a", "b", "c", "d"];
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -240,6 +240,7 @@
         first_peers: joined.hosts.iter().map(|record| record.link).collect(),
     };
     let members = MemberService::start(member_settings, Rc::clone(&links), source);
+    members.set_strength(settings.strength());
     let shared = Rc::clone(&state);
     let configuration: ConfigurationSource = Rc::new(move || shared.cell_configuration());
     let network = HostNetwork {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+use crate::kernel::membership::HostStrength;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RegionName;
@@ -65,6 +66,12 @@
     /// Which data centres share the cells of a service.
     #[serde(default)]
     pub cells: CellSpan,
+    /// The processor cores that the host may use.
+    #[serde(default = "whole_core")]
+    pub processor_cores: f64,
+    /// The megabits a second that the host's link carries.
+    #[serde(default = "fast_link")]
+    pub link_megabits: f64,
     /// What the operators promise about the deployment.
     pub bounds: GatewayBounds,
 }
@@ -84,6 +91,22 @@
     pub retry_headroom: f64,
 }
 
+const fn whole_core() -> f64 {
+    1.0
+}
+
+const fn fast_link() -> f64 {
+    1_000.0
+}
+
+impl GatewaySettings {
+    /// Returns how much the host can do beside its own callers' work.
+    #[must_use]
+    pub fn strength(&self) -> HostStrength {
+        HostStrength::of(self.processor_cores, self.link_megabits)
+    }
+}
+
 impl GatewayBounds {
     /// Returns the time after which a key that was taken away must not work.
     #[must_use]
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -17,6 +17,7 @@
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::membership::HEARTBEAT_INTERVAL;
+use crate::kernel::membership::HostStrength;
 use crate::kernel::membership::LifeSign;
 use crate::kernel::membership::ListedMember;
 use crate::kernel::membership::Membership;
@@ -171,6 +172,11 @@
         self.dialer.borrow().is_alone()
     }
 
+    /// Sets how much this host can do beside its own callers' work; the strongest get broker roles.
+    pub fn set_strength(&self, strength: HostStrength) {
+        self.membership.borrow_mut().set_strength(strength);
+    }
+
     /// Sets whether this host is stopping, which gives up its broker roles.
     pub fn set_stopping(&self, stopping: bool) {
         self.membership.borrow_mut().set_stopping(stopping);
@@ -218,6 +224,7 @@
             datacenter: heartbeat.datacenter.clone(),
             incarnation: heartbeat.incarnation,
             stopping: heartbeat.stopping,
+            strength: heartbeat.strength,
             address,
             sent: heartbeat.sent,
         };
@@ -300,6 +307,7 @@
             confirmed: report.confirmed,
             fresh: report.fresh,
             stopping: membership.is_stopping(),
+            strength: membership.strength(),
             // The wire carries whole milliseconds.
             sent: ClockTime::from_millis(now.as_micros() / 1_000),
             echo: membership.last_sent(host, incarnation),
--- a/src/wire/host.rs
+++ b/src/wire/host.rs
@@ -10,9 +10,12 @@
 use super::state::CodeState;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
+use crate::kernel::membership::HostStrength;
 
 const FRESH_FLAG: u8 = 1;
 const STOPPING_FLAG: u8 = 2;
+/// The position of the class of strength among the flags.
+const STRENGTH_SHIFT: u8 = 2;
 
 /// Data centre, flags, known version, versions behind it (applied, confirmed), time sent, echo.
 pub type HeartbeatRow = (NameCode, u8, i64, u64, u64, i64, Option<i64>);
@@ -35,7 +38,7 @@
         let known = heartbeat.known.0;
         (
             self.names.encode(heartbeat.datacenter.as_str()),
-            fresh | stopping,
+            fresh | stopping | heartbeat.strength.class() << STRENGTH_SHIFT,
             self.versions.encode(known),
             known.wrapping_sub(heartbeat.applied.0),
             known.wrapping_sub(heartbeat.confirmed.0),
@@ -61,6 +64,7 @@
             confirmed: ConfigVersion(known.wrapping_sub(confirmed)),
             fresh: flags & FRESH_FLAG != 0,
             stopping: flags & STOPPING_FLAG != 0,
+            strength: HostStrength::of_class(flags >> STRENGTH_SHIFT),
             sent,
             echo,
         })
--- a/tests/harness/deployment.rs
+++ b/tests/harness/deployment.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use borageladder::kernel::clock::ClockTime;
+use borageladder::kernel::membership::HostStrength;
 use borageladder::kernel::membership::LifeSign;
 use borageladder::kernel::membership::Membership;
 use borageladder::kernel::name::HostName;
@@ -254,6 +255,7 @@
                 datacenter: parsed(datacenter),
                 incarnation: 0,
                 stopping: false,
+                strength: HostStrength::default(),
                 address: self.hosts[*index].link,
                 sent: ClockTime::ZERO,
             };
