Straighten the imports of broker and cells

Cause: lanes and workers of the broker imported each other, candidates and granting reached into asks for a conversion, and in the cells asks, slots, roles and the service formed circles.

Nothing else.

Before and after: kernel tests, cells, gateway tests as before.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -17,7 +17,7 @@
 use crate::name::HostName;
 use crate::name::RequestId;
 use crate::name::TierRank;
-use crate::prefix::BLOCK_TOKENS;
+use crate::prefix::block_tokens;
 use crate::queue::QueueKey;
 
 /// The slot time that a request is expected to need.
@@ -266,10 +266,3 @@
         }
     }
 }
-
-/// Returns the number of tokens in a number of blocks.
-pub(super) fn block_tokens(blocks: usize) -> u32 {
-    u32::try_from(blocks)
-        .unwrap_or(u32::MAX)
-        .saturating_mul(BLOCK_TOKENS)
-}
--- a/kernel/src/broker/candidates.rs
+++ b/kernel/src/broker/candidates.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use super::CellBroker;
-use super::asks::block_tokens;
 use super::lanes::WorkLane;
-use super::workers::WorkerHealth;
-use super::workers::WorkerRecord;
+use super::records::WorkerHealth;
+use super::records::WorkerRecord;
 use crate::ask::Ask;
 use crate::clock::ClockTime;
 use crate::estimate::AnswerEstimate;
@@ -15,6 +14,7 @@
 use crate::place::PlaceDistance;
 use crate::policy::CandidateScope;
 use crate::policy::WorkerCandidate;
+use crate::prefix::block_tokens;
 
 /// The wait for a worker that gets no work before a probe.
 const WAIT_FOR_UNFIT: Duration = Duration::from_hours(1);
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::CellBroker;
-use super::asks::block_tokens;
 use super::grants::GrantLesson;
 use super::grants::GrantRecord;
 use super::grants::GrantState;
@@ -19,6 +18,7 @@
 use crate::policy::Choice;
 use crate::policy::ChoiceReason;
 use crate::policy::ChoiceView;
+use crate::prefix::block_tokens;
 use crate::queue::QueueEntry;
 use crate::queue::TierQueue;
 
--- a/kernel/src/broker/health.rs
+++ b/kernel/src/broker/health.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::CellBroker;
+use super::records::WorkerHealth;
 use super::timers::BrokerTimer;
-use super::workers::WorkerHealth;
 use crate::ask::CacheBatch;
 use crate::ask::LoadReport;
 use crate::clock::ClockTime;
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use super::workers::WorkerHealth;
-use super::workers::WorkerRecord;
+use super::records::WorkerHealth;
+use super::records::WorkerRecord;
 use crate::clock::ClockTime;
 use crate::estimate::WorkerSpeed;
 use crate::load::ArrivalLoad;
--- a/kernel/src/broker/suspects.rs
+++ b/kernel/src/broker/suspects.rs
@@ -1,7 +1,7 @@
 //! Requests that may have crashed a worker and run alone on one.
 
 use super::CellBroker;
-use super::workers::WorkerHealth;
+use super::records::WorkerHealth;
 use crate::ask::BrokerAction;
 use crate::clock::ClockTime;
 use crate::name::RequestId;
--- a/kernel/src/prefix.rs
+++ b/kernel/src/prefix.rs
@@ -11,6 +11,14 @@
 /// The length of a block, in tokens.
 pub const BLOCK_TOKENS: u32 = 64;
 
+/// Returns the number of tokens in a number of blocks.
+#[must_use]
+pub(crate) fn block_tokens(blocks: usize) -> u32 {
+    u32::try_from(blocks)
+        .unwrap_or(u32::MAX)
+        .saturating_mul(BLOCK_TOKENS)
+}
+
 /// The number of blocks that are remembered for one worker.
 const BLOCKS_KEPT: usize = 4_096;
 
--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::oneshot;
 
-use super::slot::SlotAnswer;
+use super::answer::SlotAnswer;
 use crate::kernel::ask::Ask;
 use crate::kernel::ask::Grant;
 use crate::kernel::ask::Refusal;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -4,20 +4,22 @@
 //! runs; [`BrokerTable`] holds the brokers that run here; [`CellService`] joins both with the other
 //! hosts.
 
+mod answer;
 mod asks;
 mod brokers;
+mod network;
 mod roles;
 mod service;
 mod slot;
 mod ticker;
 
+pub use self::answer::SlotAnswer;
 pub use self::asks::AskTable;
 pub use self::asks::CellBrokers;
 pub use self::asks::CellId;
 pub use self::asks::OutgoingWithdrawal;
 pub use self::brokers::BrokerTable;
-pub use self::service::CellNetwork;
+pub use self::network::CellNetwork;
 pub use self::service::CellService;
-pub use self::slot::SlotAnswer;
 pub use self::slot::SlotLease;
 pub use self::slot::SlotWait;
--- /dev/null
+++ b/src/cell/network.rs
@@ -0,0 +1,45 @@
+//! What the cells need of the other hosts.
+
+use std::sync::Arc;
+
+use super::asks::CellBrokers;
+use super::asks::CellId;
+use crate::kernel::configuration::Configuration;
+use crate::kernel::name::DatacenterName;
+use crate::kernel::name::HostName;
+use crate::kernel::name::RegionName;
+use crate::wire::LinkMessage;
+
+/// What the cells need of the other hosts.
+pub trait CellNetwork {
+    /// Returns the name of this host.
+    fn host(&self) -> &HostName;
+
+    /// Returns the data centre of this host.
+    fn datacenter(&self) -> &DatacenterName;
+
+    /// Returns the hosts that grant slots of a cell, as far as they are alive.
+    fn brokers(&self, cell: &CellId) -> CellBrokers;
+
+    /// Sends a message; a message that can't be sent is lost and asked for again.
+    fn send(&self, host: &HostName, message: LinkMessage);
+
+    /// Returns the data centre of a host, if the host is known.
+    fn datacenter_of(&self, host: &HostName) -> Option<DatacenterName> {
+        let _ = host;
+        None
+    }
+
+    /// Returns the configuration in force.
+    fn configuration(&self) -> Arc<Configuration>;
+}
+
+pub(super) fn region_of<'a>(
+    configuration: &'a Configuration,
+    datacenter: &DatacenterName,
+) -> Option<&'a RegionName> {
+    configuration
+        .datacenters
+        .get(datacenter)
+        .map(|spec| &spec.region)
+}
--- a/src/cell/roles.rs
+++ b/src/cell/roles.rs
@@ -5,6 +5,7 @@
 use super::asks::CellId;
 use super::brokers::BrokerTable;
 use super::brokers::CellAction;
+use super::network::region_of;
 use super::service::CellService;
 use crate::kernel::ask::BrokerAction;
 use crate::kernel::ask::BrokerEvent;
@@ -14,10 +15,7 @@
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::broker::CellBroker;
 use crate::kernel::clock::ClockTime;
-use crate::kernel::configuration::Configuration;
-use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
-use crate::kernel::name::RegionName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::TierRank;
@@ -192,16 +190,6 @@
     }
 }
 
-pub(super) fn region_of<'a>(
-    configuration: &'a Configuration,
-    datacenter: &DatacenterName,
-) -> Option<&'a RegionName> {
-    configuration
-        .datacenters
-        .get(datacenter)
-        .map(|spec| &spec.region)
-}
-
 fn summarize(now: ClockTime, cell: &CellId, broker: &CellBroker) -> CellSummary {
     let summary = broker.summary(now);
     CellSummary {
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -5,18 +5,17 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
+use super::answer::SlotAnswer;
 use super::asks::AskTable;
 use super::asks::CellBrokers;
 use super::asks::CellId;
 use super::asks::OutgoingWithdrawal;
 use super::asks::REASK_INTERVAL;
 use super::brokers::BrokerTable;
-use super::roles::region_of;
-use super::slot::SlotAnswer;
-use super::slot::SlotWait;
+use super::network::CellNetwork;
+use super::network::region_of;
 use crate::clock::ProcessClock;
 use crate::kernel::ask::Ask;
 use crate::kernel::ask::BrokerEvent;
@@ -27,7 +26,6 @@
 use crate::kernel::ask::WorkReport;
 use crate::kernel::broker::BrokerSettings;
 use crate::kernel::clock::ClockTime;
-use crate::kernel::configuration::Configuration;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
@@ -40,36 +38,12 @@
 /// The time after which an entry declares again what it runs.
 const DECLARE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// What the cells need of the other hosts.
-pub trait CellNetwork {
-    /// Returns the name of this host.
-    fn host(&self) -> &HostName;
-
-    /// Returns the data centre of this host.
-    fn datacenter(&self) -> &DatacenterName;
-
-    /// Returns the hosts that grant slots of a cell, as far as they are alive.
-    fn brokers(&self, cell: &CellId) -> CellBrokers;
-
-    /// Sends a message; a message that can't be sent is lost and asked for again.
-    fn send(&self, host: &HostName, message: LinkMessage);
-
-    /// Returns the data centre of a host, if the host is known.
-    fn datacenter_of(&self, host: &HostName) -> Option<DatacenterName> {
-        let _ = host;
-        None
-    }
-
-    /// Returns the configuration in force.
-    fn configuration(&self) -> Arc<Configuration>;
-}
-
 /// The brokers of this host and the asks of its entry.
 pub struct CellService {
     pub(super) network: Box<dyn CellNetwork>,
     pub(super) clock: ProcessClock,
     pub(super) span: CellSpan,
-    asks: RefCell<AskTable>,
+    pub(super) asks: RefCell<AskTable>,
     pub(super) brokers: RefCell<BrokerTable>,
     pauses: RefCell<PauseDetector>,
     known_brokers: RefCell<Vec<(CellId, HostName)>>,
@@ -112,20 +86,6 @@
         self
     }
 
-    /// Asks for a slot until the deadline.
-    #[must_use]
-    pub fn ask(self: &Rc<Self>, ask: Ask, deadline: ClockTime) -> SlotWait {
-        let request = ask.request;
-        let datacenter = self.home(&ask.service);
-        let cell = CellId {
-            service: ask.service.clone(),
-            datacenter,
-        };
-        let receiver = self.asks.borrow_mut().open(ask, cell, deadline);
-        self.send_due();
-        SlotWait::new(Rc::clone(self), request, receiver)
-    }
-
     /// Returns the hosts that grant slots of each service to this one.
     #[must_use]
     pub fn brokers_of_services(&self) -> Vec<(CellId, CellBrokers)> {
@@ -363,7 +323,7 @@
             .clone()
     }
 
-    fn send_due(&self) {
+    pub(super) fn send_due(&self) {
         let now = self.clock.now();
         // Many asks share a cell, and the hash over the members is the dearest step here.
         let known: RefCell<BTreeMap<CellId, CellBrokers>> = RefCell::default();
--- a/src/cell/slot.rs
+++ b/src/cell/slot.rs
@@ -8,26 +8,30 @@
 
 use tokio::sync::oneshot;
 
+use super::answer::SlotAnswer;
+use super::asks::CellId;
 use super::service::CellService;
+use crate::kernel::ask::Ask;
 use crate::kernel::ask::Grant;
-use crate::kernel::ask::Refusal;
 use crate::kernel::ask::WorkProgress;
 use crate::kernel::ask::WorkReport;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::RequestId;
 
-/// The answer of a broker to an ask.
-#[derive(Clone, Debug, PartialEq)]
-pub enum SlotAnswer {
-    /// A slot is granted.
-    Granted {
-        /// The grant.
-        grant: Grant,
-        /// The time at which the grant was read.
-        received: ClockTime,
-    },
-    /// The request is refused.
-    Refused(Refusal),
+impl CellService {
+    /// Asks for a slot until the deadline.
+    #[must_use]
+    pub fn ask(self: &Rc<Self>, ask: Ask, deadline: ClockTime) -> SlotWait {
+        let request = ask.request;
+        let datacenter = self.home(&ask.service);
+        let cell = CellId {
+            service: ask.service.clone(),
+            datacenter,
+        };
+        let receiver = self.asks.borrow_mut().open(ask, cell, deadline);
+        self.send_due();
+        SlotWait::new(Rc::clone(self), request, receiver)
+    }
 }
 
 /// A future that resolves to the answer of the broker; dropping it withdraws the ask.
@@ -40,7 +44,7 @@
 }
 
 impl SlotWait {
-    pub(super) const fn new(
+    const fn new(
         cells: Rc<CellService>,
         request: RequestId,
         receiver: oneshot::Receiver<SlotAnswer>,
