Log the faults of tasks

Cause: a fault in a task of the gateway drops the caller's connection and goes to standard error only, where no tool reads it.

Change: a hook logs event 106 with the fault's place and words.

Before and after: the catalogue test covers the event.

--- a/src/event.rs
+++ b/src/event.rs
@@ -75,6 +75,7 @@
     103 Info StopRequested "stop-requested" "The host was asked to stop and takes no new work.";
     104 Info StopFinished "stop-finished" "The last request has finished and the host exits.";
     105 Critical StartFailed "start-failed" "The host can't start.";
+    106 Critical TaskFailed "task-failed" "A fault in the program ended a task; what it worked on was dropped.";
     200 Info LinkOpened "link-opened" "A link with another host was opened and both sides proved the shared key.";
     201 Info LinkClosed "link-closed" "A link with another host was closed.";
     202 Warning LinkRejected "link-rejected" "A link was refused because the other side did not prove the shared key.";
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -2,6 +2,7 @@
 
 use std::cell::OnceCell;
 use std::io;
+use std::panic;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -106,6 +107,7 @@
     };
     let handle = logging::start_on(io::stdout(), log_settings, &settings.host);
     let log = handle.logger.clone();
+    log_faults(&log);
     let platform = platform(&settings, &log);
     let logs = HostLogs {
         log: log.clone(),
@@ -120,6 +122,14 @@
     outcome
 }
 
+/// Logs the faults of tasks, whose callers would else lose their connections without a word.
+fn log_faults(log: &Logger) {
+    let log = log.clone();
+    panic::set_hook(Box::new(move |fault| {
+        log_event!(log, LogEvent::TaskFailed, "fault" => fault.to_string());
+    }));
+}
+
 /// Where a host's lines go, and the bound on them.
 struct HostLogs {
     log: Logger,
