--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -45,8 +45,10 @@
     #[error("the key belongs to no workspace")]
     UnknownKey,
     /// The workspace has used up its quota.
-    #[error("not run: the quota of the workspace is used up")]
+    #[error("not run: the quota of workspace {workspace} is used up")]
     OverQuota {
+        /// The workspace.
+        workspace: WorkspaceName,
         /// The time until the quota suffices.
         retry_after: Duration,
     },
@@ -94,7 +96,7 @@
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NotReady => Some(NOT_READY_RETRY),
-            Self::OverQuota { retry_after }
+            Self::OverQuota { retry_after, .. }
             | Self::NoRoom { retry_after, .. }
             | Self::Quarantined { retry_after } => Some(*retry_after),
             Self::NoIdentifier | Self::NoRoute | Self::UnknownKey | Self::Lost | Self::TimedOut => {
@@ -277,7 +279,10 @@
         quota.take(planned.arrival, planned.units, hosts)
     });
     match taken {
-        Some(Err(retry_after)) => Err(CallError::OverQuota { retry_after }),
+        Some(Err(retry_after)) => Err(CallError::OverQuota {
+            workspace: workspace.clone(),
+            retry_after,
+        }),
         Some(Ok(())) | None => Ok(()),
     }
 }
