Leave out of a story what its host no longer believed

Change: beliefs count from the host's last start; of other hosts only those are told that are still lost.

Before and after: the new test of tests/story.rs.

--- a/src/story.rs
+++ b/src/story.rs
@@ -25,12 +25,13 @@
 
 /// The events that tell what a host believes, each with what keeps two of them apart: of those with
 /// the same name the last one holds.
-const BELIEFS: [(LogEvent, &str); 8] = [
+const BELIEFS: [(LogEvent, &str); 9] = [
     (LogEvent::HostReady, ""),
     (LogEvent::HostStale, ""),
     (LogEvent::BrokersChanged, "service"),
     (LogEvent::WorkersChanged, ""),
     (LogEvent::ConfigurationApplied, ""),
+    (LogEvent::MemberJoined, "peer"),
     (LogEvent::MemberLost, "peer"),
     (LogEvent::PlatformFailed, ""),
     (LogEvent::StopRequested, ""),
@@ -91,9 +92,10 @@
 
     fn belief(&self) -> Option<(&'static str, String)> {
         let (event, key) = BELIEFS.iter().find(|(event, _)| *event == self.event)?;
-        // Ready and stale are two answers to one question.
+        // Two answers to one question: only the last one holds.
         let name = match event {
             LogEvent::HostStale => LogEvent::HostReady.name(),
+            LogEvent::MemberLost => LogEvent::MemberJoined.name(),
             other => other.name(),
         };
         Some((name, self.text(key).unwrap_or_default().to_owned()))
@@ -244,17 +246,21 @@
     }
 }
 
-/// Returns the last line of each belief, in the order in which they were written.
+/// Returns the last line of each belief since the host's last start, in the order in which they were
+/// written; of other hosts only those that are lost.
 fn beliefs_before(lines: &[StoryLine]) -> Vec<&StoryLine> {
     let mut last = BTreeMap::new();
     for (position, line) in lines.iter().enumerate() {
+        if line.event == LogEvent::HostStarted {
+            last.clear();
+        }
         if let Some(belief) = line.belief() {
             last.insert(belief, position);
         }
     }
     let positions: BTreeSet<usize> = last.into_values().collect();
-    positions
-        .into_iter()
-        .map(|position| &lines[position])
+    let beliefs = positions.into_iter().map(|position| &lines[position]);
+    beliefs
+        .filter(|line| line.event != LogEvent::MemberJoined)
         .collect()
 }
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -50,6 +50,22 @@
     assert_eq!(events, expected);
 }
 
+#[test]
+fn what_was_believed_before_a_restart_or_no_longer_holds_is_left_out() {
+    let peer = |name: &str| format!(",\"peer\":\"{name}\"");
+    let log = [
+        line("h1", 0, LogEvent::MemberLost, &peer("h2")),
+        line("h1", 10, LogEvent::HostStarted, ""),
+        line("h1", 20, LogEvent::MemberLost, &peer("h3")),
+        line("h1", 30, LogEvent::MemberLost, &peer("h4")),
+        line("h1", 40, LogEvent::MemberJoined, &peer("h3")),
+        line("h1", 50, LogEvent::RequestSent, ",\"request\":\"r1\""),
+    ];
+    let story = book(&log.concat()).tell("r1").expect("a story");
+    assert!(story.contains("member-lost peer=\"h4\""), "{story}");
+    assert_eq!(story.matches("peer").count(), 1, "{story}");
+}
+
 #[test]
 fn clocks_that_differ_by_seconds_do_not_mix_the_lines_of_hosts() {
     let log = [
