Let a free slot let in only what it suits

Cause: a request was let in whatever waited while any worker stood free. In a large cell of unlike workers a slow one nearly always does, so long answers were let in to wait for a fast one, and were late.

Change: the policy says whether a free worker suits the request; it is asked only where the predicted wait would refuse.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -17,6 +17,7 @@
 use crate::name::HostName;
 use crate::name::RequestId;
 use crate::name::TierRank;
+use crate::policy::ChoiceView;
 use crate::prefix::block_tokens;
 use crate::queue::QueueKey;
 
@@ -127,7 +128,8 @@
         if self.policy.refuses_early() && self.taken_over {
             let wait = self.predicted_wait(now, lane, &key);
             let most = self.longest_wait(&ask, ask.budget, estimate.quickest);
-            if wait > most || estimate.quickest > ask.budget {
+            let waits = wait > most && !self.starts_at_once(now, &host, &ask, lane, &key);
+            if waits || estimate.quickest > ask.budget {
                 let excess = wait.saturating_sub(most);
                 let after = self.return_after(now, lane, &ask, ask.budget, excess);
                 Self::refuse_ask(host, &ask, RefusalReason::Deadline, after, actions);
@@ -161,6 +163,35 @@
         self.shed_excess(now, actions);
     }
 
+    /// Returns whether an ask gets a free slot at once, on a worker that suits it.
+    ///
+    /// What waits for one certain worker leaves the free slots of the others alone.
+    fn starts_at_once(
+        &mut self,
+        now: ClockTime,
+        host: &HostName,
+        ask: &Ask,
+        lane: usize,
+        key: &QueueKey,
+    ) -> bool {
+        if !self.workers.lanes[lane].comes_first(key) {
+            return false;
+        }
+        let mut list = std::mem::take(&mut self.scratch);
+        self.list_candidates(now, lane, ask, self.places.get(host), &mut list);
+        let view = ChoiceView {
+            ask,
+            remaining: ask.budget,
+            patience_spent: false,
+            grants: self.granted,
+            holders: 0,
+            candidates: &list.candidates,
+        };
+        let suits = self.policy.suits_now(&view);
+        self.scratch = list;
+        suits
+    }
+
     /// Returns the longest time that a request may wait for a slot, with the time that was left when
     /// it arrived.
     pub(super) fn longest_wait(&self, ask: &Ask, budget: Duration, quickest: Duration) -> Duration {
@@ -220,9 +251,6 @@
     ///
     /// Work of higher tiers that arrives meanwhile goes first, so only what it leaves counts.
     pub(super) fn predicted_wait(&self, now: ClockTime, lane: usize, key: &QueueKey) -> Duration {
-        if self.workers.lanes[lane].starts_at_once(key) {
-            return Duration::ZERO;
-        }
         let slots = self.left_slots(now, lane, key.tier);
         let before = self.workers.lanes[lane].tally.before(key);
         before.div_f64(slots)
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -56,10 +56,8 @@
 }
 
 impl WorkLane {
-    /// Returns whether a request with the key gets a free slot before all others that wait for any.
-    ///
-    /// What waits for one certain worker leaves the free slots of the others alone.
-    pub(super) fn starts_at_once(&self, key: &QueueKey) -> bool {
+    /// Returns whether a worker is free and a request with the key goes before all that wait for any.
+    pub(super) fn comes_first(&self, key: &QueueKey) -> bool {
         let first = self.ready.first();
         !self.open.is_empty() && first.is_none_or(|first| *key <= first.key)
     }
--- a/kernel/src/policy/first_token.rs
+++ b/kernel/src/policy/first_token.rs
@@ -67,6 +67,10 @@
         None
     }
 
+    fn suits_now(&self, view: &ChoiceView<'_>) -> bool {
+        view.open().any(|open| misses(view, open.candidate) == 0)
+    }
+
     fn choose(&self, view: &ChoiceView<'_>) -> Choice {
         let best = view.open().min_by_key(|open| {
             let candidate = open.candidate;
--- a/kernel/src/policy/mod.rs
+++ b/kernel/src/policy/mod.rs
@@ -71,6 +71,11 @@
         Some(STRAGGLER_FACTOR)
     }
 
+    /// Returns whether a candidate with room suits the request, so that it would not wait for another.
+    fn suits_now(&self, view: &ChoiceView<'_>) -> bool {
+        view.open().next().is_some()
+    }
+
     /// Chooses a worker for a request; at least one candidate has room.
     fn choose(&self, view: &ChoiceView<'_>) -> Choice;
 }
--- a/kernel/tests/broker/aims.rs
+++ b/kernel/tests/broker/aims.rs
@@ -248,3 +248,21 @@
             .all(|action| !matches!(action, BrokerAction::Refuse { tier, .. } if tier.0 == 0))
     );
 }
+
+#[test]
+fn a_free_slot_that_does_not_suit_a_request_does_not_let_it_in() {
+    let mut bench = unlike_workers();
+    for _ in 0..SLOTS {
+        assert_eq!(bench.granted(0, 1_000, 600).as_deref(), Some("fast"));
+    }
+    // The slow worker stands free, and long answers wait for the fast one.
+    let mut refused = 0;
+    for _ in 0..8 {
+        let ask = bench.ask(0, 1_000, 700);
+        let actions = bench.asked(ask);
+        let is_refusal = |action: &BrokerAction| matches!(action, BrokerAction::Refuse { .. });
+        refused += actions.into_iter().filter(is_refusal).count();
+    }
+    assert!(refused >= 4, "only {refused} of 8 were refused at once");
+    assert_eq!(bench.granted(0, 1_000, 20).as_deref(), Some("slow"));
+}
