--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -123,7 +123,7 @@
     ) {
         self.arrivals += 1;
         let deadline = now + ask.budget;
-        let key = self.queue_key(now, &ask);
+        let key = QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals);
         let estimate = self.service_estimate(lane, &ask);
         if self.policy.refuses_early() && self.taken_over {
             let wait = self.predicted_wait(now, lane, &key);
@@ -163,13 +163,6 @@
         self.shed_excess(now, actions);
     }
 
-    /// Returns the key of an ask that arrives now.
-    pub(super) fn queue_key(&self, now: ClockTime, ask: &Ask) -> QueueKey {
-        let order = self.policy.order();
-        let due = order.due(now, ask.target, now + ask.budget);
-        QueueKey::new(order, ask.tier, due, self.arrivals)
-    }
-
     /// Returns whether an ask gets a free slot at once, on a worker that suits it.
     ///
     /// What waits for one certain worker leaves the free slots of the others alone.
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -240,7 +240,8 @@
         if self.workers.lanes[lane].slots == 0 {
             return None;
         }
-        let key = self.queue_key(now, ask);
+        let deadline = now + ask.budget;
+        let key = QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals);
         Some(self.predicted_wait(now, lane, &key) + self.service_estimate(lane, ask).quickest)
     }
 
--- a/kernel/src/policy/first_token.rs
+++ b/kernel/src/policy/first_token.rs
@@ -16,7 +16,6 @@
 use super::WorkerPolicy;
 use crate::limit::LimitMode;
 use crate::place::PlaceDistance;
-use crate::queue::QueueOrder;
 
 /// The name of the policy.
 pub const FIRST_TOKEN_POLICY: &str = "first-token";
@@ -48,10 +47,6 @@
         FIRST_TOKEN_POLICY
     }
 
-    fn order(&self) -> QueueOrder {
-        QueueOrder::TierAim
-    }
-
     fn limits(&self) -> LimitMode {
         LimitMode::Fixed(u32::MAX)
     }
--- a/kernel/src/queue.rs
+++ b/kernel/src/queue.rs
@@ -23,9 +23,6 @@
     Arrival,
     /// By tier, and within a tier by deadline.
     TierDeadline,
-    /// By tier, and within a tier by the time at which the first token is due: who comes back late has
-    /// the least time left, but less to lose than who can still be answered in time.
-    TierAim,
 }
 
 /// The position of a request in its queue; smaller keys are served first.
@@ -33,24 +30,12 @@
 pub struct QueueKey {
     /// The tier, or zero where the order is by arrival.
     pub tier: TierRank,
-    /// The time by which it is ordered, or zero where the order is by arrival.
+    /// The deadline, or zero where the order is by arrival.
     pub due: ClockTime,
     /// The position among all requests that arrived.
     pub sequence: u64,
 }
 
-impl QueueOrder {
-    /// Returns the time by which a request is ordered that arrives at `now` with its aim for the first
-    /// token, if it has one, and its deadline.
-    #[must_use]
-    pub fn due(self, now: ClockTime, aim: Option<Duration>, deadline: ClockTime) -> ClockTime {
-        match self {
-            Self::Arrival | Self::TierDeadline => deadline,
-            Self::TierAim => aim.map_or(deadline, |aim| (now + aim).min(deadline)),
-        }
-    }
-}
-
 impl QueueKey {
     /// Creates the key of a request under an order.
     ///
@@ -75,7 +60,7 @@
                 due: ClockTime::ZERO,
                 sequence,
             },
-            QueueOrder::TierAim | QueueOrder::TierDeadline => Self {
+            QueueOrder::TierDeadline => Self {
                 tier,
                 due,
                 sequence,
--- a/kernel/tests/broker/aims.rs
+++ b/kernel/tests/broker/aims.rs
@@ -266,24 +266,3 @@
     assert!(refused >= 4, "only {refused} of 8 were refused at once");
     assert_eq!(bench.granted(0, 1_000, 20).as_deref(), Some("slow"));
 }
-
-#[test]
-fn a_caller_who_comes_back_late_goes_behind_those_who_can_be_in_time() {
-    let mut bench = unlike_workers();
-    for _ in 0..2 * SLOTS {
-        let ask = bench.ask(0, 1_000, 100);
-        bench.asked(ask);
-    }
-    let mut late = bench.ask(0, 1_000, 100);
-    late.target = Some(2 * AIM);
-    late.budget = Duration::from_secs(4);
-    bench.asked(late.clone());
-    let fresh = bench.ask(0, 1_000, 100);
-    bench.asked(fresh.clone());
-    let order: Vec<RequestId> = bench
-        .broker
-        .waiting()
-        .map(|waiting| waiting.ask.request)
-        .collect();
-    assert_eq!(order, [fresh.request, late.request]);
-}
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -26,10 +26,6 @@
 /// The time after which a caller may ask a host again that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
-/// The factor by which the aim of a request is later whose caller comes back after it has passed: it
-/// is answered late in any case, so it goes behind those that can still be in time.
-const LATE_FACTOR: u32 = 2;
-
 /// The workspace of callers who need no key.
 const OPEN_WORKSPACE: &str = "open";
 
@@ -146,18 +142,6 @@
 }
 
 impl PlannedCall {
-    /// Returns the time from the arrival in which the first part of the answer is due.
-    fn target(&self) -> Duration {
-        let target = self.route.target;
-        // A caller states the time that is left of all that its route gives it.
-        let left = self.deadline.since(self.arrival);
-        if self.route.timeout.saturating_sub(left) >= target {
-            target * LATE_FACTOR
-        } else {
-            target
-        }
-    }
-
     /// Returns the ask for a slot.
     #[must_use]
     pub fn ask(&self, now: ClockTime) -> Ask {
@@ -174,7 +158,7 @@
                 .expect("the name is valid"),
             tier: self.tier,
             budget: self.deadline.since(now),
-            target: Some((self.arrival + self.target()).since(now)),
+            target: Some((self.arrival + self.route.target).since(now)),
             pause: self
                 .route
                 .max_pause
