Send one member list per heartbeat interval, not one per change

What callers saw: requests answered late or refused, and requests dispatched after their callers had left, on a deployment of 88 hosts.

Cause: each host answered each change of its view of the membership with its member list and its address hints to every linked host, and each receiver of a list rebuilt its view and looked for links to dial. A change that n hosts see costs n * n lists, each of which costs work in proportion to n; hosts that are late with their heartbeats cause further changes.

Change: the list of the own data centre is sent at once after a quiet interval, and otherwise once for all changes of a heartbeat interval (kernel: ListSchedule). Hints are sent when a link opens, every minute, and once a second where they changed. A list that differs only in hosts whose own heartbeats arrive changes nothing, so the view isn't rebuilt; links are looked for only after a new address.

--- /dev/null
+++ b/kernel/src/membership/announcement.rs
@@ -0,0 +1,58 @@
+//! Times at which a host announces changes of its view of the membership.
+
+use super::HEARTBEAT_INTERVAL;
+use crate::clock::ClockTime;
+
+/// The schedule of the member lists that a host sends because of changes: at most one in each
+/// [`HEARTBEAT_INTERVAL`], however many changes it covers.
+///
+/// Each list goes to every linked host. Without the limit, the failure of a part of the hosts makes
+/// each of the others send as many lists as hosts failed, to all others.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder_kernel::clock::ClockTime;
+/// use borageladder_kernel::membership::ListSchedule;
+///
+/// let at = ClockTime::from_millis;
+/// let mut schedule = ListSchedule::default();
+/// assert!(schedule.record_change(at(1_000)));
+/// // The next changes share a list, which is due an interval after the first one.
+/// assert!(!schedule.record_change(at(1_010)));
+/// assert!(!schedule.record_change(at(1_020)));
+/// assert!(!schedule.take_due(at(1_499)));
+/// assert!(schedule.take_due(at(1_500)));
+/// assert!(!schedule.take_due(at(2_500)));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ListSchedule {
+    sent_at: Option<ClockTime>,
+    pending: bool,
+}
+
+impl ListSchedule {
+    /// Records a change and returns whether the list is to be sent now.
+    pub fn record_change(&mut self, now: ClockTime) -> bool {
+        self.pending = true;
+        self.take_due(now)
+    }
+
+    /// Returns whether a list is to be sent now, because of changes that none has covered yet.
+    pub fn take_due(&mut self, now: ClockTime) -> bool {
+        let is_due = self.pending
+            && self
+                .sent_at
+                .is_none_or(|sent_at| now.since(sent_at) >= HEARTBEAT_INTERVAL);
+        if is_due {
+            self.record_sent(now);
+        }
+        is_due
+    }
+
+    /// Records that the list was sent for another reason.
+    pub fn record_sent(&mut self, now: ClockTime) {
+        self.sent_at = Some(now);
+        self.pending = false;
+    }
+}
--- a/kernel/src/membership.rs
+++ b/kernel/src/membership/mod.rs
@@ -1,79 +1,26 @@
 //! Detection of live hosts by heartbeats, and election of the broker of a cell among them.
 
+mod announcement;
+mod class;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::clock::ClockTime;
 use crate::name::DatacenterName;
 use crate::name::HostName;
 use crate::name::ServiceName;
 
+pub use self::announcement::ListSchedule;
+pub use self::class::HostClass;
+
 /// The interval between two heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The time without a heartbeat after which a host is declared dead.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// One of four classes of a host's processor share and link. Brokers are elected among the hosts of
-/// the highest class, which can do the work of a broker besides the requests of their own callers.
-///
-/// # Examples
-///
-/// ```
-/// use borageladder_kernel::membership::HostClass;
-///
-/// let small = HostClass::of(0.12, 10.0);
-/// let large = HostClass::of(0.5, 200.0);
-/// assert!(small < large);
-/// // A host with a slow link is in the lowest class, also with a fast processor.
-/// assert_eq!(HostClass::of(4.0, 10.0), small);
-/// ```
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct HostClass(u8);
-
-/// The numbers of processor cores from which on a host is in the next higher class.
-const CORE_CLASSES: [f64; 3] = [0.2, 0.4, 0.8];
-
-/// The highest class.
-const HIGHEST_CLASS: u8 = 3;
-
-/// The link bandwidth below which a host is in the lowest class, in megabits per second. A slower
-/// link does not suffice for the broker of many hosts.
-const BROKER_MEGABITS: f64 = 50.0;
-
-impl HostClass {
-    /// Returns the class of a host with a share of processor cores and a link bandwidth in megabits
-    /// per second.
-    #[must_use]
-    pub fn of(cores: f64, megabits: f64) -> Self {
-        if megabits < BROKER_MEGABITS {
-            return Self::default();
-        }
-        let reached = CORE_CLASSES.iter().filter(|class| cores >= **class);
-        Self(u8::try_from(reached.count()).unwrap_or_default())
-    }
-
-    /// Returns the number of the class, from 0 to 3.
-    #[must_use]
-    pub const fn number(self) -> u8 {
-        self.0
-    }
-
-    /// Returns the class with a number; a number above the highest class gives the highest class.
-    #[must_use]
-    pub const fn from_number(number: u8) -> Self {
-        Self(if number > HIGHEST_CLASS {
-            HIGHEST_CLASS
-        } else {
-            number
-        })
-    }
-}
-
 /// The part of a heartbeat that concerns the liveness of its sender.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LivenessSignal {
@@ -231,8 +178,16 @@
         by: &HostName,
         members: Vec<ListedMember>,
     ) -> Vec<MemberChange> {
+        let before = self.lists.get(by).map_or(&[][..], Vec::as_slice);
+        let is_relevant = has_relevant_difference(before, &members, |host| {
+            *host != self.host && !self.direct.contains_key(host)
+        });
         self.lists.insert(by.clone(), members);
-        self.refresh(now)
+        if is_relevant {
+            self.refresh(now)
+        } else {
+            Vec::new()
+        }
     }
 
     /// Declares hosts dead from which no heartbeat was received for [`HEARTBEAT_TIMEOUT`], and
@@ -407,6 +362,22 @@
     }
 }
 
+/// Returns whether two lists differ in a host for which lists decide whether it is alive.
+///
+/// Most hosts of a fully linked deployment are known by their heartbeats, so most lists change
+/// nothing.
+fn has_relevant_difference(
+    before: &[ListedMember],
+    after: &[ListedMember],
+    is_relevant: impl Fn(&HostName) -> bool,
+) -> bool {
+    let differs = |members: &[ListedMember], others: &[ListedMember]| {
+        let mut relevant = members.iter().filter(|member| is_relevant(&member.host));
+        relevant.any(|member| !others.contains(member))
+    };
+    differs(before, after) || differs(after, before)
+}
+
 fn live_member(datacenter: &DatacenterName, member: &ListedMember) -> LiveMember {
     LiveMember {
         datacenter: datacenter.clone(),
--- a/kernel/tests/membership.rs
+++ b/kernel/tests/membership.rs
@@ -111,6 +111,23 @@
     assert_eq!(members.all_alive(), [host("a"), host("b")]);
 }
 
+#[test]
+fn a_list_of_hosts_with_heartbeats_of_their_own_changes_nothing() {
+    let mut members = membership();
+    for (name, incarnation) in [("x", 1), ("y", 2)] {
+        members.record_heartbeat(ClockTime::ZERO, &host(name), signal("d2", incarnation));
+    }
+    let changes = members.record_member_list(ClockTime::ZERO, &host("x"), vec![listed("y", 7)]);
+    assert_eq!(changes, []);
+    // The list counts once the heartbeats of the listed host are missing.
+    let later = ClockTime::ZERO + HEARTBEAT_TIMEOUT;
+    members.record_heartbeat(later, &host("x"), signal("d2", 1));
+    assert_eq!(
+        members.tick(later),
+        [HostLost(host("y")), HostAlive(host("y"))]
+    );
+}
+
 #[test]
 fn stopping_hosts_are_no_brokers_while_others_are_alive() {
     let mut members = membership();
--- a/src/member/dialing.rs
+++ b/src/member/dialing.rs
@@ -65,19 +65,25 @@
         !self.local_peer_seen && self.unresolved_seeds.is_empty()
     }
 
-    /// Stores the address of a host, unless `MAX_ADDRESSES` others are stored for its data centre.
+    /// Stores the address of a host, unless `MAX_ADDRESSES` others are stored for its data centre;
+    /// returns whether the address is new.
     pub fn record_address(
         &mut self,
         datacenter: &DatacenterName,
         host: &HostName,
         address: SocketAddr,
-    ) {
+    ) -> bool {
         self.local_peer_seen |= *datacenter == self.datacenter;
         self.unresolved_seeds.remove(&address);
         let addresses = self.addresses.entry(datacenter.clone()).or_default();
-        if addresses.len() < MAX_ADDRESSES || addresses.contains_key(host) {
+        let is_new = match addresses.get(host) {
+            Some(known) => *known != address,
+            None => addresses.len() < MAX_ADDRESSES,
+        };
+        if is_new {
             addresses.insert(host.clone(), address);
         }
+        is_new
     }
 
     /// Returns the addresses of a few live hosts of every other data centre, to be sent to peers.
@@ -111,7 +117,7 @@
                 !links.is_connected(host) && **address != self.own_address
             });
             // The order differs from host to host, so that links are spread over the data centre.
-            candidates.sort_by_key(|(host, _)| preference(links.host(), host));
+            candidates.sort_by_cached_key(|(host, _)| preference(links.host(), host));
             for (_, address) in candidates.into_iter().take(max_dials) {
                 links.dial(*address);
             }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -18,6 +18,7 @@
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::membership::HEARTBEAT_INTERVAL;
 use crate::kernel::membership::HostClass;
+use crate::kernel::membership::ListSchedule;
 use crate::kernel::membership::ListedMember;
 use crate::kernel::membership::LivenessSignal;
 use crate::kernel::membership::Membership;
@@ -39,6 +40,9 @@
 /// The interval at which member lists are sent to every linked host, also without a change.
 const MEMBER_LIST_INTERVAL: Duration = Duration::from_mins(1);
 
+/// The interval at which changed address hints are sent to every linked host.
+const HINT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Reads the monotonic clock of the process.
 pub type ClockSource = Rc<dyn Fn() -> ClockTime>;
 
@@ -67,6 +71,9 @@
     log: Logger,
     membership: RefCell<Membership>,
     dialer: RefCell<PeerDialer>,
+    list_schedule: RefCell<ListSchedule>,
+    /// The address hints that every linked host has been sent.
+    sent_hints: RefCell<Vec<MemberList>>,
     report: RefCell<Option<ReportSource>>,
     listeners: RefCell<Vec<ChangeListener>>,
 }
@@ -89,6 +96,8 @@
         let service = Rc::new(Self {
             membership: RefCell::new(Membership::new(host, settings.datacenter.clone())),
             dialer: RefCell::new(dialer),
+            list_schedule: RefCell::default(),
+            sent_hints: RefCell::default(),
             settings,
             log: links.log().clone(),
             links,
@@ -103,13 +112,19 @@
         service.links.on_connect(Rc::new(move |host| {
             if let Some(service) = this.upgrade() {
                 service.send_heartbeat(host);
-                service.send_lists(host);
+                service.send_all_lists(host);
             }
         }));
         actix_rt::spawn(Rc::clone(&service).run());
         service
     }
 
+    /// Returns the links to other hosts.
+    #[must_use]
+    pub fn links(&self) -> &LinkSet {
+        &self.links
+    }
+
     /// Sets the source of the versions that heartbeats report.
     pub fn set_report(&self, report: ReportSource) {
         *self.report.borrow_mut() = Some(report);
@@ -184,7 +199,7 @@
     pub fn set_stopping(&self, stopping: bool) {
         self.membership.borrow_mut().set_stopping(stopping);
         self.send_heartbeats();
-        self.send_all_lists();
+        self.announce_own_list();
     }
 
     /// Sends a heartbeat to every linked host now.
@@ -205,6 +220,7 @@
 
     async fn run(self: Rc<Self>) {
         let mut lists_sent_at = (self.clock)();
+        let mut hints_checked_at = lists_sent_at;
         loop {
             sleep(HEARTBEAT_INTERVAL).await;
             let now = (self.clock)();
@@ -212,9 +228,18 @@
             self.announce_changes(changes);
             self.send_heartbeats();
             self.maintain_links(now);
+            if self.list_schedule.borrow_mut().take_due(now) {
+                self.announce_own_list();
+            }
+            if now.since(hints_checked_at) >= HINT_INTERVAL {
+                hints_checked_at = now;
+                self.announce_changed_hints();
+            }
             if now.since(lists_sent_at) >= MEMBER_LIST_INTERVAL {
                 lists_sent_at = now;
-                self.send_all_lists();
+                for host in self.links.connected() {
+                    self.send_all_lists(&host);
+                }
             }
         }
     }
@@ -245,12 +270,13 @@
     fn receive_list(&self, from: &HostName, list: &MemberList) {
         let now = (self.clock)();
         let mut dialer = self.dialer.borrow_mut();
+        let mut has_new_address = false;
         for entry in list
             .members
             .iter()
             .filter(|entry| entry.host != *self.links.host())
         {
-            dialer.record_address(&list.datacenter, &entry.host, entry.address);
+            has_new_address |= dialer.record_address(&list.datacenter, &entry.host, entry.address);
         }
         drop(dialer);
         let membership = self.membership.borrow();
@@ -265,15 +291,21 @@
             drop(membership);
             self.announce_changes(changes);
         }
-        self.maintain_links(now);
+        if has_new_address {
+            self.maintain_links(now);
+        }
     }
 
-    /// Sends member lists to the linked hosts and calls the listeners, if there are changes.
+    /// Calls the listeners for each change, and sends the list of this data centre to the linked
+    /// hosts, now or with those of later changes.
     fn announce_changes(&self, changes: Vec<MemberChange>) {
         if changes.is_empty() {
             return;
         }
-        self.send_all_lists();
+        let now = (self.clock)();
+        if self.list_schedule.borrow_mut().record_change(now) {
+            self.announce_own_list();
+        }
         let listeners = self.listeners.borrow().clone();
         for change in changes {
             self.log_change(&change);
@@ -325,13 +357,25 @@
         let _ = self.links.send(host, LinkMessage::Heartbeat(heartbeat));
     }
 
-    fn send_all_lists(&self) {
-        for host in self.links.connected() {
-            self.send_lists(&host);
+    fn announce_own_list(&self) {
+        self.list_schedule.borrow_mut().record_sent((self.clock)());
+        self.announce(&self.own_list());
+    }
+
+    fn announce_changed_hints(&self) {
+        let hints = self.dialer.borrow().hints(&self.membership.borrow());
+        let before = self.sent_hints.replace(hints.clone());
+        for hint in hints.iter().filter(|hint| !before.contains(hint)) {
+            self.announce(hint);
         }
     }
 
-    fn send_lists(&self, host: &HostName) {
+    fn announce(&self, list: &MemberList) {
+        self.links.broadcast(&LinkMessage::Members(list.clone()));
+    }
+
+    /// Sends a host the list of this data centre and the address hints.
+    fn send_all_lists(&self, host: &HostName) {
         let own = self.own_list();
         let hints = self.dialer.borrow().hints(&self.membership.borrow());
         for list in std::iter::once(own).chain(hints) {
