Ask the kernel whether the caller is still there before each dispatch

What callers saw: requests reached workers up to 0.8 s after their callers had disconnected (the users' record: close at 3.254 s, arrival at 4.083 s, closed at once by the host).

Cause: the host dispatches as soon as its request is granted a slot, and polls the grant before the caller's connection. A host that is behind processes a grant and a close that have waited together in one step, grant first: it writes the request to the worker and then closes that connection.

Evidence: a_request_whose_caller_has_closed_the_connection_is_not_sent_when_its_grant_arrives stops the entry while the grant and then the close arrive. It failed before in three of three runs; the host's log has request-sent and, 0.48 ms later, caller-left, which is what the record shows.

Change: the last check before a dispatch peeks at the caller's socket (src/probe.rs), so a close counts from the moment at which it reaches the host. The same cause stood in the pool of idle connections, which asked the runtime whether a worker has closed one, and got the answer of the last poll of its driver; it asks the kernel too.

Why it works: nothing is awaited between the check and the dispatch.

Gateway suite: 33 passed.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -17,6 +17,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 
+use crate::probe::ReceiveState;
 use crate::server::StopSignal;
 use crate::upstream::is_forwarded;
 
@@ -53,6 +54,12 @@
         self.started
     }
 
+    /// Returns whether the caller has closed the connection, as far as the kernel knows.
+    #[must_use]
+    pub fn has_disconnected(&self) -> bool {
+        ReceiveState::of(self.writer.as_ref()) == ReceiveState::Closed
+    }
+
     /// Returns whether the connection can be used for another request after this answer.
     #[must_use]
     pub fn keep_alive(&self) -> bool {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -54,6 +54,9 @@
     /// Writing to the caller failed.
     #[error("the caller's connection failed: {0}")]
     Caller(#[from] std::io::Error),
+    /// The caller disconnected before the request was sent to a worker.
+    #[error("the caller disconnected")]
+    CallerLeft,
     /// The worker's answer ended early or timed out, after part of it was relayed.
     #[error("the answer was truncated after part of it was relayed")]
     Truncated,
@@ -72,6 +75,9 @@
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
     let mut trace = CallTrace::new(host, attempt_id, arrival);
     let outcome = run(host, &request, metadata, caller, &trace, arrival).await;
+    if matches!(outcome, Err(ExchangeError::CallerLeft)) {
+        return false;
+    }
     trace.mark_ended();
     match outcome {
         Ok(()) => caller.keep_alive(),
@@ -141,6 +147,9 @@
     /// No connection to the worker could be opened.
     #[error(transparent)]
     Unreachable(#[from] OpenError),
+    /// The caller has disconnected.
+    #[error("the caller has disconnected")]
+    CallerLeft,
     /// The grant or the deadline of the request has expired.
     #[error(transparent)]
     Dispatch(#[from] DispatchError),
@@ -158,8 +167,9 @@
         loop {
             let (granted, lease) = self.wait_for_slot(life).await?;
             let worker = granted.grant().worker.clone();
-            let (dispatched, connection) = match self.use_slot(granted, lease).await {
+            let (dispatched, connection) = match self.use_slot(granted, lease, caller).await {
                 Ok(used) => used,
+                Err((SlotError::CallerLeft, _)) => return Err(ExchangeError::CallerLeft),
                 Err((SlotError::Call(error), _)) => return Err(self.fail_unsent(error).into()),
                 Err((SlotError::Dispatch(DispatchError::DeadlinePassed), _)) => {
                     let error = refusal_error("the deadline has passed", DEFAULT_RETRY_AFTER);
@@ -208,12 +218,14 @@
 
     /// Obtains a connection to the granted worker and marks the request as dispatched.
     ///
-    /// There is no await point between the last check and the dispatch, so the configuration, the
-    /// worker and the grant can't change in between.
+    /// There is no await point between the last checks and the dispatch, so the configuration, the
+    /// worker and the grant can't change in between. Whether the caller is still there is asked of
+    /// the kernel, since its close can wait in the socket while the grant is processed.
     async fn use_slot(
         &mut self,
         granted: RequestLife<GrantedState>,
         mut lease: SlotLease,
+        caller: &CallerWriter<'_>,
     ) -> Result<(DispatchedCall, WorkerConnection), (SlotError, RequestLife<WaitingState>)> {
         let worker = granted.grant().worker.clone();
         let Some(record) = self.host.worker(&worker) else {
@@ -249,6 +261,9 @@
         if self.host.worker(&worker).is_none() {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         }
+        if caller.has_disconnected() {
+            return Err((SlotError::CallerLeft, granted.release_grant()));
+        }
         let life = granted
             .dispatch(now)
             .map_err(|(error, life)| (error.into(), life))?;
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -32,6 +32,7 @@
 
 use crate::connection::FreshConnection;
 use crate::connection::OpenError;
+use crate::probe::ReceiveState;
 
 /// Free space reserved in the receive buffer before each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
@@ -103,10 +104,7 @@
     /// Returns whether the connection is open and holds no unread bytes.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        let mut byte = [0];
-        let read = self.stream.try_read(&mut byte);
-        self.received.is_empty()
-            && read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        self.received.is_empty() && ReceiveState::of(&self.stream) == ReceiveState::Quiet
     }
 
     /// Sends a request and reads the head of the answer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod network;
 pub mod operator;
 pub mod platform;
+pub mod probe;
 pub mod query;
 pub mod relay;
 pub mod reply;
