Reset the connection to a worker when its request is cancelled

What callers saw: work for callers that had left. A worker behind a slow or broken link got the request after the host had cancelled it.

Cause: the exchange ends by dropping the connection, which closes it in order: the kernel still delivers what is in its send buffer, however late, and the worker sees a complete request before the end of the stream.

Evidence: a_cancelled_request_that_was_not_delivered_yet_is_discarded lets a worker with a small receive buffer read only after the caller has left.

Change: a connection that is dropped between its request and the end of the answer is reset. Idle connections and those with a complete answer are closed as before. This also ends work whose answer timed out.

Why it works: a reset discards the send buffer. The unused WorkerConnection::close is removed.

--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -27,7 +27,6 @@
 use http::Uri;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::connection::FreshConnection;
@@ -79,11 +78,25 @@
 }
 
 /// An open connection to a worker.
+///
+/// If it is dropped between a request and the end of the answer, the connection is reset. A plain
+/// close would still deliver what the kernel has not sent yet, and the worker would run it.
 #[derive(Debug)]
 pub struct WorkerConnection {
     stream: TcpStream,
     config: ServiceConfig,
     received: BytesMut,
+    /// Whether a request was sent whose answer has not been read to its end.
+    awaits_answer: bool,
+}
+
+impl Drop for WorkerConnection {
+    fn drop(&mut self) {
+        if self.awaits_answer {
+            // If the option can't be set, the connection is closed as usual.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
 }
 
 impl WorkerConnection {
@@ -98,6 +111,7 @@
             stream,
             config,
             received: BytesMut::new(),
+            awaits_answer: false,
         })
     }
 
@@ -116,6 +130,7 @@
     pub async fn exchange(mut self, request: WorkerRequest) -> Result<WorkerAnswer, AnswerError> {
         let mut codec = ClientCodec::new(self.config.clone());
         let out = encode_request(&mut codec, request)?;
+        self.awaits_answer = true;
         let mut unsent = &out[..];
         let head = loop {
             if let Some(head) = codec.decode(&mut self.received)? {
@@ -149,6 +164,7 @@
             }
         };
         let framing = framing_of(&codec, &head);
+        self.awaits_answer = framing != AnswerFraming::Empty || !unsent.is_empty();
         let reusable = codec.keep_alive()
             && head.connection_type() == ConnectionType::KeepAlive
             && unsent.is_empty();
@@ -169,12 +185,6 @@
             _ => Ok(()),
         }
     }
-
-    /// Shuts down the sending side and closes the connection.
-    pub async fn close(mut self) {
-        // The socket is closed on drop, so a failed shutdown needs no handling.
-        let _ = self.stream.shutdown().await;
-    }
 }
 
 fn encode_request(codec: &mut ClientCodec, request: WorkerRequest) -> io::Result<BytesMut> {
@@ -263,7 +273,7 @@
             match item.map_err(AnswerError::Body)? {
                 Some(Some(bytes)) if bytes.is_empty() => (),
                 Some(Some(bytes)) => return Ok(Some(bytes)),
-                Some(None) => self.done = true,
+                Some(None) => self.end_answer(),
                 None => self.connection.read_more().await?,
             }
         }
@@ -275,7 +285,7 @@
         while !self.done && self.connection.received.is_empty() {
             match self.connection.read_more().await {
                 Ok(()) => (),
-                Err(AnswerError::Closed) => self.done = true,
+                Err(AnswerError::Closed) => self.end_answer(),
                 Err(error) => return Err(error),
             }
         }
@@ -283,6 +293,11 @@
         Ok((!bytes.is_empty()).then_some(bytes))
     }
 
+    fn end_answer(&mut self) {
+        self.done = true;
+        self.connection.awaits_answer = false;
+    }
+
     /// Returns the connection for another request, or `None` if it can't be reused.
     ///
     /// The body must be read to its end, and no unread bytes may follow it.
@@ -302,6 +317,7 @@
         if !self.reusable {
             return Err(AnswerError::Closed);
         }
+        self.connection.awaits_answer = true;
         let mut codec = ClientCodec::new(self.connection.config.clone());
         let head = loop {
             if let Some(head) = codec.decode(&mut self.connection.received)? {
@@ -310,6 +326,7 @@
             self.connection.read_more().await?;
         };
         let framing = framing_of(&codec, &head);
+        self.connection.awaits_answer = framing != AnswerFraming::Empty;
         Ok(Self {
             head,
             framing,
