Check in the daemon, too, that the caller is there before a dispatch

Cause: the same as in the gateway. actix-http reads what has arrived on a caller's connection and then polls the handler in one step, so a handler whose connection to a worker has just opened dispatches although the caller's close has been read, or waits in the socket.

Change: the server keeps a second handle of each connection in the connection's data; a request that depends on its caller refers to it, and asks the kernel before its dispatch. If the caller has left, the slot is returned and the server drops the handler. A request with an idempotency key still continues without its caller. The handle costs a descriptor for each connection of a caller.

Test: a_handler_of_the_server_sees_a_close_that_the_server_has_not_read. Before, a handler could not learn of the close at all. The window of this path is one step of the runtime, so a whole daemon was not made to fail.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -79,6 +79,7 @@
         let served = idempotency::serve(context, active, placed, key).await;
         return served.map_err(|error| RequestRejection { error, tier });
     }
+    active.watch_caller(request);
     let reject = |error: CallerError, active: &ActiveRequest, tier: &TierName| {
         active.failed(&error);
         RequestRejection {
--- a/src/execution.rs
+++ b/src/execution.rs
@@ -52,6 +52,8 @@
     Unreachable(#[from] crate::connection::OpenError),
     #[error("no configuration is known to be in force")]
     Stale,
+    #[error("the caller has disconnected")]
+    CallerLeft,
     #[error(transparent)]
     Dispatch(#[from] DispatchError),
 }
@@ -61,6 +63,7 @@
     const fn refusal_reason(&self) -> RefusalReason {
         match self {
             Self::Stale => RefusalReason::Stale,
+            Self::CallerLeft => RefusalReason::Dropped,
             Self::Unavailable | Self::Unreachable(_) | Self::Dispatch(_) => RefusalReason::NoWorker,
         }
     }
@@ -84,7 +87,7 @@
     let mut reason = RefusalReason::NoWorker;
     for _ in 0..MAX_UNUSED_SLOTS {
         let (granted, lease) = wait_for_slot(context, active, placed, life).await?;
-        match use_slot(context, granted, lease).await {
+        match use_slot(context, active, granted, lease).await {
             Ok((dispatched, lease, connection, address)) => {
                 on_dispatch();
                 active.mark_dispatched();
@@ -108,6 +111,10 @@
                     NOT_DISPATCHED_RETRY_AFTER,
                 ));
             }
+            Err((SlotError::CallerLeft, _)) => {
+                // The server drops this future as soon as it reads the close.
+                return std::future::pending().await;
+            }
             Err((error, waiting)) => {
                 active.step(format!("slot not used: {error}"));
                 reason = error.refusal_reason();
@@ -149,6 +156,7 @@
 
 async fn use_slot(
     context: &Rc<HostContext>,
+    active: &ActiveRequest,
     granted: RequestLife<GrantedState>,
     mut lease: SlotLease,
 ) -> Result<DispatchedSlot, (SlotError, RequestLife<WaitingState>)> {
@@ -171,6 +179,9 @@
     if !context.may_take_work(now) {
         return Err((SlotError::Stale, granted.release_grant()));
     }
+    if active.has_caller_left() {
+        return Err((SlotError::CallerLeft, granted.release_grant()));
+    }
     let dispatched = granted
         .dispatch(now)
         .map_err(|(error, life)| (error.into(), life))?;
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -7,6 +7,7 @@
 use std::mem::MaybeUninit;
 
 use socket2::SockRef;
+use socket2::Socket;
 use tokio::net::TcpStream;
 
 /// The state of the receiving side of a connection.
@@ -24,8 +25,12 @@
     /// Returns the state of a connection.
     #[must_use]
     pub fn of(stream: &TcpStream) -> Self {
+        Self::of_socket(&SockRef::from(stream))
+    }
+
+    fn of_socket(socket: &Socket) -> Self {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(stream).peek(&mut byte) {
+        match socket.peek(&mut byte) {
             Ok(0) => Self::Closed,
             Ok(_) => Self::Readable,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Self::Quiet,
@@ -33,3 +38,30 @@
         }
     }
 }
+
+/// A second handle of a connection whose stream is owned by a server.
+///
+/// The connection stays open until the handle is dropped too, so the handle belongs to the data of
+/// the connection, and requests only refer to it.
+#[derive(Debug)]
+pub struct ConnectionProbe {
+    socket: Socket,
+}
+
+impl ConnectionProbe {
+    /// Creates the handle of a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has no descriptor left.
+    pub fn new(stream: &TcpStream) -> io::Result<Self> {
+        let socket = SockRef::from(stream).try_clone()?;
+        Ok(Self { socket })
+    }
+
+    /// Returns the state of the connection.
+    #[must_use]
+    pub fn state(&self) -> ReceiveState {
+        ReceiveState::of_socket(&self.socket)
+    }
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,9 +1,12 @@
 //! A request that was placed in a tier, and the guard of its journal record.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 
+use actix_http::Request;
 use actix_http::header::HeaderMap;
 
 use crate::context::HostContext;
@@ -21,6 +24,8 @@
 use crate::kernel::name::WorkspaceName;
 use crate::log_event;
 use crate::metrics::RequestLabels;
+use crate::probe::ConnectionProbe;
+use crate::probe::ReceiveState;
 use crate::reply::CallerError;
 
 /// A request that was placed in a tier.
@@ -76,6 +81,8 @@
     id: RequestId,
     outcome: Cell<RunOutcome>,
     ended: Cell<bool>,
+    /// The connection of the caller; empty if the request continues without its caller.
+    caller: OnceCell<Weak<ConnectionProbe>>,
     labels: RequestLabels,
     placed_at: ClockTime,
 }
@@ -89,11 +96,29 @@
             id: placed.id,
             outcome: Cell::new(RunOutcome::No),
             ended: Cell::new(false),
+            caller: OnceCell::new(),
             labels: RequestLabels::new(&placed.tier, &placed.incoming.service),
             placed_at: placed.placed_at,
         }
     }
 
+    /// Lets the request depend on the caller's connection.
+    pub fn watch_caller(&self, request: &Request) {
+        if let Some(probe) = request.conn_data::<Rc<ConnectionProbe>>() {
+            let _ = self.caller.set(Rc::downgrade(probe));
+        }
+    }
+
+    /// Returns whether the request depends on its caller and the caller has disconnected.
+    #[must_use]
+    pub fn has_caller_left(&self) -> bool {
+        let Some(caller) = self.caller.get() else {
+            return false;
+        };
+        let probe = caller.upgrade();
+        probe.is_none_or(|probe| probe.state() == ReceiveState::Closed)
+    }
+
     /// Adds a step with the current time to the record.
     pub fn step(&self, text: impl Into<String>) {
         let now = self.context.clock.now();
--- a/src/server.rs
+++ b/src/server.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::listener::accept_connections;
+use crate::probe::ConnectionProbe;
 
 /// The timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -138,6 +139,12 @@
         let factory = HttpService::build()
             .keep_alive(KEEP_ALIVE)
             .client_request_timeout(HEAD_TIMEOUT)
+            .on_connect_ext(|stream: &TcpStream, data| {
+                // Without a probe, a disconnect is detected when the runtime reports it.
+                if let Ok(probe) = ConnectionProbe::new(stream) {
+                    data.insert(Rc::new(probe));
+                }
+            })
             // A caller that disconnects must cancel the handler, also while the request waits.
             .h1_allow_half_closed(false)
             .graceful_shutdown_signal(move || {
--- a/tests/probe.rs
+++ b/tests/probe.rs
@@ -1,12 +1,21 @@
 //! The state of a connection as the kernel knows it, before the runtime polls its I/O driver.
 
+use std::cell::OnceCell;
+use std::future;
 use std::io::ErrorKind;
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::rc::Rc;
+use std::rc::Weak;
+use std::time::Duration;
 
+use actix_http::Request;
+use borageladder::probe::ConnectionProbe;
 use borageladder::probe::ReceiveState;
+use borageladder::server::HttpServer;
+use borageladder::server::StopSignal;
 
 /// Returns a connected pair; the runtime watches the first end.
 fn pair() -> (tokio::net::TcpStream, TcpStream) {
@@ -54,8 +63,38 @@
 async fn a_reset_counts_as_a_close() {
     let (stream, peer) = pair();
     socket2::SockRef::from(&peer)
-        .set_linger(Some(std::time::Duration::ZERO))
+        .set_linger(Some(Duration::ZERO))
         .expect("a socket option");
     drop(peer);
     wait_for(&stream, ReceiveState::Closed);
 }
+
+// Guards against the daemon's server running a request whose caller closed the connection while the
+// server was behind.
+#[actix_rt::test]
+async fn a_handler_of_the_server_sees_a_close_that_the_server_has_not_read() {
+    let seen: Rc<OnceCell<Weak<ConnectionProbe>>> = Rc::default();
+    let sink = Rc::clone(&seen);
+    let handler = move |request: Request| {
+        let probe = request.conn_data::<Rc<ConnectionProbe>>();
+        let _ = sink.set(Rc::downgrade(probe.expect("the data of the connection")));
+        future::pending()
+    };
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::start(address, 4, StopSignal::default(), handler).await;
+    let address = server.expect("a free port").address();
+    let mut caller = TcpStream::connect(address).expect("a listener");
+    let sent = caller.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    sent.expect("an open connection");
+    while seen.get().is_none() {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    let probe = seen.get().and_then(Weak::upgrade);
+    let probe = probe.expect("an open connection");
+    assert_eq!(probe.state(), ReceiveState::Quiet);
+    drop(caller);
+    // Nothing is awaited here, so the server can't have read the close.
+    while probe.state() != ReceiveState::Closed {
+        std::thread::yield_now();
+    }
+}
