Detect the disconnect of a caller that has sent much ahead

What callers saw: nothing; a worker went on for a caller that had left, up to the deadline.

Cause: while a request is served, the host buffers up to 64 KiB of what the caller sends next, and then waited for nothing more. The close behind these bytes was never seen.

Change: once the buffer is full, the host waits for the close itself, which the runtime reports apart from readable bytes. It checks every 100 ms, because unread bytes keep the socket readable.

Test: a_disconnect_after_a_long_read_ahead_ends_the_work failed before (no caller-left in 30 s, the work ended at the deadline).

--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -19,9 +19,11 @@
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::caller::CallerWriter;
@@ -37,6 +39,9 @@
 /// Size of the receive buffer at which reading pauses while a request is served, in bytes.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 
+/// Interval between two checks for a close while reading pauses.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time for which the host keeps reading after it has shut down its side of a connection.
 ///
 /// Closing a socket with unread data resets the connection, which can discard an answer that the
@@ -255,7 +260,7 @@
 
 /// Waits until the caller disconnects; bytes of the next request are buffered meanwhile.
 ///
-/// Once [`MAX_READ_AHEAD_BYTES`] are buffered, reading stops and a disconnect is not detected.
+/// Once [`MAX_READ_AHEAD_BYTES`] are buffered, reading stops and only the close is awaited.
 async fn wait_for_disconnect(reader: &mut ReadHalf<'_>, received: &mut BytesMut) {
     while received.len() < MAX_READ_AHEAD_BYTES {
         received.reserve(READ_BYTES);
@@ -264,5 +269,10 @@
             Ok(_) => (),
         }
     }
-    std::future::pending::<()>().await;
+    loop {
+        match reader.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => sleep(CLOSE_CHECK_INTERVAL).await,
+            Ok(_) | Err(_) => return,
+        }
+    }
 }
