Check the size limit of a head that arrives in one piece

What callers saw: a head over max_header_bytes was accepted if it arrived whole; only one in several pieces got 431.

Cause: the limit was compared with the bytes that are still incomplete, and a complete head leaves none.

Change: the bytes that a decoded head took are compared with the limit too.

--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -178,7 +178,11 @@
 
     async fn read_head(&mut self, limit: usize) -> Result<Request, ReadError> {
         loop {
+            let buffered = self.received.len();
             match self.codec.decode(&mut self.received) {
+                Ok(Some(Message::Item(_))) if buffered - self.received.len() > limit => {
+                    return Err(ReadError::HeadTooLarge);
+                }
                 Ok(Some(Message::Item(head))) => return Ok(head),
                 Ok(Some(Message::Chunk(_))) => (),
                 Ok(None) if self.received.len() > limit => return Err(ReadError::HeadTooLarge),
