End the answer to a HEAD request with its head

What callers saw: an answer to HEAD whose worker states no length, or chunks, never ended, or ended as 502 at the deadline.

Cause: the framing of an answer was taken from its head alone, and the answer to HEAD has the head of a body that is not sent.

Change: the connection knows that it sent a HEAD request; its answer has no body, and the caller gets the stated length.

Test: an_answer_to_head_ends_with_its_head failed before (502).

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -176,8 +176,12 @@
             return relay_long(answer, buffered.freeze(), caller).await;
         }
     }
-    let length = buffered.len() as u64;
-    caller.relay_head(answer.head(), Some(length)).await?;
+    let length = if answer.is_to_head_request() {
+        answer.stated_length()
+    } else {
+        Some(buffered.len() as u64)
+    };
+    caller.relay_head(answer.head(), length).await?;
     if !buffered.is_empty() {
         caller.write_body(buffered.freeze()).await?;
     }
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -129,6 +129,7 @@
     /// have run the request nevertheless.
     pub async fn exchange(mut self, request: WorkerRequest) -> Result<WorkerAnswer, AnswerError> {
         let mut codec = ClientCodec::new(self.config.clone());
+        let to_head_request = request.method == Method::HEAD;
         let out = encode_request(&mut codec, request)?;
         self.awaits_answer = true;
         let mut unsent = &out[..];
@@ -163,7 +164,11 @@
                 }
             }
         };
-        let framing = framing_of(&codec, &head);
+        let framing = if to_head_request {
+            AnswerFraming::Empty
+        } else {
+            framing_of(&codec, &head)
+        };
         self.awaits_answer = framing != AnswerFraming::Empty || !unsent.is_empty();
         let reusable = codec.keep_alive()
             && head.connection_type() == ConnectionType::KeepAlive
@@ -175,6 +180,7 @@
             connection: self,
             done: framing == AnswerFraming::Empty,
             reusable: reusable && framing != AnswerFraming::UntilClose,
+            to_head_request,
         })
     }
 
@@ -231,6 +237,7 @@
     connection: WorkerConnection,
     done: bool,
     reusable: bool,
+    to_head_request: bool,
 }
 
 impl fmt::Debug for WorkerAnswer {
@@ -255,10 +262,23 @@
         if self.framing == AnswerFraming::Empty {
             return Some(0);
         }
+        self.stated_length()
+    }
+
+    /// Returns the length that the head states, in bytes; that of the answer to a HEAD request is
+    /// the length of a body that is not sent.
+    #[must_use]
+    pub fn stated_length(&self) -> Option<u64> {
         let value = self.head.headers().get(header::CONTENT_LENGTH)?;
         value.to_str().ok()?.parse().ok()
     }
 
+    /// Returns whether this is the answer to a HEAD request, which has no body.
+    #[must_use]
+    pub const fn is_to_head_request(&self) -> bool {
+        self.to_head_request
+    }
+
     /// Reads the next bytes of the body; returns `None` at its end.
     ///
     /// # Errors
@@ -325,6 +345,7 @@
             }
             self.connection.read_more().await?;
         };
+        // The answers that precede the expected one have no fixed relation to this request.
         let framing = framing_of(&codec, &head);
         self.connection.awaits_answer = framing != AnswerFraming::Empty;
         Ok(Self {
@@ -335,6 +356,7 @@
             done: framing == AnswerFraming::Empty,
             // After one surplus answer, another may follow, so the connection is not reused.
             reusable: false,
+            to_head_request: false,
         })
     }
 }
