Never write a second head into the body of an answer

What callers saw: after a safe answer of over 256 KiB broke off, the answer of a second worker, head included, followed inside the body of the first, and the connection was kept. A stream resumed at a worker that answered 404 or 500 contained that answer's head.

Cause: a retry was permitted by the kind of the request alone, although part of an answer had been relayed; and any answer with an error status was relayed with its head, also in a stream.

Change: a dispatch that fails after the head was relayed is followed by another only if events of a stream were relayed; an error status there counts as a lost answer. Otherwise the answer ends truncated and the connection is closed.

Tests, both failing before: a_long_answer_that_breaks_off_after_its_head_is_not_followed_by_another (bytes after the last answer), a_stream_whose_next_worker_answers_with_an_error_ends_truncated (a head where a chunk size is due).

--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -128,6 +128,14 @@
                 connection_lost: false,
             });
         }
+        if caller.has_started() && !answer.head().status.is_success() {
+            // A further head would become part of the body that the caller is reading.
+            self.return_to_pool(worker, answer, &metadata).await;
+            return Ok(DispatchEnd::Broken {
+                error: CallError::Lost,
+                connection_lost: false,
+            });
+        }
         let erred = answer.head().status.is_server_error();
         let time_to_head = self.host.clock.now().since(dispatched_at);
         let relaying = self.relay.relay_answer(answer, caller, lease, time_to_head);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -351,7 +351,12 @@
                 if connection_lost {
                     self.check_crash(&worker);
                 }
-                match self.retry_permit() {
+                let permit = if self.relay.can_continue(caller) {
+                    self.retry_permit()
+                } else {
+                    None
+                };
+                match permit {
                     Some(permit) => {
                         self.relay.discard_partial();
                         Ok(Some(life.retry(permit)))
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -50,6 +50,8 @@
     kind: WorkKind,
     events: EventBuffer,
     event_tokens: u32,
+    /// Whether the head of a stream was relayed, so that only events may follow.
+    streaming: bool,
     time_to_first_event: Option<Duration>,
     first_event_at: Option<Instant>,
     last_event_at: Option<Instant>,
@@ -65,12 +67,20 @@
             kind,
             events: EventBuffer::default(),
             event_tokens,
+            streaming: false,
             time_to_first_event: None,
             first_event_at: None,
             last_event_at: None,
         }
     }
 
+    /// Returns whether the answer can be continued with that of another dispatch: if nothing was
+    /// relayed yet, or if events of a stream were.
+    #[must_use]
+    pub const fn can_continue(&self, caller: &CallerWriter<'_>) -> bool {
+        self.streaming || !caller.has_started()
+    }
+
     /// Returns the identifier of the last relayed event, or `None` if no event with one was relayed.
     #[must_use]
     pub fn last_event_id(&self) -> Option<u64> {
@@ -147,14 +157,10 @@
                 lease.first_token(after);
             }
             self.last_event_at = Some(now);
-            if !caller.has_started() {
-                caller.relay_head(answer.head(), None).await?;
-            }
+            self.relay_stream_head(&answer, caller).await?;
             caller.write_body(events).await?;
         }
-        if !caller.has_started() {
-            caller.relay_head(answer.head(), None).await?;
-        }
+        self.relay_stream_head(&answer, caller).await?;
         let rest = self.events.take_partial();
         if !rest.is_empty() {
             caller.write_body(rest).await?;
@@ -162,6 +168,18 @@
         caller.finish_body().await?;
         Ok(RelayEnd::Complete(Box::new(answer)))
     }
+
+    async fn relay_stream_head(
+        &mut self,
+        answer: &WorkerAnswer,
+        caller: &mut CallerWriter<'_>,
+    ) -> Result<(), RelayEnd> {
+        if !caller.has_started() {
+            self.streaming = true;
+            caller.relay_head(answer.head(), None).await?;
+        }
+        Ok(())
+    }
 }
 
 /// Relays an answer once it is complete, or as it arrives if it exceeds [`MAX_BUFFERED_BYTES`].
