Give each broker of a process grant identifiers of its own

What callers saw: fewer slots. After the broker of a cell had moved away from a host and back, a slot could stay in use for good, and a report about one request ended another.

Cause: each broker counts its grants from one, and all brokers of a process used the incarnation of the process. The second broker of a cell adopts what entries still hold under the identifiers of the first, and then issues the same identifiers again; the ledger overwrites the adopted grant.

Change: the incarnation of a broker is that of the process plus the number of brokers started before.

Test: a_broker_that_starts_again_in_its_process_issues_new_grant_identifiers failed before (broker 1, sequence 1 twice).

--- a/kernel/src/name.rs
+++ b/kernel/src/name.rs
@@ -197,7 +197,8 @@
 /// The identifier of a grant, unique among the grants of one broker.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct GrantId {
-    /// The incarnation of the process that runs the broker: a random number drawn at its start.
+    /// The incarnation of the broker: that of its process, a random number, plus the number of brokers
+    /// that the process had started before.
     pub broker: u64,
     /// The sequence number of the grant; each broker counts from one.
     pub sequence: u64,
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 pub struct BrokerTable {
     settings: BrokerSettings,
+    /// The number of brokers that were started.
+    started: u64,
     span: CellSpan,
     brokers: BTreeMap<CellId, CellBroker>,
     summaries: BTreeMap<CellId, ReceivedSummary>,
@@ -69,6 +71,7 @@
         let brokers = BTreeMap::new();
         Self {
             settings,
+            started: 0,
             span: CellSpan::default(),
             brokers,
             summaries: BTreeMap::new(),
@@ -218,7 +221,12 @@
         if self.brokers.contains_key(cell) {
             return Ok(Vec::new());
         }
-        let mut broker = CellBroker::new(self.settings, now)?;
+        // Entries may still hold grants of an earlier broker of this process, so each broker
+        // issues identifiers of its own.
+        let incarnation = self.settings.incarnation.wrapping_add(self.started);
+        let settings = self.settings.with_incarnation(incarnation);
+        let mut broker = CellBroker::new(settings, now)?;
+        self.started += 1;
         let workers = cell_workers(configuration, &self.leaving, self.span, cell);
         let actions = broker.handle(now, BrokerEvent::WorkersChanged { workers });
         self.brokers.insert(cell.clone(), broker);
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -1,5 +1,6 @@
 //! Cells of two data centres over a simulated network whose messages the test delivers explicitly.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -47,6 +48,8 @@
     datacenter: DatacenterName,
     configuration: Arc<Configuration>,
     messages: Rc<RefCell<VecDeque<QueuedMessage>>>,
+    /// The host that is the broker of the near data centre's cells.
+    near_broker: Rc<Cell<&'static str>>,
 }
 
 impl CellNetwork for FakeNetwork {
@@ -60,8 +63,12 @@
 
     /// Each data centre has one host, which is named after it.
     fn brokers(&self, cell: &CellId) -> CellBrokers {
+        let broker = match cell.datacenter.as_str() {
+            "near" => self.near_broker.get(),
+            other => other,
+        };
         CellBrokers {
-            broker: cell.datacenter.as_str().parse().ok(),
+            broker: broker.parse().ok(),
             deputy: None,
         }
     }
@@ -80,11 +87,13 @@
     near: Rc<CellService>,
     far: Rc<CellService>,
     messages: Rc<RefCell<VecDeque<QueuedMessage>>>,
+    near_broker: Rc<Cell<&'static str>>,
 }
 
 impl TwoDatacenters {
     fn start() -> Self {
         let messages = Rc::default();
+        let near_broker = Rc::new(Cell::new("near"));
         let configuration = Arc::new(configuration());
         let start = |name: &str, incarnation| {
             let network = FakeNetwork {
@@ -92,6 +101,7 @@
                 datacenter: name.parse().expect("a valid name"),
                 configuration: Arc::clone(&configuration),
                 messages: Rc::clone(&messages),
+                near_broker: Rc::clone(&near_broker),
             };
             let settings = BrokerSettings {
                 incarnation,
@@ -104,6 +114,7 @@
             near: start("near", 1),
             far: start("far", 2),
             messages,
+            near_broker,
         }
     }
 
@@ -228,3 +239,33 @@
         Some(Err(RefusalReason::NoWorker))
     );
 }
+
+/// Returns the lease of a granted slot.
+fn lease(service: &Rc<CellService>, wait: SlotWait) -> SlotLease {
+    match wait.now_or_never() {
+        Some(Some(SlotAnswer::Granted { grant, .. })) => SlotLease::new(Rc::clone(service), grant),
+        other => panic!("{other:?} is no grant"),
+    }
+}
+
+// Guards against a slot that is never free again, because two grants of one process share an
+// identifier.
+#[test]
+fn a_broker_that_starts_again_in_its_process_issues_new_grant_identifiers() {
+    let cells = TwoDatacenters::start();
+    let wait = ask(&cells.near, 1, Duration::from_secs(30));
+    cells.exchange();
+    let first = lease(&cells.near, wait);
+    cells.near_broker.set("far");
+    cells.exchange();
+    assert!(cells.near.own_cells().is_empty(), "the broker has stopped");
+    cells.near_broker.set("near");
+    cells.exchange();
+    let first_grant = first.grant().grant;
+    drop(first);
+    cells.exchange();
+    let wait = ask(&cells.near, 2, Duration::from_secs(30));
+    cells.exchange();
+    let second = lease(&cells.near, wait);
+    assert_ne!(second.grant().grant, first_grant);
+}
