End the reservation of a worker that fails or leaves

What callers saw: a request that must run alone was sent to a worker that was leaving or had failed, after the worker had been reserved for it.

Cause: the reserved worker was taken whatever its state, while other requests are kept from leaving and failed workers by the candidates' check.

Test: a_suspect_is_not_granted_its_reserved_worker_once_that_leaves failed before (granted the leaving worker).

--- a/kernel/src/broker/suspects.rs
+++ b/kernel/src/broker/suspects.rs
@@ -2,6 +2,7 @@
 
 use super::CellBroker;
 use super::records::WorkerHealth;
+use super::records::WorkerRecord;
 use crate::ask::BrokerAction;
 use crate::clock::ClockTime;
 use crate::name::RequestId;
@@ -33,7 +34,7 @@
             if self.has_earlier_request(lane, suspect) {
                 return self.release_reservation(now, lane);
             }
-            let Some(worker) = self.exclusive_worker(lane) else {
+            let Some(worker) = self.exclusive_worker(now, lane) else {
                 return false;
             };
             if self.workers.records[worker].used > 0 {
@@ -52,18 +53,22 @@
         first.is_some_and(|first| first.key < suspect.key)
     }
 
-    /// Returns the reserved worker of the lane, whatever its state, or else the healthy one with
-    /// the fewest slots in use.
-    fn exclusive_worker(&self, lane: usize) -> Option<usize> {
-        let work_lane = &self.workers.lanes[lane];
-        if work_lane.reserved.is_some() {
-            return work_lane.reserved;
+    /// Returns the reserved worker of the lane, or else the healthy one with the fewest slots in
+    /// use. The reservation of a worker that failed or leaves ends.
+    fn exclusive_worker(&mut self, now: ClockTime, lane: usize) -> Option<usize> {
+        let is_usable =
+            |record: &WorkerRecord| record.eligible() && record.health == WorkerHealth::Healthy;
+        if let Some(reserved) = self.workers.lanes[lane].reserved {
+            if is_usable(&self.workers.records[reserved]) {
+                return Some(reserved);
+            }
+            self.release_reservation(now, lane);
         }
+        let work_lane = &self.workers.lanes[lane];
         let records = &self.workers.records;
         let suitable = |worker: &usize| {
             let record = &records[*worker];
-            let healthy = record.health == WorkerHealth::Healthy;
-            record.eligible() && healthy && record.exclusive_request.is_none()
+            is_usable(record) && record.exclusive_request.is_none()
         };
         let workers = work_lane.workers.iter().copied().filter(suitable);
         workers.min_by_key(|worker| records[*worker].used)
--- a/kernel/tests/broker/faults.rs
+++ b/kernel/tests/broker/faults.rs
@@ -93,6 +93,33 @@
     assert_eq!(grants(&harness.finish(&suspect, 20)).len(), 1);
 }
 
+// Guards against new work for a leaving or failed worker that was reserved before.
+#[test]
+fn a_suspect_is_not_granted_its_reserved_worker_once_that_leaves() {
+    let mut harness = BrokerHarness::with_workers(&[("a", 2), ("b", 2)]);
+    let held: Vec<Grant> = (0..4).map(|_| only_grant(&harness.submit(0, 60))).collect();
+    let mut ask = harness.ask(0, Duration::from_mins(1));
+    ask.suspect = true;
+    assert_eq!(harness.send(&ask), []);
+    let load = LoadReport {
+        leaving: true,
+        ..LoadReport::default()
+    };
+    let worker = "a".parse().expect("a valid name");
+    harness.handle(BrokerEvent::LoadReported { worker, load });
+    let (leaving, staying): (Vec<&Grant>, Vec<&Grant>) =
+        held.iter().partition(|grant| grant.worker.as_str() == "a");
+    for grant in leaving {
+        assert_eq!(grants(&harness.finish(grant, 20)), []);
+    }
+    let mut granted = Vec::new();
+    for grant in staying {
+        granted.extend(grants(&harness.finish(grant, 20)));
+    }
+    let workers: Vec<&str> = granted.iter().map(|grant| grant.worker.as_str()).collect();
+    assert_eq!(workers, ["b"]);
+}
+
 #[test]
 fn a_leaving_worker_gets_no_new_requests() {
     let mut harness = BrokerHarness::with_workers(&[("a", 4), ("b", 4)]);
