End a request of the daemon whose answer has no body

What callers saw: an answer to HEAD with a length counted as truncated, and one with 204 was followed by a chunked body. Operators saw answered requests recorded as left by their callers, and cancelled at their engines.

Cause: a request ended when the last byte of its answer's body was forwarded. The server never polls a body of length zero, and the body of an answer to HEAD never comes.

Change: whether a body follows is decided from the method, the status and the length; without one the request ends with the head.

Test: an_answer_without_a_body_ends_its_request, three cases, all failing before.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -164,6 +164,18 @@
         self.usage = Some(UsageCollector::default());
         let mut response = response_head(placed, &answer);
         let length = self.declared_length;
+        if !answer.has_body(&placed.incoming.method) {
+            self.finish();
+            return match length {
+                Some(length) => response
+                    .body(SizedStream::new(
+                        length,
+                        stream::empty::<Result<Bytes, TruncationError>>(),
+                    ))
+                    .map_into_boxed_body(),
+                None => response.finish().map_into_boxed_body(),
+            };
+        }
         self.body = Some(answer.into_body());
         let body = stream::unfold(self, |mut relay| async move {
             let item = relay.next_chunk().await?;
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -161,6 +161,16 @@
         value.to_str().ok()?.parse().ok()
     }
 
+    /// Returns whether a body follows the head of the answer to a request with the given method.
+    #[must_use]
+    pub fn has_body(&self, method: &Method) -> bool {
+        let is_bodiless = matches!(
+            self.status(),
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+        *method != Method::HEAD && !is_bodiless && self.declared_length() != Some(0)
+    }
+
     /// Returns the body.
     ///
     /// A body that is shorter than its declared length, or chunked and without its last chunk, ends
--- a/tests/cut.rs
+++ b/tests/cut.rs
@@ -60,3 +60,34 @@
     let expected = if complete { 200 } else { 502 };
     assert_eq!(answer.status, expected, "{}", answer.body);
 }
+
+// Guards against an answered request that is recorded as one whose caller left, and is cancelled.
+#[parameterized(
+    of_length_zero = { Call::get, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n" },
+    to_a_head_request = { Call::head, "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n" },
+    without_content = { Call::get, "HTTP/1.1 204 No Content\r\n\r\n" },
+)]
+fn an_answer_without_a_body_ends_its_request(call: fn(&str) -> Call, bytes: &'static str) {
+    let plan = DeploymentPlan {
+        hosts: vec!["sapporo-a"],
+        engines: Vec::new(),
+        ..DeploymentPlan::default()
+    };
+    let deployment = Deployment::start(&plan);
+    let upstream = start_upstream(bytes);
+    let options = "service casebook datacenter sapporo-a";
+    let worker = format!("set worker casebook-1 {options} address {upstream} max-running 8");
+    deployment.command(0, &worker);
+    let answer = deployment.call(0, &call("/services/casebook/state"));
+    assert!(matches!(answer.status, 200 | 204), "{}", answer.head);
+    assert_eq!(answer.body, "");
+    let metrics = deployment.call(0, &Call::get("/metrics")).body;
+    let ended = metrics
+        .lines()
+        .filter(|line| line.starts_with("borageladder_requests_total{"));
+    let ended: Vec<&str> = ended.collect();
+    assert!(
+        ended.len() == 1 && ended[0].contains("outcome=\"in-time\""),
+        "{ended:?}"
+    );
+}
--- a/tests/harness/client.rs
+++ b/tests/harness/client.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// Creates a HEAD request.
+    pub fn head(path: &str) -> Self {
+        Self {
+            method: "HEAD".into(),
+            ..Self::get(path)
+        }
+    }
+
     /// Creates a POST request with a body.
     pub fn post(path: &str, body: impl Into<String>) -> Self {
         let call = Self::get(path);
