Do not pass on workers that are kept only because of an outage

What callers saw: their requests went to workers that had left or were about to.

Cause: a worker whose registration is missing after an outage of the store stays usable for 2.2 s, since running workers could not renew theirs. A host that the store had turned away for seconds did so for workers that had drained and left meanwhile, and passed them on as registered, to hosts that had read the store all the time and knew better.

Change: a host passes on the workers that are registered; each host keeps missing ones by its own view of the outage alone.

Test: a_worker_that_is_kept_only_after_an_outage_is_not_passed_on_to_other_hosts failed before.

--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -124,9 +124,14 @@
         changed | self.expire(now)
     }
 
-    /// Iterates over all workers, including those that are draining.
+    /// Iterates over the workers that are registered, including those that are draining.
+    ///
+    /// Workers that are kept although their registration is missing are left out. Another host may
+    /// have read the store during the outage, and keeps them by its own view or not at all.
     pub fn registered(&self) -> impl Iterator<Item = &UpstreamRecord> {
-        self.entries.values().map(|entry| &entry.record)
+        let registered = self.entries.values();
+        let registered = registered.filter(|entry| entry.missing_since.is_none());
+        registered.map(|entry| &entry.record)
     }
 
     /// Iterates over the workers that may be granted new requests.
--- a/kernel/tests/roster.rs
+++ b/kernel/tests/roster.rs
@@ -116,3 +116,33 @@
     gate.record_read(ClockTime::from_millis(4_999));
     assert!(gate.is_fresh(ClockTime::from_millis(5_000)));
 }
+
+// Guards against new work for a worker that left while one host could not read the store: that host
+// keeps the worker for a while, and others that know better must not take it over.
+#[test]
+fn a_worker_that_is_kept_only_after_an_outage_is_not_passed_on_to_other_hosts() {
+    let at = ClockTime::from_millis;
+    let mut cut_off = UpstreamRoster::default();
+    let mut connected = UpstreamRoster::default();
+    for roster in [&mut cut_off, &mut connected] {
+        roster.apply(at(0), complete_update(&["w1", "w2"]));
+    }
+    cut_off.store_unavailable();
+    // While one host is turned away by the store, w2 drains and leaves.
+    let draining = RosterUpdate {
+        present: vec![record("w2", WorkerState::Draining)],
+        ..RosterUpdate::default()
+    };
+    connected.apply(at(1_000), draining);
+    connected.apply(at(4_000), removal_update(&["w2"]));
+    cut_off.apply(at(5_000), complete_update(&["w1"]));
+    assert_eq!(usable(&cut_off), names(&["w1", "w2"]));
+
+    let passed_on = RosterUpdate {
+        complete: true,
+        present: cut_off.registered().cloned().collect(),
+        ..RosterUpdate::default()
+    };
+    connected.apply(at(5_100), passed_on);
+    assert_eq!(usable(&connected), names(&["w1"]));
+}
