Read the workers again right after a failed read of them

What callers saw: nothing traced to it. A host could pass on workers as of a moment at which it had not read them: the cause was found beside that of the workers kept after an outage.

Cause: the time of the last read of the workers was set before the read. After a failed one, the host read the configuration alone for 0.8 s, and answered polls of others with the workers from before the failure.

Change: the time is set once the read has succeeded; until then each read includes the workers, with the back-off after failures as before.

Test: workers_are_read_again_right_after_a_failed_read failed before (op, op instead of op, servers).

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -316,8 +316,10 @@
             .workers_read
             .is_none_or(|read| now.since(read) >= WORKER_READ_INTERVAL);
         if due {
-            self.workers_read = Some(now);
+            // The next read of the store includes the workers if this one fails.
+            self.workers_read = None;
             change.workers = self.read_workers().await?;
+            self.workers_read = Some(now);
         }
         Ok(change)
     }
