Answer what may have run as of unknown outcome, whatever its route says now

What callers saw: 503, which promises that a request has not run, for one that a worker had run.

Cause: the promise was withheld only from kinds of requests that may be repeated, since others are dispatched once. A safe request that had failed at one worker can be planned again under a configuration that makes its route unsafe, and is then refused.

Change: the dispatches alone decide.

Test: a_request_that_ran_is_not_answered_as_not_run_after_its_route_became_unsafe failed before (503 instead of 502).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -422,7 +422,7 @@
             return error;
         }
         // After a dispatch that may have run, the answer must not state that the request did not run.
-        if self.planned.route.kind.retryable().is_some() && self.dispatches.may_have_run() {
+        if self.dispatches.may_have_run() {
             return CallError::Lost;
         }
         error
