Split the gateway's exchange and the membership by job

The election's result and hash have a file of their own in the membership. Moves alone, but for one line: a further answer on a connection after a HEAD request has no body either, as the first.

--- a/kernel/src/membership/mod.rs
+++ b/kernel/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcement;
 mod class;
+mod election;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 
 pub use self::announcement::ListSchedule;
 pub use self::class::HostClass;
+pub use self::election::BrokerPair;
 
 /// The interval between two heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -75,15 +77,6 @@
     HostLost(HostName),
 }
 
-/// The broker of a cell and its deputy.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct BrokerPair<'a> {
-    /// The broker; `None` if no host is alive in the data centres that share the cell.
-    pub broker: Option<&'a HostName>,
-    /// The host that takes over when the broker does not answer; `None` if there is no second host.
-    pub deputy: Option<&'a HostName>,
-}
-
 #[derive(Clone, Debug)]
 struct DirectPeer {
     signal: LivenessSignal,
@@ -295,7 +288,7 @@
         let mut pair = BrokerPair::default();
         let mut ranks = [None, None];
         for (host, stopping, class) in others.chain(own) {
-            let hash = rendezvous_hash(service, cell_datacenter, host);
+            let hash = election::rendezvous_hash(service, cell_datacenter, host);
             let rank = Some((!stopping, class, hash, host));
             if rank > ranks[0] {
                 ranks = [rank, ranks[0]];
@@ -387,15 +380,3 @@
         address: member.address,
     }
 }
-
-/// Returns the rendezvous hash of a host for a cell.
-fn rendezvous_hash(service: &ServiceName, datacenter: &DatacenterName, host: &HostName) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    for name in [service.as_str(), datacenter.as_str(), host.as_str()] {
-        hasher.update(name.as_bytes());
-        hasher.update(&[0]);
-    }
-    let hash = hasher.finalize();
-    let leading = hash.as_bytes().first_chunk();
-    leading.copied().map(u64::from_le_bytes).unwrap_or_default()
-}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,21 +17,16 @@
 use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
+use super::slot::DispatchedCall;
+use super::slot::SlotError;
 use super::trace::CallTrace;
-use super::trace::SentCall;
 use super::worker::WorkerConnection;
-use crate::cell::SlotAnswer;
-use crate::cell::SlotLease;
 use crate::connection::OpenError;
-use crate::kernel::ask::Refusal;
-use crate::kernel::ask::RefusalReason;
 use crate::kernel::attempt::DispatchTally;
 use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchError;
-use crate::kernel::lifecycle::DispatchedState;
-use crate::kernel::lifecycle::GrantedState;
 use crate::kernel::lifecycle::RequestLife;
 use crate::kernel::lifecycle::WaitingState;
 use crate::kernel::name::WorkerName;
@@ -43,7 +38,7 @@
 const MAX_UNUSED_SLOTS: usize = 6;
 
 /// Retry-after time of refusals that do not come from the broker.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Reason why a request ended without a complete answer of a worker.
 #[derive(Debug, Error)]
@@ -124,40 +119,12 @@
 pub(super) struct CallExchange<'a> {
     pub(super) host: &'a Rc<GatewayHost>,
     pub(super) request: &'a CallerRequest,
-    trace: &'a CallTrace<'a>,
+    pub(super) trace: &'a CallTrace<'a>,
     pub(super) planned: PlannedCall,
-    dispatches: DispatchTally,
+    pub(super) dispatches: DispatchTally,
     pub(super) relay: AnswerRelay,
 }
 
-/// A request that counts as dispatched to a worker.
-struct DispatchedCall {
-    life: RequestLife<DispatchedState>,
-    lease: SlotLease,
-    worker: WorkerName,
-    dispatched_at: ClockTime,
-}
-
-/// Reason why a granted slot was not used; the text can reach the caller.
-#[derive(Debug, Error)]
-enum SlotError {
-    /// The worker is no longer usable, or the request was replanned to another service.
-    #[error("the worker is no longer available")]
-    WorkerGone,
-    /// No connection to the worker could be opened.
-    #[error(transparent)]
-    Unreachable(#[from] OpenError),
-    /// The caller has disconnected.
-    #[error("the caller has disconnected")]
-    CallerLeft,
-    /// The grant or the deadline of the request has expired.
-    #[error(transparent)]
-    Dispatch(#[from] DispatchError),
-    /// The request may no longer be sent to a worker.
-    #[error(transparent)]
-    Call(#[from] CallError),
-}
-
 impl CallExchange<'_> {
     /// Requests slots and dispatches until a dispatch ends the request.
     async fn run(&mut self, caller: &mut CallerWriter<'_>) -> Result<(), ExchangeError> {
@@ -194,98 +161,6 @@
         }
     }
 
-    /// Asks the broker for a slot on a worker and waits for the grant.
-    async fn wait_for_slot(
-        &self,
-        life: RequestLife<WaitingState>,
-    ) -> Result<(RequestLife<GrantedState>, SlotLease), CallError> {
-        let now = self.host.clock.now();
-        let ask = self.planned.ask(now);
-        let answer = self.host.cells.ask(ask, self.planned.deadline).await;
-        match answer {
-            Some(SlotAnswer::Granted { grant, received }) => {
-                let lease = SlotLease::new(Rc::clone(&self.host.cells), grant.clone());
-                Ok((life.granted(grant, received), lease))
-            }
-            Some(SlotAnswer::Refused(refusal)) => {
-                Err(self.fail_unsent(Self::broker_error(&refusal)))
-            }
-            None => {
-                Err(self.fail_unsent(refusal_error("the host is stopping", DEFAULT_RETRY_AFTER)))
-            }
-        }
-    }
-
-    /// Obtains a connection to the granted worker and marks the request as dispatched.
-    ///
-    /// There is no await point between the last checks and the dispatch, so the configuration, the
-    /// worker and the grant can't change in between. Whether the caller is still there is asked of
-    /// the kernel, since its close can wait in the socket while the grant is processed.
-    async fn use_slot(
-        &mut self,
-        granted: RequestLife<GrantedState>,
-        mut lease: SlotLease,
-        caller: &CallerWriter<'_>,
-    ) -> Result<(DispatchedCall, WorkerConnection), (SlotError, RequestLife<WaitingState>)> {
-        let worker = granted.grant().worker.clone();
-        let Some(record) = self.host.worker(&worker) else {
-            return Err((SlotError::WorkerGone, granted.release_grant()));
-        };
-        let now = self.host.clock.now();
-        let choice = granted.grant().choice.clone();
-        let idle = self.host.pool.take(now, &worker);
-        let is_reused = idle.is_some();
-        let connection = if let Some(connection) = idle {
-            connection
-        } else {
-            let opened = WorkerConnection::open(record.address, self.host.http.clone()).await;
-            match opened {
-                Ok(connection) => connection,
-                Err(error) => {
-                    self.host.pool.close_connections(&worker);
-                    lease.failed();
-                    return Err((error.into(), granted.release_grant()));
-                }
-            }
-        };
-        let now = self.host.clock.now();
-        match plan::replan_request(self.host, self.request, &self.planned, now) {
-            Ok(None) => (),
-            Ok(Some(planned)) if planned.service == self.planned.service => self.planned = planned,
-            Ok(Some(planned)) => {
-                self.planned = planned;
-                return Err((SlotError::WorkerGone, granted.release_grant()));
-            }
-            Err(error) => return Err((error.into(), granted.release_grant())),
-        }
-        if self.host.worker(&worker).is_none() {
-            return Err((SlotError::WorkerGone, granted.release_grant()));
-        }
-        if caller.has_disconnected() {
-            return Err((SlotError::CallerLeft, granted.release_grant()));
-        }
-        let life = granted
-            .dispatch(now)
-            .map_err(|(error, life)| (error.into(), life))?;
-        lease.dispatched();
-        self.dispatches.record_dispatch();
-        let sent = SentCall {
-            worker: &worker,
-            number: self.dispatches.count(),
-            choice: &choice,
-            reused: is_reused,
-            dispatched_at: now,
-        };
-        self.trace.sent(&self.planned, &sent);
-        let dispatched = DispatchedCall {
-            life,
-            lease,
-            worker,
-            dispatched_at: now,
-        };
-        Ok((dispatched, connection))
-    }
-
     /// Sends the request to the worker and relays its answer.
     ///
     /// Returns the request in its waiting state if it is to be sent again, or `None` if it has ended.
@@ -399,24 +274,10 @@
         });
     }
 
-    /// Returns the error for a refusal by the broker.
-    fn broker_error(refusal: &Refusal) -> CallError {
-        let reason = match refusal.reason {
-            RefusalReason::Capacity => "too many requests are waiting",
-            RefusalReason::Deadline => "no worker can answer in time",
-            RefusalReason::Dropped => "an operator dropped the request",
-            RefusalReason::NoWorker => "no worker serves this service or model",
-            RefusalReason::Platform => "the platform does not answer",
-            RefusalReason::Quarantined => "requests with the same content crashed workers",
-            RefusalReason::Stale => "no configuration that is recent enough",
-        };
-        refusal_error(reason, refusal.retry_after)
-    }
-
     /// Returns the error of a request that is not sent, or not sent again.
     ///
     /// Refunds the quota if the request was never dispatched.
-    fn fail_unsent(&self, error: CallError) -> CallError {
+    pub(super) fn fail_unsent(&self, error: CallError) -> CallError {
         if self.dispatches.is_undispatched() {
             plan::refund_quota(self.host, &self.planned);
             return error;
@@ -430,7 +291,7 @@
 }
 
 /// Returns the error for a request that was refused a slot or could not use one.
-fn refusal_error(reason: &str, retry_after: Duration) -> CallError {
+pub(super) fn refusal_error(reason: &str, retry_after: Duration) -> CallError {
     CallError::Refused {
         reason: reason.to_owned(),
         retry_after,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod run;
 mod settings;
+mod slot;
 mod snapshot;
 mod state;
 mod store;
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -345,8 +345,11 @@
             }
             self.connection.read_more().await?;
         };
-        // The answers that precede the expected one have no fixed relation to this request.
-        let framing = framing_of(&codec, &head);
+        let framing = if self.to_head_request {
+            AnswerFraming::Empty
+        } else {
+            framing_of(&codec, &head)
+        };
         self.connection.awaits_answer = framing != AnswerFraming::Empty;
         Ok(Self {
             head,
@@ -356,7 +359,7 @@
             done: framing == AnswerFraming::Empty,
             // After one surplus answer, another may follow, so the connection is not reused.
             reusable: false,
-            to_head_request: false,
+            to_head_request: self.to_head_request,
         })
     }
 }
