Skip as many answers to earlier requests as the limit says

What callers saw: 502 for a request that had run, when its worker wrote two late answers to earlier requests before the right one.

Cause: after the first foreign answer the connection is not reused, and the same mark ended the search for the next answer, so MAX_FOREIGN_ANSWERS was never reached.

Change: whether the connection stays open after an answer is kept apart from whether it may be reused.

Test: an_answer_behind_two_answers_to_earlier_requests_is_relayed failed before.

--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -170,16 +170,18 @@
             framing_of(&codec, &head)
         };
         self.awaits_answer = framing != AnswerFraming::Empty || !unsent.is_empty();
-        let reusable = codec.keep_alive()
-            && head.connection_type() == ConnectionType::KeepAlive
-            && unsent.is_empty();
+        let further_use = match codec.keep_alive() && keeps_open(&head, framing) {
+            true if unsent.is_empty() => FurtherUse::Requests,
+            true => FurtherUse::Answers,
+            false => FurtherUse::None,
+        };
         Ok(WorkerAnswer {
             head,
             framing,
             codec: codec.into_payload_codec(),
             connection: self,
             done: framing == AnswerFraming::Empty,
-            reusable: reusable && framing != AnswerFraming::UntilClose,
+            further_use,
             to_head_request,
         })
     }
@@ -229,6 +231,22 @@
     }
 }
 
+/// Returns whether the worker keeps the connection open after an answer to a request that allows it.
+fn keeps_open(head: &ResponseHead, framing: AnswerFraming) -> bool {
+    head.connection_type() == ConnectionType::KeepAlive && framing != AnswerFraming::UntilClose
+}
+
+/// What a connection can be used for after an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FurtherUse {
+    /// Nothing: it is closed.
+    None,
+    /// Reading further answers to requests that were sent before.
+    Answers,
+    /// Another request.
+    Requests,
+}
+
 /// A worker's answer whose head has been read.
 pub struct WorkerAnswer {
     head: ResponseHead,
@@ -236,7 +254,8 @@
     codec: ClientPayloadCodec,
     connection: WorkerConnection,
     done: bool,
-    reusable: bool,
+    /// What the connection can be used for after this answer.
+    further_use: FurtherUse,
     to_head_request: bool,
 }
 
@@ -323,7 +342,9 @@
     /// The body must be read to its end, and no unread bytes may follow it.
     #[must_use]
     pub fn into_connection(self) -> Option<WorkerConnection> {
-        let reusable = self.done && self.reusable && self.connection.received.is_empty();
+        let reusable = self.done
+            && self.further_use == FurtherUse::Requests
+            && self.connection.received.is_empty();
         reusable.then_some(self.connection)
     }
 
@@ -334,7 +355,7 @@
     /// Returns an error if the connection fails, can't be reused, or ends before a further answer.
     pub async fn next_answer(mut self) -> Result<Self, AnswerError> {
         while self.next_chunk().await?.is_some() {}
-        if !self.reusable {
+        if self.further_use == FurtherUse::None {
             return Err(AnswerError::Closed);
         }
         self.connection.awaits_answer = true;
@@ -351,14 +372,19 @@
             framing_of(&codec, &head)
         };
         self.connection.awaits_answer = framing != AnswerFraming::Empty;
+        // After one surplus answer, another may follow, so the connection gets no further request.
+        let further_use = if keeps_open(&head, framing) {
+            FurtherUse::Answers
+        } else {
+            FurtherUse::None
+        };
         Ok(Self {
             head,
             framing,
             codec: codec.into_payload_codec(),
             connection: self.connection,
             done: framing == AnswerFraming::Empty,
-            // After one surplus answer, another may follow, so the connection is not reused.
-            reusable: false,
+            further_use,
             to_head_request: self.to_head_request,
         })
     }
