--- a/tests/cut.rs
+++ b/tests/cut.rs
@@ -29,16 +29,8 @@
     address
 }
 
-#[parameterized(
-    chunked_without_end = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", false },
-    chunk_without_end = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhello", false },
-    shorter_than_declared = { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", false },
-    chunked_with_end = {
-        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true
-    },
-    as_long_as_declared = { "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello", true },
-)]
-fn an_answer_is_complete_only_if_the_upstream_ended_it(bytes: &'static str, complete: bool) {
+/// Starts a host with an upstream that sends the same bytes on every connection.
+fn start_with_upstream(bytes: &'static str) -> Deployment {
     let plan = DeploymentPlan {
         hosts: vec!["sapporo-a"],
         engines: Vec::new(),
@@ -49,6 +41,20 @@
     let options = "service casebook datacenter sapporo-a";
     let worker = format!("set worker casebook-1 {options} address {upstream} max-running 8");
     deployment.command(0, &worker);
+    deployment
+}
+
+#[parameterized(
+    chunked_without_end = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", false },
+    chunk_without_end = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhello", false },
+    shorter_than_declared = { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", false },
+    chunked_with_end = {
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true
+    },
+    as_long_as_declared = { "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello", true },
+)]
+fn an_answer_is_complete_only_if_the_upstream_ended_it(bytes: &'static str, complete: bool) {
+    let deployment = start_with_upstream(bytes);
     let answer = deployment.call(0, &Call::get("/services/casebook/state"));
     assert_eq!(
         answer.complete, complete,
@@ -68,16 +74,7 @@
     without_content = { Call::get, "HTTP/1.1 204 No Content\r\n\r\n" },
 )]
 fn an_answer_without_a_body_ends_its_request(call: fn(&str) -> Call, bytes: &'static str) {
-    let plan = DeploymentPlan {
-        hosts: vec!["sapporo-a"],
-        engines: Vec::new(),
-        ..DeploymentPlan::default()
-    };
-    let deployment = Deployment::start(&plan);
-    let upstream = start_upstream(bytes);
-    let options = "service casebook datacenter sapporo-a";
-    let worker = format!("set worker casebook-1 {options} address {upstream} max-running 8");
-    deployment.command(0, &worker);
+    let deployment = start_with_upstream(bytes);
     let answer = deployment.call(0, &call("/services/casebook/state"));
     assert!(matches!(answer.status, 200 | 204), "{}", answer.head);
     assert_eq!(answer.body, "");
