Show that a cut of over ten seconds doubles a quota

A host that is gone and one that is cut off can't be told apart by silence.

A fix needs a view of the hosts that outlasts a cut, such as their rows in the platform's store; not tried here.

--- a/kernel/tests/quotas.rs
+++ b/kernel/tests/quotas.rs
@@ -147,6 +147,16 @@
     assert!(most <= MAX_ALLOWED, "{most} units charged");
 }
 
+// Guards against both sides of a long cut charging against the whole quota.
+#[test]
+fn hosts_cut_off_from_each_other_for_half_a_minute_stay_within_the_quota() {
+    let mut fleet = Fleet::new(8);
+    fleet.advance(5_000, OVERLOAD_FACTOR, |_, _| true);
+    fleet.advance(30_000, OVERLOAD_FACTOR, |to, from| (to < 4) == (from < 4));
+    let most = fleet.max_in_window(Duration::from_secs(8));
+    assert!(most <= MAX_ALLOWED, "{most} units charged");
+}
+
 #[test]
 fn newly_started_hosts_stay_within_the_quota() {
     let mut fleet = Fleet::new(6);
