Read everything at once when the store has forgotten its history

What callers saw: requests served by a configuration that was 2.6 s old at the acknowledgement's bound of 2.5 s.

Cause: a read of the changes that the store no longer holds counted as a failed call. The host waited for the back-off and then once more for an answer of the reader, which the store had turned away.

Change: after such an answer everything is read at once, once for the configuration and once for the workers; only a failure after that is one.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -45,6 +45,10 @@
 /// The initial back-off after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// The maximum number of reads that follow at once when the store no longer holds the changes: one
+/// for the configuration and one for the workers.
+const MAX_COMPLETE_READS: u32 = 2;
+
 /// The maximum back-off after failed calls.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -277,7 +281,14 @@
     /// answers the polls of other hosts. After a failure it sleeps for the back-off.
     async fn read(&mut self, wait: Duration) {
         let begin = self.host.clock.now();
-        match self.read_changes(begin, wait).await {
+        let mut read = self.read_changes(begin, wait).await;
+        for _ in 0..MAX_COMPLETE_READS {
+            if !matches!(read, Err(StoreError::HistoryGone)) {
+                break;
+            }
+            read = self.read_changes(begin, Duration::ZERO).await;
+        }
+        match read {
             Ok(change) => {
                 self.retry_delay = RETRY_DELAY;
                 answer_polls(&self.host, begin, change);
