Log how the answer of a worker ended

Cause: request-answered stated neither how the end of the worker's answer was determined nor whether bytes followed its last whole event, and worker-failed gave the answer to the caller as its reason, not how the worker's answer broke off: the error was dropped on the way.

Change: request-answered has framing and partial_bytes, worker-failed has cause. No decision changes.

--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -45,8 +45,9 @@
     Broken {
         /// Error for the caller if no retry is permitted.
         error: CallError,
-        /// Whether reading the answer failed, which may mean that the worker crashed.
-        connection_lost: bool,
+        /// The failure to read the answer, which may mean that the worker crashed; `None` if the
+        /// answer was late or can't be used.
+        lost: Option<AnswerError>,
     },
 }
 
@@ -89,17 +90,14 @@
         let answering = self.matching_answer(connection, request);
         let Ok(answer) = tokio::time::timeout_at(limit, answering).await else {
             let error = CallError::TimedOut;
-            return Ok(DispatchEnd::Broken {
-                error,
-                connection_lost: false,
-            });
+            return Ok(DispatchEnd::Broken { error, lost: None });
         };
         let (answer, metadata) = match answer {
             Ok(answer) => answer,
-            Err(_error) => {
+            Err(error) => {
                 return Ok(DispatchEnd::Broken {
                     error: CallError::Lost,
-                    connection_lost: true,
+                    lost: Some(error),
                 });
             }
         };
@@ -109,10 +107,7 @@
         }
         if !metadata.signed && answer.head().status.is_success() {
             let error = CallError::Lost;
-            return Ok(DispatchEnd::Broken {
-                error,
-                connection_lost: false,
-            });
+            return Ok(DispatchEnd::Broken { error, lost: None });
         }
         if answer.head().status.is_server_error()
             && let Some(permit) = self.retry_permit()
@@ -125,7 +120,7 @@
             self.return_to_pool(worker, answer, &metadata).await;
             return Ok(DispatchEnd::Broken {
                 error: CallError::Lost,
-                connection_lost: false,
+                lost: None,
             });
         }
         if caller.has_started() && !answer.head().status.is_success() {
@@ -133,7 +128,7 @@
             self.return_to_pool(worker, answer, &metadata).await;
             return Ok(DispatchEnd::Broken {
                 error: CallError::Lost,
-                connection_lost: false,
+                lost: None,
             });
         }
         let erred = answer.head().status.is_server_error();
@@ -144,15 +139,15 @@
                 self.return_to_pool(worker, *answer, &metadata).await;
                 Ok(DispatchEnd::Answered { erred })
             }
-            Ok(RelayEnd::Truncated) => Ok(DispatchEnd::Broken {
+            Ok(RelayEnd::Truncated(error)) => Ok(DispatchEnd::Broken {
                 error: CallError::Lost,
-                connection_lost: true,
+                lost: Some(error),
             }),
             Ok(RelayEnd::CallerFailed(error)) => Err(error.into()),
             Err(_elapsed) if caller.has_started() => Err(ExchangeError::Truncated),
             Err(_elapsed) => Ok(DispatchEnd::Broken {
                 error: CallError::TimedOut,
-                connection_lost: false,
+                lost: None,
             }),
         }
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -216,14 +216,11 @@
                     }
                 }
             }
-            DispatchEnd::Broken {
-                error,
-                connection_lost,
-            } => {
-                self.trace.failed(&worker, &error);
+            DispatchEnd::Broken { error, lost } => {
+                self.trace.failed(&worker, &error, lost.as_ref());
                 self.host.pool.close_connections(&worker);
                 lease.failed();
-                if connection_lost {
+                if lost.is_some() {
                     self.check_crash(&worker);
                 }
                 let permit = if self.relay.can_continue(caller) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,6 +13,7 @@
 
 use super::caller::CallerWriter;
 use super::worker::AnswerError;
+use super::worker::AnswerFraming;
 use super::worker::WorkerAnswer;
 use crate::cell::SlotLease;
 use crate::kernel::attempt::WorkKind;
@@ -27,7 +28,7 @@
     /// The complete answer was relayed.
     Complete(Box<WorkerAnswer>),
     /// The worker's answer ended early or could not be read.
-    Truncated,
+    Truncated(AnswerError),
     /// Writing to the caller failed.
     CallerFailed(std::io::Error),
 }
@@ -39,8 +40,8 @@
 }
 
 impl From<AnswerError> for RelayEnd {
-    fn from(_: AnswerError) -> Self {
-        Self::Truncated
+    fn from(error: AnswerError) -> Self {
+        Self::Truncated(error)
     }
 }
 
@@ -52,6 +53,10 @@
     event_tokens: u32,
     /// Whether the head of a stream was relayed, so that only events may follow.
     streaming: bool,
+    /// The framing of the worker's last answer; `None` before the first.
+    framing: Option<AnswerFraming>,
+    /// The number of bytes after the last complete event of a stream that has ended.
+    partial_bytes: usize,
     time_to_first_event: Option<Duration>,
     first_event_at: Option<Instant>,
     last_event_at: Option<Instant>,
@@ -68,6 +73,8 @@
             events: EventBuffer::default(),
             event_tokens,
             streaming: false,
+            framing: None,
+            partial_bytes: 0,
             time_to_first_event: None,
             first_event_at: None,
             last_event_at: None,
@@ -92,6 +99,18 @@
         self.events.discard_partial();
     }
 
+    /// Returns the framing of the worker's last answer, or `None` before the first.
+    #[must_use]
+    pub const fn framing(&self) -> Option<AnswerFraming> {
+        self.framing
+    }
+
+    /// Returns the number of bytes after the last complete event of a stream that has ended.
+    #[must_use]
+    pub const fn partial_bytes(&self) -> usize {
+        self.partial_bytes
+    }
+
     /// Returns the number of tokens in the answer, estimated from its events with an identifier.
     #[must_use]
     pub const fn tokens(&self) -> u32 {
@@ -125,6 +144,7 @@
         lease: &mut SlotLease,
         time_to_head: Duration,
     ) -> RelayEnd {
+        self.framing = Some(answer.framing());
         let success = answer.head().status.is_success();
         let relayed = if success && self.kind.is_stream() {
             self.relay_events(answer, caller, lease, time_to_head).await
@@ -162,6 +182,7 @@
         }
         self.relay_stream_head(&answer, caller).await?;
         let rest = self.events.take_partial();
+        self.partial_bytes = rest.len();
         if !rest.is_empty() {
             caller.write_body(rest).await?;
         }
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -9,6 +9,8 @@
 use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
+use super::worker::AnswerError;
+use super::worker::AnswerFraming;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
@@ -141,13 +143,21 @@
     }
 
     /// Logs and counts that a worker failed while it ran the request.
-    pub(super) fn failed(&self, worker: &WorkerName, reason: &CallError) {
+    ///
+    /// `lost` is the failure to read its answer, if that is what failed.
+    pub(super) fn failed(
+        &self,
+        worker: &WorkerName,
+        reason: &CallError,
+        lost: Option<&AnswerError>,
+    ) {
         if let Some(record) = self.host.worker(worker) {
             self.host.metrics.worker_failed(&record.service);
         }
         log_event!(self.host.log, LogEvent::WorkerFailed,
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
-            "reason" => reason.to_string());
+            "reason" => reason.to_string(),
+            "cause" => lost.map(ToString::to_string));
     }
 
     /// Logs and counts a request whose answer was relayed completely.
@@ -179,6 +189,8 @@
             "most_tokens" => usage.map_or(0, |usage| usage.answer),
             "hint_tokens" => planned.metadata.answer_hint,
             "answer_tokens" => relay.tokens(),
+            "framing" => relay.framing().map(AnswerFraming::as_str),
+            "partial_bytes" => relay.partial_bytes(),
             "gap_us" => micros(relay.token_gap()),
             "first_us" => relay.time_to_first_event().map(micros),
             "wait_us" => micros(dispatched_at.since(planned.arrival)),
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -58,12 +58,27 @@
 pub enum AnswerFraming {
     /// There is no body.
     Empty,
-    /// By a content length or chunked encoding.
-    Framed,
+    /// By a content length.
+    Length,
+    /// By chunked encoding.
+    Chunked,
     /// By the close of the connection.
     UntilClose,
 }
 
+impl AnswerFraming {
+    /// Returns the name in log lines.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Empty => "none",
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "close",
+        }
+    }
+}
+
 /// A request in the form in which it is sent to a worker.
 #[derive(Debug)]
 pub struct WorkerRequest {
@@ -215,8 +230,8 @@
 /// Returns the framing of an answer's body, from its head as decoded by the codec.
 fn framing_of(codec: &ClientCodec, head: &ResponseHead) -> AnswerFraming {
     let headers = head.headers();
-    let framed = headers.contains_key(header::TRANSFER_ENCODING)
-        || headers.contains_key(header::CONTENT_LENGTH);
+    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    let framed = chunked || headers.contains_key(header::CONTENT_LENGTH);
     let bodiless = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
@@ -224,8 +239,10 @@
     // The codec reports no body for a content length of zero and for any answer to a HEAD request.
     if bodiless || (framed && codec.message_type() == MessageType::None) {
         AnswerFraming::Empty
+    } else if chunked {
+        AnswerFraming::Chunked
     } else if framed {
-        AnswerFraming::Framed
+        AnswerFraming::Length
     } else {
         AnswerFraming::UntilClose
     }
@@ -275,6 +292,12 @@
         &self.head
     }
 
+    /// Returns how the end of the body is determined.
+    #[must_use]
+    pub const fn framing(&self) -> AnswerFraming {
+        self.framing
+    }
+
     /// Returns the length of the body in bytes, or `None` if the head does not state it.
     #[must_use]
     pub fn declared_length(&self) -> Option<u64> {
