Recognise the ends of events whatever their line ends

Cause: the buffer searched for two LF in a row only. Change: lines are scanned once as they arrive; an event ends with an empty line after LF, CRLF or CR. The buffer also knows whether it is inside an event, and searches no byte twice.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -181,7 +181,7 @@
             caller.write_body(events).await?;
         }
         self.relay_stream_head(&answer, caller).await?;
-        let rest = self.events.take_partial();
+        let rest = self.events.take_rest();
         self.partial_bytes = rest.len();
         if !rest.is_empty() {
             caller.write_body(rest).await?;
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -6,8 +6,7 @@
 /// Size above which [`EventBuffer::is_oversized`] reports a pending event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1_048_576;
 
-/// The end of an event; line ends of CRLF or CR, which the format also allows, are not recognised.
-const EVENT_END: &[u8] = b"\n\n";
+const COMMENT: &[u8] = b":";
 const ID_FIELD: &[u8] = b"id:";
 const STREAM_END: &[u8] = b"data: [DONE]";
 
@@ -33,6 +32,20 @@
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     bytes: BytesMut,
+    /// The length of the complete events at the start of `bytes`.
+    complete: usize,
+    /// The start of the first line in `bytes` that has not ended.
+    line_start: usize,
+    /// The length of the bytes that were searched for line ends.
+    scanned: usize,
+    /// Whether the last line ended with CR, so that a following LF belongs to its end.
+    after_cr: bool,
+    /// Whether a field of the incomplete event has arrived.
+    has_field: bool,
+    /// The numeric identifier of the incomplete event.
+    pending_id: Option<u64>,
+    /// Whether the incomplete event is the one that ends the stream.
+    pending_done: bool,
     last_id: u64,
     events: u32,
     done: bool,
@@ -42,27 +55,53 @@
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
+        while self.scanned < self.bytes.len() {
+            let byte = self.bytes[self.scanned];
+            self.scanned += 1;
+            if byte == b'\n' && self.after_cr {
+                self.skip_line_feed();
+            } else if byte == b'\n' || byte == b'\r' {
+                self.end_line();
+            }
+            self.after_cr = byte == b'\r';
+        }
     }
 
     /// Takes all complete events, or returns `None` if there is none.
     pub fn take(&mut self) -> Option<Bytes> {
-        let end = self
-            .bytes
-            .windows(EVENT_END.len())
-            .rposition(|window| window == EVENT_END)?;
-        let complete = self.bytes.split_to(end + EVENT_END.len()).freeze();
-        self.scan(&complete);
-        Some(complete)
+        if self.complete == 0 {
+            return None;
+        }
+        let events = self.bytes.split_to(self.complete).freeze();
+        self.line_start -= self.complete;
+        self.scanned -= self.complete;
+        self.complete = 0;
+        Some(events)
     }
 
-    /// Takes the bytes of an incomplete event, after the stream has ended normally.
-    pub fn take_partial(&mut self) -> Bytes {
-        self.bytes.split().freeze()
+    /// Takes the bytes after the last complete event, once the stream has ended.
+    pub fn take_rest(&mut self) -> Bytes {
+        let rest = self.bytes.split().freeze();
+        self.discard_partial();
+        rest
     }
 
     /// Drops the bytes of an incomplete event, before the stream is resumed.
     pub fn discard_partial(&mut self) {
         self.bytes.clear();
+        self.complete = 0;
+        self.line_start = 0;
+        self.scanned = 0;
+        self.after_cr = false;
+        self.has_field = false;
+        self.pending_id = None;
+        self.pending_done = false;
+    }
+
+    /// Returns whether the stream, if it ended now, would end inside an event or a line.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        self.has_field || self.line_start < self.bytes.len()
     }
 
     /// Returns whether more than [`MAX_EVENT_BYTES`] are buffered.
@@ -90,21 +129,39 @@
         self.done
     }
 
-    /// Records the identifiers and the end of the stream in complete events.
-    fn scan(&mut self, complete: &[u8]) {
-        for line in complete.split(|byte| *byte == b'\n') {
+    /// Counts the LF of a line end CRLF to the line that the CR has ended.
+    const fn skip_line_feed(&mut self) {
+        if self.complete == self.line_start {
+            self.complete = self.scanned;
+        }
+        self.line_start = self.scanned;
+    }
+
+    fn end_line(&mut self) {
+        let line = &self.bytes[self.line_start..self.scanned - 1];
+        if line.is_empty() {
+            self.end_event();
+        } else if !line.starts_with(COMMENT) {
+            self.has_field = true;
             if let Some(id) = line.strip_prefix(ID_FIELD) {
-                self.record_id(id);
+                self.pending_id = parse_id(id).or(self.pending_id);
             }
-            self.done |= line.trim_ascii_end() == STREAM_END;
+            self.pending_done |= line.trim_ascii_end() == STREAM_END;
         }
+        self.line_start = self.scanned;
     }
 
-    fn record_id(&mut self, id: &[u8]) {
-        let text = str::from_utf8(id).unwrap_or_default();
-        if let Ok(id) = text.trim().parse() {
+    fn end_event(&mut self) {
+        self.complete = self.scanned;
+        self.has_field = false;
+        if let Some(id) = self.pending_id.take() {
             self.last_id = id;
             self.events = self.events.saturating_add(1);
         }
+        self.done |= std::mem::take(&mut self.pending_done);
     }
 }
+
+fn parse_id(field: &[u8]) -> Option<u64> {
+    str::from_utf8(field).ok()?.trim().parse().ok()
+}
