Treat a stream that ends inside an event as broken off

Cause: relay_events took the end of a connection, for an answer with neither a length nor chunks, for the end of the answer, and relayed what was left in the buffer before it ended the body. The buffer of events was only asked for whole events, never whether the stream had ended inside one. The same holds for an answer that the worker ended itself, in chunks, inside an event. Ruled out: misread framing (an answer with a length or chunks that breaks off was and is truncated, tests in framing.rs and answers.rs); a reset taken for a close (answers.rs). Change: a stream that ends inside an event is an AnswerError, like a lost connection: it is resumed where that is permitted, else the caller's answer ends before its framing says so, or is a 502 if nothing was relayed. An answer that ends with its connection before its first event is broken off too: the close alone can't show that the worker made nothing. Why it works: whole events are all that is relayed before the end, and the end is relayed only where the buffer is between events. An orderly close between two events can't be told from the end by anyone but the worker.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -154,8 +154,10 @@
         relayed.unwrap_or_else(|end| end)
     }
 
-    /// Relays complete events as they arrive, and the bytes after the last one once the stream has
-    /// ended.
+    /// Relays complete events as they arrive, and the bytes between events at the end of the stream.
+    ///
+    /// The stream is truncated if it ends inside an event. If it ends with its connection, only a
+    /// complete event before the end shows that the worker did not fail at the start.
     async fn relay_events(
         &mut self,
         mut answer: WorkerAnswer,
@@ -164,11 +166,13 @@
         time_to_head: Duration,
     ) -> Result<RelayEnd, RelayEnd> {
         let head_at = Instant::now();
+        let mut has_event = false;
         while let Some(bytes) = answer.next_chunk().await? {
             self.events.push(&bytes);
             let Some(events) = self.events.take() else {
                 continue;
             };
+            has_event = true;
             let now = Instant::now();
             if self.first_event_at.is_none() {
                 self.first_event_at = Some(now);
@@ -180,9 +184,15 @@
             self.relay_stream_head(&answer, caller).await?;
             caller.write_body(events).await?;
         }
+        self.partial_bytes = self.events.partial_bytes();
+        if self.events.is_within_event() {
+            return Err(AnswerError::WithinEvent.into());
+        }
+        if answer.framing() == AnswerFraming::UntilClose && !has_event {
+            return Err(AnswerError::NoEvent.into());
+        }
         self.relay_stream_head(&answer, caller).await?;
         let rest = self.events.take_rest();
-        self.partial_bytes = rest.len();
         if !rest.is_empty() {
             caller.write_body(rest).await?;
         }
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -45,6 +45,12 @@
     /// The connection was closed before the answer was complete.
     #[error("the worker closed the connection before the answer was complete")]
     Closed,
+    /// The answer ended inside an event of its stream, whatever its framing says.
+    #[error("the answer ended inside an event")]
+    WithinEvent,
+    /// The answer stated no length and ended with its connection before its first event.
+    #[error("the worker closed the connection before the first event")]
+    NoEvent,
     /// The received bytes are not a valid HTTP response.
     #[error("malformed HTTP response: {0}")]
     Malformed(#[from] ParseError),
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -104,6 +104,12 @@
         self.has_field || self.line_start < self.bytes.len()
     }
 
+    /// Returns the number of bytes after the last complete event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.bytes.len() - self.complete
+    }
+
     /// Returns whether more than [`MAX_EVENT_BYTES`] are buffered.
     #[must_use]
     pub fn is_oversized(&self) -> bool {
