Send callers of HTTP/1.0 bodies that they can read and whose truncation they can see

What callers saw: a caller of HTTP/1.0 got transfer-encoding: chunked and chunk sizes inside its body, and after a stream that broke off an orderly close, which to it is the end of a complete answer. Cause: the writer of answers asked for chunks whenever the length is unknown, whatever the caller's version, and every connection ended with an orderly close. Change: without a length, a caller of HTTP/1.0 gets a body that ends with its connection. From its head on until its end the connection is set to be reset by any close, so also when the process is killed or stops. Ruled out: buffering the answer to state its length (a stream would arrive at its end).

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -7,6 +7,7 @@
 use actix_http::Response;
 use actix_http::ResponseHead;
 use actix_http::StatusCode;
+use actix_http::Version;
 use actix_http::body::BodySize;
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
@@ -14,6 +15,7 @@
 use actix_http::header::HeaderValue;
 use bytes::Bytes;
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 
@@ -21,13 +23,27 @@
 use crate::server::StopSignal;
 use crate::upstream::is_forwarded;
 
+/// What is done with a caller's connection after an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionUse {
+    /// It serves further requests.
+    Continue,
+    /// It is closed in an orderly way.
+    Close,
+    /// It is reset, since the caller would take an orderly close for the end of a truncated answer.
+    Reset,
+}
+
 /// Writer for the answer to one request.
 #[derive(Debug)]
 pub struct CallerWriter<'a> {
     writer: WriteHalf<'a>,
     codec: &'a mut Codec,
     stopping: &'a StopSignal,
+    version: Version,
     started: bool,
+    /// Whether a body has begun that only the close of the connection ends.
+    until_close: bool,
 }
 
 impl<'a> CallerWriter<'a> {
@@ -44,10 +60,20 @@
             writer,
             codec,
             stopping,
+            version: Version::HTTP_11,
             started: false,
+            until_close: false,
         }
     }
 
+    /// Sets the version of the request, on which the framing of the answer depends; HTTP/1.1 by
+    /// default.
+    #[must_use]
+    pub const fn with_version(mut self, version: Version) -> Self {
+        self.version = version;
+        self
+    }
+
     /// Returns whether writing the answer has begun.
     #[must_use]
     pub const fn has_started(&self) -> bool {
@@ -67,9 +93,22 @@
         self.codec.keep_alive()
     }
 
+    /// Returns what is done with the connection, given whether the answer was served to its end.
+    #[must_use]
+    pub fn connection_use(&self, served: bool) -> ConnectionUse {
+        if self.until_close {
+            ConnectionUse::Reset
+        } else if served && self.keep_alive() {
+            ConnectionUse::Continue
+        } else {
+            ConnectionUse::Close
+        }
+    }
+
     /// Writes the head of a worker's answer with those headers that [`is_forwarded`] permits.
     ///
-    /// The body is sent with chunked encoding if `length` is `None`.
+    /// If `length` is `None`, the body is sent with chunked encoding, or until the close of the
+    /// connection to callers of HTTP/1.0, which has no such encoding.
     ///
     /// # Errors
     ///
@@ -82,6 +121,9 @@
             }
         }
         let size = length.map_or(BodySize::Stream, BodySize::Sized);
+        if length.is_none() && self.version < Version::HTTP_11 {
+            self.begin_body_until_close(&mut response)?;
+        }
         self.write_head(response, size).await
     }
 
@@ -96,7 +138,7 @@
         self.writer.write_all(&out).await
     }
 
-    /// Ends a body with chunked encoding.
+    /// Ends a body without a length.
     ///
     /// # Errors
     ///
@@ -104,7 +146,25 @@
     pub async fn finish_body(&mut self) -> io::Result<()> {
         let mut out = BytesMut::new();
         self.codec.encode(Message::Chunk(None), &mut out)?;
-        self.writer.write_all(&out).await
+        self.writer.write_all(&out).await?;
+        if self.until_close {
+            SockRef::from(self.writer.as_ref()).set_linger(None)?;
+            self.until_close = false;
+        }
+        Ok(())
+    }
+
+    /// Prepares a body that the close of the connection ends.
+    ///
+    /// Until the body is complete, any close resets the connection, also one by the kernel after the
+    /// end of the process.
+    fn begin_body_until_close(&mut self, response: &mut Response<()>) -> io::Result<()> {
+        let head = response.head_mut();
+        head.no_chunking(true);
+        head.set_connection_type(ConnectionType::Close);
+        self.writer.as_ref().set_zero_linger()?;
+        self.until_close = true;
+        Ok(())
     }
 
     /// Writes a complete plain-text answer of the gateway itself.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -57,9 +57,7 @@
     Truncated,
 }
 
-/// Serves one request.
-///
-/// Returns whether the caller's connection can be used for another one.
+/// Serves one request; returns whether its answer was written to its end.
 pub async fn serve(
     host: &Rc<GatewayHost>,
     request: CallerRequest,
@@ -75,7 +73,7 @@
     }
     trace.mark_ended();
     match outcome {
-        Ok(()) => caller.keep_alive(),
+        Ok(()) => true,
         Err(ExchangeError::Call(error)) if !caller.has_started() => {
             trace.answered_with_error(&error);
             let retry_after = error.retry_after();
@@ -85,7 +83,7 @@
             let answered = caller
                 .write_local_answer(status, retry_after.as_deref(), &text)
                 .await;
-            answered.is_ok() && caller.keep_alive()
+            answered.is_ok()
         }
         Err(error) => {
             trace.truncated(&error);
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -27,6 +27,7 @@
 use tokio::time::timeout;
 
 use super::caller::CallerWriter;
+use super::caller::ConnectionUse;
 use super::exchange;
 use super::host::GatewayHost;
 use crate::event::LogEvent;
@@ -141,8 +142,10 @@
                 }
             };
             let _in_flight = self.host.track_request();
-            if !self.serve_request(request).await {
-                break;
+            match self.serve_request(request).await {
+                ConnectionUse::Continue => (),
+                ConnectionUse::Close => break,
+                ConnectionUse::Reset => return,
             }
         }
         self.linger().await;
@@ -219,17 +222,20 @@
         }
     }
 
-    /// Serves a request; returns whether the connection can be used for another one.
-    async fn serve_request(&mut self, request: CallerRequest) -> bool {
+    /// Serves a request; returns what is done with the connection afterwards.
+    async fn serve_request(&mut self, request: CallerRequest) -> ConnectionUse {
         let (mut reader, writer) = self.stream.split();
-        let mut caller = CallerWriter::new(writer, &mut self.codec, &self.host.stopping);
-        let served = exchange::serve(&self.host, request, &mut caller);
-        tokio::select! {
+        let version = request.head.version();
+        let caller = CallerWriter::new(writer, &mut self.codec, &self.host.stopping);
+        let mut caller = caller.with_version(version);
+        let exchange = exchange::serve(&self.host, request, &mut caller);
+        let served = tokio::select! {
             biased;
-            keep_alive = served => keep_alive,
+            served = exchange => served,
             // Dropping the exchange closes the connection to the worker, which cancels the work.
             () = wait_for_disconnect(&mut reader, &mut self.received) => false,
-        }
+        };
+        caller.connection_use(served)
     }
 
     /// Answers a request that could not be read, if its error has a status.
