Break off a stream whose event never ends

What callers saw: a worker that sends an event without end kept its request until the deadline (504 after 5 s) while the host searched the same growing buffer with each read, at 16 MB and with a processor for nobody else (measured by the reader of the leads; the users say that such bytes may come). Cause: nothing on either path asked the buffer for its bound. The class: input of a worker without a bound. Change: an event above 256 KiB is an error of the answer like a lost connection, on both request paths; since the buffer scans each byte once, the work is linear too. The bound was 1 MiB and unused; a host of 88 MB with many such streams would not hold it.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -169,7 +169,11 @@
         let mut has_event = false;
         while let Some(bytes) = answer.next_chunk().await? {
             self.events.push(&bytes);
-            let Some(events) = self.events.take() else {
+            let taken = self.events.take();
+            if self.events.is_oversized() {
+                return Err(AnswerError::EventTooLong.into());
+            }
+            let Some(events) = taken else {
                 continue;
             };
             has_event = true;
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -51,6 +51,9 @@
     /// The answer stated no length and ended with its connection before its first event.
     #[error("the worker closed the connection before the first event")]
     NoEvent,
+    /// An event of the stream is longer than the host buffers.
+    #[error("an event of the stream is too long")]
+    EventTooLong,
     /// The received bytes are not a valid HTTP response.
     #[error("malformed HTTP response: {0}")]
     Malformed(#[from] ParseError),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -262,6 +262,9 @@
                     if let Some(events) = self.take_events() {
                         return Some(Ok(events));
                     }
+                    if self.events.is_oversized() {
+                        return Some(Ok(self.error_event("an event of the stream is too long")));
+                    }
                 }
                 Ok(None | Some(Err(_))) | Err(_) => {
                     if let Err(error) = self.reconnect().await {
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 
 /// Size above which [`EventBuffer::is_oversized`] reports a pending event, in bytes.
-pub const MAX_EVENT_BYTES: usize = 1_048_576;
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
 const COMMENT: &[u8] = b":";
 const ID_FIELD: &[u8] = b"id:";
