Log the versions of workers and what a request resumes

Change: the roster holds the version; request-sent has worker_version, resumes and resume_after. No decision changes. A row without a version is still used; one whose version is no name is unusable, as for other fields.

--- a/kernel/src/name.rs
+++ b/kernel/src/name.rs
@@ -136,6 +136,8 @@
     TierName;
     /// The name of an engine or of an instance of a plain service.
     WorkerName;
+    /// The version of the software that a worker runs.
+    WorkerVersion;
     /// The name of a workspace.
     WorkspaceName;
 }
--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -13,6 +13,7 @@
 use crate::name::DatacenterName;
 use crate::name::ServiceName;
 use crate::name::WorkerName;
+use crate::name::WorkerVersion;
 
 /// The time that workers have to register again after an outage of the store.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2_200);
@@ -28,6 +29,8 @@
     pub datacenter: DatacenterName,
     /// The address at which the worker accepts requests.
     pub address: SocketAddr,
+    /// The version of the worker's software; `None` if the registration states none.
+    pub version: Option<WorkerVersion>,
     /// The maximum number of requests that the worker runs at once.
     pub slots: u32,
     /// Whether the worker may be granted new requests.
--- a/kernel/tests/roster.rs
+++ b/kernel/tests/roster.rs
@@ -21,6 +21,7 @@
         service: "drafter".parse().expect("a valid name"),
         datacenter: "sapporo-a".parse().expect("a valid name"),
         address: "127.0.0.1:8000".parse().expect("an address"),
+        version: None,
         slots: 10,
         state,
     }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -24,6 +24,10 @@
     pub usage: Option<TokenUsage>,
     /// The caller's estimate of the length of the answer, in tokens.
     pub answer_hint: Option<u32>,
+    /// Identifier of the event after which the stream of an earlier attempt continues.
+    pub resume_after: Option<u64>,
+    /// Identifier of the caller's attempt that brought the first event of the continued stream.
+    pub resumed_attempt: Option<String>,
 }
 
 /// Token counts declared by a request.
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -118,9 +118,9 @@
             }
             Err(error) => return Err((error.into(), granted.release_grant())),
         }
-        if self.host.worker(&worker).is_none() {
+        let Some(record) = self.host.worker(&worker) else {
             return Err((SlotError::WorkerGone, granted.release_grant()));
-        }
+        };
         if caller.has_disconnected() {
             return Err((SlotError::CallerLeft, granted.release_grant()));
         }
@@ -131,8 +131,10 @@
         self.dispatches.record_dispatch();
         let sent = SentCall {
             worker: &worker,
+            version: record.version.as_ref(),
             number: self.dispatches.count(),
             choice: &choice,
+            resume_after: self.relay.last_event_id(),
             reused: is_reused,
             dispatched_at: now,
         };
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -14,6 +14,7 @@
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
+use crate::kernel::name::WorkerVersion;
 use crate::log_event;
 use crate::metrics::RequestLabels;
 use crate::metrics::RequestOutcome;
@@ -35,10 +36,14 @@
 #[derive(Debug)]
 pub(super) struct SentCall<'a> {
     pub worker: &'a WorkerName,
+    /// The version of the worker's software.
+    pub version: Option<&'a WorkerVersion>,
     /// The number of the dispatch, from one.
     pub number: u32,
     /// The broker's reason for the choice of the worker.
     pub choice: &'a str,
+    /// Identifier of the last event that was relayed to the caller before the dispatch.
+    pub resume_after: Option<u64>,
     /// Whether the connection was taken from the pool.
     pub reused: bool,
     pub dispatched_at: ClockTime,
@@ -125,6 +130,9 @@
         log_event!(self.host.log, LogEvent::RequestSent,
             "request" => self.attempt_id.clone(),
             "worker" => call.worker.as_str(),
+            "worker_version" => call.version.map(WorkerVersion::as_str),
+            "resumes" => planned.metadata.resumed_attempt.clone(),
+            "resume_after" => call.resume_after.or(planned.metadata.resume_after),
             "attempt" => call.number,
             "choice" => call.choice.to_owned(),
             "kept" => call.reused,
