--- a/kernel/benches/configuration.rs
+++ b/kernel/benches/configuration.rs
@@ -112,6 +112,7 @@
             datacenter: name.clone(),
             address: ([10, 0, high, low], 7001).into(),
             max_running: 16,
+            version: None,
             state: WorkerState::Active,
         };
         let name = format!("drafter-{number}").try_into()?;
--- a/kernel/benches/kernel.rs
+++ b/kernel/benches/kernel.rs
@@ -104,6 +104,7 @@
             .map(|number| CellWorker {
                 worker: format!("engine-{number:04}").parse().expect("a valid name"),
                 models: vec![self.model.clone()],
+                version: None,
                 max_running: MAX_RUNNING,
                 location: None,
             })
@@ -141,6 +142,7 @@
             },
             service: self.service.clone(),
             model: Some(self.model.clone()),
+            version: None,
             workspace: self.workspaces[workspace].clone(),
             tier: TierRank(self.random.random_range(0..4)),
             budget: Duration::from_secs(self.random.random_range(100_000..200_000)),
--- a/kernel/src/ask.rs
+++ b/kernel/src/ask.rs
@@ -14,6 +14,7 @@
 use crate::name::ServiceName;
 use crate::name::TierRank;
 use crate::name::WorkerName;
+use crate::name::WorkerVersion;
 use crate::name::WorkspaceName;
 
 /// A request for a slot on a worker of one service.
@@ -25,6 +26,10 @@
     pub service: ServiceName,
     /// The model that the request names; `None` for plain services.
     pub model: Option<ModelName>,
+    /// The only version of a worker that may run the request, which continues a stream; `None` if
+    /// any may.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<WorkerVersion>,
     /// The workspace of the caller.
     pub workspace: WorkspaceName,
     /// The rank of the tier in which the request was placed.
@@ -256,6 +261,9 @@
     pub worker: WorkerName,
     /// The models that the worker serves; empty for a plain service.
     pub models: Vec<ModelName>,
+    /// The version of the worker's software; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<WorkerVersion>,
     /// The maximum number of concurrent requests, as set by the operators.
     pub max_running: u32,
     /// The region and data centre of the worker; `None` if unknown.
--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -5,6 +5,7 @@
 
 use super::CellBroker;
 use super::grants::GrantState;
+use super::lanes::LaneKey;
 use super::waiting::QueueKind;
 use super::waiting::WaitingRecord;
 use crate::ask::Ask;
@@ -48,14 +49,16 @@
         if self.waiting.get(ask.request).is_some() || self.answer_repeated_ask(now, &ask, actions) {
             return;
         }
-        let lane = match self.workers.find_lane(ask.model.as_ref()) {
-            Some(lane) => lane,
-            None if self.taken_over && ask.model.is_some() => {
-                Self::refuse_immediately(host, &ask, RefusalReason::NoWorker, actions);
-                return;
-            }
-            None => self.workers.find_or_add_lane(ask.model.as_ref()),
+        let any_version = LaneKey {
+            model: ask.model.clone(),
+            version: None,
         };
+        let is_unknown = ask.model.is_some() && self.workers.find_lane(&any_version).is_none();
+        if self.taken_over && is_unknown {
+            Self::refuse_immediately(host, &ask, RefusalReason::NoWorker, actions);
+            return;
+        }
+        let lane = self.workers.find_or_add_lane(now, LaneKey::of(&ask));
         if self.taken_over && !self.is_served(lane) {
             Self::refuse_immediately(host, &ask, RefusalReason::NoWorker, actions);
             return;
@@ -283,7 +286,7 @@
 
     /// Returns whether the speeds in the lane of an ask are measured rather than defaults.
     fn has_measured_speeds(&self, ask: &Ask) -> bool {
-        let position = self.workers.find_lane(ask.model.as_ref());
+        let position = self.workers.find_lane(&LaneKey::of(ask));
         position.is_some_and(|lane| self.workers.lanes[lane].measured)
     }
 
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -5,11 +5,13 @@
 
 use super::records::WorkerHealth;
 use super::records::WorkerRecord;
+use crate::ask::Ask;
 use crate::clock::ClockTime;
 use crate::estimate::WorkerSpeed;
 use crate::load::ArrivalLoad;
 use crate::name::BlockDigest;
 use crate::name::ModelName;
+use crate::name::WorkerVersion;
 use crate::prefix::mix_bits;
 use crate::queue::QueueKey;
 use crate::queue::TierQueue;
@@ -26,11 +28,39 @@
 /// about the same share of the prefixes.
 const RING_POINTS_PER_WORKER: u64 = 16;
 
-/// The requests for one model, or for a plain service, and the workers that serve them.
-#[derive(Clone, Debug, Default)]
-pub(super) struct WorkLane {
+/// The requests that a lane holds: those for one model, or for a plain service, and of these all or
+/// only those that one version of a worker may run.
+#[derive(Clone, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct LaneKey {
     /// The model; `None` for plain services.
     pub model: Option<ModelName>,
+    /// The version of the workers; `None` for all.
+    pub version: Option<WorkerVersion>,
+}
+
+impl LaneKey {
+    /// Returns the key of the lane in which an ask waits.
+    pub(super) fn of(ask: &Ask) -> Self {
+        Self {
+            model: ask.model.clone(),
+            version: ask.version.clone(),
+        }
+    }
+
+    /// Returns whether a worker serves the lane.
+    pub(super) fn matches(&self, record: &WorkerRecord) -> bool {
+        let model = self.model.as_ref();
+        let version = self.version.as_ref();
+        model.is_none_or(|model| record.models.contains(model))
+            && version.is_none_or(|version| record.version.as_ref() == Some(version))
+    }
+}
+
+/// The requests with one [`LaneKey`] and the workers that serve them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WorkLane {
+    /// The requests that the lane holds.
+    pub key: LaneKey,
     /// The positions of the workers among the worker records, ordered by worker name.
     pub workers: Vec<usize>,
     /// The workers that have a free slot and neither run a suspect nor are reserved for one.
@@ -106,7 +136,7 @@
     lane.fastest_workers = fastest_workers(lane, records);
     lane.slots = slots;
     // Plain services have no token speeds; their times come from completed requests.
-    lane.measured = lane.model.is_none() || !(gaps.is_empty() || prefills.is_empty());
+    lane.measured = lane.key.model.is_none() || !(gaps.is_empty() || prefills.is_empty());
     lane.typical = WorkerSpeed {
         gap_micros: median(&gaps).unwrap_or(unknown.gap_micros),
         prefill_nanos: median(&prefills).unwrap_or(unknown.prefill_nanos),
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -34,6 +34,7 @@
 use self::candidates::CandidateList;
 use self::granting::PrefillKey;
 use self::grants::GrantLedger;
+use self::lanes::LaneKey;
 use self::records::WorkerHealth;
 use self::records::WorkerRecord;
 use self::reports::OrphanedWork;
@@ -90,6 +91,7 @@
 /// let workers = vec![CellWorker {
 ///     worker: "engine-1".parse()?,
 ///     models: vec!["drafter-8b".parse()?],
+///     version: None,
 ///     max_running: 4,
 ///     location: None,
 /// }];
@@ -98,6 +100,7 @@
 ///     request: RequestId { incarnation: 7, sequence: 1 },
 ///     service: "drafter".parse()?,
 ///     model: Some("drafter-8b".parse()?),
+///     version: None,
 ///     workspace: "union".parse()?,
 ///     tier: TierRank(0),
 ///     budget: Duration::from_secs(30),
@@ -243,7 +246,7 @@
     /// Returns `None` if no worker that serves the request had slots at the last measurement.
     #[must_use]
     pub fn predicted_finish(&self, now: ClockTime, ask: &Ask) -> Option<Duration> {
-        let lane = self.workers.find_lane(ask.model.as_ref())?;
+        let lane = self.workers.find_lane(&LaneKey::of(ask))?;
         if self.workers.lanes[lane].slots == 0 {
             return None;
         }
--- a/kernel/src/broker/records.rs
+++ b/kernel/src/broker/records.rs
@@ -14,6 +14,7 @@
 use crate::name::RequestId;
 use crate::name::TierRank;
 use crate::name::WorkerName;
+use crate::name::WorkerVersion;
 use crate::prefix::PrefixCache;
 use crate::queue::TierQueue;
 
@@ -46,6 +47,7 @@
     /// The hash of the worker's name, which is the same in every broker.
     pub identity: u64,
     pub models: Vec<ModelName>,
+    pub version: Option<WorkerVersion>,
     pub location: Option<NetworkLocation>,
     /// The positions of the lanes that the worker serves.
     pub lanes: Vec<usize>,
@@ -80,6 +82,7 @@
             worker: worker.worker.clone(),
             identity: identity(&worker.worker),
             models: worker.models.clone(),
+            version: worker.version.clone(),
             location: worker.location.clone(),
             lanes: Vec::new(),
             serving: true,
--- a/kernel/src/broker/workers.rs
+++ b/kernel/src/broker/workers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use super::lanes::LaneKey;
 use super::lanes::WorkLane;
 use super::lanes::build_ring;
 use super::lanes::measure_lane;
@@ -10,7 +11,6 @@
 use crate::ask::CellWorker;
 use crate::clock::ClockTime;
 use crate::limit::LimitMode;
-use crate::name::ModelName;
 use crate::name::WorkerName;
 use crate::prefix::PrefixIndex;
 
@@ -22,8 +22,8 @@
     names: BTreeMap<WorkerName, usize>,
     pub records: Vec<WorkerRecord>,
     pub lanes: Vec<WorkLane>,
-    /// The positions of the lanes in `lanes`; the key `None` stands for plain services.
-    lane_positions: BTreeMap<Option<ModelName>, usize>,
+    /// The positions of the lanes in `lanes`.
+    lane_positions: BTreeMap<LaneKey, usize>,
     pub index: PrefixIndex,
     /// The workers with a free slot for which requests wait in the worker's own queue.
     pub awaited_workers: BTreeSet<usize>,
@@ -46,24 +46,24 @@
         self.names.get(worker).copied()
     }
 
-    /// Returns the position of the lane of a model, or of plain services, if the lane exists.
-    pub(super) fn find_lane(&self, model: Option<&ModelName>) -> Option<usize> {
-        self.lane_positions.get(&model.cloned()).copied()
+    /// Returns the position of a lane if it exists.
+    pub(super) fn find_lane(&self, key: &LaneKey) -> Option<usize> {
+        self.lane_positions.get(key).copied()
     }
 
-    /// Returns the position of the lane of a model, and creates the lane if it is missing.
-    pub(super) fn find_or_add_lane(&mut self, model: Option<&ModelName>) -> usize {
-        let model = model.cloned();
-        if let Some(position) = self.lane_positions.get(&model) {
-            return *position;
+    /// Returns the position of a lane, and creates the lane if it is missing.
+    pub(super) fn find_or_add_lane(&mut self, now: ClockTime, key: LaneKey) -> usize {
+        if let Some(position) = self.find_lane(&key) {
+            return position;
         }
         let position = self.lanes.len();
         self.lanes.push(WorkLane {
-            model: model.clone(),
+            key: key.clone(),
             ..WorkLane::default()
         });
-        self.lane_positions.insert(model, position);
+        self.lane_positions.insert(key, position);
         self.update_lane(position);
+        measure_lane(now, &mut self.lanes[position], &self.records);
         position
     }
 
@@ -76,7 +76,11 @@
             self.add_or_update(worker);
         }
         for model in workers.iter().flat_map(|worker| &worker.models) {
-            self.find_or_add_lane(Some(model));
+            let key = LaneKey {
+                model: Some(model.clone()),
+                version: None,
+            };
+            self.find_or_add_lane(now, key);
         }
         for position in 0..self.lanes.len() {
             self.update_lane(position);
@@ -92,6 +96,7 @@
             let record = &mut self.records[position];
             record.serving = true;
             record.models.clone_from(&worker.models);
+            record.version.clone_from(&worker.version);
             record.location.clone_from(&worker.location);
             record.limit.set_ceiling(worker.max_running);
             return;
@@ -114,14 +119,12 @@
 
     /// Recomputes the workers that serve a lane and its hash ring.
     fn update_lane(&mut self, lane: usize) {
-        let model = self.lanes[lane].model.clone();
+        let key = self.lanes[lane].key.clone();
         let mut workers = Vec::new();
         let mut available = BTreeSet::new();
         for position in self.names.values() {
             let record = &mut self.records[*position];
-            let matches = model
-                .as_ref()
-                .is_none_or(|model| record.models.contains(model));
+            let matches = key.matches(record);
             record.lanes.retain(|known| *known != lane);
             if record.serving && matches {
                 record.lanes.push(lane);
--- a/kernel/src/change/apply.rs
+++ b/kernel/src/change/apply.rs
@@ -270,6 +270,7 @@
         datacenter: required(change.datacenter.as_ref(), "worker", name, "datacenter")?,
         address: required(change.address.as_ref(), "worker", name, "address")?,
         max_running: required(change.max_running.as_ref(), "worker", name, "max-running")?,
+        version: None,
         state: WorkerState::Active,
     };
     next.workers.insert(change.name.clone(), worker);
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -14,6 +14,7 @@
 use crate::name::TierName;
 use crate::name::TierRank;
 use crate::name::WorkerName;
+use crate::name::WorkerVersion;
 use crate::name::WorkspaceName;
 
 /// The version number of a configuration; increases by one with every change. Version 0 is the
@@ -158,6 +159,9 @@
     pub address: SocketAddr,
     /// The maximum number of concurrent requests.
     pub max_running: u32,
+    /// The version of the worker's software; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<WorkerVersion>,
     /// Whether the worker is assigned new requests.
     pub state: WorkerState,
 }
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -35,4 +35,5 @@
 pub mod route;
 pub mod rule;
 pub mod share;
+pub mod stream;
 pub mod table;
--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -30,6 +30,7 @@
     /// The address at which the worker accepts requests.
     pub address: SocketAddr,
     /// The version of the worker's software; `None` if the registration states none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<WorkerVersion>,
     /// The maximum number of requests that the worker runs at once.
     pub slots: u32,
--- /dev/null
+++ b/kernel/src/stream.rs
@@ -0,0 +1,191 @@
+//! Streams and the versions of the workers that began them.
+//!
+//! What workers of two software versions write doesn't fit together, so a stream may go on only at
+//! the version that began it. The caller may take a stream up at any host, after the host that
+//! served it has died. Each host therefore records the streams that it dispatches, and tells a few
+//! keepers, which rendezvous hashing selects for each stream. A host that is asked to continue a
+//! stream that it does not know asks the keepers.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::ClockTime;
+use crate::name::HostName;
+use crate::name::ServiceName;
+use crate::name::WorkerVersion;
+
+/// The time for which a stream is remembered after its last dispatch, longer than any stream lasts.
+pub const STREAM_MEMORY_TIME: Duration = Duration::from_secs(30);
+
+/// The number of hosts that are told of each stream.
+pub const KEEPERS_PER_STREAM: usize = 2;
+
+/// The maximum number of streams in a directory; the oldest is forgotten first.
+const MAX_STREAMS: usize = 20_000;
+
+/// The key of a stream: a digest of the identifier of the caller's attempt that began it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that an attempt of a caller began.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use borageladder_kernel::stream::StreamKey;
+    ///
+    /// assert_eq!(StreamKey::of("9c41d07be2a35f68"), StreamKey::of("9c41d07be2a35f68"));
+    /// assert_ne!(StreamKey::of("9c41d07be2a35f68"), StreamKey::of("9c41d07be2a35f69"));
+    /// ```
+    #[must_use]
+    pub fn of(attempt_id: &str) -> Self {
+        Self(leading_bits(blake3::hash(attempt_id.as_bytes())))
+    }
+
+    /// Returns the hosts that are told of the stream, the first ones in the order of their hashes
+    /// for it.
+    #[must_use]
+    pub fn keepers(self, mut hosts: Vec<HostName>, count: usize) -> Vec<HostName> {
+        hosts.sort_by_cached_key(|host| {
+            let mut hasher = blake3::Hasher::new();
+            hasher.update(&self.0.to_le_bytes());
+            hasher.update(host.as_str().as_bytes());
+            leading_bits(hasher.finalize())
+        });
+        hosts.truncate(count);
+        hosts
+    }
+}
+
+fn leading_bits(hash: blake3::Hash) -> u64 {
+    let leading = hash.as_bytes().first_chunk();
+    leading.copied().map(u64::from_le_bytes).unwrap_or_default()
+}
+
+/// The versions at which recent streams were begun.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder_kernel::clock::ClockTime;
+/// use borageladder_kernel::stream::STREAM_MEMORY_TIME;
+/// use borageladder_kernel::stream::StreamDirectory;
+/// use borageladder_kernel::stream::StreamKey;
+///
+/// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// let mut directory = StreamDirectory::default();
+/// let stream = StreamKey::of("attempt-1");
+/// directory.record(ClockTime::ZERO, stream, "v1.2".parse()?);
+/// assert_eq!(directory.find(stream), Some(&"v1.2".parse()?));
+/// directory.forget_old(ClockTime::ZERO + STREAM_MEMORY_TIME);
+/// assert_eq!(directory.find(stream), None);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct StreamDirectory {
+    streams: BTreeMap<StreamKey, StreamRecord>,
+    /// The streams by the time of their records; a stream that was recorded again stands here
+    /// more than once.
+    by_age: VecDeque<(ClockTime, StreamKey)>,
+}
+
+#[derive(Clone, Debug)]
+struct StreamRecord {
+    version: WorkerVersion,
+    recorded_at: ClockTime,
+}
+
+impl StreamDirectory {
+    /// Records that a stream was dispatched to a worker of a version.
+    pub fn record(&mut self, now: ClockTime, stream: StreamKey, version: WorkerVersion) {
+        self.forget_old(now);
+        let record = StreamRecord {
+            version,
+            recorded_at: now,
+        };
+        self.streams.insert(stream, record);
+        self.by_age.push_back((now, stream));
+    }
+
+    /// Returns the version at which a stream was begun; `None` if it is not known.
+    #[must_use]
+    pub fn find(&self, stream: StreamKey) -> Option<&WorkerVersion> {
+        self.streams.get(&stream).map(|record| &record.version)
+    }
+
+    /// Forgets the streams that were last recorded [`STREAM_MEMORY_TIME`] ago or earlier, and the
+    /// oldest ones beyond the maximum number.
+    pub fn forget_old(&mut self, now: ClockTime) {
+        while let Some((recorded_at, stream)) = self.by_age.front().copied() {
+            let is_old = now.since(recorded_at) >= STREAM_MEMORY_TIME;
+            if !is_old && self.by_age.len() < MAX_STREAMS {
+                return;
+            }
+            self.by_age.pop_front();
+            let last = self.streams.get(&stream).map(|record| record.recorded_at);
+            if last == Some(recorded_at) {
+                self.streams.remove(&stream);
+            }
+        }
+    }
+}
+
+/// What a host can tell about the version of a stream that it does not know.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VersionView {
+    /// No worker of the service states a version.
+    None,
+    /// Only workers of this version were registered while any stream that goes on can have begun.
+    Only(WorkerVersion),
+    /// The same since the host started, which is more recent than that.
+    OnlySinceStart(WorkerVersion),
+    /// Workers of several versions were registered.
+    Several,
+}
+
+/// The versions of the workers of each service, with the time at which each was last registered.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    first_observation: Option<ClockTime>,
+    services: BTreeMap<ServiceName, BTreeMap<WorkerVersion, ClockTime>>,
+}
+
+impl VersionHistory {
+    /// Records a version that a registered worker of a service has now.
+    pub fn observe(&mut self, now: ClockTime, service: &ServiceName, version: &WorkerVersion) {
+        self.first_observation.get_or_insert(now);
+        let versions = self.services.entry(service.clone()).or_default();
+        versions.insert(version.clone(), now);
+    }
+
+    /// Forgets the versions that were last observed [`STREAM_MEMORY_TIME`] ago or earlier.
+    pub fn forget_old(&mut self, now: ClockTime) {
+        for versions in self.services.values_mut() {
+            versions.retain(|_, observed_at| now.since(*observed_at) < STREAM_MEMORY_TIME);
+        }
+    }
+
+    /// Returns which versions a stream of the service that is still going on can have begun at.
+    #[must_use]
+    pub fn view(&self, now: ClockTime, service: &ServiceName) -> VersionView {
+        let Some(versions) = self.services.get(service) else {
+            return VersionView::None;
+        };
+        let mut names = versions.keys();
+        let long_enough = self
+            .first_observation
+            .is_some_and(|first| now.since(first) >= STREAM_MEMORY_TIME);
+        match (names.next(), names.next()) {
+            (None, _) => VersionView::None,
+            (Some(only), None) if long_enough => VersionView::Only(only.clone()),
+            (Some(only), None) => VersionView::OnlySinceStart(only.clone()),
+            (Some(_), Some(_)) => VersionView::Several,
+        }
+    }
+}
--- a/kernel/tests/broker/harness.rs
+++ b/kernel/tests/broker/harness.rs
@@ -54,15 +54,19 @@
     }
 
     pub(crate) fn set_workers(&mut self, workers: &[(&str, u32)]) -> Vec<BrokerAction> {
-        let workers = workers
-            .iter()
-            .map(|(worker, max_running)| CellWorker {
-                worker: worker.parse().expect("a valid name"),
-                models: vec![MODEL.parse().expect("a valid name")],
-                max_running: *max_running,
-                location: None,
-            })
-            .collect();
+        let workers = workers.iter();
+        let workers = workers.map(|(worker, max_running)| cell_worker(worker, *max_running));
+        let workers = workers.collect();
+        self.handle(BrokerEvent::WorkersChanged { workers })
+    }
+
+    /// Sets workers with one slot each, given by their names and versions.
+    pub(crate) fn set_versions(&mut self, workers: &[(&str, &str)]) -> Vec<BrokerAction> {
+        let workers = workers.iter().map(|(worker, version)| CellWorker {
+            version: Some(version.parse().expect("a valid name")),
+            ..cell_worker(worker, 1)
+        });
+        let workers = workers.collect();
         self.handle(BrokerEvent::WorkersChanged { workers })
     }
 
@@ -72,6 +76,7 @@
             request: request(self.sequence),
             service: "drafter".parse().expect("a valid name"),
             model: Some(MODEL.parse().expect("a valid name")),
+            version: None,
             workspace: "union".parse().expect("a valid name"),
             tier: TierRank(tier),
             budget,
@@ -133,6 +138,16 @@
         .with_takeover_time(Duration::ZERO)
 }
 
+fn cell_worker(worker: &str, max_running: u32) -> CellWorker {
+    CellWorker {
+        worker: worker.parse().expect("a valid name"),
+        models: vec![MODEL.parse().expect("a valid name")],
+        version: None,
+        max_running,
+        location: None,
+    }
+}
+
 pub(crate) fn host() -> HostName {
     "sapporo-1".parse().expect("a valid name")
 }
--- a/kernel/tests/broker/latency_targets.rs
+++ b/kernel/tests/broker/latency_targets.rs
@@ -44,6 +44,7 @@
     CellWorker {
         worker: name.parse().expect("a valid name"),
         models: vec![MODEL.parse().expect("a valid name")],
+        version: None,
         max_running: SLOTS,
         location: Some(location(datacenter)),
     }
@@ -73,6 +74,7 @@
             },
             service: "drafter".parse().expect("a valid name"),
             model: Some(MODEL.parse().expect("a valid name")),
+            version: None,
             workspace: "union".parse().expect("a valid name"),
             tier: TierRank(tier),
             budget: Duration::from_secs(12),
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -7,3 +7,4 @@
 mod prefixes;
 mod retry_after;
 mod shedding;
+mod versions;
--- a/kernel/tests/delta.rs
+++ b/kernel/tests/delta.rs
@@ -69,6 +69,7 @@
                 datacenter: name(key),
                 address: "127.0.0.1:80".parse().expect("an address"),
                 max_running: 1,
+                version: None,
                 state: WorkerState::Active,
             };
             configuration.workers.insert(name(key), spec);
--- /dev/null
+++ b/kernel/tests/streams.rs
@@ -0,0 +1,120 @@
+//! Who knows at which version a stream began.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::HostName;
+use borageladder_kernel::name::ServiceName;
+use borageladder_kernel::name::WorkerVersion;
+use borageladder_kernel::stream::KEEPERS_PER_STREAM;
+use borageladder_kernel::stream::STREAM_MEMORY_TIME;
+use borageladder_kernel::stream::StreamDirectory;
+use borageladder_kernel::stream::StreamKey;
+use borageladder_kernel::stream::VersionHistory;
+use borageladder_kernel::stream::VersionView;
+
+fn hosts(count: u32) -> Vec<HostName> {
+    let names = (0..count).map(|number| format!("host-{number}").parse());
+    names.collect::<Result<_, _>>().expect("valid names")
+}
+
+fn version(name: &str) -> WorkerVersion {
+    name.parse().expect("a valid name")
+}
+
+fn service() -> ServiceName {
+    "drafter".parse().expect("a valid name")
+}
+
+fn at(seconds: u64) -> ClockTime {
+    ClockTime::ZERO + Duration::from_secs(seconds)
+}
+
+// Guards against a lookup that misses every host that was told of the stream.
+#[test]
+fn the_hosts_that_are_asked_include_all_that_were_told() {
+    for number in 0..500 {
+        let stream = StreamKey::of(&format!("attempt-{number}"));
+        let without = |left_out: &str| {
+            let mut others = hosts(12);
+            others.retain(|host| host.as_str() != left_out);
+            others
+        };
+        let told = stream.keepers(without("host-3"), KEEPERS_PER_STREAM);
+        let asked = stream.keepers(without("host-7"), KEEPERS_PER_STREAM + 1);
+        let missed = told.iter().filter(|host| host.as_str() != "host-7");
+        let missed = missed.filter(|host| !asked.contains(host)).count();
+        assert_eq!(missed, 0);
+    }
+}
+
+#[test]
+fn all_hosts_keep_about_the_same_number_of_streams() {
+    let mut kept = vec![0_u32; 10];
+    for number in 0..5_000 {
+        let stream = StreamKey::of(&format!("attempt-{number}"));
+        for keeper in stream.keepers(hosts(10), KEEPERS_PER_STREAM) {
+            let position = hosts(10).iter().position(|host| *host == keeper);
+            kept[position.expect("one of the hosts")] += 1;
+        }
+    }
+    assert!(
+        kept.iter().all(|count| (850..1_150).contains(count)),
+        "{kept:?}"
+    );
+}
+
+// Guards against a stream that is forgotten while it is still going on.
+#[test]
+fn a_stream_is_remembered_from_its_last_dispatch_on() {
+    let mut directory = StreamDirectory::default();
+    let stream = StreamKey::of("attempt-1");
+    directory.record(at(0), stream, version("v1"));
+    directory.record(at(20), stream, version("v1"));
+    directory.forget_old(at(0) + STREAM_MEMORY_TIME);
+    assert_eq!(directory.find(stream), Some(&version("v1")));
+    directory.forget_old(at(20) + STREAM_MEMORY_TIME);
+    assert_eq!(directory.find(stream), None);
+}
+
+// Guards against memory that grows with the number of streams without a bound.
+#[test]
+fn the_oldest_streams_are_forgotten_beyond_the_maximum() {
+    let mut directory = StreamDirectory::default();
+    let stream = |number: u32| StreamKey::of(&number.to_string());
+    for number in 0..30_000 {
+        directory.record(at(0), stream(number), version("v1"));
+    }
+    let known: BTreeSet<u32> = (0..30_000)
+        .filter(|number| directory.find(stream(*number)).is_some())
+        .collect();
+    assert_eq!(known.first(), Some(&10_000));
+    assert_eq!(known.len(), 20_000);
+}
+
+// Guards against a stream that goes on at the only version left after that of its own has gone.
+#[test]
+fn a_version_counts_for_as_long_as_its_streams_may_go_on() {
+    let mut history = VersionHistory::default();
+    assert_eq!(history.view(at(0), &service()), VersionView::None);
+    history.observe(at(0), &service(), &version("v1"));
+    let young = VersionView::OnlySinceStart(version("v1"));
+    assert_eq!(history.view(at(1), &service()), young);
+    history.observe(at(40), &service(), &version("v1"));
+    assert_eq!(
+        history.view(at(40), &service()),
+        VersionView::Only(version("v1"))
+    );
+    history.observe(at(50), &service(), &version("v2"));
+    assert_eq!(history.view(at(50), &service()), VersionView::Several);
+    history.observe(at(69), &service(), &version("v2"));
+    history.forget_old(at(69));
+    assert_eq!(history.view(at(69), &service()), VersionView::Several);
+    history.observe(at(70), &service(), &version("v2"));
+    history.forget_old(at(70));
+    assert_eq!(
+        history.view(at(70), &service()),
+        VersionView::Only(version("v2"))
+    );
+}
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -269,6 +269,7 @@
         .map(|(name, spec)| CellWorker {
             worker: name.clone(),
             models: service.models.clone(),
+            version: spec.version.clone(),
             max_running: spec.max_running,
             location: Some(NetworkLocation::of(configuration, &spec.datacenter)),
         })
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,8 @@
 use super::relay::AnswerRelay;
 use super::slot::DispatchedCall;
 use super::slot::SlotError;
+use super::streams;
+use super::streams::StreamOrigin;
 use super::trace::CallTrace;
 use super::worker::WorkerConnection;
 use crate::connection::OpenError;
@@ -30,6 +32,7 @@
 use crate::kernel::lifecycle::RequestLife;
 use crate::kernel::lifecycle::WaitingState;
 use crate::kernel::name::WorkerName;
+use crate::kernel::name::WorkerVersion;
 
 /// Number of unused slots at which a request is refused.
 ///
@@ -37,6 +40,9 @@
 /// more.
 const MAX_UNUSED_SLOTS: usize = 6;
 
+/// Retry-after time of a request for a stream of unknown origin, which another host may know.
+const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(200);
+
 /// Retry-after time of refusals that do not come from the broker.
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -108,8 +114,12 @@
         trace,
         dispatches: DispatchTally::new(planned.route.run_limit),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
+        version: None,
         planned,
     };
+    if exchange.planned.continues_stream() {
+        exchange.find_version().await?;
+    }
     exchange.run(caller).await
 }
 
@@ -121,9 +131,28 @@
     pub(super) planned: PlannedCall,
     pub(super) dispatches: DispatchTally,
     pub(super) relay: AnswerRelay,
+    /// The only version of a worker at which the stream may go on; `None` if any may run the
+    /// request.
+    pub(super) version: Option<WorkerVersion>,
 }
 
 impl CallExchange<'_> {
+    /// Finds the version at which the stream that the caller takes up may go on.
+    async fn find_version(&mut self) -> Result<(), CallError> {
+        let stream = self.planned.stream_key();
+        let origin = streams::find_origin(self.host, stream, &self.planned.service).await;
+        self.version = match origin {
+            StreamOrigin::Any => None,
+            StreamOrigin::At(version) => Some(version),
+            StreamOrigin::Unknown => {
+                let reason = "the version that began the stream is not known";
+                let error = refusal_error(reason, UNKNOWN_ORIGIN_RETRY);
+                return Err(self.fail_unsent(error));
+            }
+        };
+        Ok(())
+    }
+
     /// Requests slots and dispatches until a dispatch ends the request.
     async fn run(&mut self, caller: &mut CallerWriter<'_>) -> Result<(), ExchangeError> {
         let planned = &self.planned;
@@ -172,6 +201,7 @@
             life,
             mut lease,
             worker,
+            version,
             dispatched_at,
         } = dispatched;
         let request = self.worker_request(&worker, dispatched_at);
@@ -221,6 +251,9 @@
                 if lost.is_some() {
                     self.check_crash(&worker);
                 }
+                if self.relay.has_begun() {
+                    self.version = self.version.take().or(version);
+                }
                 let permit = if self.relay.can_continue(caller) {
                     self.retry_permit()
                 } else {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -17,6 +17,7 @@
 use super::pool::ConnectionPool;
 use super::settings::GatewaySettings;
 use super::state::GatewayState;
+use super::streams::StreamState;
 use super::sync::SyncState;
 use crate::activity::ActivitySource;
 use crate::cell::CellService;
@@ -79,6 +80,8 @@
     pub(super) changed: Notify,
     /// The state exchange with other hosts.
     pub(super) sync: SyncState,
+    /// The versions of streams and of workers.
+    pub(super) streams: StreamState,
     pub(super) state: Rc<GatewayState>,
     incarnation: u64,
     last_sequence: Cell<u64>,
@@ -141,6 +144,7 @@
             closing: StopSignal::default(),
             changed: Notify::default(),
             sync: SyncState::default(),
+            streams: StreamState::default(),
             state: parts.state,
             incarnation: parts.incarnation,
             last_sequence: Cell::new(0),
@@ -359,7 +363,11 @@
     /// removed.
     pub fn apply_workers(&self, update: RosterUpdate) -> bool {
         let now = self.clock.now();
+        self.streams
+            .observe_workers(now, &self.state.roster.borrow());
         let changed = self.state.roster.borrow_mut().apply(now, update);
+        self.streams
+            .observe_workers(now, &self.state.roster.borrow());
         if changed {
             let revision = self.state.roster_revision.get();
             self.state.roster_revision.set(revision.wrapping_add(1));
@@ -401,6 +409,7 @@
                     datacenter: record.datacenter.clone(),
                     address: record.address,
                     max_running: record.slots,
+                    version: record.version.clone(),
                     state: record.state,
                 };
                 derived.workers.insert(record.worker.clone(), spec);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod snapshot;
 mod state;
 mod store;
+mod streams;
 mod sync;
 mod trace;
 mod worker;
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -17,14 +17,17 @@
 use super::frontend::CallerRequest;
 use super::host::GatewayHost;
 use crate::kernel::ask::Ask;
+use crate::kernel::attempt::WorkKind;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ServiceKind;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::TierRank;
+use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::quarantine::QuarantineVerdict;
 use crate::kernel::route::RouteSpec;
+use crate::kernel::stream::StreamKey;
 
 /// Retry-after time of a host that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
@@ -146,15 +149,38 @@
 }
 
 impl PlannedCall {
-    /// Returns the ask for a slot, with times relative to `now`.
+    /// Returns whether the request continues a stream that an earlier attempt of its caller began.
     #[must_use]
-    pub fn ask(&self, now: ClockTime) -> Ask {
+    pub const fn continues_stream(&self) -> bool {
+        let resumable = matches!(self.route.kind, WorkKind::Stream { resumable: true });
+        let names_stream =
+            self.metadata.resume_after.is_some() || self.metadata.resumed_attempt.is_some();
+        resumable && names_stream
+    }
+
+    /// Returns the key of the stream that the request begins or continues; `None` if it continues
+    /// one without naming the attempt that began it.
+    #[must_use]
+    pub fn stream_key(&self) -> Option<StreamKey> {
+        let first_attempt = match &self.metadata.resumed_attempt {
+            Some(attempt) => attempt,
+            None if self.continues_stream() => return None,
+            None => &self.attempt_id,
+        };
+        Some(StreamKey::of(first_attempt))
+    }
+
+    /// Returns the ask for a slot on a worker, of a certain version if one is given, with times
+    /// relative to `now`.
+    #[must_use]
+    pub fn ask(&self, now: ClockTime, version: Option<WorkerVersion>) -> Ask {
         let usage = self.metadata.usage;
         let open = || OPEN_WORKSPACE.parse().ok();
         Ask {
             request: self.id,
             service: self.service.clone(),
             model: self.metadata.model.clone().filter(|_| self.engine),
+            version,
             workspace: self
                 .workspace
                 .clone()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -88,6 +88,12 @@
         self.streaming || !caller.has_started()
     }
 
+    /// Returns whether events of a stream were relayed, so that only the same stream may follow.
+    #[must_use]
+    pub const fn has_begun(&self) -> bool {
+        self.streaming
+    }
+
     /// Returns the identifier of the last relayed event, or `None` if no event with one was relayed.
     #[must_use]
     pub fn last_event_id(&self) -> Option<u64> {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -25,6 +25,7 @@
 use super::snapshot;
 use super::state::GatewayState;
 use super::store::FleetStore;
+use super::streams;
 use super::sync;
 use crate::activity::record_activity;
 use crate::cell::CellService;
@@ -249,6 +250,10 @@
         LinkMessage::Usage(report) => host.record_peer_usage(from, &report),
         LinkMessage::StateWanted(poll) => sync::record_poll(host, from, poll),
         LinkMessage::State(update) => sync::receive_update(host, from, *update),
+        LinkMessage::StreamVersion { stream, version } => {
+            streams::receive_version(host, stream, version);
+        }
+        LinkMessage::StreamWanted(stream) => streams::answer_lookup(host, from, stream),
         other => host.cells.receive(from, other),
     }
 }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -10,6 +10,7 @@
 use super::exchange::refusal_error;
 use super::plan;
 use super::plan::CallError;
+use super::streams;
 use super::trace::SentCall;
 use super::worker::WorkerConnection;
 use crate::cell::SlotAnswer;
@@ -17,6 +18,7 @@
 use crate::connection::OpenError;
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RefusalReason;
+use crate::kernel::attempt::WorkKind;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::DispatchedState;
@@ -24,12 +26,15 @@
 use crate::kernel::lifecycle::RequestLife;
 use crate::kernel::lifecycle::WaitingState;
 use crate::kernel::name::WorkerName;
+use crate::kernel::name::WorkerVersion;
 
 /// A request that counts as dispatched to a worker.
 pub(super) struct DispatchedCall {
     pub(super) life: RequestLife<DispatchedState>,
     pub(super) lease: SlotLease,
     pub(super) worker: WorkerName,
+    /// The version of the worker's software, if it states one.
+    pub(super) version: Option<WorkerVersion>,
     pub(super) dispatched_at: ClockTime,
 }
 
@@ -60,7 +65,7 @@
         life: RequestLife<WaitingState>,
     ) -> Result<(RequestLife<GrantedState>, SlotLease), CallError> {
         let now = self.host.clock.now();
-        let ask = self.planned.ask(now);
+        let ask = self.planned.ask(now, self.version.clone());
         let answer = self.host.cells.ask(ask, self.planned.deadline).await;
         match answer {
             Some(SlotAnswer::Granted { grant, received }) => {
@@ -121,6 +126,9 @@
         let Some(record) = self.host.worker(&worker) else {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         };
+        if self.version.is_some() && record.version != self.version {
+            return Err((SlotError::WorkerGone, granted.release_grant()));
+        }
         if caller.has_disconnected() {
             return Err((SlotError::CallerLeft, granted.release_grant()));
         }
@@ -129,6 +137,7 @@
             .map_err(|(error, life)| (error.into(), life))?;
         lease.dispatched();
         self.dispatches.record_dispatch();
+        self.record_stream(record.version.as_ref());
         let sent = SentCall {
             worker: &worker,
             version: record.version.as_ref(),
@@ -143,11 +152,21 @@
             life,
             lease,
             worker,
+            version: record.version,
             dispatched_at: now,
         };
         Ok((dispatched, connection))
     }
 
+    /// Records the version of the worker to which a resumable stream is dispatched.
+    fn record_stream(&self, version: Option<&WorkerVersion>) {
+        let resumable = self.planned.route.kind == WorkKind::Stream { resumable: true };
+        let stream = self.planned.stream_key().filter(|_| resumable);
+        if let Some((stream, version)) = stream.zip(version) {
+            streams::record_dispatch(self.host, stream, version);
+        }
+    }
+
     /// Returns the error for a refusal by the broker.
     fn broker_error(refusal: &Refusal) -> CallError {
         let reason = match refusal.reason {
--- /dev/null
+++ b/src/gateway/streams.rs
@@ -0,0 +1,205 @@
+//! The versions at which streams were begun, shared between the hosts.
+//!
+//! See [`crate::kernel::stream`] for who knows which stream.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use super::host::GatewayHost;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::name::HostName;
+use crate::kernel::name::ServiceName;
+use crate::kernel::name::WorkerVersion;
+use crate::kernel::roster::UpstreamRoster;
+use crate::kernel::stream::KEEPERS_PER_STREAM;
+use crate::kernel::stream::StreamDirectory;
+use crate::kernel::stream::StreamKey;
+use crate::kernel::stream::VersionHistory;
+use crate::kernel::stream::VersionView;
+use crate::wire::LinkMessage;
+
+/// The maximum time for which the keepers of a stream are awaited.
+const LOOKUP_TIME: Duration = Duration::from_millis(150);
+
+/// The versions of workers at which a stream may go on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum StreamOrigin {
+    /// Any version, since no worker of the service states one.
+    Any,
+    /// The version that began the stream.
+    At(WorkerVersion),
+    /// Not known, while several versions serve or have served.
+    Unknown,
+}
+
+/// What a host knows about the versions of streams and of workers.
+#[derive(Debug, Default)]
+pub(super) struct StreamState {
+    directory: RefCell<StreamDirectory>,
+    history: RefCell<VersionHistory>,
+    lookups: RefCell<BTreeMap<StreamKey, Rc<StreamLookup>>>,
+}
+
+/// A question to the keepers of a stream that has not been answered yet.
+#[derive(Debug, Default)]
+struct StreamLookup {
+    /// The number of keepers that have not answered.
+    awaited: Cell<usize>,
+    answered: Notify,
+}
+
+impl StreamState {
+    /// Records the versions of the registered workers.
+    pub(super) fn observe_workers(&self, now: ClockTime, roster: &UpstreamRoster) {
+        let mut history = self.history.borrow_mut();
+        history.forget_old(now);
+        for record in roster.registered() {
+            if let Some(version) = &record.version {
+                history.observe(now, &record.service, version);
+            }
+        }
+    }
+}
+
+/// Records that a stream is dispatched to a worker of a version, and tells its keepers.
+pub(super) fn record_dispatch(host: &GatewayHost, stream: StreamKey, version: &WorkerVersion) {
+    let now = host.clock.now();
+    let mut directory = host.streams.directory.borrow_mut();
+    directory.record(now, stream, version.clone());
+    drop(directory);
+    for keeper in keepers(host, stream, KEEPERS_PER_STREAM) {
+        let version = Some(version.clone());
+        let message = LinkMessage::StreamVersion { stream, version };
+        // A keeper that misses the message can't answer for the stream; the others can.
+        let _ = host.links.send(&keeper, message);
+    }
+}
+
+/// Returns where a stream that a caller takes up may go on, `None` standing for an attempt that the
+/// caller does not name.
+pub(super) async fn find_origin(
+    host: &GatewayHost,
+    stream: Option<StreamKey>,
+    service: &ServiceName,
+) -> StreamOrigin {
+    if let Some(version) = stream.and_then(|stream| known_version(host, stream)) {
+        return StreamOrigin::At(version);
+    }
+    match version_view(host, service) {
+        VersionView::None => return StreamOrigin::Any,
+        VersionView::Only(version) => return StreamOrigin::At(version),
+        VersionView::OnlySinceStart(_) | VersionView::Several => (),
+    }
+    if let Some(stream) = stream {
+        ask_keepers(host, stream).await;
+        if let Some(version) = known_version(host, stream) {
+            return StreamOrigin::At(version);
+        }
+    }
+    match version_view(host, service) {
+        VersionView::None => StreamOrigin::Any,
+        VersionView::Only(version) | VersionView::OnlySinceStart(version) => {
+            StreamOrigin::At(version)
+        }
+        VersionView::Several => StreamOrigin::Unknown,
+    }
+}
+
+/// Answers the question of another host for the version of a stream.
+pub(super) fn answer_lookup(host: &GatewayHost, from: &HostName, stream: StreamKey) {
+    let version = known_version(host, stream);
+    let message = LinkMessage::StreamVersion { stream, version };
+    // The other host does not wait longer than the lookup time.
+    let _ = host.links.send(from, message);
+}
+
+/// Records what another host knows about a stream.
+pub(super) fn receive_version(
+    host: &GatewayHost,
+    stream: StreamKey,
+    version: Option<WorkerVersion>,
+) {
+    let known = version.is_some();
+    if let Some(version) = version {
+        let now = host.clock.now();
+        let mut directory = host.streams.directory.borrow_mut();
+        directory.record(now, stream, version);
+    }
+    let Some(lookup) = host.streams.lookups.borrow().get(&stream).cloned() else {
+        return;
+    };
+    let awaited = lookup.awaited.get().saturating_sub(1);
+    lookup.awaited.set(awaited);
+    if known || awaited == 0 {
+        lookup.answered.notify_waiters();
+    }
+}
+
+fn known_version(host: &GatewayHost, stream: StreamKey) -> Option<WorkerVersion> {
+    host.streams.directory.borrow().find(stream).cloned()
+}
+
+fn version_view(host: &GatewayHost, service: &ServiceName) -> VersionView {
+    let now = host.clock.now();
+    let streams = &host.streams;
+    streams.observe_workers(now, &host.state.roster.borrow());
+    streams.history.borrow().view(now, service)
+}
+
+/// Asks the keepers of a stream and waits until one knows it, all have answered or the lookup time
+/// has passed.
+async fn ask_keepers(host: &GatewayHost, stream: StreamKey) {
+    let lookup = PendingLookup::start(host, stream);
+    let answered = lookup.state.answered.notified();
+    // One more than are told, since the host that told them may be among them.
+    for keeper in keepers(host, stream, KEEPERS_PER_STREAM + 1) {
+        if host
+            .links
+            .send(&keeper, LinkMessage::StreamWanted(stream))
+            .is_ok()
+        {
+            lookup.state.awaited.update(|awaited| awaited + 1);
+        }
+    }
+    if lookup.state.awaited.get() > 0 {
+        // Without an answer in time, the stream is unknown.
+        let _ = tokio::time::timeout(LOOKUP_TIME, answered).await;
+    }
+}
+
+/// A lookup that is removed from the state of its host when it is dropped.
+struct PendingLookup<'a> {
+    host: &'a GatewayHost,
+    stream: StreamKey,
+    state: Rc<StreamLookup>,
+}
+
+impl<'a> PendingLookup<'a> {
+    fn start(host: &'a GatewayHost, stream: StreamKey) -> Self {
+        let mut lookups = host.streams.lookups.borrow_mut();
+        let state = Rc::clone(lookups.entry(stream).or_default());
+        Self {
+            host,
+            stream,
+            state,
+        }
+    }
+}
+
+impl Drop for PendingLookup<'_> {
+    fn drop(&mut self) {
+        // A second lookup of the same stream waits for its time limit then, and finds what is known.
+        self.host.streams.lookups.borrow_mut().remove(&self.stream);
+    }
+}
+
+fn keepers(host: &GatewayHost, stream: StreamKey, count: usize) -> Vec<HostName> {
+    let mut hosts = host.members.all_alive();
+    hosts.retain(|name| *name != host.settings.host);
+    stream.keepers(hosts, count)
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -59,6 +59,7 @@
             request: self.id,
             service: self.incoming.service.clone(),
             model: self.incoming.model.clone(),
+            version: None,
             workspace: self.workspace.clone(),
             tier: self.rank,
             budget: self.deadline.since(now),
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -15,6 +15,7 @@
 use super::state::LinkIncarnations;
 use super::state::RequestOwner;
 use super::work::ProgressKind;
+use crate::kernel::ask::Ask;
 
 /// The maximum length of a frame, in bytes, and of a configuration or a state update.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -49,6 +50,9 @@
 const WAITING: u8 = 33;
 const STATE_WANTED: u8 = 34;
 const STATE: u8 = 35;
+const VERSIONED_ASK: u8 = 36;
+const STREAM_VERSION: u8 = 37;
+const STREAM_WANTED: u8 = 38;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -127,7 +131,13 @@
         match message {
             LinkMessage::Heartbeat(beat) => write(frame, HEARTBEAT, &state.encode_heartbeat(beat)),
             LinkMessage::Members(list) => write(frame, MEMBERS, &state.encode_members(list)),
-            LinkMessage::Ask(ask) => write(frame, ASK, &state.encode_ask(ask)),
+            LinkMessage::Ask(ask) => match &ask.version {
+                None => write(frame, ASK, &state.encode_ask(ask)),
+                Some(version) => {
+                    let row = (state.encode_ask(ask), version);
+                    write(frame, VERSIONED_ASK, &row)
+                }
+            },
             LinkMessage::Withdraw { service, request } => {
                 let row = state.encode_withdrawal(service, *request);
                 write(frame, WITHDRAW, &row)
@@ -159,6 +169,10 @@
             }
             LinkMessage::StateWanted(poll) => write(frame, STATE_WANTED, poll),
             LinkMessage::State(update) => write(frame, STATE, update),
+            LinkMessage::StreamVersion { stream, version } => {
+                write(frame, STREAM_VERSION, &(stream, version))
+            }
+            LinkMessage::StreamWanted(stream) => write(frame, STREAM_WANTED, stream),
             LinkMessage::Usage(report) => write(frame, USAGE, &state.encode_usage(report)),
             LinkMessage::Query { number, text } => write(frame, QUERY, &(number, text)),
             LinkMessage::QueryAnswer { number, rows } => {
@@ -210,6 +224,14 @@
             HEARTBEAT => LinkMessage::Heartbeat(state.decode_heartbeat(read(rest, limit)?)?),
             MEMBERS => LinkMessage::Members(state.decode_members(read(rest, limit)?)?),
             ASK => LinkMessage::Ask(Box::new(state.decode_ask(read(rest, limit)?)?)),
+            VERSIONED_ASK => {
+                let (row, version) = read(rest, limit)?;
+                let ask = state.decode_ask(row)?;
+                LinkMessage::Ask(Box::new(Ask {
+                    version: Some(version),
+                    ..ask
+                }))
+            }
             WITHDRAW => {
                 let (service, request) = state.decode_withdrawal(read(rest, limit)?)?;
                 LinkMessage::Withdraw { service, request }
@@ -235,6 +257,11 @@
             }
             STATE_WANTED => LinkMessage::StateWanted(read(rest, limit)?),
             STATE => LinkMessage::State(read(rest, MAX_FRAME_BYTES)?),
+            STREAM_VERSION => {
+                let (stream, version) = read(rest, limit)?;
+                LinkMessage::StreamVersion { stream, version }
+            }
+            STREAM_WANTED => LinkMessage::StreamWanted(read(rest, limit)?),
             USAGE => LinkMessage::Usage(state.decode_usage(read(rest, limit)?)?),
             QUERY => {
                 let (number, text) = read(rest, limit)?;
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -54,6 +54,8 @@
     Usage "usage";
     StateWanted "state-wanted";
     State "state";
+    StreamVersion "stream-version";
+    StreamWanted "stream-wanted";
     Query "query";
     QueryAnswer "query-answer";
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -30,8 +30,10 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
+use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::roster::UpstreamRecord;
+use crate::kernel::stream::StreamKey;
 
 pub use codec::FrameDecoder;
 pub use codec::FrameEncoder;
@@ -103,6 +105,16 @@
     /// The sender's quota usage, for the workspaces whose usage changed since its last report or
     /// for all of them.
     Usage(UsageReport),
+    /// The version of the worker that began a stream: told to the keepers of the stream, and the
+    /// answer to [`Self::StreamWanted`].
+    StreamVersion {
+        /// The stream.
+        stream: StreamKey,
+        /// The version; `None` in an answer if the sender does not know the stream.
+        version: Option<WorkerVersion>,
+    },
+    /// The sender asks for the version of the worker that began a stream.
+    StreamWanted(StreamKey),
     /// The sender polls the receiver for the state of the platform's store.
     StateWanted(StatePoll),
     /// The state of the platform's store, as the sender has read or received it.
--- a/src/wire/work.rs
+++ b/src/wire/work.rs
@@ -32,7 +32,7 @@
 
 /// Request, service, model, workspace, tier with the suspect flag as its lowest bit, budget in ms,
 /// prompt tokens, maximum answer tokens, block digests of the prompt's prefix, latency targets and
-/// hinted tokens.
+/// hinted tokens; the version of the worker is sent beside the row.
 pub type AskRow = (
     RequestCode,
     NameCode,
@@ -204,7 +204,7 @@
         )
     }
 
-    /// Returns the ask of a row.
+    /// Returns the ask of a row, for any version of a worker.
     pub fn decode_ask(&mut self, row: AskRow) -> Result<Ask, CodecError> {
         let (request, service, model, workspace, tier, budget, prompt, answer, codes, targets) =
             row;
@@ -226,6 +226,7 @@
             request,
             service,
             model,
+            version: None,
             workspace: self.names.decode(workspace)?,
             tier: TierRank(tier),
             budget: Duration::from_millis(budget),
--- a/standin/src/experiment/entry.rs
+++ b/standin/src/experiment/entry.rs
@@ -73,6 +73,7 @@
             request: record.id,
             service: self.names.service.clone(),
             model: Some(self.fleet.model().clone()),
+            version: None,
             workspace: self.names.workspaces[request.workspace].clone(),
             tier: request.tier,
             budget: record.remaining(self.queue.now()),
--- a/standin/src/experiment/worker.rs
+++ b/standin/src/experiment/worker.rs
@@ -66,6 +66,7 @@
         live.map(|worker| CellWorker {
             worker: worker.name.clone(),
             models: vec![self.model.clone()],
+            version: None,
             max_running: worker.max_running,
             location: None,
         })
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -166,6 +166,7 @@
         },
         service: "drafter".parse().expect("a valid name"),
         model: "quill-8b".parse().ok(),
+        version: None,
         workspace: "reps".parse().expect("a valid name"),
         tier: TierRank(0),
         budget,
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -23,6 +23,7 @@
 use borageladder::kernel::name::NameError;
 use borageladder::kernel::name::RequestId;
 use borageladder::kernel::name::TierRank;
+use borageladder::kernel::stream::StreamKey;
 use borageladder::wire::CellSummary;
 use borageladder::wire::Heartbeat;
 use borageladder::wire::LinkIncarnations;
@@ -75,6 +76,7 @@
         request: request(sequence),
         service: name("drafter"),
         model: Some(name("letter-writer-70b")),
+        version: None,
         workspace: name("hokkaido-grievances"),
         tier: TierRank(1),
         budget: Duration::from_millis(19_500),
@@ -162,6 +164,7 @@
             datacenter: name("sapporo-a"),
             address: "10.20.30.40:8000".parse().expect("an address"),
             max_running: 16,
+            version: None,
             state: WorkerState::Active,
         };
         let key = name(&format!("drafter-worker-{number}"));
@@ -238,6 +241,19 @@
                 },
             ],
         }),
+        LinkMessage::Ask(Box::new(Ask {
+            version: Some(name("v1.2")),
+            ..ask(72)
+        })),
+        LinkMessage::StreamVersion {
+            stream: StreamKey::of("attempt-1"),
+            version: Some(name("v1.2")),
+        },
+        LinkMessage::StreamVersion {
+            stream: StreamKey(u64::MAX),
+            version: None,
+        },
+        LinkMessage::StreamWanted(StreamKey(0)),
         LinkMessage::StateWanted(StatePoll {
             number: 7,
             version: 21,
