Keep the part of a silent host in reserve for longer than ten seconds

Change: after 10 s of silence only the equal part is assumed, no longer the last rate, and the host is dropped after 10 min. A host that is gone can't be told from one that is cut off: it withholds its part for that long, an eighth of a quota with eight hosts (before: for 10 s). Hosts that restart under their name are not affected. Ruled out: the member list (a cut-off host is declared dead on the other side too).

--- a/kernel/src/quota.rs
+++ b/kernel/src/quota.rs
@@ -4,9 +4,9 @@
 //! deducted at once, units charged on other hosts as soon as those hosts report them. What the other
 //! hosts charge meanwhile, at their recent rates, is kept in reserve. A host from
 //! which nothing is received is assumed to charge units at its last rate, and at no less than an
-//! equal part of the quota. Hosts on both sides of a network partition thus exceed the quota
-//! together only by what they charge before the silence is noticed, and after [`PEER_EXPIRY`], when
-//! a silent host counts as gone.
+//! equal part of the quota; after [`LAST_RATE_TIME`], at that part. Hosts on both sides of a network
+//! partition thus exceed the quota together only by what they charge before the silence is noticed,
+//! and after [`PEER_EXPIRY`], when a silent host counts as gone.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,10 +21,14 @@
 /// is counted from the last report or heartbeat on.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The time without a report or heartbeat after which a host is dropped. It is longer than the
-/// window of 8 s over which the use of a quota is measured, so that all units that the host may
-/// have charged before its silence have left the window.
-pub const PEER_EXPIRY: Duration = Duration::from_secs(10);
+/// The time without a report or heartbeat for which a host is assumed to go on at its last rate. It
+/// is longer than the window of 8 s over which the use of a quota is measured, so that all units
+/// that the host may have charged before its silence have left the window.
+pub const LAST_RATE_TIME: Duration = Duration::from_secs(10);
+
+/// The time without a report or heartbeat after which a host is dropped. A host that is cut off
+/// can't be told from one that is gone, which withholds its part of the quota for this time.
+pub const PEER_EXPIRY: Duration = Duration::from_mins(10);
 
 /// The time by which the reports of another host lag behind its use: one report interval, and as
 /// much again for a host that is behind.
@@ -197,7 +201,7 @@
     /// # Errors
     ///
     /// Returns the time until the bucket is expected to hold enough units if it doesn't now, or
-    /// [`PEER_EXPIRY`] if that time can't be represented.
+    /// [`LAST_RATE_TIME`] if that time can't be represented.
     pub fn charge(&mut self, now: ClockTime, units: u64, hosts: usize) -> Result<(), Duration> {
         self.fill(now);
         self.charge_unreachable(now, hosts);
@@ -210,7 +214,7 @@
             return Ok(());
         }
         let missing = needed - self.level;
-        Err(Duration::try_from_secs_f64(missing / self.bounds.rate).unwrap_or(PEER_EXPIRY))
+        Err(Duration::try_from_secs_f64(missing / self.bounds.rate).unwrap_or(LAST_RATE_TIME))
     }
 
     /// Refunds the units of a request that was not sent to a worker.
@@ -243,7 +247,12 @@
         for peer in self.peers.values_mut() {
             if now.since(peer.last_seen) > REPORT_TIMEOUT {
                 let silent = now.since(peer.assumed_until).as_secs_f64();
-                let used = peer.rate.max(part) * silent;
+                let rate = if now.since(peer.last_seen) < LAST_RATE_TIME {
+                    peer.rate.max(part)
+                } else {
+                    part
+                };
+                let used = rate * silent;
                 self.level -= used;
                 peer.assumed += used;
                 peer.assumed_until = now;
