Send callers of HTTP/1.0 of the daemon bodies that they can read

What callers saw: a caller of HTTP/1.0 got chunk sizes inside its body, and an orderly close after a truncated answer, which to it is the end of a complete one. Cause: the server asks for chunks for every body without a length, whatever the version of the request. Change: such a body is sent until the close of the connection; until it is complete, any close resets it. Ruled out: refusing HTTP/1.0 with 505 (many proxies speak it to their upstreams). The stub upstream waits 100 ms before it closes, so that the host has forwarded its bytes; without them the caller gets nothing, which the test accepts as truncated.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod sse;
 pub mod table;
 pub mod timeline;
+mod unframed;
 pub mod upstream;
 pub mod usage;
 pub mod watch;
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::time::Duration;
 
 use socket2::SockRef;
 use socket2::Socket;
@@ -59,6 +60,16 @@
         Ok(Self { socket })
     }
 
+    /// Sets whether a close, also that of the kernel after the end of the process, resets the
+    /// connection and discards what was not sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the option can't be set.
+    pub fn set_reset_on_close(&self, reset: bool) -> io::Result<()> {
+        self.socket.set_linger(reset.then_some(Duration::ZERO))
+    }
+
     /// Returns the state of the connection.
     #[must_use]
     pub fn state(&self) -> ReceiveState {
--- a/src/server.rs
+++ b/src/server.rs
@@ -21,6 +21,7 @@
 
 use crate::listener::accept_connections;
 use crate::probe::ConnectionProbe;
+use crate::unframed::adapt_response;
 
 /// The timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -151,9 +152,14 @@
                 let signal = signal.clone();
                 async move { signal.stopped().await }
             })
-            .h1(fn_service(move |request| {
+            .h1(fn_service(move |request: Request| {
+                let version = request.version();
+                let connection = request.conn_data::<Rc<ConnectionProbe>>().map(Rc::clone);
                 let answer = handler(request);
-                async move { Ok::<_, Infallible>(answer.await) }
+                async move {
+                    let answer = adapt_response(answer.await, version, connection.as_ref());
+                    Ok::<_, Infallible>(answer)
+                }
             }));
         let service = factory
             .new_service(())
--- a/tests/cut.rs
+++ b/tests/cut.rs
@@ -6,13 +6,19 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::thread;
+use std::time::Duration;
 
 use harness::Call;
 use harness::Deployment;
 use harness::DeploymentPlan;
+use harness::KEY;
 use yare::parameterized;
 
+/// The time that an upstream leaves for its bytes to be forwarded before it closes.
+const FORWARD_TIME: Duration = Duration::from_millis(100);
+
 /// Starts an upstream that sends the same bytes on every connection and closes it.
 fn start_upstream(bytes: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
@@ -24,6 +30,8 @@
             // The content of the request does not matter, and the client may have disconnected.
             let _ = stream.read(&mut request);
             let _ = stream.write_all(bytes.as_bytes());
+            // The host discards what it has not forwarded once an answer is truncated.
+            thread::sleep(FORWARD_TIME);
         }
     });
     address
@@ -88,3 +96,32 @@
         "{ended:?}"
     );
 }
+
+// Guards against chunk sizes in a body that a caller of HTTP/1.0 takes for the answer, and against an
+// orderly close that it takes for the end of a truncated one.
+#[parameterized(
+    truncated = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", false },
+    complete = {
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true
+    },
+)]
+fn a_caller_of_http_1_0_gets_a_body_without_chunks_that_is_reset_if_it_is_truncated(
+    bytes: &'static str,
+    complete: bool,
+) {
+    let deployment = start_with_upstream(bytes);
+    let mut stream = TcpStream::connect(deployment.hosts[0].entry).expect("the host listens");
+    let request = format!(
+        "GET /services/casebook/state HTTP/1.0\r\n\
+        Authorization: Bearer {KEY}\r\n\r\n"
+    );
+    stream
+        .write_all(request.as_bytes())
+        .expect("the connection is open");
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8(answer).expect("an answer in ASCII");
+    assert!(!answer.contains("transfer-encoding"), "{answer}");
+    let looks_complete = ended.is_ok() && answer.ends_with("\r\n\r\nhello");
+    assert_eq!(looks_complete, complete, "{ended:?} {answer}");
+}
