--- a/tests/link_bytes.rs
+++ b/tests/link_bytes.rs
@@ -8,6 +8,7 @@
 use borageladder::kernel::configuration::ConfigVersion;
 use borageladder::kernel::configuration::WorkerState;
 use borageladder::kernel::delta::ConfigurationDelta;
+use borageladder::kernel::stream::StreamKey;
 use borageladder::wire::FrameEncoder;
 use borageladder::wire::LinkMessage;
 use borageladder::wire::UsageReport;
@@ -143,3 +144,17 @@
         "{largest} bytes"
     );
 }
+
+/// The bytes for which `docs/CAPACITY.md` counts the version of a stream, told to two keepers.
+#[test]
+fn the_version_of_a_stream_takes_few_bytes() {
+    const MESSAGE_BYTES: usize = 24;
+    let mut encoder = FrameEncoder::new(TO_BROKER);
+    let message = LinkMessage::StreamVersion {
+        stream: StreamKey(u64::MAX),
+        version: "v1.2".parse().ok(),
+    };
+    let bytes = encoded_bytes(&mut encoder, &[message]);
+    println!("version of a stream: {bytes} bytes");
+    assert!(bytes <= MESSAGE_BYTES, "{bytes} bytes");
+}
