--- a/kernel/tests/broker/latency_targets.rs
+++ b/kernel/tests/broker/latency_targets.rs
@@ -269,3 +269,16 @@
     assert!(refused >= 4, "only {refused} of 8 were refused immediately");
     assert_eq!(harness.granted(0, 1_000, 20).as_deref(), Some("slow"));
 }
+
+// Guards against a request that states no limit on its answer and is planned as if it had none.
+#[test]
+fn a_hint_counts_although_the_request_states_no_limit() {
+    let mut harness = fast_and_slow_worker();
+    let limited = harness.ask(0, 100, 1_000);
+    let unlimited = Ask {
+        max_answer_tokens: 0,
+        ..limited.clone()
+    };
+    let finish = |ask: &Ask| harness.broker.predicted_finish(harness.now, ask);
+    assert_eq!(finish(&unlimited), finish(&limited));
+}
