Refund the units that a request was charged

A key that moved to another workspace refunded that one. Cause: the new plan replaced the units and the workspace that the first plan had charged. Change: the charge is a value of its own that a new plan keeps.

--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -113,6 +113,15 @@
     }
 }
 
+/// Units charged to the quota of a workspace.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QuotaCharge {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// The units.
+    pub units: u64,
+}
+
 /// A request that passed the checks and may be sent to a worker of its service.
 #[derive(Clone, Debug)]
 pub struct PlannedCall {
@@ -136,8 +145,8 @@
     pub deadline: ClockTime,
     /// Version of the configuration used for planning.
     pub version: u64,
-    /// Units charged to the quota of the workspace; zero without a workspace.
-    pub units: u64,
+    /// What the first plan charges to a quota; `None` without a workspace.
+    pub charge: Option<QuotaCharge>,
     /// Digest of method, URI, workspace and body, by which crashes are attributed.
     pub digest: u64,
     /// Whether requests with this digest may have crashed a worker, so that this one must run alone.
@@ -236,8 +245,8 @@
 
 /// Plans a request again after a wait, by the configuration that is in force now.
 ///
-/// Returns `None` if the configuration version has not changed. Digest and suspicion are kept, and
-/// the quota is not charged again.
+/// Returns `None` if the configuration version has not changed. Digest, suspicion and charge are
+/// kept, and the quota is not charged again.
 ///
 /// # Errors
 ///
@@ -259,6 +268,7 @@
     Ok(Some(PlannedCall {
         digest: planned.digest,
         suspect: planned.suspect,
+        charge: planned.charge.clone(),
         ..replanned
     }))
 }
@@ -298,7 +308,10 @@
         arrival,
         deadline: arrival + timeout,
         version: serving.version,
-        units: owner.map_or(0, |(_, workspace)| workspace.unit.units(tokens)),
+        charge: owner.map(|(name, workspace)| QuotaCharge {
+            workspace: name.clone(),
+            units: workspace.unit.units(tokens),
+        }),
         workspace: owner.map(|(name, _)| name.clone()),
         digest: 0,
         suspect: false,
@@ -313,16 +326,16 @@
 
 /// Charges a request to the quota of its workspace, if it has one.
 fn charge_quota(host: &GatewayHost, planned: &PlannedCall) -> Result<(), CallError> {
-    let Some(workspace) = &planned.workspace else {
+    let Some(charge) = &planned.charge else {
         return Ok(());
     };
     let hosts = host.host_count();
-    let charged = host.with_quota(workspace, |quota| {
-        quota.charge(planned.arrival, planned.units, hosts)
+    let charged = host.with_quota(&charge.workspace, |quota| {
+        quota.charge(planned.arrival, charge.units, hosts)
     });
     match charged {
         Some(Err(retry_after)) => Err(CallError::OverQuota {
-            workspace: workspace.clone(),
+            workspace: charge.workspace.clone(),
             retry_after,
         }),
         Some(Ok(())) | None => Ok(()),
@@ -331,8 +344,8 @@
 
 /// Refunds the quota units charged for a request that was never dispatched.
 pub fn refund_quota(host: &GatewayHost, planned: &PlannedCall) {
-    if let Some(workspace) = &planned.workspace {
-        host.with_quota(workspace, |quota| quota.refund(planned.units));
+    if let Some(charge) = &planned.charge {
+        host.with_quota(&charge.workspace, |quota| quota.refund(charge.units));
     }
 }
 
