Group what has arrived of an event

The linter counts more than three flags in the buffer of events, and wants the trait's parameter name in the body for HTTP/1.0. No behaviour changes; tests/sse.rs, cut.rs, streams.rs and style.rs pass.

--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,5 +1,7 @@
 //! Server-sent events of a completion stream, split at event boundaries.
 
+use std::mem;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 
@@ -40,17 +42,23 @@
     scanned: usize,
     /// Whether the last line ended with CR, so that a following LF belongs to its end.
     after_cr: bool,
-    /// Whether a field of the incomplete event has arrived.
-    has_field: bool,
-    /// The numeric identifier of the incomplete event.
-    pending_id: Option<u64>,
-    /// Whether the incomplete event is the one that ends the stream.
-    pending_done: bool,
+    pending: PendingEvent,
     last_id: u64,
     events: u32,
     done: bool,
 }
 
+/// What has arrived of an incomplete event.
+#[derive(Debug, Default)]
+struct PendingEvent {
+    /// Whether a field has arrived.
+    has_field: bool,
+    /// The numeric identifier.
+    id: Option<u64>,
+    /// Whether the event ends the stream.
+    ends_stream: bool,
+}
+
 impl EventBuffer {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -93,15 +101,13 @@
         self.line_start = 0;
         self.scanned = 0;
         self.after_cr = false;
-        self.has_field = false;
-        self.pending_id = None;
-        self.pending_done = false;
+        self.pending = PendingEvent::default();
     }
 
     /// Returns whether the stream, if it ended now, would end inside an event or a line.
     #[must_use]
     pub fn is_within_event(&self) -> bool {
-        self.has_field || self.line_start < self.bytes.len()
+        self.pending.has_field || self.line_start < self.bytes.len()
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -148,23 +154,23 @@
         if line.is_empty() {
             self.end_event();
         } else if !line.starts_with(COMMENT) {
-            self.has_field = true;
+            self.pending.has_field = true;
             if let Some(id) = line.strip_prefix(ID_FIELD) {
-                self.pending_id = parse_id(id).or(self.pending_id);
+                self.pending.id = parse_id(id).or(self.pending.id);
             }
-            self.pending_done |= line.trim_ascii_end() == STREAM_END;
+            self.pending.ends_stream |= line.trim_ascii_end() == STREAM_END;
         }
         self.line_start = self.scanned;
     }
 
     fn end_event(&mut self) {
         self.complete = self.scanned;
-        self.has_field = false;
-        if let Some(id) = self.pending_id.take() {
+        let event = mem::take(&mut self.pending);
+        if let Some(id) = event.id {
             self.last_id = id;
             self.events = self.events.saturating_add(1);
         }
-        self.done |= std::mem::take(&mut self.pending_done);
+        self.done |= event.ends_stream;
     }
 }
 
--- a/src/unframed.rs
+++ b/src/unframed.rs
@@ -69,9 +69,9 @@
 
     fn poll_next(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        let next = Pin::new(&mut self.body).poll_next(context);
+        let next = Pin::new(&mut self.body).poll_next(cx);
         if matches!(next, Poll::Ready(None)) {
             self.set_reset_on_close(false);
         }
