--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -114,7 +114,7 @@
         trace,
         dispatches: DispatchTally::new(planned.route.run_limit),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
-        version: None,
+        required_version: None,
         planned,
     };
     if exchange.planned.continues_stream() {
@@ -133,7 +133,7 @@
     pub(super) relay: AnswerRelay,
     /// The only version of a worker at which the stream may go on; `None` if any may run the
     /// request.
-    pub(super) version: Option<WorkerVersion>,
+    pub(super) required_version: Option<WorkerVersion>,
 }
 
 impl CallExchange<'_> {
@@ -141,7 +141,7 @@
     async fn find_version(&mut self) -> Result<(), CallError> {
         let stream = self.planned.stream_key();
         let origin = streams::find_origin(self.host, stream, &self.planned.service).await;
-        self.version = match origin {
+        self.required_version = match origin {
             StreamOrigin::Any => None,
             StreamOrigin::At(version) => Some(version),
             StreamOrigin::Unknown => {
@@ -252,7 +252,7 @@
                     self.check_crash(&worker);
                 }
                 if self.relay.has_begun() {
-                    self.version = self.version.take().or(version);
+                    self.required_version = self.required_version.take().or(version);
                 }
                 let permit = if self.relay.can_continue(caller) {
                     self.retry_permit()
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -65,7 +65,7 @@
         life: RequestLife<WaitingState>,
     ) -> Result<(RequestLife<GrantedState>, SlotLease), CallError> {
         let now = self.host.clock.now();
-        let ask = self.planned.ask(now, self.version.clone());
+        let ask = self.planned.ask(now, self.required_version.clone());
         let answer = self.host.cells.ask(ask, self.planned.deadline).await;
         match answer {
             Some(SlotAnswer::Granted { grant, received }) => {
@@ -126,7 +126,7 @@
         let Some(record) = self.host.worker(&worker) else {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         };
-        if self.version.is_some() && record.version != self.version {
+        if self.required_version.is_some() && record.version != self.required_version {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         }
         if caller.has_disconnected() {
