--- a/kernel/src/quota.rs
+++ b/kernel/src/quota.rs
@@ -21,7 +21,7 @@
 /// is counted from the last report or heartbeat on.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The time without a report or heartbeat for which a host is assumed to go on at its last rate. It
+/// The time without a report or heartbeat for which a host is assumed to continue at its last rate. It
 /// is longer than the window of 8 s over which the use of a quota is measured, so that all units
 /// that the host may have charged before its silence have left the window.
 pub const LAST_RATE_TIME: Duration = Duration::from_secs(10);
--- a/kernel/src/stream.rs
+++ b/kernel/src/stream.rs
@@ -1,10 +1,10 @@
 //! Streams and the versions of the workers that began them.
 //!
-//! What workers of two software versions write doesn't fit together, so a stream may go on only at
-//! the version that began it. The caller may take a stream up at any host, after the host that
-//! served it has died. Each host therefore records the streams that it dispatches, and tells a few
-//! keepers, which rendezvous hashing selects for each stream. A host that is asked to continue a
-//! stream that it does not know asks the keepers.
+//! What workers of two software versions write doesn't fit together, so a stream may continue
+//! only at the version that began it. The caller may resume a stream at any host, after the host that
+//! served it has died. Each host therefore records the streams that it dispatches and replicates the
+//! record to a few hosts, which rendezvous hashing selects for each stream. A host that receives a
+//! resumption of a stream that it does not know queries these replicas.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -21,8 +21,8 @@
 /// The time for which a stream is remembered after its last dispatch, longer than any stream lasts.
 pub const STREAM_MEMORY_TIME: Duration = Duration::from_secs(30);
 
-/// The number of hosts that are told of each stream.
-pub const KEEPERS_PER_STREAM: usize = 2;
+/// The number of hosts to which the record of each stream is replicated.
+pub const REPLICAS_PER_STREAM: usize = 2;
 
 /// The maximum number of streams in a directory; the oldest is forgotten first.
 const MAX_STREAMS: usize = 20_000;
@@ -47,10 +47,10 @@
         Self(leading_bits(blake3::hash(attempt_id.as_bytes())))
     }
 
-    /// Returns the hosts that are told of the stream, the first ones in the order of their hashes
-    /// for it.
+    /// Returns the hosts to which the record of the stream is replicated, the first ones in the order
+    /// of their hashes for it.
     #[must_use]
-    pub fn keepers(self, mut hosts: Vec<HostName>, count: usize) -> Vec<HostName> {
+    pub fn replicas(self, mut hosts: Vec<HostName>, count: usize) -> Vec<HostName> {
         hosts.sort_by_cached_key(|host| {
             let mut hasher = blake3::Hasher::new();
             hasher.update(&self.0.to_le_bytes());
@@ -136,12 +136,12 @@
     }
 }
 
-/// What a host can tell about the version of a stream that it does not know.
+/// What the registered workers show about the version of a stream without a record.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionView {
     /// No worker of the service states a version.
     None,
-    /// Only workers of this version were registered while any stream that goes on can have begun.
+    /// Only workers of this version were registered since the oldest open stream can have begun.
     Only(WorkerVersion),
     /// The same since the host started, which is more recent than that.
     OnlySinceStart(WorkerVersion),
@@ -171,7 +171,7 @@
         }
     }
 
-    /// Returns which versions a stream of the service that is still going on can have begun at.
+    /// Returns at which versions an open stream of the service can have begun.
     #[must_use]
     pub fn view(&self, now: ClockTime, service: &ServiceName) -> VersionView {
         let Some(versions) = self.services.get(service) else {
--- a/kernel/tests/streams.rs
+++ b/kernel/tests/streams.rs
@@ -1,4 +1,4 @@
-//! Who knows at which version a stream began.
+//! Records of the versions at which streams began, and their replicas.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -7,7 +7,7 @@
 use borageladder_kernel::name::HostName;
 use borageladder_kernel::name::ServiceName;
 use borageladder_kernel::name::WorkerVersion;
-use borageladder_kernel::stream::KEEPERS_PER_STREAM;
+use borageladder_kernel::stream::REPLICAS_PER_STREAM;
 use borageladder_kernel::stream::STREAM_MEMORY_TIME;
 use borageladder_kernel::stream::StreamDirectory;
 use borageladder_kernel::stream::StreamKey;
@@ -31,9 +31,9 @@
     ClockTime::ZERO + Duration::from_secs(seconds)
 }
 
-// Guards against a lookup that misses every host that was told of the stream.
+// Guards against a lookup that misses the hosts that store the record of the stream.
 #[test]
-fn the_hosts_that_are_asked_include_all_that_were_told() {
+fn a_lookup_queries_every_replica_that_was_notified() {
     for number in 0..500 {
         let stream = StreamKey::of(&format!("attempt-{number}"));
         let without = |left_out: &str| {
@@ -41,31 +41,31 @@
             others.retain(|host| host.as_str() != left_out);
             others
         };
-        let told = stream.keepers(without("host-3"), KEEPERS_PER_STREAM);
-        let asked = stream.keepers(without("host-7"), KEEPERS_PER_STREAM + 1);
-        let missed = told.iter().filter(|host| host.as_str() != "host-7");
-        let missed = missed.filter(|host| !asked.contains(host)).count();
+        let notified = stream.replicas(without("host-3"), REPLICAS_PER_STREAM);
+        let queried = stream.replicas(without("host-7"), REPLICAS_PER_STREAM + 1);
+        let missed = notified.iter().filter(|host| host.as_str() != "host-7");
+        let missed = missed.filter(|host| !queried.contains(host)).count();
         assert_eq!(missed, 0);
     }
 }
 
 #[test]
-fn all_hosts_keep_about_the_same_number_of_streams() {
-    let mut kept = vec![0_u32; 10];
+fn all_hosts_store_about_the_same_number_of_streams() {
+    let mut stored = vec![0_u32; 10];
     for number in 0..5_000 {
         let stream = StreamKey::of(&format!("attempt-{number}"));
-        for keeper in stream.keepers(hosts(10), KEEPERS_PER_STREAM) {
-            let position = hosts(10).iter().position(|host| *host == keeper);
-            kept[position.expect("one of the hosts")] += 1;
+        for replica in stream.replicas(hosts(10), REPLICAS_PER_STREAM) {
+            let position = hosts(10).iter().position(|host| *host == replica);
+            stored[position.expect("one of the hosts")] += 1;
         }
     }
     assert!(
-        kept.iter().all(|count| (850..1_150).contains(count)),
-        "{kept:?}"
+        stored.iter().all(|count| (850..1_150).contains(count)),
+        "{stored:?}"
     );
 }
 
-// Guards against a stream that is forgotten while it is still going on.
+// Guards against a stream that is forgotten while it is open.
 #[test]
 fn a_stream_is_remembered_from_its_last_dispatch_on() {
     let mut directory = StreamDirectory::default();
@@ -93,7 +93,7 @@
     assert_eq!(known.len(), 20_000);
 }
 
-// Guards against a stream that goes on at the only version left after that of its own has gone.
+// Guards against a stream that continues at the only version left after its own has gone.
 #[test]
 fn a_version_counts_for_as_long_as_its_streams_may_go_on() {
     let mut history = VersionHistory::default();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -131,13 +131,13 @@
     pub(super) planned: PlannedCall,
     pub(super) dispatches: DispatchTally,
     pub(super) relay: AnswerRelay,
-    /// The only version of a worker at which the stream may go on; `None` if any may run the
+    /// The only version of a worker at which the stream may continue; `None` if any may run the
     /// request.
     pub(super) required_version: Option<WorkerVersion>,
 }
 
 impl CallExchange<'_> {
-    /// Finds the version at which the stream that the caller takes up may go on.
+    /// Finds the version at which the stream that the caller resumes may continue.
     async fn find_version(&mut self) -> Result<(), CallError> {
         let stream = self.planned.stream_key();
         let origin = streams::find_origin(self.host, stream, &self.planned.service).await;
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -1,6 +1,6 @@
 //! The versions at which streams were begun, shared between the hosts.
 //!
-//! See [`crate::kernel::stream`] for who knows which stream.
+//! [`crate::kernel::stream`] says which hosts store the record of a stream.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -16,27 +16,27 @@
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::roster::UpstreamRoster;
-use crate::kernel::stream::KEEPERS_PER_STREAM;
+use crate::kernel::stream::REPLICAS_PER_STREAM;
 use crate::kernel::stream::StreamDirectory;
 use crate::kernel::stream::StreamKey;
 use crate::kernel::stream::VersionHistory;
 use crate::kernel::stream::VersionView;
 use crate::wire::LinkMessage;
 
-/// The maximum time for which the keepers of a stream are awaited.
+/// The maximum time for which the answers of the replicas are awaited.
 const LOOKUP_TIME: Duration = Duration::from_millis(150);
 
 /// The age of the last read of the store up to which the versions that it shows are taken for all.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
 
-/// The versions of workers at which a stream may go on.
+/// The versions of workers at which a stream may continue.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum StreamOrigin {
     /// Any version, since no worker of the service states one.
     Any,
     /// The version that began the stream.
     At(WorkerVersion),
-    /// Not known, while several versions serve or may serve.
+    /// Not known, while workers of several versions serve or may serve.
     Unknown,
 }
 
@@ -48,10 +48,10 @@
     lookups: RefCell<BTreeMap<StreamKey, Rc<StreamLookup>>>,
 }
 
-/// A question to the keepers of a stream that has not been answered yet.
+/// A query to the replicas of a stream that has not been answered yet.
 #[derive(Debug, Default)]
 struct StreamLookup {
-    /// The number of keepers that have not answered.
+    /// The number of replicas that have not answered.
     awaited: Cell<usize>,
     answered: Notify,
 }
@@ -69,22 +69,22 @@
     }
 }
 
-/// Records that a stream is dispatched to a worker of a version, and tells its keepers.
+/// Records that a stream is dispatched to a worker of a version, and replicates the record.
 pub(super) fn record_dispatch(host: &GatewayHost, stream: StreamKey, version: &WorkerVersion) {
     let now = host.clock.now();
     let mut directory = host.streams.directory.borrow_mut();
     directory.record(now, stream, version.clone());
     drop(directory);
-    for keeper in keepers(host, stream, KEEPERS_PER_STREAM) {
+    for replica in replicas(host, stream, REPLICAS_PER_STREAM) {
         let version = Some(version.clone());
         let message = LinkMessage::StreamVersion { stream, version };
-        // A keeper that misses the message can't answer for the stream; the others can.
-        let _ = host.links.send(&keeper, message);
+        // A replica that misses the message can't answer for the stream; the others can.
+        let _ = host.links.send(&replica, message);
     }
 }
 
-/// Returns where a stream that a caller takes up may go on, `None` standing for an attempt that the
-/// caller does not name.
+/// Returns where a stream that a caller resumes may continue; `stream` is `None` if the caller does
+/// not name the attempt that began it.
 pub(super) async fn find_origin(
     host: &GatewayHost,
     stream: Option<StreamKey>,
@@ -99,7 +99,7 @@
         _ => (),
     }
     if let Some(stream) = stream {
-        ask_keepers(host, stream).await;
+        query_replicas(host, stream).await;
         if let Some(version) = known_version(host, stream) {
             return StreamOrigin::At(version);
         }
@@ -121,7 +121,7 @@
     age.is_some_and(|age| age < CONFIRMATION_TIME)
 }
 
-/// Answers the question of another host for the version of a stream.
+/// Answers the query of another host for the version of a stream.
 pub(super) fn answer_lookup(host: &GatewayHost, from: &HostName, stream: StreamKey) {
     let version = known_version(host, stream);
     let message = LinkMessage::StreamVersion { stream, version };
@@ -162,16 +162,16 @@
     streams.history.borrow().view(now, service)
 }
 
-/// Asks the keepers of a stream and waits until one knows it, all have answered or the lookup time
-/// has passed.
-async fn ask_keepers(host: &GatewayHost, stream: StreamKey) {
+/// Queries the replicas of a stream and waits until one knows it, all have answered or the lookup
+/// time has passed.
+async fn query_replicas(host: &GatewayHost, stream: StreamKey) {
     let lookup = PendingLookup::start(host, stream);
     let answered = lookup.state.answered.notified();
-    // One more than are told, since the host that told them may be among them.
-    for keeper in keepers(host, stream, KEEPERS_PER_STREAM + 1) {
+    // One more than store the record, since the host that replicated it may be among them.
+    for replica in replicas(host, stream, REPLICAS_PER_STREAM + 1) {
         if host
             .links
-            .send(&keeper, LinkMessage::StreamWanted(stream))
+            .send(&replica, LinkMessage::StreamWanted(stream))
             .is_ok()
         {
             lookup.state.awaited.update(|awaited| awaited + 1);
@@ -209,8 +209,8 @@
     }
 }
 
-fn keepers(host: &GatewayHost, stream: StreamKey, count: usize) -> Vec<HostName> {
+fn replicas(host: &GatewayHost, stream: StreamKey, count: usize) -> Vec<HostName> {
     let mut hosts = host.members.all_alive();
     hosts.retain(|name| *name != host.settings.host);
-    stream.keepers(hosts, count)
+    stream.replicas(hosts, count)
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -105,7 +105,7 @@
     /// The sender's quota usage, for the workspaces whose usage changed since its last report or
     /// for all of them.
     Usage(UsageReport),
-    /// The version of the worker that began a stream: told to the keepers of the stream, and the
+    /// The version of the worker that began a stream: sent to the replicas of its record, and in
     /// answer to [`Self::StreamWanted`].
     StreamVersion {
         /// The stream.
@@ -113,7 +113,7 @@
         /// The version; `None` in an answer if the sender does not know the stream.
         version: Option<WorkerVersion>,
     },
-    /// The sender asks for the version of the worker that began a stream.
+    /// The sender queries the version of the worker that began a stream.
     StreamWanted(StreamKey),
     /// The sender polls the receiver for the state of the platform's store.
     StateWanted(StatePoll),
--- a/tests/link_bytes.rs
+++ b/tests/link_bytes.rs
@@ -145,7 +145,7 @@
     );
 }
 
-/// The bytes for which `docs/CAPACITY.md` counts the version of a stream, told to two keepers.
+/// The bytes for which `docs/CAPACITY.md` counts the version of a stream, sent to two replicas.
 #[test]
 fn the_version_of_a_stream_takes_few_bytes() {
     const MESSAGE_BYTES: usize = 24;
