Query enough hosts for a stream where others have started since

What callers would see: of three hosts that are killed together, two are back and rank before the replicas of a stream when its caller resumes it; the lookup of three hosts then misses a replica, and with several versions the caller gets 503 although its stream is on record. Cause: the lookup allowed for one more host, the one that had replicated the record, and not for hosts that were down at that time. Change: five hosts are queried for the two replicas; lookups are rare. Evidence: a_lookup_queries_every_replica_that_was_notified, with two hosts down at the dispatch and back at the lookup, missed a replica with three hosts and misses none with five.

--- a/kernel/src/stream.rs
+++ b/kernel/src/stream.rs
@@ -24,6 +24,10 @@
 /// The number of hosts to which the record of each stream is replicated.
 pub const REPLICAS_PER_STREAM: usize = 2;
 
+/// The number of hosts that are queried for a stream: its replicas, also where the host that
+/// replicated the record and two that have started since rank before them.
+pub const HOSTS_PER_LOOKUP: usize = REPLICAS_PER_STREAM + 3;
+
 /// The maximum number of streams in a directory; the oldest is forgotten first.
 const MAX_STREAMS: usize = 20_000;
 
--- a/kernel/tests/streams.rs
+++ b/kernel/tests/streams.rs
@@ -7,6 +7,7 @@
 use borageladder_kernel::name::HostName;
 use borageladder_kernel::name::ServiceName;
 use borageladder_kernel::name::WorkerVersion;
+use borageladder_kernel::stream::HOSTS_PER_LOOKUP;
 use borageladder_kernel::stream::REPLICAS_PER_STREAM;
 use borageladder_kernel::stream::STREAM_MEMORY_TIME;
 use borageladder_kernel::stream::StreamDirectory;
@@ -36,13 +37,15 @@
 fn a_lookup_queries_every_replica_that_was_notified() {
     for number in 0..500 {
         let stream = StreamKey::of(&format!("attempt-{number}"));
-        let without = |left_out: &str| {
+        let without = |left_out: &[&str]| {
             let mut others = hosts(12);
-            others.retain(|host| host.as_str() != left_out);
+            others.retain(|host| !left_out.contains(&host.as_str()));
             others
         };
-        let notified = stream.replicas(without("host-3"), REPLICAS_PER_STREAM);
-        let queried = stream.replicas(without("host-7"), REPLICAS_PER_STREAM + 1);
+        // Two hosts were down when host-3 dispatched the stream, and are back when host-7 looks it up.
+        let down = ["host-1", "host-2", "host-3"];
+        let notified = stream.replicas(without(&down), REPLICAS_PER_STREAM);
+        let queried = stream.replicas(without(&["host-7"]), HOSTS_PER_LOOKUP);
         let missed = notified.iter().filter(|host| host.as_str() != "host-7");
         let missed = missed.filter(|host| !queried.contains(host)).count();
         assert_eq!(missed, 0);
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -16,6 +16,7 @@
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::roster::UpstreamRoster;
+use crate::kernel::stream::HOSTS_PER_LOOKUP;
 use crate::kernel::stream::REPLICAS_PER_STREAM;
 use crate::kernel::stream::StreamDirectory;
 use crate::kernel::stream::StreamKey;
@@ -167,8 +168,7 @@
 async fn query_replicas(host: &GatewayHost, stream: StreamKey) {
     let lookup = PendingLookup::start(host, stream);
     let answered = lookup.state.answered.notified();
-    // One more than store the record, since the host that replicated it may be among them.
-    for replica in replicas(host, stream, REPLICAS_PER_STREAM + 1) {
+    for replica in replicas(host, stream, HOSTS_PER_LOOKUP) {
         if host
             .links
             .send(&replica, LinkMessage::StreamWanted(stream))
