--- a/kernel/tests/streams.rs
+++ b/kernel/tests/streams.rs
@@ -98,7 +98,7 @@
 
 // Guards against a stream that continues at the only version left after its own has gone.
 #[test]
-fn a_version_counts_for_as_long_as_its_streams_may_go_on() {
+fn a_version_counts_for_as_long_as_its_streams_may_be_open() {
     let mut history = VersionHistory::default();
     assert_eq!(history.view(at(0), &service()), VersionView::None);
     history.observe(at(0), &service(), &version("v1"));
