Log crashes with the digest, the count and the parts of the request

A crash has an event of its own now, 605 worker-crashed, with the request, its digest, the crashes on record and the digests of its prompt's parts; request-sent states the crashes on record for the request.

--- a/kernel/src/prompt.rs
+++ b/kernel/src/prompt.rs
@@ -1,5 +1,9 @@
-//! The text of a prompt, its approximate length in tokens and the digests of its blocks.
+//! The text of a prompt, its approximate length in tokens and the digests of its blocks and parts.
 
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
 use serde_json::Value;
 
 use crate::name::BlockDigest;
@@ -13,6 +17,35 @@
 /// The number of bytes of prompt text in one block of a prefix cache.
 pub const BLOCK_BYTES: usize = BLOCK_TOKENS * TOKEN_BYTES;
 
+/// The digest of the identifier of one part of a prompt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PartDigest(pub u64);
+
+impl PartDigest {
+    /// Returns the digest of the part with an identifier.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use borageladder_kernel::prompt::PartDigest;
+    ///
+    /// assert_eq!(PartDigest::of("5c1e07a2"), PartDigest::of("5c1e07a2"));
+    /// assert_ne!(PartDigest::of("5c1e07a2"), PartDigest::of("91bd3f06"));
+    /// ```
+    #[must_use]
+    pub fn of(identifier: &str) -> Self {
+        let hash = blake3::hash(identifier.as_bytes());
+        let leading = hash.as_bytes().first_chunk();
+        Self(leading.copied().map(u64::from_le_bytes).unwrap_or_default())
+    }
+}
+
+impl fmt::Display for PartDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Returns the prompt text of a completion request.
 ///
 /// This is the `prompt` member or, in its absence, the `content` members of `messages`, joined by
--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -97,7 +97,9 @@
         }
     }
 
-    fn crashes(&self, digest: u64, now: ClockTime) -> u8 {
+    /// Returns the number of crashes on record for the digest.
+    #[must_use]
+    pub fn crashes(&self, digest: u64, now: ClockTime) -> u8 {
         match self.records.get(&digest) {
             Some(record) if now.since(record.last) < QUARANTINE_TIME => record.crashes,
             _ => 0,
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -8,6 +8,7 @@
 use crate::kernel::name::ModelName;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
+use crate::kernel::prompt::PartDigest;
 
 /// Values from the headers of a caller's request; `None` where a header is absent or invalid.
 #[derive(Clone, Debug, Default)]
@@ -20,6 +21,8 @@
     pub key: Option<String>,
     /// Requested model.
     pub model: Option<ModelName>,
+    /// The parts of the prompt, in order; callers share all but the last one. Empty if not stated.
+    pub prompt_parts: Vec<PartDigest>,
     /// Length of the prompt and upper bound on the length of the answer, in tokens.
     pub usage: Option<TokenUsage>,
     /// The caller's estimate of the length of the answer, in tokens.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use super::slot::SlotError;
 use super::streams;
 use super::streams::StreamOrigin;
+use super::trace;
 use super::trace::CallTrace;
 use super::worker::WorkerConnection;
 use crate::connection::OpenError;
@@ -293,11 +294,12 @@
         };
         let host = Rc::clone(self.host);
         let worker = worker.clone();
-        let digest = self.planned.digest;
+        let planned = self.planned.clone();
         actix_rt::spawn(async move {
             let opened = WorkerConnection::open(record.address, host.http.clone()).await;
             if matches!(opened, Err(OpenError::Refused { .. })) {
-                host.record_worker_crash(&worker, digest);
+                host.crashes.record_crash(planned.digest);
+                trace::worker_crashed(&host, &planned, &worker);
             }
         });
     }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -284,13 +284,6 @@
         self.state.quotas.borrow_mut().get_mut(workspace).map(act)
     }
 
-    /// Records that a worker crashed while it ran the request with the digest, and notifies the
-    /// other hosts.
-    pub fn record_worker_crash(&self, worker: &WorkerName, digest: u64) {
-        log_event!(self.log, LogEvent::WorkerFailed, "worker" => worker.as_str());
-        self.crashes.record_crash(digest);
-    }
-
     /// Sends the other hosts the units that this host has charged to the quota of each workspace
     /// whose use changed, or of every workspace if `include_unchanged` is set.
     pub fn report_usage(&self, include_unchanged: bool) {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -140,6 +140,7 @@
             "wait_us" => micros(call.dispatched_at.since(self.arrival)),
             "left_ms" => millis(planned.deadline.since(call.dispatched_at)),
             "version" => planned.version,
+            "crashes" => self.host.crashes.crashes(planned.digest),
         );
     }
 
@@ -223,6 +224,18 @@
     }
 }
 
+/// Logs that a worker crashed while it ran a request.
+pub(super) fn worker_crashed(host: &GatewayHost, planned: &PlannedCall, worker: &WorkerName) {
+    let parts = planned.metadata.prompt_parts.iter();
+    let parts: Vec<String> = parts.map(ToString::to_string).collect();
+    log_event!(host.log, LogEvent::WorkerCrashed,
+        "request" => planned.attempt_id.clone(),
+        "worker" => worker.as_str(),
+        "digest" => format!("{:016x}", planned.digest),
+        "crashes" => host.crashes.crashes(planned.digest),
+        "parts" => parts.join(" "));
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
