Refuse requests with a prompt part that crashes workers

Cause: a crash was attributed to the digest of method, path, workspace and body. Each of these requests was new to the register. Seen by: one worker-crashed line for each lost answer, each with a digest of its own. Two further parts of the same fault: an answer without framing that ended by the crash passed for complete and even cleared what was on record, and counts were sent only when they rose, so a host that starts later knew none.

Change: crashes are also recorded by prompt part, by worker and time, over all hosts. A part is refused after three crashes, one of them under a request sent when an earlier one was known; a complete answer clears it, and a quarantined part explains its crashes for its neighbours. A crash is a worker that can't be connected to after a lost answer or after the end of an unframed one, also if it doesn't answer or has left the roster. The reports go to all hosts, and to a host that opens a link. Requests that wait are checked again where they are sent.

Equal requests are still unknown to a host that starts later; that is a fault of its own.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod membership;
 pub mod name;
 pub mod pause;
+pub mod poison;
 pub mod policy;
 pub mod prefix;
 pub mod prompt;
--- /dev/null
+++ b/kernel/src/poison.rs
@@ -0,0 +1,375 @@
+//! Detection and quarantine of prompt parts that crash the workers that begin to answer them.
+//!
+//! A worker that crashes loses the answers to all of its requests, so the parts of each of them are
+//! candidates. What tells the cause from its neighbours:
+//!
+//! - A complete answer clears the parts of its request, since the worker would not have completed it.
+//! - A part is quarantined after [`CRASHES_TO_QUARANTINE`] crashes, one of them under a request that
+//!   was sent when an earlier crash was on record. Workers that fail all at once don't suffice.
+//! - A crash that a quarantined part explains doesn't count for parts with fewer crashes.
+//!
+//! Hosts exchange reports of crashes and of cleared parts, and merge them in any order.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::ClockTime;
+use crate::name::WorkerName;
+use crate::name::WorkspaceName;
+use crate::prompt::PartDigest;
+use crate::quarantine::QUARANTINE_TIME;
+
+/// The number of crashes at which requests with a part are refused.
+pub const CRASHES_TO_QUARANTINE: usize = 3;
+
+/// The time for which a part that was answered completely is no candidate.
+pub const SOUND_TIME: Duration = Duration::from_secs(2);
+
+/// The time within which reports of a crash of one worker mean the same crash; a worker takes longer
+/// to start again.
+pub const CRASH_MERGE_TIME: Duration = Duration::from_secs(1);
+
+/// The maximum number of parts on record on one host; those with the fewest crashes are evicted
+/// first, so that made-up parts can't displace a quarantined one.
+pub const MAX_PARTS: usize = 2_048;
+
+/// The maximum number of parts of one request that are candidates.
+pub const MAX_CANDIDATES: usize = 512;
+
+/// The maximum number of parts in a report of all that is on record.
+const MAX_REPORTED_PARTS: usize = 64;
+
+/// The maximum number of crashes on record for one part; the oldest is dropped first.
+const MAX_CRASHES: usize = 8;
+
+/// The maximum number of parts that are remembered as sound.
+const MAX_SOUND_PARTS: usize = 4_096;
+
+/// The number of workspaces whose crashes quarantine a part for all workspaces.
+const WORKSPACES_TO_QUARANTINE_ALL: usize = 2;
+
+/// A request whose answer was lost in the crash of its worker.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashedRequest<'a> {
+    /// The worker.
+    pub worker: &'a WorkerName,
+    /// The workspace of the caller; `None` if the request belongs to none.
+    pub workspace: Option<&'a WorkspaceName>,
+    /// The parts of the prompt that other requests may share.
+    pub parts: &'a [PartDigest],
+    /// The parts that had a crash on record when the request was sent.
+    pub suspected: &'a [PartDigest],
+}
+
+/// What a host reports of the crashes under one part.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartReport {
+    /// The part.
+    pub part: PartDigest,
+    /// The workspaces whose requests had the part; `None` stands for requests without one.
+    pub workspaces: Vec<Option<WorkspaceName>>,
+    /// Whether one of the requests was sent when an earlier crash was on record.
+    pub repeated: bool,
+    /// The crashes.
+    pub crashes: Vec<CrashReport>,
+}
+
+/// A crash of a worker.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// The worker.
+    pub worker: WorkerName,
+    /// The time since the crash.
+    pub age: Duration,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct CrashRecord {
+    worker: WorkerName,
+    /// Milliseconds on the clock of this process; negative before its start.
+    crashed_at: i64,
+}
+
+impl CrashRecord {
+    fn is_same(&self, other: &Self) -> bool {
+        let apart = self.crashed_at.abs_diff(other.crashed_at);
+        self.worker == other.worker && u128::from(apart) < CRASH_MERGE_TIME.as_millis()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct PartRecord {
+    workspaces: BTreeSet<Option<WorkspaceName>>,
+    repeated: bool,
+    /// At most [`MAX_CRASHES`].
+    crashes: Vec<CrashRecord>,
+}
+
+impl PartRecord {
+    fn newest_crash(&self) -> i64 {
+        let times = self.crashes.iter().map(|crash| crash.crashed_at);
+        times.max().unwrap_or(i64::MIN)
+    }
+
+    fn has_crash(&self, crash: &CrashRecord) -> bool {
+        self.crashes.iter().any(|known| known.is_same(crash))
+    }
+
+    /// Returns the remaining time of the quarantine; `None` if the part isn't quarantined.
+    fn quarantine(&self, now: i64) -> Option<Duration> {
+        if !self.repeated || self.crashes.len() < CRASHES_TO_QUARANTINE {
+            return None;
+        }
+        let age = u64::try_from(now - self.newest_crash()).unwrap_or(0);
+        QUARANTINE_TIME.checked_sub(Duration::from_millis(age))
+    }
+
+    fn is_quarantined_for(&self, workspace: Option<&WorkspaceName>) -> bool {
+        self.workspaces.len() >= WORKSPACES_TO_QUARANTINE_ALL
+            || self.workspaces.contains(&workspace.cloned())
+    }
+}
+
+/// The crashes of workers by the parts of the prompts that they ran, as known to one host.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder_kernel::clock::ClockTime;
+/// use borageladder_kernel::poison::CrashedRequest;
+/// use borageladder_kernel::poison::PoisonRegister;
+/// use borageladder_kernel::prompt::PartDigest;
+///
+/// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// let now = ClockTime::ZERO;
+/// let mut register = PoisonRegister::default();
+/// let parts = [PartDigest::of("5c1e07a2")];
+/// for worker in ["engine-1", "engine-2", "engine-3"] {
+///     let suspected = register.suspected(&parts);
+///     let request = CrashedRequest {
+///         worker: &worker.parse()?,
+///         workspace: None,
+///         parts: &parts,
+///         suspected: &suspected,
+///     };
+///     assert_eq!(register.quarantine(now, None, &parts), None);
+///     register.record_crash(now, &request);
+/// }
+/// assert!(register.quarantine(now, None, &parts).is_some());
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct PoisonRegister {
+    records: BTreeMap<PartDigest, PartRecord>,
+    sound: BTreeMap<PartDigest, ClockTime>,
+    /// The sound parts by the time of their answers; a part that was answered again stands here
+    /// more than once.
+    sound_by_age: VecDeque<(ClockTime, PartDigest)>,
+}
+
+impl PoisonRegister {
+    /// Returns those of the parts that have a crash on record.
+    #[must_use]
+    pub fn suspected(&self, parts: &[PartDigest]) -> Vec<PartDigest> {
+        let suspected = parts.iter().filter(|part| self.records.contains_key(*part));
+        suspected.copied().collect()
+    }
+
+    /// Returns the remaining time for which requests of a workspace with the parts are refused;
+    /// `None` if they may run.
+    #[must_use]
+    pub fn quarantine(
+        &self,
+        now: ClockTime,
+        workspace: Option<&WorkspaceName>,
+        parts: &[PartDigest],
+    ) -> Option<Duration> {
+        let records = parts.iter().filter_map(|part| self.records.get(part));
+        let concerned = records.filter(|record| record.is_quarantined_for(workspace));
+        concerned
+            .filter_map(|record| record.quarantine(millis(now)))
+            .max()
+    }
+
+    /// Records a crash for the parts of a request, and returns the reports for the other hosts.
+    ///
+    /// Parts that were answered completely within [`SOUND_TIME`] are left out.
+    pub fn record_crash(
+        &mut self,
+        now: ClockTime,
+        request: &CrashedRequest<'_>,
+    ) -> Vec<PartReport> {
+        self.forget_sound(now);
+        let candidates = request
+            .parts
+            .iter()
+            .take(MAX_CANDIDATES)
+            .filter(|part| !self.sound.contains_key(*part));
+        let report = |part: &PartDigest| PartReport {
+            part: *part,
+            workspaces: vec![request.workspace.cloned()],
+            repeated: request.suspected.contains(part),
+            crashes: vec![CrashReport {
+                worker: request.worker.clone(),
+                age: Duration::ZERO,
+            }],
+        };
+        let reports: Vec<PartReport> = candidates.map(report).collect();
+        self.merge(now, &reports);
+        reports
+    }
+
+    /// Merges the reports of another host.
+    pub fn merge(&mut self, now: ClockTime, reports: &[PartReport]) {
+        let now = millis(now);
+        for report in reports {
+            let crashes = report.crashes.iter().map(|crash| CrashRecord {
+                worker: crash.worker.clone(),
+                crashed_at: now.saturating_sub_unsigned(whole_millis(crash.age)),
+            });
+            for crash in crashes {
+                self.add_crash(now, report, &crash);
+            }
+        }
+        self.evict();
+    }
+
+    fn add_crash(&mut self, now: i64, report: &PartReport, crash: &CrashRecord) {
+        let record = self.records.entry(report.part).or_default();
+        record.repeated |= report.repeated;
+        for workspace in &report.workspaces {
+            if record.workspaces.len() < WORKSPACES_TO_QUARANTINE_ALL {
+                record.workspaces.insert(workspace.clone());
+            }
+        }
+        if !record.has_crash(crash) {
+            record.crashes.push(crash.clone());
+            record.crashes.sort_by_key(|known| known.crashed_at);
+            let surplus = record.crashes.len().saturating_sub(MAX_CRASHES);
+            record.crashes.drain(..surplus);
+        }
+        let explaining = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.quarantine(now).is_some() && record.has_crash(crash));
+        let explaining: Vec<PartDigest> = explaining.map(|(part, _)| *part).collect();
+        for part in explaining {
+            self.explain_crashes(part);
+        }
+    }
+
+    /// Removes the crashes under a quarantined part from the parts with fewer crashes.
+    fn explain_crashes(&mut self, part: PartDigest) {
+        let Some(cause) = self.records.get(&part).cloned() else {
+            return;
+        };
+        for record in self.records.values_mut() {
+            if record.crashes.len() < cause.crashes.len() {
+                record.crashes.retain(|crash| !cause.has_crash(crash));
+            }
+        }
+        self.records.retain(|_, record| !record.crashes.is_empty());
+    }
+
+    /// Removes the records of the parts of a request that was answered completely, and returns the
+    /// parts that had one, for the other hosts.
+    pub fn record_answer(&mut self, now: ClockTime, parts: &[PartDigest]) -> Vec<PartDigest> {
+        let suspected = self.suspected(parts);
+        self.clear(now, parts);
+        suspected
+    }
+
+    /// Removes the records of parts that were answered completely, at this host or another.
+    pub fn clear(&mut self, now: ClockTime, parts: &[PartDigest]) {
+        self.forget_sound(now);
+        for part in parts.iter().take(MAX_CANDIDATES) {
+            self.records.remove(part);
+            self.sound.insert(*part, now);
+            self.sound_by_age.push_back((now, *part));
+        }
+    }
+
+    /// Returns the reports of what is on record, the parts with most crashes first, for a host that
+    /// may have missed them.
+    #[must_use]
+    pub fn reports(&self, now: ClockTime) -> Vec<PartReport> {
+        let now = millis(now);
+        let mut records: Vec<(&PartDigest, &PartRecord)> = self.records.iter().collect();
+        records.sort_by_key(|(_, record)| {
+            let count = record.crashes.len();
+            (
+                std::cmp::Reverse(count),
+                std::cmp::Reverse(record.newest_crash()),
+            )
+        });
+        let reports = records.into_iter().take(MAX_REPORTED_PARTS);
+        let report = |(part, record): (&PartDigest, &PartRecord)| PartReport {
+            part: *part,
+            workspaces: record.workspaces.iter().cloned().collect(),
+            repeated: record.repeated,
+            crashes: record
+                .crashes
+                .iter()
+                .map(|crash| crash.report(now))
+                .collect(),
+        };
+        reports.map(report).collect()
+    }
+
+    /// Returns the number of crashes on record for a part.
+    #[must_use]
+    pub fn crashes(&self, part: PartDigest) -> usize {
+        self.records
+            .get(&part)
+            .map_or(0, |record| record.crashes.len())
+    }
+
+    fn forget_sound(&mut self, now: ClockTime) {
+        while let Some((answered_at, part)) = self.sound_by_age.front().copied() {
+            let is_old = now.since(answered_at) >= SOUND_TIME;
+            if !is_old && self.sound_by_age.len() < MAX_SOUND_PARTS {
+                return;
+            }
+            self.sound_by_age.pop_front();
+            if self.sound.get(&part) == Some(&answered_at) {
+                self.sound.remove(&part);
+            }
+        }
+    }
+
+    fn evict(&mut self) {
+        while self.records.len() > MAX_PARTS {
+            let least = self.records.iter().min_by_key(|(_, record)| {
+                let quarantined = record.repeated && record.crashes.len() >= CRASHES_TO_QUARANTINE;
+                (quarantined, record.crashes.len(), record.newest_crash())
+            });
+            let Some((part, _)) = least else { return };
+            let part = *part;
+            self.records.remove(&part);
+        }
+    }
+}
+
+impl CrashRecord {
+    fn report(&self, now: i64) -> CrashReport {
+        let age = u64::try_from(now - self.crashed_at).unwrap_or(0);
+        CrashReport {
+            worker: self.worker.clone(),
+            age: Duration::from_millis(age),
+        }
+    }
+}
+
+fn millis(time: ClockTime) -> i64 {
+    i64::try_from(time.as_micros() / 1_000).unwrap_or(i64::MAX)
+}
+
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/kernel/tests/poison.rs
@@ -0,0 +1,208 @@
+//! Which prompt parts are quarantined after crashes of workers, and which are not.
+
+use std::time::Duration;
+
+use borageladder_kernel::clock::ClockTime;
+use borageladder_kernel::name::WorkerName;
+use borageladder_kernel::name::WorkspaceName;
+use borageladder_kernel::poison::CRASH_MERGE_TIME;
+use borageladder_kernel::poison::CRASHES_TO_QUARANTINE;
+use borageladder_kernel::poison::CrashedRequest;
+use borageladder_kernel::poison::MAX_PARTS;
+use borageladder_kernel::poison::PartReport;
+use borageladder_kernel::poison::PoisonRegister;
+use borageladder_kernel::poison::SOUND_TIME;
+use borageladder_kernel::prompt::PartDigest;
+use borageladder_kernel::quarantine::QUARANTINE_TIME;
+
+const SHARED: PartDigest = PartDigest(1);
+const CAUSE: PartDigest = PartDigest(2);
+const NEIGHBOUR: PartDigest = PartDigest(3);
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn worker(number: usize) -> WorkerName {
+    format!("engine-{number}").parse().expect("a valid name")
+}
+
+fn workspace(name: &str) -> WorkspaceName {
+    name.parse().expect("a valid name")
+}
+
+/// Records the crash of a worker under a request that was sent just before.
+fn crash(
+    register: &mut PoisonRegister,
+    now: ClockTime,
+    number: usize,
+    parts: &[PartDigest],
+) -> Vec<PartReport> {
+    let suspected = register.suspected(parts);
+    crash_of_sent(register, now, number, parts, &suspected)
+}
+
+fn crash_of_sent(
+    register: &mut PoisonRegister,
+    now: ClockTime,
+    number: usize,
+    parts: &[PartDigest],
+    suspected: &[PartDigest],
+) -> Vec<PartReport> {
+    let request = CrashedRequest {
+        worker: &worker(number),
+        workspace: Some(&workspace("union")),
+        parts,
+        suspected,
+    };
+    register.record_crash(now, &request)
+}
+
+fn is_quarantined(register: &PoisonRegister, now: ClockTime, part: PartDigest) -> bool {
+    let quarantine = register.quarantine(now, Some(&workspace("union")), &[part]);
+    quarantine.is_some()
+}
+
+#[test]
+fn a_part_is_quarantined_at_the_third_crash_and_for_a_limited_time() {
+    let mut register = PoisonRegister::default();
+    for number in 0..CRASHES_TO_QUARANTINE {
+        assert!(!is_quarantined(&register, at(0), CAUSE));
+        crash(&mut register, at(0), number, &[CAUSE]);
+    }
+    assert!(is_quarantined(&register, at(0), CAUSE));
+    let last = at(0) + QUARANTINE_TIME;
+    assert!(is_quarantined(&register, last, CAUSE));
+    let ended = last + Duration::from_millis(1);
+    assert!(!is_quarantined(&register, ended, CAUSE));
+    // One more crash renews it.
+    crash(&mut register, ended, 9, &[CAUSE]);
+    assert!(is_quarantined(&register, ended, CAUSE));
+}
+
+#[test]
+fn one_crash_of_a_worker_counts_once_for_all_its_requests() {
+    let mut register = PoisonRegister::default();
+    for _ in 0..CRASHES_TO_QUARANTINE {
+        crash(&mut register, at(100), 1, &[CAUSE]);
+    }
+    assert_eq!(register.crashes(CAUSE), 1);
+    let restarted = at(100) + CRASH_MERGE_TIME;
+    crash(&mut register, restarted, 1, &[CAUSE]);
+    assert_eq!(register.crashes(CAUSE), 2);
+}
+
+#[test]
+fn a_part_that_other_requests_complete_is_not_quarantined() {
+    let mut register = PoisonRegister::default();
+    for number in 0..20 {
+        let now = at(1_000 * number);
+        let unit = usize::try_from(number).expect("a small number");
+        crash(&mut register, now, unit, &[SHARED, CAUSE]);
+        register.record_answer(now, &[SHARED]);
+        assert!(!is_quarantined(&register, now, SHARED));
+    }
+    assert!(is_quarantined(&register, at(20_000), CAUSE));
+}
+
+#[test]
+fn workers_that_crash_all_at_once_quarantine_no_part() {
+    let mut register = PoisonRegister::default();
+    for number in 0..18 {
+        crash_of_sent(&mut register, at(5), number, &[SHARED], &[]);
+    }
+    assert_eq!(register.crashes(SHARED), 8);
+    assert!(!is_quarantined(&register, at(5), SHARED));
+}
+
+#[test]
+fn a_quarantined_part_explains_the_crashes_of_its_neighbours() {
+    let mut register = PoisonRegister::default();
+    crash(&mut register, at(0), 1, &[CAUSE]);
+    for number in 2..4 {
+        crash(&mut register, at(0), number, &[NEIGHBOUR]);
+        crash(&mut register, at(0), number, &[CAUSE]);
+    }
+    assert!(is_quarantined(&register, at(0), CAUSE));
+    assert_eq!(register.crashes(NEIGHBOUR), 0);
+    // A crash that is reported later is explained too.
+    crash(&mut register, at(10), 2, &[NEIGHBOUR]);
+    assert_eq!(register.crashes(NEIGHBOUR), 0);
+}
+
+#[test]
+fn a_part_answered_a_moment_ago_is_no_candidate() {
+    let mut register = PoisonRegister::default();
+    register.record_answer(at(0), &[SHARED]);
+    assert!(crash(&mut register, at(1), 1, &[SHARED]).is_empty());
+    let later = at(0) + SOUND_TIME;
+    assert_eq!(crash(&mut register, later, 1, &[SHARED]).len(), 1);
+}
+
+#[test]
+fn crashes_seen_by_several_hosts_add_up_and_an_answer_clears_them_everywhere() {
+    let mut hosts = vec![PoisonRegister::default(); 3];
+    for number in 0..3 {
+        let reports = crash(&mut hosts[number], at(0), number, &[CAUSE]);
+        for (other, host) in hosts.iter_mut().enumerate() {
+            if other != number {
+                host.merge(at(1), &reports);
+            }
+        }
+    }
+    for host in &hosts {
+        assert!(is_quarantined(host, at(1), CAUSE));
+    }
+    let cleared = hosts[0].record_answer(at(2), &[SHARED, CAUSE]);
+    assert_eq!(cleared, [CAUSE]);
+    hosts[1].clear(at(2), &cleared);
+    assert!(!is_quarantined(&hosts[1], at(2), CAUSE));
+}
+
+#[test]
+fn a_host_that_missed_the_reports_gets_them_with_their_ages() {
+    let mut register = PoisonRegister::default();
+    for number in 0..3 {
+        crash(&mut register, at(60_000), number, &[CAUSE]);
+    }
+    let mut started = PoisonRegister::default();
+    started.merge(at(10), &register.reports(at(90_000)));
+    let remaining = started.quarantine(at(10), Some(&workspace("union")), &[CAUSE]);
+    assert_eq!(remaining, Some(QUARANTINE_TIME - Duration::from_secs(30)));
+    started.merge(at(20), &register.reports(at(90_010)));
+    assert_eq!(started.crashes(CAUSE), 3);
+}
+
+#[test]
+fn a_workspace_alone_cannot_block_the_part_of_another() {
+    let mut register = PoisonRegister::default();
+    for number in 0..5 {
+        crash(&mut register, at(0), number, &[CAUSE]);
+    }
+    let other = workspace("small");
+    assert_eq!(register.quarantine(at(0), Some(&other), &[CAUSE]), None);
+    let request = CrashedRequest {
+        worker: &worker(5),
+        workspace: Some(&other),
+        parts: &[CAUSE],
+        suspected: &[CAUSE],
+    };
+    register.record_crash(at(0), &request);
+    assert!(register.quarantine(at(0), Some(&other), &[CAUSE]).is_some());
+    let third = workspace("third");
+    assert!(register.quarantine(at(0), Some(&third), &[CAUSE]).is_some());
+}
+
+#[test]
+fn made_up_parts_do_not_displace_a_quarantined_one() {
+    let mut register = PoisonRegister::default();
+    for number in 0..3 {
+        crash(&mut register, at(0), number, &[CAUSE]);
+    }
+    for number in 0..MAX_PARTS + 100 {
+        let digest = PartDigest(u64::try_from(number).expect("a number") + 100);
+        crash(&mut register, at(2_000), 10 + number, &[digest]);
+    }
+    assert!(is_quarantined(&register, at(2_000), CAUSE));
+    assert!(register.reports(at(2_000)).len() <= 64);
+}
--- /dev/null
+++ b/src/crashes/parts.rs
@@ -0,0 +1,107 @@
+//! Worker crashes by the parts of the prompts that they ran.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::ProcessClock;
+use crate::kernel::name::HostName;
+use crate::kernel::name::WorkspaceName;
+use crate::kernel::poison::CrashedRequest;
+use crate::kernel::poison::PartReport;
+use crate::kernel::poison::PoisonRegister;
+use crate::kernel::prompt::PartDigest;
+use crate::link::LinkSet;
+use crate::wire::LinkMessage;
+
+/// A host's register of crashes by prompt part; what it records is broadcast over the links.
+pub struct SharedPartRegister {
+    register: RefCell<PoisonRegister>,
+    links: Rc<LinkSet>,
+    clock: ProcessClock,
+}
+
+impl fmt::Debug for SharedPartRegister {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SharedPartRegister")
+            .field("register", &self.register)
+            .finish_non_exhaustive()
+    }
+}
+
+impl SharedPartRegister {
+    /// Creates a register without crashes.
+    #[must_use]
+    pub fn new(links: Rc<LinkSet>, clock: ProcessClock) -> Self {
+        Self {
+            register: RefCell::default(),
+            links,
+            clock,
+        }
+    }
+
+    /// Records the crash of a worker for the parts of a request, and reports it to the other hosts.
+    pub fn record_crash(&self, request: &CrashedRequest<'_>) {
+        let now = self.clock.now();
+        let reports = self.register.borrow_mut().record_crash(now, request);
+        if !reports.is_empty() {
+            self.links.broadcast(&LinkMessage::CrashedParts(reports));
+        }
+    }
+
+    /// Clears the parts of a request that a worker completed, and tells the other hosts of those
+    /// that had a crash on record.
+    pub fn record_answer(&self, parts: &[PartDigest]) {
+        let now = self.clock.now();
+        let cleared = self.register.borrow_mut().record_answer(now, parts);
+        if !cleared.is_empty() {
+            self.links.broadcast(&LinkMessage::SoundParts(cleared));
+        }
+    }
+
+    /// Merges the reports of another host.
+    pub fn merge(&self, reports: &[PartReport]) {
+        self.register.borrow_mut().merge(self.clock.now(), reports);
+    }
+
+    /// Clears parts that another host saw completed.
+    pub fn clear(&self, parts: &[PartDigest]) {
+        self.register.borrow_mut().clear(self.clock.now(), parts);
+    }
+
+    /// Reports all that is on record to a host, which may have missed it.
+    pub fn report_to(&self, host: &HostName) {
+        let reports = self.register.borrow().reports(self.clock.now());
+        if !reports.is_empty() {
+            // Without a link, the next connection repeats the reports.
+            let _ = self.links.send(host, LinkMessage::CrashedParts(reports));
+        }
+    }
+
+    /// Returns those of the parts that have a crash on record.
+    #[must_use]
+    pub fn suspected(&self, parts: &[PartDigest]) -> Vec<PartDigest> {
+        self.register.borrow().suspected(parts)
+    }
+
+    /// Returns the number of crashes on record for the part that has most.
+    #[must_use]
+    pub fn most_crashes(&self, parts: &[PartDigest]) -> usize {
+        let register = self.register.borrow();
+        let crashes = parts.iter().map(|part| register.crashes(*part));
+        crashes.max().unwrap_or(0)
+    }
+
+    /// Returns the remaining time for which requests of a workspace with the parts are refused;
+    /// `None` if they may run.
+    #[must_use]
+    pub fn quarantine(
+        &self,
+        workspace: Option<&WorkspaceName>,
+        parts: &[PartDigest],
+    ) -> Option<Duration> {
+        let register = self.register.borrow();
+        register.quarantine(self.clock.now(), workspace, parts)
+    }
+}
--- a/src/crashes.rs
+++ b/src/crashes/requests.rs
@@ -1,4 +1,4 @@
-//! Crash counts of requests that may crash workers; increases spread over the links to all hosts.
+//! Worker crashes by the content of the requests that they ran.
 
 use std::cell::RefCell;
 use std::fmt;
--- a/src/event.rs
+++ b/src/event.rs
@@ -112,7 +112,7 @@
     601 Warning WorkerFailed "worker-failed" "A worker failed while it ran a request, or no longer accepted connections afterwards.";
     602 Warning WorkerEntryUnusable "worker-entry-unusable" "The stored row of a worker can't be read and the worker is treated as absent.";
     603 Info WorkersChanged "workers-changed" "The workers that can be assigned new work changed.";
-    604 Warning RequestQuarantined "request-quarantined" "A request was refused because requests with the same content crashed too many workers.";
+    604 Warning RequestQuarantined "request-quarantined" "A request was refused because requests with the same content or a part of the same prompt crashed too many workers.";
     605 Warning WorkerCrashed "worker-crashed" "A worker that had lost the answer to a request refused connections afterwards; the crash was recorded.";
     700 Warning PlatformFailed "platform-failed" "A call to the platform failed or timed out.";
     800 Warning LinesDropped "lines-dropped" "Log lines were dropped by the rate limit.";
--- /dev/null
+++ b/src/gateway/crash.rs
@@ -0,0 +1,85 @@
+//! Crashes of workers: attribution to the requests that were running, and what clears a request.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::exchange::CallExchange;
+use super::host::GatewayHost;
+use super::plan::PlannedCall;
+use super::trace;
+use super::worker::AnswerFraming;
+use super::worker::WorkerConnection;
+use crate::kernel::name::WorkerName;
+use crate::kernel::poison::CrashedRequest;
+use crate::kernel::prompt::PartDigest;
+
+/// What is known about a dispatch when its answer has ended, to judge a crash of its worker.
+#[derive(Clone, Debug)]
+pub(super) struct DispatchEvidence {
+    pub(super) worker: WorkerName,
+    pub(super) address: SocketAddr,
+    /// The prompt parts that had a crash on record when the request was sent.
+    pub(super) suspected: Vec<PartDigest>,
+}
+
+impl CallExchange<'_> {
+    /// Records that a worker completed the request, so neither its content nor the parts of its
+    /// prompt crash workers.
+    ///
+    /// An answer without framing may have ended by a crash, so it counts only if its worker still
+    /// accepts connections.
+    pub(super) fn record_completion(&self, evidence: &DispatchEvidence) {
+        if self.relay.framing() == Some(AnswerFraming::UntilClose) {
+            self.check_crash(evidence, true);
+        } else {
+            clear(self.host, &self.planned);
+        }
+    }
+
+    /// Attributes a crash to the request if its worker no longer accepts connections.
+    ///
+    /// The check runs in a separate task. If the worker is alive, `completed` says whether that
+    /// shows that it completed the request.
+    pub(super) fn check_crash(&self, evidence: &DispatchEvidence, completed: bool) {
+        let host = Rc::clone(self.host);
+        let evidence = evidence.clone();
+        let planned = self.planned.clone();
+        // A worker crashes as it begins to answer the request that crashes it.
+        let is_candidate = !self.relay.is_established();
+        actix_rt::spawn(async move {
+            match WorkerConnection::open(evidence.address, host.http.clone()).await {
+                Ok(connection) => {
+                    if completed {
+                        clear(&host, &planned);
+                    }
+                    let now = host.clock.now();
+                    host.pool.put(now, &evidence.worker, connection, None);
+                }
+                Err(_unreachable) => record_crash(&host, &planned, &evidence, is_candidate),
+            }
+        });
+    }
+}
+
+fn record_crash(
+    host: &GatewayHost,
+    planned: &PlannedCall,
+    evidence: &DispatchEvidence,
+    is_candidate: bool,
+) {
+    host.crashes.record_crash(planned.digest);
+    if is_candidate {
+        host.parts.record_crash(&CrashedRequest {
+            worker: &evidence.worker,
+            workspace: planned.workspace.as_ref(),
+            parts: planned.shared_parts(),
+            suspected: &evidence.suspected,
+        });
+    }
+    trace::worker_crashed(host, planned, &evidence.worker);
+}
+
+fn clear(host: &GatewayHost, planned: &PlannedCall) {
+    host.crashes.clear(planned.digest);
+    host.parts.record_answer(planned.shared_parts());
+}
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -34,8 +34,8 @@
 pub(super) enum DispatchEnd {
     /// The complete answer was relayed to the caller.
     Answered {
-        /// Whether the answer has a server error status.
-        erred: bool,
+        /// The status of the answer.
+        status: StatusCode,
     },
     /// The worker stated that it did not run the request.
     NotRun,
@@ -131,13 +131,13 @@
                 lost: None,
             });
         }
-        let erred = answer.head().status.is_server_error();
+        let status = answer.head().status;
         let time_to_head = self.host.clock.now().since(dispatched_at);
         let relaying = self.relay.relay_answer(answer, caller, lease, time_to_head);
         match tokio::time::timeout_at(limit, relaying).await {
             Ok(RelayEnd::Complete(answer)) => {
                 self.return_to_pool(worker, *answer, &metadata).await;
-                Ok(DispatchEnd::Answered { erred })
+                Ok(DispatchEnd::Answered { status })
             }
             Ok(RelayEnd::Truncated(error)) => Ok(DispatchEnd::Broken {
                 error: CallError::Lost,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use super::caller::CallerWriter;
+use super::crash::DispatchEvidence;
 use super::delivery::DispatchEnd;
 use super::dialect::CallMetadata;
 use super::frontend::CallerRequest;
@@ -21,10 +22,8 @@
 use super::slot::SlotError;
 use super::streams;
 use super::streams::StreamOrigin;
-use super::trace;
 use super::trace::CallTrace;
 use super::worker::WorkerConnection;
-use crate::connection::OpenError;
 use crate::kernel::attempt::DispatchTally;
 use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
@@ -32,7 +31,6 @@
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::RequestLife;
 use crate::kernel::lifecycle::WaitingState;
-use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkerVersion;
 
 /// Number of unused slots at which a request is refused.
@@ -202,9 +200,17 @@
             life,
             mut lease,
             worker,
+            address,
+            suspected,
             version,
             dispatched_at,
         } = dispatched;
+        let evidence = DispatchEvidence {
+            worker: worker.clone(),
+            address,
+            suspected,
+        };
+        self.relay.start_dispatch();
         let request = self.worker_request(&worker, dispatched_at);
         let end = self
             .send_and_relay(
@@ -217,15 +223,17 @@
             )
             .await?;
         match end {
-            DispatchEnd::Answered { erred: true } => {
+            DispatchEnd::Answered { status } if status.is_server_error() => {
                 lease.erred();
                 Ok(None)
             }
-            DispatchEnd::Answered { erred: false } => {
+            DispatchEnd::Answered { status } => {
                 self.trace
                     .answered(&self.planned, &self.relay, &worker, dispatched_at);
                 lease.finished(self.relay.tokens(), self.relay.token_gap());
-                self.host.crashes.clear(self.planned.digest);
+                if status.is_success() {
+                    self.record_completion(&evidence);
+                }
                 Ok(None)
             }
             DispatchEnd::Erred(permit) => {
@@ -250,7 +258,7 @@
                 self.host.pool.close_connections(&worker);
                 lease.failed();
                 if lost.is_some() {
-                    self.check_crash(&worker);
+                    self.check_crash(&evidence, false);
                 }
                 if self.relay.has_begun() {
                     self.required_version = self.required_version.take().or(version);
@@ -285,25 +293,6 @@
         self.host.take_retry(now, &self.planned.service)
     }
 
-    /// Attributes a crash to the request if its worker no longer accepts connections.
-    ///
-    /// The check runs in a separate task.
-    fn check_crash(&self, worker: &WorkerName) {
-        let Some(record) = self.host.worker(worker) else {
-            return;
-        };
-        let host = Rc::clone(self.host);
-        let worker = worker.clone();
-        let planned = self.planned.clone();
-        actix_rt::spawn(async move {
-            let opened = WorkerConnection::open(record.address, host.http.clone()).await;
-            if matches!(opened, Err(OpenError::Refused { .. })) {
-                host.crashes.record_crash(planned.digest);
-                trace::worker_crashed(&host, &planned, &worker);
-            }
-        });
-    }
-
     /// Returns the error of a request that is not sent, or not sent again.
     ///
     /// Refunds the quota if the request was never dispatched.
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -23,6 +23,7 @@
 use crate::cell::CellService;
 use crate::clock::ProcessClock;
 use crate::crashes::SharedCrashRegister;
+use crate::crashes::SharedPartRegister;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
@@ -70,6 +71,8 @@
     pub cells: Rc<CellService>,
     /// The worker crashes by content digest, shared with the other hosts.
     pub crashes: SharedCrashRegister,
+    /// The worker crashes by prompt part, shared with the other hosts.
+    pub parts: SharedPartRegister,
     /// The idle connections to workers.
     pub pool: ConnectionPool,
     /// Set when the host is asked to stop; answers then close their connections.
@@ -131,6 +134,7 @@
         Self {
             settings: parts.settings,
             crashes: SharedCrashRegister::new(Rc::clone(&parts.links), parts.clock),
+            parts: SharedPartRegister::new(Rc::clone(&parts.links), parts.clock),
             clock: parts.clock,
             log: parts.log,
             metrics: parts.metrics,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! workers. Scheduling decisions are made by the kernel crate.
 
 mod caller;
+mod crash;
 mod delivery;
 mod dialect;
 mod document;
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -25,6 +25,7 @@
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
+use crate::kernel::prompt::PartDigest;
 use crate::kernel::quarantine::QuarantineVerdict;
 use crate::kernel::route::RouteSpec;
 use crate::kernel::stream::StreamKey;
@@ -73,6 +74,12 @@
         /// Time until the quarantine ends.
         retry_after: Duration,
     },
+    /// Requests that share a part of their prompt with this one crashed too many workers.
+    #[error("not run: requests with a part of this prompt crashed workers")]
+    PartQuarantined {
+        /// Time until the quarantine ends.
+        retry_after: Duration,
+    },
     /// No usable answer of the worker was received, and the request may have run.
     #[error("the worker's answer was lost; the request may have run")]
     Lost,
@@ -90,9 +97,10 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady | Self::Refused { .. } | Self::Quarantined { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Refused { .. }
+            | Self::Quarantined { .. }
+            | Self::PartQuarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -105,7 +113,8 @@
             Self::NotReady => Some(NOT_READY_RETRY),
             Self::OverQuota { retry_after, .. }
             | Self::Refused { retry_after, .. }
-            | Self::Quarantined { retry_after } => Some(*retry_after),
+            | Self::Quarantined { retry_after }
+            | Self::PartQuarantined { retry_after } => Some(*retry_after),
             Self::NoIdentifier | Self::NoRoute | Self::UnknownKey | Self::Lost | Self::TimedOut => {
                 None
             }
@@ -179,6 +188,13 @@
         Some(StreamKey::of(first_attempt))
     }
 
+    /// Returns the parts of the prompt that other requests may share: all but the last one.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PartDigest] {
+        let parts = self.metadata.prompt_parts.split_last();
+        parts.map_or(&[], |(_own, shared)| shared)
+    }
+
     /// Returns the ask for a slot on a worker, of a certain version if one is given, with times
     /// relative to `now`.
     #[must_use]
@@ -238,11 +254,25 @@
             return Err(CallError::Quarantined { retry_after });
         }
     }
+    check_parts(host, &planned)?;
     charge_quota(host, &planned)?;
     host.count_request(arrival, &planned.service);
     Ok(planned)
 }
 
+/// Checks that no part of the request's prompt is in quarantine.
+///
+/// # Errors
+///
+/// Returns [`CallError::PartQuarantined`] if one is.
+pub fn check_parts(host: &GatewayHost, planned: &PlannedCall) -> Result<(), CallError> {
+    let workspace = planned.workspace.as_ref();
+    match host.parts.quarantine(workspace, planned.shared_parts()) {
+        Some(retry_after) => Err(CallError::PartQuarantined { retry_after }),
+        None => Ok(()),
+    }
+}
+
 /// Plans a request again after a wait, by the configuration that is in force now.
 ///
 /// Returns `None` if the configuration version has not changed. Digest, suspicion and charge are
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,6 +22,9 @@
 /// Upper bound on the buffered part of an answer in bytes; a longer answer is relayed as it arrives.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Time after its first event from which an answer is past its beginning.
+const ESTABLISHED_TIME: Duration = Duration::from_secs(1);
+
 /// Result of relaying an answer.
 #[derive(Debug)]
 pub enum RelayEnd {
@@ -59,6 +62,8 @@
     partial_bytes: usize,
     time_to_first_event: Option<Duration>,
     first_event_at: Option<Instant>,
+    /// The time of the first event of the present dispatch; `None` before it.
+    dispatch_began_at: Option<Instant>,
     last_event_at: Option<Instant>,
 }
 
@@ -77,6 +82,7 @@
             partial_bytes: 0,
             time_to_first_event: None,
             first_event_at: None,
+            dispatch_began_at: None,
             last_event_at: None,
         }
     }
@@ -100,6 +106,18 @@
         (self.events.events() > 0).then(|| self.events.last_id())
     }
 
+    /// Prepares for the answer to a further dispatch.
+    pub const fn start_dispatch(&mut self) {
+        self.dispatch_began_at = None;
+    }
+
+    /// Returns whether events of the present dispatch have been arriving for [`ESTABLISHED_TIME`].
+    #[must_use]
+    pub fn is_established(&self) -> bool {
+        let began = self.dispatch_began_at;
+        began.is_some_and(|began| began.elapsed() >= ESTABLISHED_TIME)
+    }
+
     /// Drops the incomplete event at the end of a truncated answer.
     pub fn discard_partial(&mut self) {
         self.events.discard_partial();
@@ -190,6 +208,7 @@
                 self.time_to_first_event = Some(after);
                 lease.first_token(after);
             }
+            self.dispatch_began_at.get_or_insert(now);
             self.last_event_at = Some(now);
             self.relay_stream_head(&answer, caller).await?;
             caller.write_body(events).await?;
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -1,5 +1,6 @@
 //! The slot for one dispatch of a request: the wait for its grant, and its use.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use thiserror::Error;
@@ -27,12 +28,17 @@
 use crate::kernel::lifecycle::WaitingState;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkerVersion;
+use crate::kernel::prompt::PartDigest;
 
 /// A request that counts as dispatched to a worker.
 pub(super) struct DispatchedCall {
     pub(super) life: RequestLife<DispatchedState>,
     pub(super) lease: SlotLease,
     pub(super) worker: WorkerName,
+    /// The address of the worker.
+    pub(super) address: SocketAddr,
+    /// The prompt parts that had a crash on record.
+    pub(super) suspected: Vec<PartDigest>,
     /// The version of the worker's software, if it states one.
     pub(super) version: Option<WorkerVersion>,
     pub(super) dispatched_at: ClockTime,
@@ -123,6 +129,9 @@
             }
             Err(error) => return Err((error.into(), granted.release_grant())),
         }
+        if let Err(error) = plan::check_parts(self.host, &self.planned) {
+            return Err((error.into(), granted.release_grant()));
+        }
         let Some(record) = self.host.worker(&worker) else {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         };
@@ -152,7 +161,9 @@
             life,
             lease,
             worker,
+            address: record.address,
             version: record.version,
+            suspected: self.host.parts.suspected(self.planned.shared_parts()),
             dispatched_at: now,
         };
         Ok((dispatched, connection))
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -103,7 +103,9 @@
         match error {
             CallError::Refused { .. } => log_refusal!(LogEvent::RequestRefused),
             CallError::Lost | CallError::TimedOut => log_refusal!(LogEvent::OutcomeUnknown),
-            CallError::Quarantined { .. } => log_refusal!(LogEvent::RequestQuarantined),
+            CallError::Quarantined { .. } | CallError::PartQuarantined { .. } => {
+                log_refusal!(LogEvent::RequestQuarantined)
+            }
             CallError::NoIdentifier
             | CallError::NoRoute
             | CallError::NotReady
@@ -141,6 +143,7 @@
             "left_ms" => millis(planned.deadline.since(call.dispatched_at)),
             "version" => planned.version,
             "crashes" => self.host.crashes.crashes(planned.digest),
+            "part_crashes" => self.host.parts.most_crashes(planned.shared_parts()),
         );
     }
 
@@ -233,6 +236,7 @@
         "worker" => worker.as_str(),
         "digest" => format!("{:016x}", planned.digest),
         "crashes" => host.crashes.crashes(planned.digest),
+        "part_crashes" => host.parts.most_crashes(planned.shared_parts()),
         "parts" => parts.join(" "));
 }
 
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -53,6 +53,8 @@
 const VERSIONED_ASK: u8 = 36;
 const STREAM_VERSION: u8 = 37;
 const STREAM_WANTED: u8 = 38;
+const CRASHED_PARTS: u8 = 39;
+const SOUND_PARTS: u8 = 40;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -163,6 +165,8 @@
                 write(frame, CONFIGURATION_WANTED, version)
             }
             LinkMessage::Crash { digest, crashes } => write(frame, CRASH, &(digest, crashes)),
+            LinkMessage::CrashedParts(reports) => write(frame, CRASHED_PARTS, reports),
+            LinkMessage::SoundParts(parts) => write(frame, SOUND_PARTS, parts),
             LinkMessage::Waiting(request) => {
                 let code = state.encode_request_id(*request, RequestOwner::Receiver);
                 write(frame, WAITING, &code)
@@ -251,6 +255,8 @@
                 let (digest, crashes) = read(rest, limit)?;
                 LinkMessage::Crash { digest, crashes }
             }
+            CRASHED_PARTS => LinkMessage::CrashedParts(read(rest, limit)?),
+            SOUND_PARTS => LinkMessage::SoundParts(read(rest, limit)?),
             WAITING => {
                 let code = read(rest, limit)?;
                 LinkMessage::Waiting(state.decode_request_id(&code, RequestOwner::Receiver))
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -50,6 +50,8 @@
     ConfigurationDeltas "configuration-deltas";
     ConfigurationWanted "configuration-wanted";
     Crash "crash";
+    CrashedParts "crashed-parts";
+    SoundParts "sound-parts";
     Waiting "waiting";
     Usage "usage";
     StateWanted "state-wanted";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -32,6 +32,8 @@
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
+use crate::kernel::poison::PartReport;
+use crate::kernel::prompt::PartDigest;
 use crate::kernel::roster::UpstreamRecord;
 use crate::kernel::stream::StreamKey;
 
@@ -100,6 +102,11 @@
         #[serde(rename = "strikes")]
         crashes: u8,
     },
+    /// Crashes of workers under requests with certain prompt parts: a new one, or those on the
+    /// sender's record when a link is opened.
+    CrashedParts(Vec<PartReport>),
+    /// Prompt parts with crashes on record that a worker has completed a request with.
+    SoundParts(Vec<PartDigest>),
     /// The sender's broker has queued the receiver's request until a slot is free.
     Waiting(RequestId),
     /// The sender's quota usage, for the workspaces whose usage changed since its last report or
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -23,6 +23,9 @@
 use borageladder::kernel::name::NameError;
 use borageladder::kernel::name::RequestId;
 use borageladder::kernel::name::TierRank;
+use borageladder::kernel::poison::CrashReport;
+use borageladder::kernel::poison::PartReport;
+use borageladder::kernel::prompt::PartDigest;
 use borageladder::kernel::stream::StreamKey;
 use borageladder::wire::CellSummary;
 use borageladder::wire::Heartbeat;
@@ -228,6 +231,16 @@
             digest: u64::MAX,
             crashes: 2,
         },
+        LinkMessage::CrashedParts(vec![PartReport {
+            part: PartDigest(u64::MAX),
+            workspaces: vec![None, Some(name("union"))],
+            repeated: true,
+            crashes: vec![CrashReport {
+                worker: name("engine-1"),
+                age: Duration::from_millis(90_000_250),
+            }],
+        }]),
+        LinkMessage::SoundParts(vec![PartDigest(0), PartDigest(7)]),
         LinkMessage::Usage(UsageReport {
             age: Duration::from_millis(90_000_250),
             uses: vec![
