--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -184,6 +184,25 @@
     configuration
 }
 
+fn crash_messages() -> Vec<LinkMessage> {
+    vec![
+        LinkMessage::Crash {
+            digest: u64::MAX,
+            crashes: 2,
+        },
+        LinkMessage::CrashedParts(vec![PartReport {
+            part: PartDigest(u64::MAX),
+            workspaces: vec![None, Some(name("union"))],
+            repeated: true,
+            crashes: vec![CrashReport {
+                worker: name("engine-1"),
+                age: Duration::from_millis(90_000_250),
+            }],
+        }]),
+        LinkMessage::SoundParts(vec![PartDigest(0), PartDigest(7)]),
+    ]
+}
+
 /// Returns messages in the direction from the entry to the broker, and those that every host sends.
 pub fn entry_messages() -> Vec<LinkMessage> {
     let mut messages = vec![
@@ -227,20 +246,6 @@
             &large_configuration(2),
         ))]),
         LinkMessage::ConfigurationWanted(ConfigVersion(8)),
-        LinkMessage::Crash {
-            digest: u64::MAX,
-            crashes: 2,
-        },
-        LinkMessage::CrashedParts(vec![PartReport {
-            part: PartDigest(u64::MAX),
-            workspaces: vec![None, Some(name("union"))],
-            repeated: true,
-            crashes: vec![CrashReport {
-                worker: name("engine-1"),
-                age: Duration::from_millis(90_000_250),
-            }],
-        }]),
-        LinkMessage::SoundParts(vec![PartDigest(0), PartDigest(7)]),
         LinkMessage::Usage(UsageReport {
             age: Duration::from_millis(90_000_250),
             uses: vec![
@@ -287,6 +292,7 @@
             rows: "[]".to_owned(),
         },
     ];
+    messages.extend(crash_messages());
     messages.extend(reports(70));
     for progress in [
         WorkProgress::Stopped,
