Send the crashes of equal requests to hosts that open a link

Callers whose request had crashed two workers were refused at every host but those that had started since, or whose link had been down: there the request crashed up to two more.

Cause: the count of a digest was sent to the linked hosts only when it rose. The class is that of the prompt parts: state that all hosts must act on, sent once.

Change: a register sends what it has to each host with which a link is opened, at most 64 digests. Both daemons have it, as the register itself listens for links. Hosts of earlier builds reject the longer row, so all are replaced at once.

--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -6,9 +6,13 @@
 //! [`CRASH_THRESHOLD`] crashes, requests with it are refused for [`QUARANTINE_TIME`]. The record of
 //! a digest is removed when a request with it finishes.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::clock::ClockTime;
 
 /// The number of crashes at which requests with a digest are refused.
@@ -20,6 +24,9 @@
 /// The maximum number of digests on record on one host; the oldest records are evicted.
 pub const MAX_DIGESTS: usize = 10_000;
 
+/// The maximum number of digests that are reported to a host when a link to it is opened.
+pub const MAX_REPORTED_DIGESTS: usize = 64;
+
 /// How a request may be run, given the crashes recorded for its content.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuarantineVerdict {
@@ -37,7 +44,18 @@
 #[derive(Clone, Copy, Debug)]
 struct CrashRecord {
     crashes: u8,
-    last: ClockTime,
+    expires_at: ClockTime,
+}
+
+/// The crashes on record for a digest, as one host reports them to another.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashCount {
+    /// The digest of the content of requests.
+    pub digest: u64,
+    /// The number of crashes.
+    pub crashes: u8,
+    /// The time for which the crashes stay on record.
+    pub remaining: Duration,
 }
 
 /// The worker crashes by content digest, as known to one host.
@@ -61,21 +79,28 @@
 }
 
 impl CrashRegister {
-    /// Records a crash for a digest and returns the digest's new crash count.
-    pub fn record_crash(&mut self, digest: u64, now: ClockTime) -> u8 {
-        let crashes = self.crashes(digest, now).saturating_add(1);
-        self.merge(digest, crashes, now);
-        crashes
+    /// Records a crash for a digest and returns the report for the other hosts.
+    pub fn record_crash(&mut self, digest: u64, now: ClockTime) -> CrashCount {
+        let count = CrashCount {
+            digest,
+            crashes: self.crashes(digest, now).saturating_add(1),
+            remaining: QUARANTINE_TIME,
+        };
+        self.merge(count, now);
+        count
     }
 
     /// Merges the crash count reported by another host; returns whether it exceeds the count on
     /// record.
-    pub fn merge(&mut self, digest: u64, crashes: u8, now: ClockTime) -> bool {
-        if crashes <= self.crashes(digest, now) {
+    pub fn merge(&mut self, count: CrashCount, now: ClockTime) -> bool {
+        if count.crashes <= self.crashes(count.digest, now) {
             return false;
         }
-        self.records
-            .insert(digest, CrashRecord { crashes, last: now });
+        let record = CrashRecord {
+            crashes: count.crashes,
+            expires_at: now + count.remaining.min(QUARANTINE_TIME),
+        };
+        self.records.insert(count.digest, record);
         self.trim(now);
         true
     }
@@ -101,24 +126,46 @@
     #[must_use]
     pub fn crashes(&self, digest: u64, now: ClockTime) -> u8 {
         match self.records.get(&digest) {
-            Some(record) if now.since(record.last) < QUARANTINE_TIME => record.crashes,
+            Some(record) if now < record.expires_at => record.crashes,
             _ => 0,
         }
     }
 
+    /// Returns the crash counts on record, the highest and latest first, for a host that may have
+    /// missed them; at most [`MAX_REPORTED_DIGESTS`].
+    #[must_use]
+    pub fn counts(&self, now: ClockTime) -> Vec<CrashCount> {
+        let mut records: Vec<(u64, CrashRecord)> = self
+            .records
+            .iter()
+            .filter(|(_, record)| now < record.expires_at)
+            .map(|(digest, record)| (*digest, *record))
+            .collect();
+        records.sort_by_key(|(_, record)| Reverse((record.crashes, record.expires_at)));
+        records.truncate(MAX_REPORTED_DIGESTS);
+        let count = |(digest, record): (u64, CrashRecord)| CrashCount {
+            digest,
+            crashes: record.crashes,
+            remaining: record.expires_at.since(now),
+        };
+        records.into_iter().map(count).collect()
+    }
+
     fn remaining(&self, digest: u64, now: ClockTime) -> Duration {
-        let last = self.records.get(&digest).map_or(now, |record| record.last);
-        QUARANTINE_TIME.saturating_sub(now.since(last))
+        let record = self.records.get(&digest);
+        record.map_or(QUARANTINE_TIME, |record| record.expires_at.since(now))
     }
 
     fn trim(&mut self, now: ClockTime) {
         if self.records.len() <= MAX_DIGESTS {
             return;
         }
-        self.records
-            .retain(|_, record| now.since(record.last) < QUARANTINE_TIME);
+        self.records.retain(|_, record| now < record.expires_at);
         while self.records.len() > MAX_DIGESTS {
-            let oldest = self.records.iter().min_by_key(|(_, record)| record.last);
+            let oldest = self
+                .records
+                .iter()
+                .min_by_key(|(_, record)| record.expires_at);
             let Some((digest, _)) = oldest else { return };
             let digest = *digest;
             self.records.remove(&digest);
--- a/src/context.rs
+++ b/src/context.rs
@@ -102,7 +102,7 @@
     /// The records of this host's requests.
     pub journal: RefCell<RequestJournal>,
     /// The worker crashes attributed to requests, by content digest.
-    pub crashes: SharedCrashRegister,
+    pub crashes: Rc<SharedCrashRegister>,
     /// The configuration that this host applied last.
     pub applied: RefCell<Rc<AppliedConfiguration>>,
     /// The operators' queries to other hosts that wait for answers.
--- a/src/crashes/parts.rs
+++ b/src/crashes/parts.rs
@@ -31,14 +31,22 @@
 }
 
 impl SharedPartRegister {
-    /// Creates a register without crashes.
+    /// Creates a register without crashes, whose records are sent to each host when a link to it is
+    /// opened.
     #[must_use]
-    pub fn new(links: Rc<LinkSet>, clock: ProcessClock) -> Self {
-        Self {
+    pub fn start(links: &Rc<LinkSet>, clock: ProcessClock) -> Rc<Self> {
+        let register = Rc::new(Self {
             register: RefCell::default(),
-            links,
+            links: Rc::clone(links),
             clock,
-        }
+        });
+        let weak = Rc::downgrade(&register);
+        links.on_connect(Rc::new(move |host| {
+            if let Some(register) = weak.upgrade() {
+                register.report_to(host);
+            }
+        }));
+        register
     }
 
     /// Records the crash of a worker for the parts of a request, and reports it to the other hosts.
@@ -70,8 +78,7 @@
         self.register.borrow_mut().clear(self.clock.now(), parts);
     }
 
-    /// Reports all that is on record to a host, which may have missed it.
-    pub fn report_to(&self, host: &HostName) {
+    fn report_to(&self, host: &HostName) {
         let reports = self.register.borrow().reports(self.clock.now());
         if !reports.is_empty() {
             // Without a link, the next connection repeats the reports.
--- a/src/crashes/requests.rs
+++ b/src/crashes/requests.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 
 use crate::clock::ProcessClock;
+use crate::kernel::name::HostName;
+use crate::kernel::quarantine::CrashCount;
 use crate::kernel::quarantine::CrashRegister;
 use crate::kernel::quarantine::QuarantineVerdict;
 use crate::link::LinkSet;
@@ -26,13 +28,29 @@
 }
 
 impl SharedCrashRegister {
-    /// Creates a register without crashes.
+    /// Creates a register without crashes, whose counts are sent to each host when a link to it is
+    /// opened.
     #[must_use]
-    pub fn new(links: Rc<LinkSet>, clock: ProcessClock) -> Self {
-        Self {
+    pub fn start(links: &Rc<LinkSet>, clock: ProcessClock) -> Rc<Self> {
+        let register = Rc::new(Self {
             register: RefCell::default(),
-            links,
+            links: Rc::clone(links),
             clock,
+        });
+        let weak = Rc::downgrade(&register);
+        links.on_connect(Rc::new(move |host| {
+            if let Some(register) = weak.upgrade() {
+                register.report_to(host);
+            }
+        }));
+        register
+    }
+
+    fn report_to(&self, host: &HostName) {
+        let counts = self.register.borrow().counts(self.clock.now());
+        for count in counts {
+            // Without a link, the next connection repeats the counts.
+            let _ = self.links.send(host, LinkMessage::Crash(count));
         }
     }
 
@@ -40,18 +58,16 @@
     /// the new count.
     pub fn record_crash(&self, digest: u64) {
         let now = self.clock.now();
-        let crashes = self.register.borrow_mut().record_crash(digest, now);
-        self.links
-            .broadcast(&LinkMessage::Crash { digest, crashes });
+        let count = self.register.borrow_mut().record_crash(digest, now);
+        self.links.broadcast(&LinkMessage::Crash(count));
     }
 
     /// Merges a count that another host sent. A count that is new here is broadcast again, since
     /// hosts of other data centres may be linked to a few hosts only.
-    pub fn merge(&self, digest: u64, crashes: u8) {
+    pub fn merge(&self, count: CrashCount) {
         let now = self.clock.now();
-        if self.register.borrow_mut().merge(digest, crashes, now) {
-            self.links
-                .broadcast(&LinkMessage::Crash { digest, crashes });
+        if self.register.borrow_mut().merge(count, now) {
+            self.links.broadcast(&LinkMessage::Crash(count));
         }
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -142,7 +142,7 @@
     };
     let cells = CellService::new(Box::new(network), clock, broker_settings);
     let claims = ClaimService::new(platform.clone(), settings.host.clone());
-    let crashes = SharedCrashRegister::new(Rc::clone(&links), clock);
+    let crashes = SharedCrashRegister::start(&links, clock);
     let applied = AppliedConfiguration::from(configuration_agent.configuration());
     let context = Rc::new(HostContext {
         settings: Rc::new(settings),
@@ -202,9 +202,7 @@
     context.members.receive(from, &message);
     context.configuration_agent.receive(from, &message);
     match message {
-        LinkMessage::Crash { digest, crashes } => {
-            context.crashes.merge(digest, crashes);
-        }
+        LinkMessage::Crash(count) => context.crashes.merge(count),
         LinkMessage::Query { number, text } => query::answer(context, from, number, text),
         LinkMessage::QueryAnswer { number, rows } => context.queries.add_rows(number, from, &rows),
         other => context.cells.receive(from, other),
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -70,9 +70,9 @@
     /// The cells for which the host requests or grants slots.
     pub cells: Rc<CellService>,
     /// The worker crashes by content digest, shared with the other hosts.
-    pub crashes: SharedCrashRegister,
+    pub crashes: Rc<SharedCrashRegister>,
     /// The worker crashes by prompt part, shared with the other hosts.
-    pub parts: SharedPartRegister,
+    pub parts: Rc<SharedPartRegister>,
     /// The idle connections to workers.
     pub pool: ConnectionPool,
     /// Set when the host is asked to stop; answers then close their connections.
@@ -133,8 +133,8 @@
     fn from(parts: GatewayParts) -> Self {
         Self {
             settings: parts.settings,
-            crashes: SharedCrashRegister::new(Rc::clone(&parts.links), parts.clock),
-            parts: SharedPartRegister::new(Rc::clone(&parts.links), parts.clock),
+            crashes: SharedCrashRegister::start(&parts.links, parts.clock),
+            parts: SharedPartRegister::start(&parts.links, parts.clock),
             clock: parts.clock,
             log: parts.log,
             metrics: parts.metrics,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -246,7 +246,7 @@
 fn handle_message(host: &Rc<GatewayHost>, from: &HostName, message: LinkMessage) {
     host.members.receive(from, &message);
     match message {
-        LinkMessage::Crash { digest, crashes } => host.crashes.merge(digest, crashes),
+        LinkMessage::Crash(count) => host.crashes.merge(count),
         LinkMessage::CrashedParts(reports) => host.parts.merge(&reports),
         LinkMessage::SoundParts(parts) => host.parts.clear(&parts),
         LinkMessage::Usage(report) => host.record_peer_usage(from, &report),
@@ -320,12 +320,6 @@
             host.cells.host_lost(&name);
         }
     }));
-    let weak = Rc::downgrade(host);
-    host.links.on_connect(Rc::new(move |peer| {
-        if let Some(host) = weak.upgrade() {
-            host.parts.report_to(peer);
-        }
-    }));
     actix_rt::spawn(Rc::clone(&host.cells).run_ticks());
     actix_rt::spawn(Rc::clone(&host.cells).run_summaries());
     actix_rt::spawn(close_expired_connections(Rc::clone(host)));
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -5,6 +5,7 @@
 //! milliseconds, token gaps in whole microseconds.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -14,8 +15,10 @@
 use super::state::CodecState;
 use super::state::LinkIncarnations;
 use super::state::RequestOwner;
+use super::state::millis;
 use super::work::ProgressKind;
 use crate::kernel::ask::Ask;
+use crate::kernel::quarantine::CrashCount;
 
 /// The maximum length of a frame, in bytes, and of a configuration or a state update.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -164,7 +167,10 @@
             LinkMessage::ConfigurationWanted(version) => {
                 write(frame, CONFIGURATION_WANTED, version)
             }
-            LinkMessage::Crash { digest, crashes } => write(frame, CRASH, &(digest, crashes)),
+            LinkMessage::Crash(count) => {
+                let row = (count.digest, count.crashes, millis(count.remaining));
+                write(frame, CRASH, &row)
+            }
             LinkMessage::CrashedParts(reports) => write(frame, CRASHED_PARTS, reports),
             LinkMessage::SoundParts(parts) => write(frame, SOUND_PARTS, parts),
             LinkMessage::Waiting(request) => {
@@ -252,8 +258,12 @@
             CONFIGURATION_DELTAS => LinkMessage::ConfigurationDeltas(read(rest, limit)?),
             CONFIGURATION_WANTED => LinkMessage::ConfigurationWanted(read(rest, limit)?),
             CRASH => {
-                let (digest, crashes) = read(rest, limit)?;
-                LinkMessage::Crash { digest, crashes }
+                let (digest, crashes, remaining) = read(rest, limit)?;
+                LinkMessage::Crash(CrashCount {
+                    digest,
+                    crashes,
+                    remaining: Duration::from_millis(remaining),
+                })
             }
             CRASHED_PARTS => LinkMessage::CrashedParts(read(rest, limit)?),
             SOUND_PARTS => LinkMessage::SoundParts(read(rest, limit)?),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -34,6 +34,7 @@
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::poison::PartReport;
 use crate::kernel::prompt::PartDigest;
+use crate::kernel::quarantine::CrashCount;
 use crate::kernel::roster::UpstreamRecord;
 use crate::kernel::stream::StreamKey;
 
@@ -93,15 +94,9 @@
     ConfigurationDeltas(Vec<Arc<ConfigurationDelta>>),
     /// The sender requests the configuration if the receiver has a newer version than this one.
     ConfigurationWanted(ConfigVersion),
-    /// The number of worker crashes attributed to a request.
+    /// The worker crashes attributed to requests with equal content.
     #[serde(rename = "Strike")]
-    Crash {
-        /// The digest of the request's content.
-        digest: u64,
-        /// The crashes that the sender has recorded.
-        #[serde(rename = "strikes")]
-        crashes: u8,
-    },
+    Crash(CrashCount),
     /// Crashes of workers under requests with certain prompt parts: a new one, or those on the
     /// sender's record when a link is opened.
     CrashedParts(Vec<PartReport>),
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -26,6 +26,7 @@
 use borageladder::kernel::poison::CrashReport;
 use borageladder::kernel::poison::PartReport;
 use borageladder::kernel::prompt::PartDigest;
+use borageladder::kernel::quarantine::CrashCount;
 use borageladder::kernel::stream::StreamKey;
 use borageladder::wire::CellSummary;
 use borageladder::wire::Heartbeat;
@@ -186,10 +187,11 @@
 
 fn crash_messages() -> Vec<LinkMessage> {
     vec![
-        LinkMessage::Crash {
+        LinkMessage::Crash(CrashCount {
             digest: u64::MAX,
             crashes: 2,
-        },
+            remaining: Duration::from_mins(10),
+        }),
         LinkMessage::CrashedParts(vec![PartReport {
             part: PartDigest(u64::MAX),
             workspaces: vec![None, Some(name("union"))],
