--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -50,6 +50,10 @@
 /// The maximum number of parts that are remembered as sound.
 const MAX_SOUND_PARTS: usize = 4_096;
 
+/// The time after the latest crash of a part for which its crashes stay on record. One crash in it
+/// renews a quarantine that has ended.
+const RECORD_TIME: Duration = QUARANTINE_TIME.saturating_mul(2);
+
 /// The number of workspaces whose crashes quarantine a part for all workspaces.
 const WORKSPACES_TO_QUARANTINE_ALL: usize = 2;
 
@@ -237,7 +241,7 @@
                 self.add_crash(now, report, &crash);
             }
         }
-        self.evict();
+        self.evict(now);
     }
 
     fn add_crash(&mut self, now: i64, report: &PartReport, crash: &CrashRecord) {
@@ -343,7 +347,12 @@
         }
     }
 
-    fn evict(&mut self) {
+    fn evict(&mut self, now: i64) {
+        let is_recent = |record: &PartRecord| {
+            let age = u64::try_from(now - record.newest_crash()).unwrap_or(0);
+            Duration::from_millis(age) < RECORD_TIME
+        };
+        self.records.retain(|_, record| is_recent(record));
         while self.records.len() > MAX_PARTS {
             let least = self.records.iter().min_by_key(|(_, record)| {
                 let quarantined = record.repeated && record.crashes.len() >= CRASHES_TO_QUARANTINE;
--- a/kernel/tests/poison.rs
+++ b/kernel/tests/poison.rs
@@ -80,6 +80,17 @@
     assert!(is_quarantined(&register, ended, CAUSE));
 }
 
+#[test]
+fn crashes_that_lie_far_apart_do_not_add_up() {
+    let mut register = PoisonRegister::default();
+    crash(&mut register, at(0), 1, &[NEIGHBOUR]);
+    crash(&mut register, at(0), 2, &[NEIGHBOUR]);
+    let later = at(0) + QUARANTINE_TIME * 2;
+    crash(&mut register, later, 3, &[CAUSE]);
+    crash(&mut register, later, 3, &[NEIGHBOUR]);
+    assert_eq!(register.crashes(NEIGHBOUR), 1);
+}
+
 #[test]
 fn one_crash_of_a_worker_counts_once_for_all_its_requests() {
     let mut register = PoisonRegister::default();
