--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod location;
 pub mod membership;
 pub mod name;
+pub mod pace;
 pub mod pause;
 pub mod poison;
 pub mod policy;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -8,6 +8,7 @@
 use crate::kernel::name::ModelName;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
+use crate::kernel::pace::RateStatement;
 use crate::kernel::prompt::PartDigest;
 
 /// Values from the headers of a caller's request; `None` where a header is absent or invalid.
@@ -72,6 +73,8 @@
     pub not_run: bool,
     /// Whether the worker signed the answer.
     pub signed: bool,
+    /// The rate of requests that the worker takes from all hosts together.
+    pub rate: RateStatement,
     /// Time for which the worker keeps the idle connection open, if the worker states it.
     pub keep_alive: Option<Duration>,
 }
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -15,6 +15,7 @@
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkerVersion;
+use crate::kernel::pace::RateStatement;
 use crate::log_event;
 use crate::metrics::RequestLabels;
 use crate::metrics::RequestOutcome;
@@ -147,6 +148,15 @@
         );
     }
 
+    /// Logs the rate of requests that a worker named.
+    pub(super) fn rate_named(&self, worker: &WorkerName, rate: RateStatement) {
+        if let RateStatement::Limited(rate) = rate {
+            log_event!(self.host.log, LogEvent::WorkerRateNamed,
+                "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
+                "rate" => rate.to_string());
+        }
+    }
+
     /// Logs that a granted slot was not used.
     pub(super) fn slot_unused(&self, worker: &WorkerName, reason: &dyn std::error::Error) {
         log_event!(self.host.log, LogEvent::SlotUnused,
