Keep to the rate of requests that a worker names

Cause: nobody read the header, and nothing in the system counts the requests to a worker in time. Slots bound only how many run at once, so a worker that takes few looked like the one with most room.

Change: entries report the rate with the head of the answer that names it, to the broker and the deputy. The broker paces its grants to the worker by it and counts those that another broker issued; a worker whose pace allows nothing has no free slot, and its slots count for predicted waits only as far as the rate lets them be used. An answer that names no rate ends the limit if its request was sent after the limit was named. Entries declare the rates that they remember to a broker that takes over.

Why it works: all requests to a worker pass one broker, or two that hear of each other's, so that the rule over all hosts needs no share for each. The rate and a burst of 2 stay under one and a half times the rate and 5 in any four seconds.

Ruled out: a limit known at some hosts only (no host changed what it sent), and one that counts what runs (nothing counted arrivals). 'worker-rate-named' is called worker-rate-changed now, since it is logged for changes only.

--- a/kernel/src/ask.rs
+++ b/kernel/src/ask.rs
@@ -16,6 +16,8 @@
 use crate::name::WorkerName;
 use crate::name::WorkerVersion;
 use crate::name::WorkspaceName;
+use crate::pace::NamedRate;
+use crate::pace::RequestRate;
 
 /// A request for a slot on a worker of one service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -110,6 +112,11 @@
 pub enum WorkProgress {
     /// The first byte of the request was written to the worker.
     Dispatched,
+    /// The head of the answer arrived and named the rate of requests that the worker takes.
+    RateNamed {
+        /// The rate.
+        rate: RequestRate,
+    },
     /// The first token arrived.
     FirstToken {
         /// The time since the dispatch.
@@ -227,6 +234,12 @@
         /// All requests of the entry that hold a slot of the cell.
         running: Vec<RunningWork>,
     },
+    /// An entry declares the rates that workers of this cell named to it, when this broker has
+    /// taken over.
+    RatesDeclared {
+        /// The rates.
+        rates: Vec<NamedRate>,
+    },
     /// A host was declared dead.
     HostLost {
         /// The host.
--- a/kernel/src/broker/candidates.rs
+++ b/kernel/src/broker/candidates.rs
@@ -173,7 +173,7 @@
         cached_tokens,
         pending_tokens,
         pending_wait: pending.map_or(Duration::ZERO, |pending| pending.ready_at.since(query.now)),
-        slot_wait: slot_wait(record, ask.tier),
+        slot_wait: slot_wait(query.now, record, ask.tier),
         backlog: speed.prefill(backlog),
         prefill: speed.prefill(ask.prompt_tokens - cached_tokens),
         pending_prefill: speed.prefill(ask.prompt_tokens - pending_tokens),
@@ -192,11 +192,11 @@
     })
 }
 
-fn slot_wait(record: &WorkerRecord, tier: TierRank) -> Duration {
+fn slot_wait(now: ClockTime, record: &WorkerRecord, tier: TierRank) -> Duration {
     let healthy = record.eligible() && record.health == WorkerHealth::Healthy;
     match (record.available, healthy) {
         (true, _) => Duration::ZERO,
-        (false, true) => record.slot_wait(tier),
+        (false, true) => record.slot_wait(now, tier),
         (false, false) => UNAVAILABLE_WORKER_WAIT,
     }
 }
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -184,6 +184,7 @@
         let id = self.next_grant();
         let expires = now + self.settings.grant_lifetime;
         let uncached_tokens = self.occupy_slot(now, worker, &waiting);
+        self.count_sent(now, worker);
         let grant = Grant {
             grant: id,
             request,
@@ -204,6 +205,7 @@
             expires,
             started: now,
             release_at: None,
+            rate_named: false,
             uncached_tokens,
             prefix: waiting.ask.prefix,
             exclusive: waiting.ask.suspect,
--- a/kernel/src/broker/grants.rs
+++ b/kernel/src/broker/grants.rs
@@ -52,6 +52,8 @@
     pub started: ClockTime,
     /// The time at which the slot is released; `None` unless the host is lost.
     pub release_at: Option<ClockTime>,
+    /// Whether the answer named the rate of requests that the worker takes.
+    pub rate_named: bool,
     /// The prompt tokens that the worker had not cached when the grant was issued.
     pub uncached_tokens: u32,
     /// The digests of the leading prompt blocks; emptied at the first token.
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -73,6 +73,8 @@
     pub measured: bool,
     /// The number of slots of all workers at the last measurement.
     pub slots: u32,
+    /// Whether each worker that may get new requests named a rate, at the last measurement.
+    pub paced: bool,
     /// The shortest token gap and the shortest prefill time per token of healthy workers at the
     /// last measurement, possibly of two different workers.
     pub fastest: WorkerSpeed,
@@ -120,11 +122,13 @@
 /// Recomputes the number of slots and the speeds of a lane from the records of its workers.
 pub(super) fn measure_lane(now: ClockTime, lane: &mut WorkLane, records: &[WorkerRecord]) {
     let mut slots = 0_u32;
+    let mut paced = true;
     let mut gaps = Vec::with_capacity(lane.workers.len());
     let mut prefills = Vec::with_capacity(lane.workers.len());
     for position in &lane.workers {
         let record = &records[*position];
-        slots = slots.saturating_add(record.slots(now));
+        slots = slots.saturating_add(record.usable_slots(now));
+        paced &= record.pace.is_some() || !record.eligible();
         if record.health == WorkerHealth::Healthy {
             gaps.extend(record.speed.gap_micros());
             prefills.extend(record.speed.prefill_nanos());
@@ -135,6 +139,7 @@
     let unknown = WorkerSpeed::default();
     lane.fastest_workers = fastest_workers(lane, records);
     lane.slots = slots;
+    lane.paced = paced;
     // Plain services have no token speeds; their times come from completed requests.
     lane.measured = lane.key.model.is_none() || !(gaps.is_empty() || prefills.is_empty());
     lane.typical = WorkerSpeed {
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -16,6 +16,7 @@
 mod grants;
 mod health;
 mod lanes;
+mod rates;
 mod records;
 mod reports;
 mod settings;
@@ -192,6 +193,7 @@
             BrokerEvent::Withdrawn { host, request } => self.on_withdrawn(now, &host, request),
             BrokerEvent::Reported { host, report } => self.on_reported(now, &host, &report),
             BrokerEvent::Declared { host, running } => self.on_declared(now, &host, &running),
+            BrokerEvent::RatesDeclared { rates } => self.on_rates_declared(now, &rates),
             BrokerEvent::HostLost { host } => self.on_host_lost(now, &host),
             BrokerEvent::WorkersChanged { workers } => {
                 self.on_workers_changed(now, &workers, &mut actions);
--- /dev/null
+++ b/kernel/src/broker/rates.rs
@@ -0,0 +1,94 @@
+//! Workers that name the rate of requests that they take from all hosts together.
+//!
+//! The broker counts each request that it grants or that another broker of the cell granted, and
+//! grants no further one before the rate lets it be sent. A limit ends with the first answer that
+//! names none to a request that was sent after the limit was named; an answer that was on its way at
+//! that time says nothing.
+
+use std::time::Duration;
+
+use super::CellBroker;
+use super::timers::BrokerTimer;
+use crate::clock::ClockTime;
+use crate::name::GrantId;
+use crate::pace::NamedRate;
+use crate::pace::RequestPace;
+use crate::pace::RequestRate;
+
+impl CellBroker {
+    /// Applies the rate that a worker named in the head of an answer.
+    pub(super) fn on_rate_named(&mut self, now: ClockTime, worker: usize, rate: RequestRate) {
+        self.apply_rate(now, worker, rate, now);
+    }
+
+    /// Applies the rates that an entry remembers, where they are newer than those known here.
+    pub(super) fn on_rates_declared(&mut self, now: ClockTime, rates: &[NamedRate]) {
+        for named in rates {
+            if let Some(worker) = self.workers.position(&named.worker) {
+                let age = u64::try_from(named.age.as_micros()).unwrap_or(u64::MAX);
+                let named_at = ClockTime::from_micros(now.as_micros().saturating_sub(age));
+                self.apply_rate(now, worker, named.rate, named_at);
+            }
+        }
+    }
+
+    fn apply_rate(
+        &mut self,
+        now: ClockTime,
+        worker: usize,
+        rate: RequestRate,
+        named_at: ClockTime,
+    ) {
+        match &mut self.workers.records[worker].pace {
+            Some(pace) => pace.name(rate, named_at),
+            pace @ None => *pace = Some(RequestPace::new(rate, named_at)),
+        }
+        self.refresh_pace(now, worker);
+    }
+
+    /// Counts a request that is sent to a worker.
+    pub(super) fn count_sent(&mut self, now: ClockTime, worker: usize) {
+        if let Some(pace) = &mut self.workers.records[worker].pace {
+            pace.sent(now);
+            self.refresh_pace(now, worker);
+        }
+    }
+
+    /// Returns the time until the rates of a lane's workers let a request be sent; zero if a worker
+    /// has no limit.
+    pub(super) fn pace_wait(&self, now: ClockTime, lane: usize) -> Duration {
+        let lane = &self.workers.lanes[lane];
+        if !lane.paced {
+            return Duration::ZERO;
+        }
+        let records = lane
+            .workers
+            .iter()
+            .map(|worker| &self.workers.records[*worker]);
+        let paces = records.filter_map(|record| record.pace);
+        paces.map(|pace| pace.wait(now)).min().unwrap_or_default()
+    }
+
+    /// Ends the limit of a worker that answered a later request without naming one.
+    pub(super) fn on_answered(&mut self, now: ClockTime, grant: GrantId) {
+        let Some(record) = self.grants.get(grant) else {
+            return;
+        };
+        let worker = record.worker;
+        let pace = &mut self.workers.records[worker].pace;
+        let sent_later = |pace: &mut RequestPace| record.started > pace.named_at();
+        if !record.rate_named && pace.as_mut().is_some_and(sent_later) {
+            *pace = None;
+            self.workers.refresh(now, worker);
+        }
+    }
+
+    /// Recomputes whether the worker gets requests now, and sets the timer for the next one.
+    fn refresh_pace(&mut self, now: ClockTime, worker: usize) {
+        self.workers.refresh(now, worker);
+        let wait = self.workers.records[worker].pace.map(|pace| pace.wait(now));
+        if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
+            self.set_timer(now + wait, BrokerTimer::Worker(worker));
+        }
+    }
+}
--- a/kernel/src/broker/records.rs
+++ b/kernel/src/broker/records.rs
@@ -15,6 +15,7 @@
 use crate::name::TierRank;
 use crate::name::WorkerName;
 use crate::name::WorkerVersion;
+use crate::pace::RequestPace;
 use crate::prefix::PrefixCache;
 use crate::queue::TierQueue;
 
@@ -70,6 +71,8 @@
     pub prefilling: u64,
     /// The moving average of the time that a request holds a slot; `None` before the first one.
     pub mean_hold_micros: Option<u64>,
+    /// The pace of a worker that names a rate; `None` if it takes requests at any rate.
+    pub pace: Option<RequestPace>,
     /// The suspect that runs alone on the worker, or for which the worker is reserved.
     pub exclusive_request: Option<RequestId>,
     /// The requests that wait for a slot on this worker only.
@@ -97,6 +100,7 @@
             used: 0,
             prefilling: 0,
             mean_hold_micros: None,
+            pace: None,
             exclusive_request: None,
             waiters: TierQueue::default(),
         }
@@ -118,16 +122,36 @@
         }
     }
 
+    /// Returns the number of slots at `now` that the worker's rate lets requests use.
+    pub(super) fn usable_slots(&self, now: ClockTime) -> u32 {
+        let slots = self.slots(now);
+        let by_rate = |pace: &RequestPace| pace.rate().concurrency(self.mean_hold());
+        self.pace
+            .as_ref()
+            .map_or(slots, |pace| slots.min(by_rate(pace)))
+    }
+
+    /// Returns whether the worker's rate lets a request be sent now.
+    pub(super) fn keeps_pace(&self, now: ClockTime) -> bool {
+        self.pace.is_none_or(|pace| pace.wait(now).is_zero())
+    }
+
     /// Returns the mean time that a request holds a slot, or a default before the first one.
     pub(super) fn mean_hold(&self) -> Duration {
         Duration::from_micros(self.mean_hold_micros.unwrap_or(DEFAULT_HOLD_MICROS))
     }
 
     /// Returns the predicted time until one more request of the tier would get a slot.
-    pub(super) fn slot_wait(&self, tier: TierRank) -> Duration {
-        let ahead = self.waiters.len_up_to(tier).saturating_add(1);
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.mean_hold().saturating_mul(ahead) / self.limit.slots().max(1)
+    pub(super) fn slot_wait(&self, now: ClockTime, tier: TierRank) -> Duration {
+        let ahead = u32::try_from(self.waiters.len_up_to(tier)).unwrap_or(u32::MAX);
+        let by_rate = self
+            .pace
+            .map_or(Duration::ZERO, |pace| pace.wait_behind(now, ahead));
+        if self.used < self.slots(now) {
+            return by_rate;
+        }
+        let turns = self.mean_hold().saturating_mul(ahead.saturating_add(1));
+        (turns / self.limit.slots().max(1)).max(by_rate)
     }
 
     /// Updates the mean hold time, in which a new sample has the weight 1/8.
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -45,15 +45,26 @@
         let worker = record.worker;
         match report.progress {
             WorkProgress::Dispatched => self.on_dispatched(now, report.grant),
-            WorkProgress::FirstToken { after } => self.on_first_token(now, report.grant, after),
+            WorkProgress::RateNamed { rate } => {
+                self.on_rate_named(now, worker, rate);
+                if let Some(record) = self.grants.get_mut(report.grant) {
+                    record.rate_named = true;
+                }
+            }
+            WorkProgress::FirstToken { after } => {
+                self.on_answered(now, report.grant);
+                self.on_first_token(now, report.grant, after);
+            }
             WorkProgress::Finished {
                 answer_tokens,
                 token_gap,
             } => {
+                self.on_answered(now, report.grant);
                 self.on_finished(now, report.grant, answer_tokens, token_gap);
             }
             WorkProgress::Stopped | WorkProgress::Released => self.free_slot(now, report.grant),
             WorkProgress::Erred => {
+                self.on_answered(now, report.grant);
                 self.workers.records[worker].failures.record_failure();
                 self.free_slot(now, report.grant);
             }
@@ -73,7 +84,9 @@
         match report.progress {
             WorkProgress::Dispatched => {
                 self.adopt(now, host, report.request, report.grant, worker);
+                self.count_sent(now, worker);
             }
+            WorkProgress::RateNamed { rate } => self.on_rate_named(now, worker, rate),
             WorkProgress::Finished {
                 answer_tokens,
                 token_gap,
@@ -318,6 +331,7 @@
             expires: now,
             started: now,
             release_at: None,
+            rate_named: false,
             uncached_tokens: 0,
             prefix: Vec::new(),
             exclusive: false,
--- a/kernel/src/broker/suspects.rs
+++ b/kernel/src/broker/suspects.rs
@@ -37,7 +37,8 @@
             let Some(worker) = self.exclusive_worker(now, lane) else {
                 return false;
             };
-            if self.workers.records[worker].used > 0 {
+            let record = &self.workers.records[worker];
+            if record.used > 0 || !record.keeps_pace(now) {
                 self.reserve(now, lane, worker, suspect.request);
                 return false;
             }
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 mod latency_targets;
 mod prefixes;
+mod rates;
 mod retry_after;
 mod shedding;
 mod versions;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -8,6 +8,7 @@
 mod asks;
 mod brokers;
 mod network;
+mod rates;
 mod roles;
 mod service;
 mod slot;
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -16,6 +16,7 @@
 use super::brokers::BrokerTable;
 use super::network::CellNetwork;
 use super::network::region_of;
+use super::rates::RateTable;
 use crate::clock::ProcessClock;
 use crate::kernel::ask::Ask;
 use crate::kernel::ask::BrokerEvent;
@@ -31,6 +32,7 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
+use crate::kernel::pace::RateStatement;
 use crate::kernel::pause::PauseDetector;
 use crate::wire::LinkMessage;
 use crate::wire::Referral;
@@ -45,6 +47,7 @@
     pub(super) span: CellSpan,
     pub(super) asks: RefCell<AskTable>,
     pub(super) brokers: RefCell<BrokerTable>,
+    rates: RefCell<RateTable>,
     pauses: RefCell<PauseDetector>,
     /// The brokers and deputies of this entry's cells at the last call of `declare_running`.
     known_brokers: RefCell<Vec<(CellId, HostName)>>,
@@ -76,6 +79,7 @@
             span: CellSpan::default(),
             asks: RefCell::default(),
             brokers: RefCell::new(BrokerTable::new(settings)),
+            rates: RefCell::default(),
             pauses: RefCell::new(PauseDetector::new(clock.now())),
             known_brokers: RefCell::default(),
             last_declaration: Cell::new(clock.now()),
@@ -138,6 +142,34 @@
         }
     }
 
+    /// Records what the head of an answer says about the rate of requests that its worker takes, and
+    /// reports a rate that it names; `sent_at` is the time of the dispatch.
+    ///
+    /// Returns whether that changes what this host knows.
+    pub(super) fn observe_rate(
+        &self,
+        grant: &Grant,
+        sent_at: ClockTime,
+        statement: RateStatement,
+    ) -> bool {
+        let cell = self.asks.borrow().held_cell(grant.request).cloned();
+        let Some(cell) = cell else { return false };
+        let now = self.clock.now();
+        let mut rates = self.rates.borrow_mut();
+        let observation = rates.observe(now, sent_at, &cell, &grant.worker, statement);
+        drop(rates);
+        let is_named = statement != RateStatement::Unlimited;
+        if let Some(rate) = observation.rate.filter(|_| is_named) {
+            self.report(&WorkReport {
+                request: grant.request,
+                grant: grant.grant,
+                worker: grant.worker.clone(),
+                progress: WorkProgress::RateNamed { rate },
+            });
+        }
+        observation.changed
+    }
+
     /// Removes a held slot whose use has ended.
     pub fn release(&self, request: RequestId) {
         self.asks.borrow_mut().release(request);
@@ -189,6 +221,9 @@
                     },
                 );
             }
+            LinkMessage::Rates { service, rates } => {
+                self.broker_event(service, BrokerEvent::RatesDeclared { rates });
+            }
             LinkMessage::Grant(grant) => self.handle_grant(from, grant),
             LinkMessage::Refuse(refusal) => self.handle_refusal(from, refusal),
             LinkMessage::Waiting(request) => self.asks.borrow_mut().acknowledge(from, request),
@@ -373,7 +408,11 @@
             self.last_declaration.set(now);
         }
         for (cell, host) in &current {
-            if is_periodic || !known.contains(&(cell.clone(), host.clone())) {
+            let is_new = !known.contains(&(cell.clone(), host.clone()));
+            if is_new {
+                self.declare_rates(now, cell, host);
+            }
+            if is_periodic || is_new {
                 let running = self.asks.borrow().running(cell);
                 let service = cell.service.clone();
                 self.network
@@ -382,4 +421,14 @@
         }
         *self.known_brokers.borrow_mut() = current;
     }
+
+    /// Declares the rates that the workers of a cell named to this entry.
+    fn declare_rates(&self, now: ClockTime, cell: &CellId, broker: &HostName) {
+        let rates = self.rates.borrow_mut().of_cell(now, cell);
+        if !rates.is_empty() {
+            let service = cell.service.clone();
+            self.network
+                .send(broker, LinkMessage::Rates { service, rates });
+        }
+    }
 }
--- a/src/cell/slot.rs
+++ b/src/cell/slot.rs
@@ -17,6 +17,7 @@
 use crate::kernel::ask::WorkReport;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::RequestId;
+use crate::kernel::pace::RateStatement;
 
 impl CellService {
     /// Asks for a slot; the ask is refused when the deadline passes.
@@ -128,6 +129,13 @@
         self.report(WorkProgress::Dispatched);
     }
 
+    /// Records what the head of the answer says about the rate of requests that the worker takes;
+    /// returns whether that changes what this host knows.
+    #[must_use]
+    pub fn observe_rate(&self, sent_at: ClockTime, statement: RateStatement) -> bool {
+        self.cells.observe_rate(&self.grant, sent_at, statement)
+    }
+
     /// Reports the time from the dispatch to the first token.
     pub fn first_token(&self, after: Duration) {
         self.report(WorkProgress::FirstToken { after });
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -87,7 +87,7 @@
     ) -> Result<DispatchEnd, ExchangeError> {
         let time_left = self.planned.deadline.since(dispatched_at) + ANSWER_GRACE;
         let limit = tokio::time::Instant::now() + time_left;
-        let answering = self.matching_answer(connection, request, worker);
+        let answering = self.matching_answer(connection, request);
         let Ok(answer) = tokio::time::timeout_at(limit, answering).await else {
             let error = CallError::TimedOut;
             return Ok(DispatchEnd::Broken { error, lost: None });
@@ -101,6 +101,9 @@
                 });
             }
         };
+        if lease.observe_rate(dispatched_at, metadata.rate) {
+            self.trace.rate_changed(worker, metadata.rate);
+        }
         if metadata.not_run {
             self.return_to_pool(worker, answer, &metadata).await;
             return Ok(DispatchEnd::NotRun);
@@ -159,14 +162,12 @@
         &self,
         connection: WorkerConnection,
         request: WorkerRequest,
-        worker: &WorkerName,
     ) -> Result<(WorkerAnswer, AnswerMetadata), AnswerError> {
         let mut answer = connection.exchange(request).await?;
         for _ in 0..=MAX_FOREIGN_ANSWERS {
             let head = answer.head();
             let status = head.status.as_u16();
             let metadata = self.host.dialect.answer_metadata(status, head.headers());
-            self.trace.rate_named(worker, metadata.rate);
             let foreign = metadata
                 .attempt_id
                 .as_ref()
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -148,13 +148,14 @@
         );
     }
 
-    /// Logs the rate of requests that a worker named.
-    pub(super) fn rate_named(&self, worker: &WorkerName, rate: RateStatement) {
-        if let RateStatement::Limited(rate) = rate {
-            log_event!(self.host.log, LogEvent::WorkerRateNamed,
-                "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
-                "rate" => rate.to_string());
-        }
+    /// Logs that a worker named another rate of requests than before, or none any more.
+    pub(super) fn rate_changed(&self, worker: &WorkerName, rate: RateStatement) {
+        let rate = match rate {
+            RateStatement::Limited(rate) => Some(rate.to_string()),
+            RateStatement::Unlimited | RateStatement::Unreadable => None,
+        };
+        log_event!(self.host.log, LogEvent::WorkerRateChanged,
+            "request" => self.attempt_id.clone(), "worker" => worker.as_str(), "rate" => rate);
     }
 
     /// Logs that a granted slot was not used.
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -29,7 +29,7 @@
 /// The maximum number of messages in one frame.
 pub const MAX_FRAME_MESSAGES: usize = 1024;
 
-// The kind numbers of the messages; 6 and 23 to 31 are not in use.
+// The kind numbers of the messages; 6 and 24 to 31 are not in use.
 const HEARTBEAT: u8 = 0;
 const ASK: u8 = 1;
 const WITHDRAW: u8 = 2;
@@ -58,6 +58,7 @@
 const STREAM_WANTED: u8 = 38;
 const CRASHED_PARTS: u8 = 39;
 const SOUND_PARTS: u8 = 40;
+const RATES: u8 = 41;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -157,6 +158,7 @@
             LinkMessage::Declare { service, running } => {
                 write(frame, DECLARE, &state.encode_declaration(service, running))
             }
+            LinkMessage::Rates { service, rates } => write(frame, RATES, &(service, rates)),
             LinkMessage::Summary(summary) => {
                 write(frame, CELL_SUMMARY, &state.encode_summary(summary))
             }
@@ -253,6 +255,10 @@
                 let (service, running) = state.decode_declaration(read(rest, limit)?)?;
                 LinkMessage::Declare { service, running }
             }
+            RATES => {
+                let (service, rates) = read(rest, limit)?;
+                LinkMessage::Rates { service, rates }
+            }
             CELL_SUMMARY => LinkMessage::Summary(state.decode_summary(read(rest, limit)?)?),
             CONFIGURATION => LinkMessage::Configuration(Arc::new(read(rest, MAX_FRAME_BYTES)?)),
             CONFIGURATION_DELTAS => LinkMessage::ConfigurationDeltas(read(rest, limit)?),
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -45,6 +45,7 @@
     Refer "refer";
     Report "report";
     Declare "declare";
+    Rates "rates";
     Summary "summary";
     Configuration "configuration";
     ConfigurationDeltas "configuration-deltas";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -32,6 +32,7 @@
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
+use crate::kernel::pace::NamedRate;
 use crate::kernel::poison::PartReport;
 use crate::kernel::prompt::PartDigest;
 use crate::kernel::quarantine::CrashCount;
@@ -85,6 +86,14 @@
         /// All requests of the sender that hold a slot of the cell.
         running: Vec<RunningWork>,
     },
+    /// The sender's entry declares the rates that workers named to it, to the broker or deputy of a
+    /// cell that has just taken over.
+    Rates {
+        /// The service of the cell.
+        service: ServiceName,
+        /// The rates.
+        rates: Vec<NamedRate>,
+    },
     /// The sender's broker publishes the free slots and the queue of its cell to the brokers of
     /// other data centres.
     Summary(CellSummary),
--- a/src/wire/work.rs
+++ b/src/wire/work.rs
@@ -29,6 +29,7 @@
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::TierRank;
+use crate::kernel::pace::RequestRate;
 
 /// Request, service, model, workspace, tier with the suspect flag as its lowest bit, budget in ms,
 /// prompt tokens, maximum answer tokens, block digests of the prompt's prefix, latency targets and
@@ -120,11 +121,13 @@
     Released,
     /// [`WorkProgress::Erred`].
     Erred,
+    /// [`WorkProgress::RateNamed`], with the rate in thousandths of a request a second.
+    RateNamed,
 }
 
 impl ProgressKind {
     /// All kinds; the index of a kind is its number.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Dispatched,
         Self::FirstToken,
         Self::Finished,
@@ -132,6 +135,7 @@
         Self::Failed,
         Self::Released,
         Self::Erred,
+        Self::RateNamed,
     ];
 
     /// Returns the kind by which a progress is numbered on the link.
@@ -144,6 +148,7 @@
             WorkProgress::Failed => Self::Failed,
             WorkProgress::Released => Self::Released,
             WorkProgress::Erred => Self::Erred,
+            WorkProgress::RateNamed { .. } => Self::RateNamed,
         }
     }
 
@@ -167,6 +172,14 @@
             Self::Failed => WorkProgress::Failed,
             Self::Released => WorkProgress::Released,
             Self::Erred => WorkProgress::Erred,
+            Self::RateNamed => {
+                let rate = u32::try_from(first);
+                WorkProgress::RateNamed {
+                    rate: rate
+                        .map(RequestRate)
+                        .map_err(|_large| CodecError::Field { field: "rate" })?,
+                }
+            }
         })
     }
 }
@@ -337,6 +350,10 @@
                 let after = millis(after);
                 ReportRow::OneNumber(service, request, broker, sequence, worker, after)
             }
+            WorkProgress::RateNamed { rate } => {
+                let rate = u64::from(rate.0);
+                ReportRow::OneNumber(service, request, broker, sequence, worker, rate)
+            }
             WorkProgress::Finished {
                 answer_tokens,
                 token_gap,
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -23,6 +23,8 @@
 use borageladder::kernel::name::NameError;
 use borageladder::kernel::name::RequestId;
 use borageladder::kernel::name::TierRank;
+use borageladder::kernel::pace::NamedRate;
+use borageladder::kernel::pace::RequestRate;
 use borageladder::kernel::poison::CrashReport;
 use borageladder::kernel::poison::PartReport;
 use borageladder::kernel::prompt::PartDigest;
@@ -185,6 +187,31 @@
     configuration
 }
 
+fn rates_message() -> LinkMessage {
+    LinkMessage::Rates {
+        service: name("drafter"),
+        rates: vec![NamedRate {
+            worker: name("engine-1"),
+            rate: RequestRate(2_500),
+            age: Duration::from_millis(1_250),
+        }],
+    }
+}
+
+fn stream_messages() -> Vec<LinkMessage> {
+    vec![
+        LinkMessage::StreamVersion {
+            stream: StreamKey::of("attempt-1"),
+            version: Some(name("v1.2")),
+        },
+        LinkMessage::StreamVersion {
+            stream: StreamKey(u64::MAX),
+            version: None,
+        },
+        LinkMessage::StreamWanted(StreamKey(0)),
+    ]
+}
+
 fn crash_messages() -> Vec<LinkMessage> {
     vec![
         LinkMessage::Crash(CrashCount {
@@ -265,15 +292,6 @@
             version: Some(name("v1.2")),
             ..ask(72)
         })),
-        LinkMessage::StreamVersion {
-            stream: StreamKey::of("attempt-1"),
-            version: Some(name("v1.2")),
-        },
-        LinkMessage::StreamVersion {
-            stream: StreamKey(u64::MAX),
-            version: None,
-        },
-        LinkMessage::StreamWanted(StreamKey(0)),
         LinkMessage::StateWanted(StatePoll {
             number: 7,
             version: 21,
@@ -295,11 +313,16 @@
         },
     ];
     messages.extend(crash_messages());
+    messages.extend(stream_messages());
+    messages.push(rates_message());
     messages.extend(reports(70));
     for progress in [
         WorkProgress::Stopped,
         WorkProgress::Failed,
         WorkProgress::Released,
+        WorkProgress::RateNamed {
+            rate: RequestRate(u32::MAX),
+        },
     ] {
         messages.push(report(71, progress));
     }
