--- a/src/cell/rates.rs
+++ b/src/cell/rates.rs
@@ -14,6 +14,9 @@
 /// between two answers at the lowest rate.
 const RATE_MEMORY_TIME: Duration = Duration::from_mins(1);
 
+/// The number of remembered rates from which old ones are forgotten at each new one.
+const MAX_CURRENT_RATES: usize = 1_024;
+
 /// What this host has to report of a rate that an answer stated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct RateObservation {
@@ -69,6 +72,9 @@
                     named_at: now,
                 };
                 self.records.insert(worker.clone(), record);
+                if self.records.len() > MAX_CURRENT_RATES {
+                    self.forget_old(now);
+                }
             }
             Some(_still_valid) => (),
         }
@@ -80,8 +86,7 @@
 
     /// Returns the rates of a cell's workers, and forgets old ones.
     pub(super) fn of_cell(&mut self, now: ClockTime, cell: &CellId) -> Vec<NamedRate> {
-        self.records
-            .retain(|_, record| now.since(record.named_at) < RATE_MEMORY_TIME);
+        self.forget_old(now);
         let records = self.records.iter();
         let of_cell = records.filter(|(_, record)| record.cell == *cell);
         let named = of_cell.map(|(worker, record)| NamedRate {
@@ -91,4 +96,9 @@
         });
         named.collect()
     }
+
+    fn forget_old(&mut self, now: ClockTime) {
+        self.records
+            .retain(|_, record| now.since(record.named_at) < RATE_MEMORY_TIME);
+    }
 }
