Count a crash once for all equal requests that it ended

Callers of a gateway whose equal requests ran together on a worker when it crashed, for any reason, were refused for ten minutes afterwards, at every host: two lost answers to equal requests made two crashes.

Cause: the crash register of the gateway counted a crash once for each request with the digest, two were enough, and an answer cleared a digest at its own host only.

Change: the gateway attributes crashes to the content of a request as to one more part of its prompt, in the register that tells crashes apart by worker and time, wants a request sent after an earlier crash, and is cleared at all hosts by an answer. Requests are checked again where they are sent, equal ones too. The gateway's suspects no longer run alone; the daemon's register, with its two crashes, is unchanged and has the same count by request: a fault of its own, open.

--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -1,4 +1,5 @@
-//! Detection and quarantine of prompt parts that crash the workers that begin to answer them.
+//! Detection and quarantine of prompt parts that crash the workers that begin to answer them, and of
+//! requests that do as a whole: their content counts as one more part.
 //!
 //! A worker that crashes loses the answers to all of its requests, so the parts of each of them are
 //! candidates. What tells the cause from its neighbours:
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -18,7 +18,7 @@
 pub(super) struct DispatchEvidence {
     pub(super) worker: WorkerName,
     pub(super) address: SocketAddr,
-    /// The prompt parts that had a crash on record when the request was sent.
+    /// The crash candidates that had a crash on record when the request was sent.
     pub(super) suspected: Vec<PartDigest>,
 }
 
@@ -32,7 +32,8 @@
         if self.relay.framing() == Some(AnswerFraming::UntilClose) {
             self.check_crash(evidence, true);
         } else {
-            clear(self.host, &self.planned);
+            let candidates = &self.planned.crash_candidates;
+            self.host.crashes.record_answer(candidates);
         }
     }
 
@@ -50,36 +51,24 @@
             match WorkerConnection::open(evidence.address, host.http.clone()).await {
                 Ok(connection) => {
                     if completed {
-                        clear(&host, &planned);
+                        host.crashes.record_answer(&planned.crash_candidates);
                     }
                     let now = host.clock.now();
                     host.pool.put(now, &evidence.worker, connection, None);
                 }
-                Err(_unreachable) => record_crash(&host, &planned, &evidence, is_candidate),
+                Err(_unreachable) if is_candidate => record_crash(&host, &planned, &evidence),
+                Err(_unreachable) => (),
             }
         });
     }
 }
 
-fn record_crash(
-    host: &GatewayHost,
-    planned: &PlannedCall,
-    evidence: &DispatchEvidence,
-    is_candidate: bool,
-) {
-    host.crashes.record_crash(planned.digest);
-    if is_candidate {
-        host.parts.record_crash(&CrashedRequest {
-            worker: &evidence.worker,
-            workspace: planned.workspace.as_ref(),
-            parts: planned.shared_parts(),
-            suspected: &evidence.suspected,
-        });
-    }
+fn record_crash(host: &GatewayHost, planned: &PlannedCall, evidence: &DispatchEvidence) {
+    host.crashes.record_crash(&CrashedRequest {
+        worker: &evidence.worker,
+        workspace: planned.workspace.as_ref(),
+        parts: &planned.crash_candidates,
+        suspected: &evidence.suspected,
+    });
     trace::worker_crashed(host, planned, &evidence.worker);
 }
-
-fn clear(host: &GatewayHost, planned: &PlannedCall) {
-    host.crashes.clear(planned.digest);
-    host.parts.record_answer(planned.shared_parts());
-}
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -22,7 +22,6 @@
 use crate::activity::ActivitySource;
 use crate::cell::CellService;
 use crate::clock::ProcessClock;
-use crate::crashes::SharedCrashRegister;
 use crate::crashes::SharedPartRegister;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
@@ -69,10 +68,9 @@
     pub members: Rc<MemberService>,
     /// The cells for which the host requests or grants slots.
     pub cells: Rc<CellService>,
-    /// The worker crashes by content digest, shared with the other hosts.
-    pub crashes: Rc<SharedCrashRegister>,
-    /// The worker crashes by prompt part, shared with the other hosts.
-    pub parts: Rc<SharedPartRegister>,
+    /// The worker crashes by the content and the prompt parts of requests, shared with the other
+    /// hosts.
+    pub crashes: Rc<SharedPartRegister>,
     /// The idle connections to workers.
     pub pool: ConnectionPool,
     /// Set when the host is asked to stop; answers then close their connections.
@@ -133,8 +131,7 @@
     fn from(parts: GatewayParts) -> Self {
         Self {
             settings: parts.settings,
-            crashes: SharedCrashRegister::start(&parts.links, parts.clock),
-            parts: SharedPartRegister::start(&parts.links, parts.clock),
+            crashes: SharedPartRegister::start(&parts.links, parts.clock),
             clock: parts.clock,
             log: parts.log,
             metrics: parts.metrics,
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -26,7 +26,6 @@
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::prompt::PartDigest;
-use crate::kernel::quarantine::QuarantineVerdict;
 use crate::kernel::route::RouteSpec;
 use crate::kernel::stream::StreamKey;
 
@@ -156,10 +155,9 @@
     pub version: u64,
     /// What the first plan charges to a quota; `None` without a workspace.
     pub charge: Option<QuotaCharge>,
-    /// Digest of method, URI, workspace and body, by which crashes are attributed.
-    pub digest: u64,
-    /// Whether requests with this digest may have crashed a worker, so that this one must run alone.
-    pub suspect: bool,
+    /// What a crash of the request's worker may be attributed to: the digest of the content, then
+    /// the parts of the prompt that other requests may share.
+    pub crash_candidates: Vec<PartDigest>,
     /// Largest number of tokens in one event of the answer stream.
     pub event_tokens: u32,
     /// Whether the workers are model engines.
@@ -188,13 +186,6 @@
         Some(StreamKey::of(first_attempt))
     }
 
-    /// Returns the parts of the prompt that other requests may share: all but the last one.
-    #[must_use]
-    pub fn shared_parts(&self) -> &[PartDigest] {
-        let parts = self.metadata.prompt_parts.split_last();
-        parts.map_or(&[], |(_own, shared)| shared)
-    }
-
     /// Returns the ask for a slot on a worker, of a certain version if one is given, with times
     /// relative to `now`.
     #[must_use]
@@ -223,7 +214,7 @@
             max_answer_tokens: usage.map_or(0, |usage| usage.answer),
             hinted_tokens: self.metadata.answer_hint,
             prefix: Vec::new(),
-            suspect: self.suspect,
+            suspect: false,
         }
     }
 }
@@ -246,28 +237,27 @@
     let attempt_id = metadata.attempt_id.clone().ok_or(CallError::NoIdentifier)?;
     let id = host.next_request_id();
     let mut planned = resolve_request(&serving, request, metadata, attempt_id, id, arrival)?;
-    planned.digest = content_digest(request, planned.workspace.as_ref());
-    match host.crashes.verdict(planned.digest) {
-        QuarantineVerdict::Clear => (),
-        QuarantineVerdict::Suspect => planned.suspect = true,
-        QuarantineVerdict::Refused { retry_after } => {
-            return Err(CallError::Quarantined { retry_after });
-        }
-    }
-    check_parts(host, &planned)?;
+    planned.crash_candidates = crash_candidates(request, &planned);
+    check_quarantine(host, &planned)?;
     charge_quota(host, &planned)?;
     host.count_request(arrival, &planned.service);
     Ok(planned)
 }
 
-/// Checks that no part of the request's prompt is in quarantine.
+/// Checks that neither the content of the request nor a part of its prompt is in quarantine.
 ///
 /// # Errors
 ///
-/// Returns [`CallError::PartQuarantined`] if one is.
-pub fn check_parts(host: &GatewayHost, planned: &PlannedCall) -> Result<(), CallError> {
+/// Returns [`CallError::Quarantined`] or [`CallError::PartQuarantined`] if one is.
+pub fn check_quarantine(host: &GatewayHost, planned: &PlannedCall) -> Result<(), CallError> {
     let workspace = planned.workspace.as_ref();
-    match host.parts.quarantine(workspace, planned.shared_parts()) {
+    let Some((content, parts)) = planned.crash_candidates.split_first() else {
+        return Ok(());
+    };
+    if let Some(retry_after) = host.crashes.quarantine(workspace, &[*content]) {
+        return Err(CallError::Quarantined { retry_after });
+    }
+    match host.crashes.quarantine(workspace, parts) {
         Some(retry_after) => Err(CallError::PartQuarantined { retry_after }),
         None => Ok(()),
     }
@@ -275,8 +265,8 @@
 
 /// Plans a request again after a wait, by the configuration that is in force now.
 ///
-/// Returns `None` if the configuration version has not changed. Digest, suspicion and charge are
-/// kept, and the quota is not charged again.
+/// Returns `None` if the configuration version has not changed. The crash candidates and the charge
+/// are kept, and the quota is not charged again.
 ///
 /// # Errors
 ///
@@ -296,8 +286,7 @@
     let id = planned.id;
     let replanned = resolve_request(&serving, request, metadata, attempt_id, id, planned.arrival)?;
     Ok(Some(PlannedCall {
-        digest: planned.digest,
-        suspect: planned.suspect,
+        crash_candidates: planned.crash_candidates.clone(),
         charge: planned.charge.clone(),
         ..replanned
     }))
@@ -343,8 +332,7 @@
             units: workspace.unit.units(tokens),
         }),
         workspace: owner.map(|(name, _)| name.clone()),
-        digest: 0,
-        suspect: false,
+        crash_candidates: Vec::new(),
         event_tokens: configured.map_or(1, |service| service.event_tokens),
         engine: configured.is_some_and(|service| service.kind == ServiceKind::Engine),
         metadata,
@@ -386,8 +374,19 @@
     Some(name.to_ascii_lowercase())
 }
 
+/// Returns what a crash of a request's worker may be attributed to; the last part of the prompt
+/// belongs to the request itself.
+fn crash_candidates(request: &CallerRequest, planned: &PlannedCall) -> Vec<PartDigest> {
+    let content = content_digest(request, planned.workspace.as_ref());
+    let parts = planned.metadata.prompt_parts.split_last();
+    let shared = parts.map_or(&[][..], |(_own, shared)| shared);
+    let mut candidates = vec![content];
+    candidates.extend_from_slice(shared);
+    candidates
+}
+
 /// Returns the digest of a request's content; its headers are not included.
-fn content_digest(request: &CallerRequest, workspace: Option<&WorkspaceName>) -> u64 {
+fn content_digest(request: &CallerRequest, workspace: Option<&WorkspaceName>) -> PartDigest {
     let mut hasher = blake3::Hasher::new();
     hasher.update(request.head.method().as_str().as_bytes());
     hasher.update(request.head.uri().to_string().as_bytes());
@@ -395,7 +394,7 @@
     hasher.update(workspace.map_or(&[], |name| name.as_str().as_bytes()));
     hasher.update(&[0]);
     hasher.update(&request.body);
-    first_u64(hasher.finalize())
+    PartDigest(first_u64(hasher.finalize()))
 }
 
 fn first_u64(hash: blake3::Hash) -> u64 {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -246,9 +246,8 @@
 fn handle_message(host: &Rc<GatewayHost>, from: &HostName, message: LinkMessage) {
     host.members.receive(from, &message);
     match message {
-        LinkMessage::Crash(count) => host.crashes.merge(count),
-        LinkMessage::CrashedParts(reports) => host.parts.merge(&reports),
-        LinkMessage::SoundParts(parts) => host.parts.clear(&parts),
+        LinkMessage::CrashedParts(reports) => host.crashes.merge(&reports),
+        LinkMessage::SoundParts(parts) => host.crashes.clear(&parts),
         LinkMessage::Usage(report) => host.record_peer_usage(from, &report),
         LinkMessage::StateWanted(poll) => sync::record_poll(host, from, poll),
         LinkMessage::State(update) => sync::receive_update(host, from, *update),
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -37,7 +37,7 @@
     pub(super) worker: WorkerName,
     /// The address of the worker.
     pub(super) address: SocketAddr,
-    /// The prompt parts that had a crash on record.
+    /// The crash candidates that had a crash on record.
     pub(super) suspected: Vec<PartDigest>,
     /// The version of the worker's software, if it states one.
     pub(super) version: Option<WorkerVersion>,
@@ -129,7 +129,7 @@
             }
             Err(error) => return Err((error.into(), granted.release_grant())),
         }
-        if let Err(error) = plan::check_parts(self.host, &self.planned) {
+        if let Err(error) = plan::check_quarantine(self.host, &self.planned) {
             return Err((error.into(), granted.release_grant()));
         }
         let Some(record) = self.host.worker(&worker) else {
@@ -163,7 +163,7 @@
             worker,
             address: record.address,
             version: record.version,
-            suspected: self.host.parts.suspected(self.planned.shared_parts()),
+            suspected: self.host.crashes.suspected(&self.planned.crash_candidates),
             dispatched_at: now,
         };
         Ok((dispatched, connection))
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -143,8 +143,7 @@
             "wait_us" => micros(call.dispatched_at.since(self.arrival)),
             "left_ms" => millis(planned.deadline.since(call.dispatched_at)),
             "version" => planned.version,
-            "crashes" => self.host.crashes.crashes(planned.digest),
-            "part_crashes" => self.host.parts.most_crashes(planned.shared_parts()),
+            "crashes" => self.host.crashes.most_crashes(&planned.crash_candidates),
         );
     }
 
@@ -240,15 +239,13 @@
 
 /// Logs that a worker crashed while it ran a request.
 pub(super) fn worker_crashed(host: &GatewayHost, planned: &PlannedCall, worker: &WorkerName) {
-    let parts = planned.metadata.prompt_parts.iter();
-    let parts: Vec<String> = parts.map(ToString::to_string).collect();
+    let candidates = planned.crash_candidates.iter();
+    let candidates: Vec<String> = candidates.map(ToString::to_string).collect();
     log_event!(host.log, LogEvent::WorkerCrashed,
         "request" => planned.attempt_id.clone(),
         "worker" => worker.as_str(),
-        "digest" => format!("{:016x}", planned.digest),
-        "crashes" => host.crashes.crashes(planned.digest),
-        "part_crashes" => host.parts.most_crashes(planned.shared_parts()),
-        "parts" => parts.join(" "));
+        "candidates" => candidates.join(" "),
+        "crashes" => host.crashes.most_crashes(&planned.crash_candidates));
 }
 
 fn micros(time: Duration) -> u64 {
