End a worker's limit only by an answer to a request granted after it was named

Found by reading: the broker compared the time at which a dispatch was reported. An entry that reports late makes a request look as if it had been sent after the limit was named, and its answer, which names none, ended the limit: up to all slots of the worker were then granted at once. Requests that another broker granted, whose time of grant isn't known, no longer end a limit.

--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -203,6 +203,7 @@
             worker,
             state: GrantState::Issued,
             expires,
+            issued_at: Some(now),
             started: now,
             release_at: None,
             rate_named: false,
--- a/kernel/src/broker/grants.rs
+++ b/kernel/src/broker/grants.rs
@@ -48,6 +48,8 @@
     pub state: GrantState,
     /// The time from which the entry must not use the grant.
     pub expires: ClockTime,
+    /// The time at which this broker issued the grant; `None` for requests that were adopted.
+    pub issued_at: Option<ClockTime>,
     /// The time at which the dispatch was reported, or that of the grant before the report.
     pub started: ClockTime,
     /// The time at which the slot is released; `None` unless the host is lost.
--- a/kernel/src/broker/rates.rs
+++ b/kernel/src/broker/rates.rs
@@ -2,8 +2,8 @@
 //!
 //! The broker counts each request that it grants or that another broker of the cell granted, and
 //! grants no further one before the rate lets it be sent. A limit ends with the first answer that
-//! names none to a request that was sent after the limit was named; an answer that was on its way at
-//! that time says nothing.
+//! names none to a request that this broker granted after the limit was named; an answer that was on
+//! its way at that time says nothing.
 
 use std::time::Duration;
 
@@ -76,8 +76,11 @@
         };
         let worker = record.worker;
         let pace = &mut self.workers.records[worker].pace;
-        let sent_later = |pace: &mut RequestPace| record.started > pace.named_at();
-        if !record.rate_named && pace.as_mut().is_some_and(sent_later) {
+        let issued_later = |pace: &RequestPace| {
+            let issued_at = record.issued_at;
+            issued_at.is_some_and(|issued_at| issued_at > pace.named_at())
+        };
+        if !record.rate_named && pace.as_ref().is_some_and(issued_later) {
             *pace = None;
             self.workers.refresh(now, worker);
         }
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -329,6 +329,7 @@
             worker,
             state: GrantState::Dispatched,
             expires: now,
+            issued_at: None,
             started: now,
             release_at: None,
             rate_named: false,
--- a/kernel/tests/broker/rates.rs
+++ b/kernel/tests/broker/rates.rs
@@ -148,6 +148,20 @@
     assert_eq!(grants(&freed).len(), 2, "the limit has ended");
 }
 
+// Guards against a late report of a dispatch that makes the request look later than the limit.
+#[test]
+fn an_answer_to_a_request_granted_before_the_limit_does_not_end_it() {
+    let mut harness = gateway_broker(&[("a", 10)]);
+    let earlier = only_grant(&harness.submit(0, 60));
+    let naming = only_grant(&harness.submit(0, 60));
+    name_rate(&mut harness, &naming, TWO_PER_SECOND);
+    harness.advance(Duration::from_millis(10));
+    harness.report(&earlier, WorkProgress::Dispatched);
+    harness.finish(&earlier, 5);
+    let granted: usize = (0..5).map(|_| grants(&harness.submit(0, 60)).len()).sum();
+    assert_eq!(granted, BURST);
+}
+
 #[test]
 fn a_broker_that_takes_over_keeps_to_declared_rates() {
     let mut harness = gateway_broker(&[("a", 10)]);
