Report only parts with several crashes to a host that opens a link

Cause: what is on record was sent whole, up to 64 parts with 8 crashes, 25,475 bytes, by each of 87 hosts to one that starts; most of it is the content of requests that ran beside a crashing one, with one crash each. Now only parts with two crashes or more are sent, with the three latest: at most 64 by 3. A host that starts may lack a single crash that others know, so it needs one more; it isn't in touch then. The new test failed before (a part with one crash, and six crashes).

--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -11,6 +11,7 @@
 //!
 //! Hosts exchange reports of crashes and of cleared parts, and merge them in any order.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -42,9 +43,13 @@
 /// The maximum number of parts of one request that are candidates.
 pub const MAX_CANDIDATES: usize = 512;
 
-/// The maximum number of parts in a report of all that is on record.
+/// The maximum number of parts in a report of what is on record.
 const MAX_REPORTED_PARTS: usize = 64;
 
+/// The number of crashes from which a part is reported to a host that may have missed them; most
+/// parts with fewer are those of neighbours.
+const MIN_REPORTED_CRASHES: usize = 2;
+
 /// The maximum number of crashes on record for one part; the oldest is dropped first.
 const MAX_CRASHES: usize = 8;
 
@@ -111,7 +116,7 @@
 struct PartRecord {
     workspaces: BTreeSet<Option<WorkspaceName>>,
     repeated: bool,
-    /// At most [`MAX_CRASHES`].
+    /// At most [`MAX_CRASHES`], by time.
     crashes: Vec<CrashRecord>,
 }
 
@@ -121,6 +126,11 @@
         times.max().unwrap_or(i64::MIN)
     }
 
+    fn latest_crashes(&self, now: i64) -> Vec<CrashReport> {
+        let latest = self.crashes.iter().rev().take(CRASHES_TO_QUARANTINE);
+        latest.map(|crash| crash.report(now)).collect()
+    }
+
     fn has_crash(&self, crash: &CrashRecord) -> bool {
         self.crashes.iter().any(|known| known.is_same(crash))
     }
@@ -300,31 +310,23 @@
         }
     }
 
-    /// Returns the reports of what is on record, the parts with most crashes first, for a host that
-    /// may have missed them.
+    /// Returns reports of the parts with several crashes, those with most first, for a host that may
+    /// have missed them. They hold the latest crashes that a quarantine needs.
     #[must_use]
     pub fn reports(&self, now: ClockTime) -> Vec<PartReport> {
         let now = millis(now);
-        let mut records: Vec<(&PartDigest, &PartRecord)> = self.records.iter().collect();
-        records.sort_by_key(|(_, record)| {
-            let count = record.crashes.len();
-            (
-                std::cmp::Reverse(count),
-                std::cmp::Reverse(record.newest_crash()),
-            )
-        });
-        let reports = records.into_iter().take(MAX_REPORTED_PARTS);
+        let records = self.records.iter();
+        let several = records.filter(|(_, record)| record.crashes.len() >= MIN_REPORTED_CRASHES);
+        let mut records: Vec<(&PartDigest, &PartRecord)> = several.collect();
+        records.sort_by_key(|(_, record)| Reverse((record.crashes.len(), record.newest_crash())));
+        records.truncate(MAX_REPORTED_PARTS);
         let report = |(part, record): (&PartDigest, &PartRecord)| PartReport {
             part: *part,
             workspaces: record.workspaces.iter().cloned().collect(),
             repeated: record.repeated,
-            crashes: record
-                .crashes
-                .iter()
-                .map(|crash| crash.report(now))
-                .collect(),
+            crashes: record.latest_crashes(now),
         };
-        reports.map(report).collect()
+        records.into_iter().map(report).collect()
     }
 
     /// Returns the number of crashes on record for a part.
--- a/kernel/tests/poison.rs
+++ b/kernel/tests/poison.rs
@@ -185,6 +185,19 @@
     assert_eq!(started.crashes(CAUSE), 3);
 }
 
+#[test]
+fn a_host_that_may_have_missed_crashes_gets_what_a_quarantine_needs() {
+    let mut register = PoisonRegister::default();
+    crash(&mut register, at(0), 1, &[NEIGHBOUR]);
+    for number in 2..8 {
+        crash(&mut register, at(1_000), number, &[CAUSE]);
+    }
+    let reports = register.reports(at(1_000));
+    assert_eq!(reports.len(), 1);
+    assert_eq!(reports[0].part, CAUSE);
+    assert_eq!(reports[0].crashes.len(), CRASHES_TO_QUARANTINE);
+}
+
 #[test]
 fn a_workspace_alone_cannot_block_the_part_of_another() {
     let mut register = PoisonRegister::default();
