--- a/src/crashes/parts.rs
+++ b/src/crashes/parts.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::report_on_connect;
 use crate::clock::ProcessClock;
 use crate::kernel::name::HostName;
 use crate::kernel::name::WorkspaceName;
@@ -40,12 +41,7 @@
             links: Rc::clone(links),
             clock,
         });
-        let weak = Rc::downgrade(&register);
-        links.on_connect(Rc::new(move |host| {
-            if let Some(register) = weak.upgrade() {
-                register.report_to(host);
-            }
-        }));
+        report_on_connect(links, &register, Self::report_to);
         register
     }
 
--- a/src/crashes/requests.rs
+++ b/src/crashes/requests.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::rc::Rc;
 
+use super::report_on_connect;
 use crate::clock::ProcessClock;
 use crate::kernel::name::HostName;
 use crate::kernel::quarantine::CrashCount;
@@ -37,12 +38,7 @@
             links: Rc::clone(links),
             clock,
         });
-        let weak = Rc::downgrade(&register);
-        links.on_connect(Rc::new(move |host| {
-            if let Some(register) = weak.upgrade() {
-                register.report_to(host);
-            }
-        }));
+        report_on_connect(links, &register, Self::report_to);
         register
     }
 
