Count a crash once for all equal requests on the daemon too

The daemon's callers had the fault that the gateway's had: two equal requests that ran on a worker when it crashed, at one host or at two, made two crashes, and the digest was refused for ten minutes. The count names the worker that crashed last now, and a second record of it within a second is the same crash.

--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -24,6 +24,7 @@
 use crate::name::WorkerName;
 use crate::name::WorkspaceName;
 use crate::prompt::PartDigest;
+use crate::quarantine::CRASH_MERGE_TIME;
 use crate::quarantine::QUARANTINE_TIME;
 
 /// The number of crashes at which requests with a part are refused.
@@ -32,10 +33,6 @@
 /// The time for which a part that was answered completely is no candidate.
 pub const SOUND_TIME: Duration = Duration::from_secs(2);
 
-/// The time within which reports of a crash of one worker mean the same crash; a worker takes longer
-/// to start again.
-pub const CRASH_MERGE_TIME: Duration = Duration::from_secs(1);
-
 /// The maximum number of parts on record on one host; those with the fewest crashes are evicted
 /// first, so that made-up parts can't displace a quarantined one.
 pub const MAX_PARTS: usize = 2_048;
--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of requests that crash the workers that run them.
 //!
 //! When a worker crashes, a crash is recorded for the content digest of every request that was
-//! running on it. A request whose digest has a crash on record is a suspect and runs alone on a
+//! running on it, once for equal requests. A request whose digest has a crash on record is a suspect and runs alone on a
 //! worker, so that a further crash can't be due to another request. Once a digest has
 //! [`CRASH_THRESHOLD`] crashes, requests with it are refused for [`QUARANTINE_TIME`]. The record of
 //! a digest is removed when a request with it finishes.
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::clock::ClockTime;
+use crate::name::WorkerName;
 
 /// The number of crashes at which requests with a digest are refused.
 pub const CRASH_THRESHOLD: u8 = 2;
@@ -24,6 +25,10 @@
 /// The maximum number of digests on record on one host; the oldest records are evicted.
 pub const MAX_DIGESTS: usize = 10_000;
 
+/// The time within which reports of a crash of one worker mean the same crash; a worker takes longer
+/// to start again.
+pub const CRASH_MERGE_TIME: Duration = Duration::from_secs(1);
+
 /// The maximum number of digests that are reported to a host when a link to it is opened.
 pub const MAX_REPORTED_DIGESTS: usize = 64;
 
@@ -41,19 +46,24 @@
     },
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct CrashRecord {
     crashes: u8,
+    /// The worker that crashed last, and when that was recorded here.
+    worker: WorkerName,
+    recorded_at: ClockTime,
     expires_at: ClockTime,
 }
 
 /// The crashes on record for a digest, as one host reports them to another.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashCount {
     /// The digest of the content of requests.
     pub digest: u64,
     /// The number of crashes.
     pub crashes: u8,
+    /// The worker that crashed last.
+    pub worker: WorkerName,
     /// The time for which the crashes stay on record.
     pub remaining: Duration,
 }
@@ -67,11 +77,14 @@
 /// use borageladder_kernel::quarantine::CrashRegister;
 /// use borageladder_kernel::quarantine::QuarantineVerdict;
 ///
+/// # fn main() -> Result<(), Box<dyn std::error::Error>> {
 /// let mut register = CrashRegister::default();
-/// register.record_crash(7, ClockTime::ZERO);
+/// register.record_crash(7, &"engine-1".parse()?, ClockTime::ZERO);
 /// assert_eq!(register.verdict(7, ClockTime::ZERO), QuarantineVerdict::Suspect);
-/// register.record_crash(7, ClockTime::ZERO);
+/// register.record_crash(7, &"engine-2".parse()?, ClockTime::ZERO);
 /// assert!(matches!(register.verdict(7, ClockTime::ZERO), QuarantineVerdict::Refused { .. }));
+/// # Ok(())
+/// # }
 /// ```
 #[derive(Debug, Default)]
 pub struct CrashRegister {
@@ -79,25 +92,40 @@
 }
 
 impl CrashRegister {
-    /// Records a crash for a digest and returns the report for the other hosts.
-    pub fn record_crash(&mut self, digest: u64, now: ClockTime) -> CrashCount {
+    /// Records the crash of a worker for a digest and returns the report for the other hosts; `None`
+    /// if the same crash is on record already, from another request with the digest.
+    pub fn record_crash(
+        &mut self,
+        digest: u64,
+        worker: &WorkerName,
+        now: ClockTime,
+    ) -> Option<CrashCount> {
+        let is_same = |record: &CrashRecord| {
+            record.worker == *worker && now.since(record.recorded_at) < CRASH_MERGE_TIME
+        };
+        if self.records.get(&digest).is_some_and(is_same) {
+            return None;
+        }
         let count = CrashCount {
             digest,
             crashes: self.crashes(digest, now).saturating_add(1),
+            worker: worker.clone(),
             remaining: QUARANTINE_TIME,
         };
-        self.merge(count, now);
-        count
+        self.merge(&count, now);
+        Some(count)
     }
 
     /// Merges the crash count reported by another host; returns whether it exceeds the count on
     /// record.
-    pub fn merge(&mut self, count: CrashCount, now: ClockTime) -> bool {
+    pub fn merge(&mut self, count: &CrashCount, now: ClockTime) -> bool {
         if count.crashes <= self.crashes(count.digest, now) {
             return false;
         }
         let record = CrashRecord {
             crashes: count.crashes,
+            worker: count.worker.clone(),
+            recorded_at: now,
             expires_at: now + count.remaining.min(QUARANTINE_TIME),
         };
         self.records.insert(count.digest, record);
@@ -135,17 +163,15 @@
     /// missed them; at most [`MAX_REPORTED_DIGESTS`].
     #[must_use]
     pub fn counts(&self, now: ClockTime) -> Vec<CrashCount> {
-        let mut records: Vec<(u64, CrashRecord)> = self
-            .records
-            .iter()
-            .filter(|(_, record)| now < record.expires_at)
-            .map(|(digest, record)| (*digest, *record))
-            .collect();
+        let records = self.records.iter();
+        let current = records.filter(|(_, record)| now < record.expires_at);
+        let mut records: Vec<(&u64, &CrashRecord)> = current.collect();
         records.sort_by_key(|(_, record)| Reverse((record.crashes, record.expires_at)));
         records.truncate(MAX_REPORTED_DIGESTS);
-        let count = |(digest, record): (u64, CrashRecord)| CrashCount {
-            digest,
+        let count = |(digest, record): (&u64, &CrashRecord)| CrashCount {
+            digest: *digest,
             crashes: record.crashes,
+            worker: record.worker.clone(),
             remaining: record.expires_at.since(now),
         };
         records.into_iter().map(count).collect()
--- a/kernel/tests/poison.rs
+++ b/kernel/tests/poison.rs
@@ -5,7 +5,6 @@
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::name::WorkerName;
 use borageladder_kernel::name::WorkspaceName;
-use borageladder_kernel::poison::CRASH_MERGE_TIME;
 use borageladder_kernel::poison::CRASHES_TO_QUARANTINE;
 use borageladder_kernel::poison::CrashedRequest;
 use borageladder_kernel::poison::MAX_PARTS;
@@ -13,6 +12,7 @@
 use borageladder_kernel::poison::PoisonRegister;
 use borageladder_kernel::poison::SOUND_TIME;
 use borageladder_kernel::prompt::PartDigest;
+use borageladder_kernel::quarantine::CRASH_MERGE_TIME;
 use borageladder_kernel::quarantine::QUARANTINE_TIME;
 
 const SHARED: PartDigest = PartDigest(1);
--- a/src/context.rs
+++ b/src/context.rs
@@ -202,7 +202,7 @@
         if let Some(spec) = self.applied().configuration.workers.get(worker) {
             self.metrics.worker_failed(&spec.service);
         }
-        self.crashes.record_crash(digest);
+        self.crashes.record_crash(digest, worker);
     }
 
     /// Logs the end of a request and records it in the journal and the metrics.
--- a/src/crashes/requests.rs
+++ b/src/crashes/requests.rs
@@ -7,6 +7,7 @@
 use super::report_on_connect;
 use crate::clock::ProcessClock;
 use crate::kernel::name::HostName;
+use crate::kernel::name::WorkerName;
 use crate::kernel::quarantine::CrashCount;
 use crate::kernel::quarantine::CrashRegister;
 use crate::kernel::quarantine::QuarantineVerdict;
@@ -52,17 +53,19 @@
 
     /// Records that a worker crashed while it ran a request with the content digest, and broadcasts
     /// the new count.
-    pub fn record_crash(&self, digest: u64) {
+    pub fn record_crash(&self, digest: u64, worker: &WorkerName) {
         let now = self.clock.now();
-        let count = self.register.borrow_mut().record_crash(digest, now);
-        self.links.broadcast(&LinkMessage::Crash(count));
+        let count = self.register.borrow_mut().record_crash(digest, worker, now);
+        if let Some(count) = count {
+            self.links.broadcast(&LinkMessage::Crash(count));
+        }
     }
 
     /// Merges a count that another host sent. A count that is new here is broadcast again, since
     /// hosts of other data centres may be linked to a few hosts only.
     pub fn merge(&self, count: CrashCount) {
         let now = self.clock.now();
-        if self.register.borrow_mut().merge(count, now) {
+        if self.register.borrow_mut().merge(&count, now) {
             self.links.broadcast(&LinkMessage::Crash(count));
         }
     }
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -170,7 +170,8 @@
                 write(frame, CONFIGURATION_WANTED, version)
             }
             LinkMessage::Crash(count) => {
-                let row = (count.digest, count.crashes, millis(count.remaining));
+                let remaining = millis(count.remaining);
+                let row = (count.digest, count.crashes, remaining, &count.worker);
                 write(frame, CRASH, &row)
             }
             LinkMessage::CrashedParts(reports) => write(frame, CRASHED_PARTS, reports),
@@ -264,10 +265,11 @@
             CONFIGURATION_DELTAS => LinkMessage::ConfigurationDeltas(read(rest, limit)?),
             CONFIGURATION_WANTED => LinkMessage::ConfigurationWanted(read(rest, limit)?),
             CRASH => {
-                let (digest, crashes, remaining) = read(rest, limit)?;
+                let (digest, crashes, remaining, worker) = read(rest, limit)?;
                 LinkMessage::Crash(CrashCount {
                     digest,
                     crashes,
+                    worker,
                     remaining: Duration::from_millis(remaining),
                 })
             }
--- a/standin/src/experiment/entry.rs
+++ b/standin/src/experiment/entry.rs
@@ -261,7 +261,11 @@
     /// Records a worker crash for a request and schedules the resend of a crashing request.
     fn count_crash(&mut self, record: usize) {
         let record = &self.records[record];
-        self.crashes.record_crash(record.digest(), self.queue.now());
+        if let Some(worker) = record.worker {
+            let worker = &self.fleet.workers[worker].name;
+            let now = self.queue.now();
+            self.crashes.record_crash(record.digest(), worker, now);
+        }
         let Some(attempt) = record.crashing_attempt else {
             return;
         };
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -217,6 +217,7 @@
         LinkMessage::Crash(CrashCount {
             digest: u64::MAX,
             crashes: 2,
+            worker: name("engine-1"),
             remaining: Duration::from_mins(10),
         }),
         LinkMessage::CrashedParts(vec![PartReport {
