Record the crashes of requests with an idempotency key

Operators of the daemon saw a request that must not be repeated crash one engine after the other, whenever its caller sent equal content under a new key: four of four engines in the test.

Change: when the answer of such a request is lost, its outcome is recorded as unknown first, then the worker is checked as in the relay, and a crash is recorded for the content; a complete answer clears it.

--- a/src/idempotency.rs
+++ b/src/idempotency.rs
@@ -4,6 +4,7 @@
 //! repeats. It runs in a task of its own, which continues when the caller disconnects, so that a
 //! repeat finds the answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,12 +15,14 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 
+use crate::cell::SlotLease;
 use crate::claims::ClaimError;
 use crate::claims::ClaimOutcome;
 use crate::claims::DispatchedClaim;
 use crate::claims::HeldClaim;
 use crate::claims::StoredAnswer;
 use crate::claims::StoredHeader;
+use crate::connection::FreshConnection;
 use crate::context::HostContext;
 use crate::execution;
 use crate::execution::DispatchedRequest;
@@ -149,19 +152,21 @@
     let DispatchedRequest {
         life,
         lease,
+        address,
         answer,
-        ..
     } = dispatched;
     let limit = placed.deadline.since(context.clock.now());
     let Some(answer) = collect(answer, limit).await else {
         // A record that the table does not confirm is retried in the background.
         let _ = context.claims.record_unknown(claim).await;
         let _ran = life.end_unknown();
+        check_worker(context, placed, lease, address).await;
         return Err(lost_answer("the upstream did not send a complete answer"));
     };
     let mut usage = UsageCollector::default();
     usage.push(&answer.body);
     lease.finished(usage.tokens(), Duration::ZERO);
+    context.crashes.clear(placed.incoming.digest);
     let _ran = life.finish();
     if let Err(error) = context.claims.record_answer(claim, &answer).await {
         active.step(format!("the answer is not stored yet: {error}"));
@@ -170,6 +175,20 @@
     Ok(stored_response(placed, &answer, false))
 }
 
+/// Records a crash of the worker that lost the answer if it no longer accepts connections.
+async fn check_worker(
+    context: &HostContext,
+    placed: &PlacedRequest,
+    lease: SlotLease,
+    address: SocketAddr,
+) {
+    if FreshConnection::open(address).await.is_err() {
+        let worker = &lease.grant().worker;
+        context.record_worker_crash(worker, placed.incoming.digest);
+        lease.failed();
+    }
+}
+
 /// Reads an answer to its end; `None` if it is absent, incomplete, late or larger than
 /// [`MAX_STORED_ANSWER_BYTES`].
 async fn collect(answer: Option<UpstreamAnswer>, limit: Duration) -> Option<StoredAnswer> {
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -81,3 +81,29 @@
         }
     }
 }
+
+// Guards against a crashing request that is never quarantined because it has an idempotency key.
+#[test]
+fn a_crashing_request_with_a_key_is_quarantined_too() {
+    let deployment = Deployment::start(&DeploymentPlan {
+        hosts: vec!["sapporo-a", "sapporo-a"],
+        engines: vec![("sapporo-a", Vec::new()); ENGINES],
+        plain: Vec::new(),
+        script: "set service drafter engine models quill-8b non-idempotent".to_owned(),
+        ..DeploymentPlan::default()
+    });
+    deployment.wait_linked(&[0, 1]);
+    for engine in &deployment.engines {
+        engine.control(&json!({ "crash_on": "poison" }));
+    }
+    let mut last = String::new();
+    for round in 0..ENGINES {
+        // Each round the caller sends an equal request under another key.
+        let key = format!("key-{round}");
+        let poison = Call::chat("quill-8b", "poison", 20, false).header("idempotency-key", &key);
+        last = deployment.call(round % 2, &poison).code();
+    }
+    let crashes = crashed_engines(&deployment);
+    assert!(crashes <= MAX_CRASHES, "{crashes} engines");
+    assert_eq!(last, "request_quarantined");
+}
