--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -107,6 +107,14 @@
         let apart = self.crashed_at.abs_diff(other.crashed_at);
         self.worker == other.worker && u128::from(apart) < CRASH_MERGE_TIME.as_millis()
     }
+
+    fn report(&self, now: i64) -> CrashReport {
+        let age = u64::try_from(now - self.crashed_at).unwrap_or(0);
+        CrashReport {
+            worker: self.worker.clone(),
+            age: Duration::from_millis(age),
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -365,16 +373,6 @@
     }
 }
 
-impl CrashRecord {
-    fn report(&self, now: i64) -> CrashReport {
-        let age = u64::try_from(now - self.crashed_at).unwrap_or(0);
-        CrashReport {
-            worker: self.worker.clone(),
-            age: Duration::from_millis(age),
-        }
-    }
-}
-
 fn millis(time: ClockTime) -> i64 {
     i64::try_from(time.as_micros() / 1_000).unwrap_or(i64::MAX)
 }
