Keep what was sent beyond a worker's pace when it names the rate again

Found by reading: each answer that named the rate cut what had been sent ahead to a burst, so requests that another broker had granted, or that were under way when the worker was limited, were forgotten at the next answer, and the worker got more than its rate. Both tests failed before: after ten requests of another broker at 2 a second a further one was granted at once. The pace keeps the number of requests that are ahead now, also at a new rate.

--- a/kernel/src/pace.rs
+++ b/kernel/src/pace.rs
@@ -163,10 +163,11 @@
         if named_at < self.named_at {
             return;
         }
+        let sent_ahead = self.due_at.since(named_at);
+        let scale = rate.interval().div_duration_f64(self.rate.interval());
+        self.due_at = named_at + sent_ahead.mul_f64(scale);
         self.rate = rate;
         self.named_at = named_at;
-        // What was sent at a lower rate must not delay more than a burst at the new one.
-        self.due_at = self.due_at.min(named_at + rate.interval() * BURST);
     }
 
     /// Records a request to the worker, whether its sender asked for it or not.
--- a/kernel/tests/broker/rates.rs
+++ b/kernel/tests/broker/rates.rs
@@ -101,10 +101,9 @@
     assert!(harness.running(limited) <= 1 + u32::try_from(BURST).expect("a small number"));
 }
 
-#[test]
-fn requests_that_another_broker_granted_count() {
-    let mut harness = limited_broker(&[("a", 10)], TWO_PER_SECOND);
-    for sequence in 1..=4 {
+/// Reports dispatches to the worker `a` that another broker granted.
+fn report_foreign_dispatches(harness: &mut BrokerHarness, count: u64) {
+    for sequence in 1..=count {
         let report = WorkReport {
             request: request(1_000 + sequence),
             grant: GrantId {
@@ -119,6 +118,12 @@
             report,
         });
     }
+}
+
+#[test]
+fn requests_that_another_broker_granted_count() {
+    let mut harness = limited_broker(&[("a", 10)], TWO_PER_SECOND);
+    report_foreign_dispatches(&mut harness, 4);
     assert_eq!(harness.submit(0, 60), []);
     assert_eq!(harness.advance(Duration::from_millis(1_400)), []);
     assert_eq!(
@@ -127,6 +132,39 @@
     );
 }
 
+// Guards against requests beyond the pace that each further answer with the rate forgets.
+#[test]
+fn requests_beyond_the_pace_count_after_the_rate_is_named_again() {
+    let mut harness = gateway_broker(&[("a", 20)]);
+    let first = only_grant(&harness.submit(0, 60));
+    let second = only_grant(&harness.submit(0, 60));
+    name_rate(&mut harness, &first, TWO_PER_SECOND);
+    report_foreign_dispatches(&mut harness, 10);
+    name_rate(&mut harness, &second, TWO_PER_SECOND);
+    assert_eq!(harness.submit(0, 60), []);
+    assert_eq!(harness.advance(Duration::from_millis(4_400)), []);
+    assert_eq!(
+        grants(&harness.advance(Duration::from_millis(100))).len(),
+        1
+    );
+}
+
+#[test]
+fn requests_beyond_the_pace_count_at_a_new_rate_as_at_the_old_one() {
+    let mut harness = gateway_broker(&[("a", 20)]);
+    let first = only_grant(&harness.submit(0, 60));
+    let second = only_grant(&harness.submit(0, 60));
+    name_rate(&mut harness, &first, RequestRate(200));
+    report_foreign_dispatches(&mut harness, 5);
+    name_rate(&mut harness, &second, TWO_PER_SECOND);
+    assert_eq!(harness.submit(0, 60), []);
+    assert_eq!(harness.advance(Duration::from_millis(1_900)), []);
+    assert_eq!(
+        grants(&harness.advance(Duration::from_millis(100))).len(),
+        1
+    );
+}
+
 #[test]
 fn only_an_answer_to_a_later_request_ends_a_limit() {
     let mut harness = gateway_broker(&[("a", 10)]);
