--- a/src/cell/rates.rs
+++ b/src/cell/rates.rs
@@ -4,11 +4,17 @@
 use std::time::Duration;
 
 use super::asks::CellId;
+use super::service::CellService;
+use crate::kernel::ask::Grant;
+use crate::kernel::ask::WorkProgress;
+use crate::kernel::ask::WorkReport;
 use crate::kernel::clock::ClockTime;
+use crate::kernel::name::HostName;
 use crate::kernel::name::WorkerName;
 use crate::kernel::pace::NamedRate;
 use crate::kernel::pace::RateStatement;
 use crate::kernel::pace::RequestRate;
+use crate::wire::LinkMessage;
 
 /// The time for which a rate is remembered after the answer that named it, longer than the time
 /// between two answers at the lowest rate.
@@ -102,3 +108,43 @@
             .retain(|_, record| now.since(record.named_at) < RATE_MEMORY_TIME);
     }
 }
+
+impl CellService {
+    /// Records what the head of an answer says about the rate of requests that its worker takes, and
+    /// reports a rate that it names; `sent_at` is the time of the dispatch.
+    ///
+    /// Returns whether that changes what this host knows.
+    pub(super) fn observe_rate(
+        &self,
+        grant: &Grant,
+        sent_at: ClockTime,
+        statement: RateStatement,
+    ) -> bool {
+        let cell = self.asks.borrow().held_cell(grant.request).cloned();
+        let Some(cell) = cell else { return false };
+        let now = self.clock.now();
+        let mut rates = self.rates.borrow_mut();
+        let observation = rates.observe(now, sent_at, &cell, &grant.worker, statement);
+        drop(rates);
+        let is_named = statement != RateStatement::Unlimited;
+        if let Some(rate) = observation.rate.filter(|_| is_named) {
+            self.report(&WorkReport {
+                request: grant.request,
+                grant: grant.grant,
+                worker: grant.worker.clone(),
+                progress: WorkProgress::RateNamed { rate },
+            });
+        }
+        observation.changed
+    }
+
+    /// Declares the rates that the workers of a cell named to this entry.
+    pub(super) fn declare_rates(&self, now: ClockTime, cell: &CellId, broker: &HostName) {
+        let rates = self.rates.borrow_mut().of_cell(now, cell);
+        if !rates.is_empty() {
+            let service = cell.service.clone();
+            self.network
+                .send(broker, LinkMessage::Rates { service, rates });
+        }
+    }
+}
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -32,7 +32,6 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
-use crate::kernel::pace::RateStatement;
 use crate::kernel::pause::PauseDetector;
 use crate::wire::LinkMessage;
 use crate::wire::Referral;
@@ -47,7 +46,7 @@
     pub(super) span: CellSpan,
     pub(super) asks: RefCell<AskTable>,
     pub(super) brokers: RefCell<BrokerTable>,
-    rates: RefCell<RateTable>,
+    pub(super) rates: RefCell<RateTable>,
     pauses: RefCell<PauseDetector>,
     /// The brokers and deputies of this entry's cells at the last call of `declare_running`.
     known_brokers: RefCell<Vec<(CellId, HostName)>>,
@@ -142,34 +141,6 @@
         }
     }
 
-    /// Records what the head of an answer says about the rate of requests that its worker takes, and
-    /// reports a rate that it names; `sent_at` is the time of the dispatch.
-    ///
-    /// Returns whether that changes what this host knows.
-    pub(super) fn observe_rate(
-        &self,
-        grant: &Grant,
-        sent_at: ClockTime,
-        statement: RateStatement,
-    ) -> bool {
-        let cell = self.asks.borrow().held_cell(grant.request).cloned();
-        let Some(cell) = cell else { return false };
-        let now = self.clock.now();
-        let mut rates = self.rates.borrow_mut();
-        let observation = rates.observe(now, sent_at, &cell, &grant.worker, statement);
-        drop(rates);
-        let is_named = statement != RateStatement::Unlimited;
-        if let Some(rate) = observation.rate.filter(|_| is_named) {
-            self.report(&WorkReport {
-                request: grant.request,
-                grant: grant.grant,
-                worker: grant.worker.clone(),
-                progress: WorkProgress::RateNamed { rate },
-            });
-        }
-        observation.changed
-    }
-
     /// Removes a held slot whose use has ended.
     pub fn release(&self, request: RequestId) {
         self.asks.borrow_mut().release(request);
@@ -421,14 +392,4 @@
         }
         *self.known_brokers.borrow_mut() = current;
     }
-
-    /// Declares the rates that the workers of a cell named to this entry.
-    fn declare_rates(&self, now: ClockTime, cell: &CellId, broker: &HostName) {
-        let rates = self.rates.borrow_mut().of_cell(now, cell);
-        if !rates.is_empty() {
-            let service = cell.service.clone();
-            self.network
-                .send(broker, LinkMessage::Rates { service, rates });
-        }
-    }
 }
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,15 +1,20 @@
-//! Crashes of workers: attribution to the requests that were running, and what clears a request.
+//! Crashes of workers: attribution to the requests that were running, what clears a request, and
+//! the quarantine.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use super::exchange::CallExchange;
+use super::frontend::CallerRequest;
 use super::host::GatewayHost;
+use super::plan::CallError;
 use super::plan::PlannedCall;
+use super::plan::first_u64;
 use super::trace;
 use super::worker::AnswerFraming;
 use super::worker::WorkerConnection;
 use crate::kernel::name::WorkerName;
+use crate::kernel::name::WorkspaceName;
 use crate::kernel::poison::CrashedRequest;
 use crate::kernel::prompt::PartDigest;
 
@@ -72,3 +77,45 @@
     });
     trace::worker_crashed(host, planned, &evidence.worker);
 }
+
+/// Checks that neither the content of the request nor a part of its prompt is in quarantine.
+///
+/// # Errors
+///
+/// Returns [`CallError::Quarantined`] or [`CallError::PartQuarantined`] if one is.
+pub(super) fn check_quarantine(host: &GatewayHost, planned: &PlannedCall) -> Result<(), CallError> {
+    let workspace = planned.workspace.as_ref();
+    let Some((content, parts)) = planned.crash_candidates.split_first() else {
+        return Ok(());
+    };
+    if let Some(retry_after) = host.crashes.quarantine(workspace, &[*content]) {
+        return Err(CallError::Quarantined { retry_after });
+    }
+    match host.crashes.quarantine(workspace, parts) {
+        Some(retry_after) => Err(CallError::PartQuarantined { retry_after }),
+        None => Ok(()),
+    }
+}
+
+/// Returns what a crash of a request's worker may be attributed to; the last part of the prompt
+/// belongs to the request itself.
+pub(super) fn crash_candidates(request: &CallerRequest, planned: &PlannedCall) -> Vec<PartDigest> {
+    let content = content_digest(request, planned.workspace.as_ref());
+    let parts = planned.metadata.prompt_parts.split_last();
+    let shared = parts.map_or(&[][..], |(_own, shared)| shared);
+    let mut candidates = vec![content];
+    candidates.extend_from_slice(shared);
+    candidates
+}
+
+/// Returns the digest of a request's content; its headers are not included.
+fn content_digest(request: &CallerRequest, workspace: Option<&WorkspaceName>) -> PartDigest {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(request.head.method().as_str().as_bytes());
+    hasher.update(request.head.uri().to_string().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(workspace.map_or(&[], |name| name.as_str().as_bytes()));
+    hasher.update(&[0]);
+    hasher.update(&request.body);
+    PartDigest(first_u64(hasher.finalize()))
+}
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -11,6 +11,7 @@
 use actix_http::header;
 use thiserror::Error;
 
+use super::crash;
 use super::dialect::CallMetadata;
 use super::dialect::TokenUsage;
 use super::document::ServingConfiguration;
@@ -237,32 +238,13 @@
     let attempt_id = metadata.attempt_id.clone().ok_or(CallError::NoIdentifier)?;
     let id = host.next_request_id();
     let mut planned = resolve_request(&serving, request, metadata, attempt_id, id, arrival)?;
-    planned.crash_candidates = crash_candidates(request, &planned);
-    check_quarantine(host, &planned)?;
+    planned.crash_candidates = crash::crash_candidates(request, &planned);
+    crash::check_quarantine(host, &planned)?;
     charge_quota(host, &planned)?;
     host.count_request(arrival, &planned.service);
     Ok(planned)
 }
 
-/// Checks that neither the content of the request nor a part of its prompt is in quarantine.
-///
-/// # Errors
-///
-/// Returns [`CallError::Quarantined`] or [`CallError::PartQuarantined`] if one is.
-pub fn check_quarantine(host: &GatewayHost, planned: &PlannedCall) -> Result<(), CallError> {
-    let workspace = planned.workspace.as_ref();
-    let Some((content, parts)) = planned.crash_candidates.split_first() else {
-        return Ok(());
-    };
-    if let Some(retry_after) = host.crashes.quarantine(workspace, &[*content]) {
-        return Err(CallError::Quarantined { retry_after });
-    }
-    match host.crashes.quarantine(workspace, parts) {
-        Some(retry_after) => Err(CallError::PartQuarantined { retry_after }),
-        None => Ok(()),
-    }
-}
-
 /// Plans a request again after a wait, by the configuration that is in force now.
 ///
 /// Returns `None` if the configuration version has not changed. The crash candidates and the charge
@@ -374,30 +356,7 @@
     Some(name.to_ascii_lowercase())
 }
 
-/// Returns what a crash of a request's worker may be attributed to; the last part of the prompt
-/// belongs to the request itself.
-fn crash_candidates(request: &CallerRequest, planned: &PlannedCall) -> Vec<PartDigest> {
-    let content = content_digest(request, planned.workspace.as_ref());
-    let parts = planned.metadata.prompt_parts.split_last();
-    let shared = parts.map_or(&[][..], |(_own, shared)| shared);
-    let mut candidates = vec![content];
-    candidates.extend_from_slice(shared);
-    candidates
-}
-
-/// Returns the digest of a request's content; its headers are not included.
-fn content_digest(request: &CallerRequest, workspace: Option<&WorkspaceName>) -> PartDigest {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(request.head.method().as_str().as_bytes());
-    hasher.update(request.head.uri().to_string().as_bytes());
-    hasher.update(&[0]);
-    hasher.update(workspace.map_or(&[], |name| name.as_str().as_bytes()));
-    hasher.update(&[0]);
-    hasher.update(&request.body);
-    PartDigest(first_u64(hasher.finalize()))
-}
-
-fn first_u64(hash: blake3::Hash) -> u64 {
+pub(super) fn first_u64(hash: blake3::Hash) -> u64 {
     let leading = hash.as_bytes().first_chunk();
     leading.copied().map(u64::from_le_bytes).unwrap_or_default()
 }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 
 use super::caller::CallerWriter;
+use super::crash;
 use super::exchange::CallExchange;
 use super::exchange::DEFAULT_RETRY_AFTER;
 use super::exchange::refusal_error;
@@ -129,7 +130,7 @@
             }
             Err(error) => return Err((error.into(), granted.release_grant())),
         }
-        if let Err(error) = plan::check_quarantine(self.host, &self.planned) {
+        if let Err(error) = crash::check_quarantine(self.host, &self.planned) {
             return Err((error.into(), granted.release_grant()));
         }
         let Some(record) = self.host.worker(&worker) else {
