--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -1,10 +1,10 @@
 //! Quarantine of requests that crash the workers that run them.
 //!
 //! When a worker crashes, a crash is recorded for the content digest of every request that was
-//! running on it, once for equal requests. A request whose digest has a crash on record is a suspect and runs alone on a
-//! worker, so that a further crash can't be due to another request. Once a digest has
-//! [`CRASH_THRESHOLD`] crashes, requests with it are refused for [`QUARANTINE_TIME`]. The record of
-//! a digest is removed when a request with it finishes.
+//! running on it, once for equal requests. A request whose digest has a crash on record is a suspect
+//! and runs alone on a worker, so that a further crash can't be due to another request. Once a digest
+//! has [`CRASH_THRESHOLD`] crashes, requests with it are refused for [`QUARANTINE_TIME`]. The record
+//! of a digest is removed when a request with it finishes.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
