Predict the wait for a worker that is reserved for a suspect as before

Found on reading the change again: the wait for a worker that names a rate was returned for each unavailable worker with a free slot, so one that is reserved for a suspect, or runs one, seemed free at once.

--- a/kernel/src/broker/records.rs
+++ b/kernel/src/broker/records.rs
@@ -147,7 +147,7 @@
         let by_rate = self
             .pace
             .map_or(Duration::ZERO, |pace| pace.wait_behind(now, ahead));
-        if self.used < self.slots(now) {
+        if self.exclusive_request.is_none() && self.used < self.slots(now) {
             return by_rate;
         }
         let turns = self.mean_hold().saturating_mul(ahead.saturating_add(1));
--- a/kernel/tests/broker/rates.rs
+++ b/kernel/tests/broker/rates.rs
@@ -261,3 +261,31 @@
         "{actions:?}"
     );
 }
+
+// Guards against a request that waits for a worker reserved for a suspect as if it were free at once.
+#[test]
+fn a_worker_reserved_for_a_suspect_is_predicted_to_be_busy() {
+    let mut harness = gateway_broker(&[("a", 4)]);
+    let measured = only_grant(&harness.submit(0, 60));
+    harness.report(&measured, WorkProgress::Dispatched);
+    harness.advance(Duration::from_secs(4));
+    harness.finish(&measured, 5);
+    only_grant(&harness.submit(0, 60));
+    harness.set_workers(&[("b", 4)]);
+    let slow = only_grant(&harness.submit(0, 60));
+    harness.finish(&slow, 50);
+    only_grant(&harness.submit(0, 60));
+    only_grant(&harness.submit(0, 60));
+    harness.set_workers(&[("a", 4), ("b", 4)]);
+    let suspect = Ask {
+        suspect: true,
+        ..harness.ask(0, Duration::from_mins(1))
+    };
+    assert_eq!(harness.send(&suspect), [], "the worker a is reserved");
+    let ask = Ask {
+        first_token_target: Some(Duration::from_millis(400)),
+        token_gap_target: Some(Duration::from_millis(20)),
+        ..harness.ask(0, Duration::from_mins(1))
+    };
+    assert_eq!(only_grant(&harness.send(&ask)).worker.as_str(), "b");
+}
