Remove a count that nothing reads any more

It served a log line before the gateway's crashes moved to the register of parts; the front page of that register says now that the content counts as a part.

--- a/src/crashes/parts.rs
+++ b/src/crashes/parts.rs
@@ -1,4 +1,5 @@
-//! Worker crashes by the parts of the prompts that they ran.
+//! Worker crashes by the prompt parts of the requests that they ran, and by their content as one more
+//! part.
 
 use std::cell::RefCell;
 use std::fmt;
--- a/src/crashes/requests.rs
+++ b/src/crashes/requests.rs
@@ -75,12 +75,6 @@
         self.register.borrow_mut().clear(digest);
     }
 
-    /// Returns the number of crashes on record for the content digest.
-    #[must_use]
-    pub fn crashes(&self, digest: u64) -> u8 {
-        self.register.borrow().crashes(digest, self.clock.now())
-    }
-
     /// Returns how a request with the digest may be run.
     #[must_use]
     pub fn verdict(&self, digest: u64) -> QuarantineVerdict {
