--- a/kernel/src/pace.rs
+++ b/kernel/src/pace.rs
@@ -170,7 +170,7 @@
         self.named_at = named_at;
     }
 
-    /// Records a request to the worker, whether its sender asked for it or not.
+    /// Records a request to the worker, whichever broker granted it.
     pub fn sent(&mut self, now: ClockTime) {
         self.due_at = self.due_at.max(now) + self.rate.interval();
     }
--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -67,7 +67,7 @@
     pub worker: &'a WorkerName,
     /// The workspace of the caller; `None` if the request belongs to none.
     pub workspace: Option<&'a WorkspaceName>,
-    /// The parts of the prompt that other requests may share.
+    /// The parts of the prompt that other requests may share, and the content as one more.
     pub parts: &'a [PartDigest],
     /// The parts that had a crash on record when the request was sent.
     pub suspected: &'a [PartDigest],
--- a/src/event.rs
+++ b/src/event.rs
@@ -113,7 +113,7 @@
     602 Warning WorkerEntryUnusable "worker-entry-unusable" "The stored row of a worker can't be read and the worker is treated as absent.";
     603 Info WorkersChanged "workers-changed" "The workers that can be assigned new work changed.";
     604 Warning RequestQuarantined "request-quarantined" "A request was refused because requests with the same content or a part of the same prompt crashed too many workers.";
-    605 Warning WorkerCrashed "worker-crashed" "A worker that had lost the answer to a request refused connections afterwards; the crash was recorded.";
+    605 Warning WorkerCrashed "worker-crashed" "A worker could not be connected to after an answer was lost, or had ended with its connection; the crash was recorded.";
     606 Info WorkerRateChanged "worker-rate-changed" "A worker named another rate of requests that it takes from all hosts together than before, or none any more.";
     700 Warning PlatformFailed "platform-failed" "A call to the platform failed or timed out.";
     800 Warning LinesDropped "lines-dropped" "Log lines were dropped by the rate limit.";
