Believe the failure of a worker on one host's word only while it answers no other

Ruled out: asking the other hosts for each broken answer (a round trip on the path of a retry; the gateway does so for connections that can't be opened, and the broker hears of answers anyway). Change: the broker keeps the latest answer to two hosts. A failure is not believed while the worker answered another host within a second, unless a second host reports one or the first reports a later one with no answer in between. Requests that broke together are one failure. Figures: a_worker_that_answers_another_host_is_not_suspended_on_the_word_of_one failed before and passes; three tests bound what the doubt costs (two hosts, broken together, one host again).

--- a/kernel/src/broker/health.rs
+++ b/kernel/src/broker/health.rs
@@ -120,9 +120,24 @@
         }
     }
 
+    /// Handles a failure that a host reported of a request sent at `sent_at`; the worker is suspended
+    /// unless its answers to other hosts speak against it.
+    pub(super) fn on_failed(
+        &mut self,
+        now: ClockTime,
+        worker: usize,
+        host: &HostName,
+        sent_at: ClockTime,
+    ) {
+        let blame = &mut self.workers.records[worker].blame;
+        if blame.record_failure(now, host, sent_at) {
+            self.worker_failed(now, worker, host);
+        }
+    }
+
     /// Suspends a worker after a failure, with exponential back-off for consecutive failures, and
     /// halves its adaptive limit. Failures reported during the suspension are ignored.
-    pub(super) fn worker_failed(&mut self, now: ClockTime, worker: usize, host: &HostName) {
+    fn worker_failed(&mut self, now: ClockTime, worker: usize, host: &HostName) {
         let record = &mut self.workers.records[worker];
         let failures = match record.health {
             // Requests that ran on the worker at the same time report the same failure.
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -11,6 +11,7 @@
 //! a request twice, because only the entry that holds a request dispatches it.
 
 mod asks;
+mod blame;
 mod candidates;
 mod granting;
 mod grants;
--- a/kernel/src/broker/records.rs
+++ b/kernel/src/broker/records.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::blame::FailureBlame;
 use crate::ask::CellWorker;
 use crate::ask::LoadReport;
 use crate::clock::ClockTime;
@@ -64,6 +65,8 @@
     pub limit: WorkerLimit,
     pub speed: SpeedEstimate,
     pub failures: FailureRate,
+    /// What speaks for and against a reported failure of the worker.
+    pub blame: FailureBlame,
     pub cache: PrefixCache,
     pub load: Option<LoadReport>,
     /// The number of slots in use.
@@ -100,6 +103,7 @@
             limit: WorkerLimit::new(mode, worker.max_running),
             speed: SpeedEstimate::default(),
             failures: FailureRate::default(),
+            blame: FailureBlame::default(),
             cache: PrefixCache::new(position),
             load: None,
             used: 0,
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -53,6 +53,7 @@
             }
             WorkProgress::FirstToken { after } => {
                 self.on_answered(now, report.grant);
+                self.workers.records[worker].blame.record_answer(now, host);
                 self.on_first_token(now, report.grant, after);
             }
             WorkProgress::Finished {
@@ -60,6 +61,7 @@
                 token_gap,
             } => {
                 self.on_answered(now, report.grant);
+                self.workers.records[worker].blame.record_answer(now, host);
                 self.on_finished(now, report.grant, answer_tokens, token_gap);
             }
             WorkProgress::Stopped | WorkProgress::Released => self.free_slot(now, report.grant),
@@ -77,8 +79,9 @@
                 self.free_slot(now, report.grant);
             }
             WorkProgress::Failed => {
+                let sent_at = record.started;
                 self.free_slot(now, report.grant);
-                self.worker_failed(now, worker, host);
+                self.on_failed(now, worker, host, sent_at);
             }
         }
     }
@@ -104,11 +107,15 @@
                 answer_tokens,
                 token_gap,
             } => {
+                self.workers.records[worker].blame.record_answer(now, host);
                 self.observe_gap(now, worker, answer_tokens, token_gap);
             }
-            WorkProgress::Failed => self.worker_failed(now, worker, host),
+            WorkProgress::Failed => self.on_failed(now, worker, host, now),
+            WorkProgress::FirstToken { .. } => {
+                self.workers.records[worker].blame.record_answer(now, host);
+            }
             WorkProgress::Erred => self.workers.records[worker].failures.record_failure(),
-            WorkProgress::FirstToken { .. } | WorkProgress::Released | WorkProgress::Stopped => {}
+            WorkProgress::Released | WorkProgress::Stopped => {}
         }
     }
 
--- a/kernel/tests/broker/faults.rs
+++ b/kernel/tests/broker/faults.rs
@@ -191,27 +191,80 @@
     );
 }
 
+/// Returns the grant for a request of a second host.
+fn ask_of_another_host(harness: &mut BrokerHarness) -> Grant {
+    let ask = harness.ask(0, Duration::from_mins(1));
+    let host = another_host();
+    only_grant(&harness.handle(BrokerEvent::Asked { host, ask }))
+}
+
+/// Reports the progress of a request of the second host.
+fn report_of_another_host(harness: &mut BrokerHarness, grant: &Grant, progress: WorkProgress) {
+    let report = WorkReport {
+        request: grant.request,
+        grant: grant.grant,
+        worker: grant.worker.clone(),
+        progress,
+    };
+    let host = another_host();
+    harness.handle(BrokerEvent::Reported { host, report });
+}
+
+fn another_host() -> HostName {
+    "sapporo-2".parse().expect("a valid name")
+}
+
 // Guards against a worker that is taken from all hosts because the connections of one host to it broke,
 // while it answers another.
 #[test]
 fn a_worker_that_answers_another_host_is_not_suspended_on_the_word_of_one() {
     let mut harness = BrokerHarness::with_workers(&[("a", 4)]);
     let broken = only_grant(&harness.submit(0, 60));
-    let other: HostName = "sapporo-2".parse().expect("a valid name");
-    let ask = harness.ask(0, Duration::from_mins(1));
-    let host = other.clone();
-    let served = only_grant(&harness.handle(BrokerEvent::Asked { host, ask }));
+    let served = ask_of_another_host(&mut harness);
     let after = Duration::from_millis(50);
-    let report = WorkReport {
-        request: served.request,
-        grant: served.grant,
-        worker: served.worker,
-        progress: WorkProgress::FirstToken { after },
-    };
-    harness.handle(BrokerEvent::Reported {
-        host: other,
-        report,
-    });
+    report_of_another_host(&mut harness, &served, WorkProgress::FirstToken { after });
     harness.report(&broken, WorkProgress::Failed);
     assert_eq!(grants(&harness.submit(0, 60)).len(), 1);
 }
+
+// Guards against a failed worker that stays in use because it answered another host just before.
+#[test]
+fn a_worker_that_two_hosts_report_as_failed_is_suspended() {
+    let mut harness = BrokerHarness::with_workers(&[("a", 4)]);
+    let first = only_grant(&harness.submit(0, 60));
+    let second = ask_of_another_host(&mut harness);
+    let after = Duration::from_millis(50);
+    report_of_another_host(&mut harness, &second, WorkProgress::FirstToken { after });
+    harness.report(&first, WorkProgress::Failed);
+    report_of_another_host(&mut harness, &second, WorkProgress::Failed);
+    assert_eq!(harness.submit(0, 60), []);
+}
+
+// Guards against requests of one host that break together and count as repeated failures.
+#[test]
+fn requests_that_break_together_count_as_one_failure() {
+    let mut harness = BrokerHarness::with_workers(&[("a", 5)]);
+    let broken: Vec<Grant> = (0..3).map(|_| only_grant(&harness.submit(0, 60))).collect();
+    let other = ask_of_another_host(&mut harness);
+    let after = Duration::from_millis(50);
+    report_of_another_host(&mut harness, &other, WorkProgress::FirstToken { after });
+    for grant in &broken {
+        harness.report(grant, WorkProgress::Failed);
+    }
+    assert_eq!(grants(&harness.submit(0, 60)).len(), 1);
+}
+
+// Guards against a failed worker that only one host uses and that stays in use.
+#[test]
+fn a_worker_that_fails_one_host_again_without_answering_others_is_suspended() {
+    let mut harness = BrokerHarness::with_workers(&[("a", 4)]);
+    let other = ask_of_another_host(&mut harness);
+    let after = Duration::from_millis(50);
+    report_of_another_host(&mut harness, &other, WorkProgress::FirstToken { after });
+    for _ in 0..2 {
+        harness.advance(Duration::from_millis(10));
+        let broken = only_grant(&harness.submit(0, 60));
+        harness.report(&broken, WorkProgress::Failed);
+    }
+    assert_eq!(harness.submit(0, 60), []);
+}
