Let the tolerance of a quota cover what other hosts have not reported yet

The line of a refusal said neither level nor reserve. Change: QuotaTolerance, from the operators' settings; half of it covers unreported use, and only what lies beyond is kept in reserve; without the settings nothing changes. Refusals name workspace, units, level, reserve, bounds, own and others' use; three gauges by workspace.

--- a/kernel/src/quota.rs
+++ b/kernel/src/quota.rs
@@ -40,6 +40,10 @@
 /// The difference of ages up to which two hosts count as started together.
 const AGE_TOLERANCE: Duration = Duration::from_secs(2);
 
+/// The part of the tolerance that covers what other hosts have not reported yet. The rest is left for
+/// hosts that are cut off and for sudden demand.
+const COVERED_PART: f64 = 0.5;
+
 /// The divisor of the burst that gives the initial level of a host's bucket. The bucket starts
 /// partly filled because the units charged before its creation are unknown.
 const INITIAL_LEVEL_DIVISOR: f64 = 2.0;
@@ -53,6 +57,44 @@
     pub burst: f64,
 }
 
+/// The use of a quota beyond its bounds that operators tolerate, for what hosts can't know of each
+/// other in time.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use borageladder_kernel::quota::QuotaBounds;
+/// use borageladder_kernel::quota::QuotaTolerance;
+///
+/// let tolerance = QuotaTolerance {
+///     ratio: 0.1,
+///     headroom: 50.0,
+///     window: Duration::from_secs(8),
+/// };
+/// let bounds = QuotaBounds { rate: 100.0, burst: 200.0 };
+/// assert!((tolerance.units(bounds) - 150.0).abs() < 1e-9);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaTolerance {
+    /// The tolerated use as a fraction of what the bounds allow in the window.
+    pub ratio: f64,
+    /// The units tolerated in addition in each window.
+    pub headroom: f64,
+    /// The length of the window.
+    pub window: Duration,
+}
+
+impl QuotaTolerance {
+    /// Returns the units that may be used beyond the bounds in a window.
+    #[must_use]
+    pub fn units(&self, bounds: QuotaBounds) -> f64 {
+        let allowed = bounds.rate.mul_add(self.window.as_secs_f64(), bounds.burst);
+        self.ratio.mul_add(allowed, self.headroom)
+    }
+}
+
 /// The use of a quota by another host.
 #[derive(Clone, Copy, Debug)]
 struct PeerUse {
@@ -92,6 +134,55 @@
     }
 }
 
+/// A moving average of the units charged, in units per second.
+#[derive(Clone, Copy, Debug, Default)]
+struct UseAverage {
+    rate: f64,
+    updated_at: ClockTime,
+}
+
+impl UseAverage {
+    fn record(&mut self, now: ClockTime, units: f64) {
+        self.rate = self.rate(now) + units / USE_AVERAGING_TIME.as_secs_f64();
+        self.updated_at = now;
+    }
+
+    fn rate(&self, now: ClockTime) -> f64 {
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        self.rate * (-elapsed / USE_AVERAGING_TIME.as_secs_f64()).exp()
+    }
+}
+
+/// What a host knows of the use of a workspace's quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaView {
+    /// The bounds in force.
+    pub bounds: QuotaBounds,
+    /// The units available; negative if more were charged than the bounds allow.
+    pub level: f64,
+    /// The units that other hosts are expected to have charged without a report, beyond what the
+    /// tolerance covers.
+    pub reserve: f64,
+    /// The recent use by this host, in units per second.
+    pub own_use: f64,
+    /// The recent use by the other hosts, in units per second.
+    pub peer_use: f64,
+    /// The units assumed for hosts from which nothing is received.
+    pub assumed: f64,
+}
+
+/// The refusal of a request for which a quota does not suffice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaShortage {
+    /// The time until the bucket is expected to hold enough units, or [`LAST_RATE_TIME`] if that
+    /// time can't be represented.
+    pub wait: Duration,
+    /// The units of the request.
+    pub units: u64,
+    /// What the host knows of the quota's use.
+    pub view: QuotaView,
+}
+
 /// The bucket of one workspace on one host.
 ///
 /// # Examples
@@ -102,17 +193,19 @@
 /// use borageladder_kernel::clock::ClockTime;
 /// use borageladder_kernel::quota::QuotaBounds;
 /// use borageladder_kernel::quota::QuotaBucket;
+/// use borageladder_kernel::quota::QuotaTolerance;
 ///
 /// let bounds = QuotaBounds { rate: 100.0, burst: 100.0 };
-/// let mut bucket = QuotaBucket::new(bounds, ClockTime::ZERO);
+/// let mut bucket = QuotaBucket::new(bounds, QuotaTolerance::default(), ClockTime::ZERO);
 /// let second = ClockTime::from_millis(1_000);
 /// assert!(bucket.charge(second, 90, 1).is_ok());
-/// let wait = bucket.charge(second, 90, 1).expect_err("the burst is used up");
-/// assert!(wait > Duration::from_millis(500));
+/// let shortage = bucket.charge(second, 90, 1).expect_err("the burst is used up");
+/// assert!(shortage.wait > Duration::from_millis(500));
 /// ```
 #[derive(Clone, Debug)]
 pub struct QuotaBucket {
     bounds: QuotaBounds,
+    tolerance: QuotaTolerance,
     /// The units available; negative after a charge that exceeds the burst, or after reports of
     /// other hosts.
     level: f64,
@@ -122,19 +215,26 @@
     total: f64,
     /// The total at the last usage report.
     last_reported: f64,
+    /// The moving average of the units charged on this host, in units per second.
+    own_use: UseAverage,
+    /// The moving average of the units that the other hosts reported, in units per second.
+    peer_use: UseAverage,
     peers: BTreeMap<HostName, PeerUse>,
 }
 
 impl QuotaBucket {
     /// Creates a bucket that holds a part of the burst, when a quota is first applied on this host.
     #[must_use]
-    pub fn new(bounds: QuotaBounds, now: ClockTime) -> Self {
+    pub fn new(bounds: QuotaBounds, tolerance: QuotaTolerance, now: ClockTime) -> Self {
         Self {
             bounds,
+            tolerance,
             level: bounds.burst / INITIAL_LEVEL_DIVISOR,
             filled_at: now,
             total: 0.0,
             last_reported: 0.0,
+            own_use: UseAverage::default(),
+            peer_use: UseAverage::default(),
             peers: BTreeMap::new(),
         }
     }
@@ -177,6 +277,7 @@
         } else {
             total - peer.total
         };
+        self.peer_use.record(now, used.max(0.0));
         // The reported use replaces the assumed use.
         self.level += peer.assumed - used;
         *peer = PeerUse {
@@ -200,21 +301,45 @@
     ///
     /// # Errors
     ///
-    /// Returns the time until the bucket is expected to hold enough units if it doesn't now, or
-    /// [`LAST_RATE_TIME`] if that time can't be represented.
-    pub fn charge(&mut self, now: ClockTime, units: u64, hosts: usize) -> Result<(), Duration> {
+    /// Returns a [`QuotaShortage`] if the bucket does not hold enough units.
+    pub fn charge(
+        &mut self,
+        now: ClockTime,
+        units: u64,
+        hosts: usize,
+    ) -> Result<(), QuotaShortage> {
         self.fill(now);
         self.charge_unreachable(now, hosts);
-        let units = to_float(units);
+        let size = to_float(units);
         // A request that the burst does not cover needs a full bucket and leaves the level negative.
-        let needed = (units + self.unreported_use(now)).min(self.bounds.burst);
+        let needed = (size + self.reserve(now)).min(self.bounds.burst);
         if self.level >= needed {
-            self.level -= units;
-            self.total += units;
+            self.level -= size;
+            self.total += size;
+            self.own_use.record(now, size);
             return Ok(());
         }
         let missing = needed - self.level;
-        Err(Duration::try_from_secs_f64(missing / self.bounds.rate).unwrap_or(LAST_RATE_TIME))
+        let wait = Duration::try_from_secs_f64(missing / self.bounds.rate);
+        Err(QuotaShortage {
+            wait: wait.unwrap_or(LAST_RATE_TIME),
+            units,
+            view: self.view(now),
+        })
+    }
+
+    /// Returns what this host knows of the use of the quota.
+    #[must_use]
+    pub fn view(&self, now: ClockTime) -> QuotaView {
+        let assumed = self.peers.values().map(|peer| peer.assumed);
+        QuotaView {
+            bounds: self.bounds,
+            level: self.level_at(now),
+            reserve: self.reserve(now),
+            own_use: self.own_use.rate(now),
+            peer_use: self.peer_use.rate(now),
+            assumed: assumed.sum(),
+        }
     }
 
     /// Refunds the units of a request that was not sent to a worker.
@@ -224,17 +349,23 @@
         self.total -= units;
     }
 
-    /// Returns the units that the other hosts are expected to have charged without a report.
-    fn unreported_use(&self, now: ClockTime) -> f64 {
-        let rates = self.peers.values().map(|peer| peer.recent_rate(now));
-        rates.sum::<f64>() * REPORT_LAG.as_secs_f64()
+    /// Returns the units that the other hosts are expected to have charged without a report, beyond
+    /// what the tolerance covers.
+    fn reserve(&self, now: ClockTime) -> f64 {
+        let unreported = self.peer_use.rate(now) * REPORT_LAG.as_secs_f64();
+        let covered = self.tolerance.units(self.bounds) * COVERED_PART;
+        (unreported - covered).max(0.0)
     }
 
-    fn fill(&mut self, now: ClockTime) {
+    fn level_at(&self, now: ClockTime) -> f64 {
         let elapsed = now.since(self.filled_at).as_secs_f64();
-        self.filled_at = now;
         let filled = self.bounds.rate.mul_add(elapsed, self.level);
-        self.level = filled.min(self.bounds.burst);
+        filled.min(self.bounds.burst)
+    }
+
+    fn fill(&mut self, now: ClockTime) {
+        self.level = self.level_at(now);
+        self.filled_at = now;
     }
 
     /// Deducts the assumed use of hosts whose reports are overdue, and drops expired hosts.
--- a/kernel/tests/quotas.rs
+++ b/kernel/tests/quotas.rs
@@ -6,6 +6,7 @@
 use borageladder_kernel::name::HostName;
 use borageladder_kernel::quota::QuotaBounds;
 use borageladder_kernel::quota::QuotaBucket;
+use borageladder_kernel::quota::QuotaTolerance;
 
 /// The rate in units per second, and the burst in units.
 const RATE: u64 = 300_000;
@@ -44,7 +45,7 @@
 
 impl Fleet {
     fn new(hosts: usize) -> Self {
-        let bucket = QuotaBucket::new(BOUNDS, ClockTime::ZERO);
+        let bucket = QuotaBucket::new(BOUNDS, QuotaTolerance::default(), ClockTime::ZERO);
         Self {
             buckets: vec![bucket; hosts],
             charged: Vec::new(),
@@ -177,7 +178,7 @@
 
 #[test]
 fn a_report_after_silence_replaces_the_assumed_use() {
-    let mut bucket = QuotaBucket::new(BOUNDS, ClockTime::ZERO);
+    let mut bucket = QuotaBucket::new(BOUNDS, QuotaTolerance::default(), ClockTime::ZERO);
     let peer = Fleet::name(1);
     let at = ClockTime::from_millis;
     bucket.record_usage(at(0), &peer, 5.0, OLD_AGE);
@@ -190,19 +191,18 @@
 
 #[test]
 fn a_refusal_returns_the_time_until_the_quota_suffices() {
-    let mut bucket = QuotaBucket::new(BOUNDS, ClockTime::ZERO);
+    let mut bucket = QuotaBucket::new(BOUNDS, QuotaTolerance::default(), ClockTime::ZERO);
     let start = ClockTime::from_millis(1_000);
     assert_eq!(bucket.charge(start, 300_000, 1), Ok(()));
-    let wait = bucket
-        .charge(start, 30_000, 1)
-        .expect_err("nothing is left");
+    let shortage = bucket.charge(start, 30_000, 1);
+    let wait = shortage.expect_err("nothing is left").wait;
     assert_eq!(wait, Duration::from_millis(100));
     assert_eq!(bucket.charge(start + wait, 30_000, 1), Ok(()));
 }
 
 #[test]
 fn a_new_host_does_not_deduct_units_charged_before_its_start() {
-    let mut bucket = QuotaBucket::new(BOUNDS, ClockTime::ZERO);
+    let mut bucket = QuotaBucket::new(BOUNDS, QuotaTolerance::default(), ClockTime::ZERO);
     let at = ClockTime::from_millis;
     for peer in 1..8 {
         bucket.record_usage(at(100), &Fleet::name(peer), 20_000_000.0, OLD_AGE);
@@ -215,7 +215,7 @@
 
 #[test]
 fn units_charged_by_a_restarted_peer_since_its_restart_are_deducted() {
-    let mut bucket = QuotaBucket::new(BOUNDS, ClockTime::ZERO);
+    let mut bucket = QuotaBucket::new(BOUNDS, QuotaTolerance::default(), ClockTime::ZERO);
     let at = ClockTime::from_millis;
     bucket.record_usage(at(0), &Fleet::name(1), 20_000_000.0, OLD_AGE);
     bucket.record_usage(at(500), &Fleet::name(1), 60_000.0, Duration::from_secs(1));
@@ -226,7 +226,7 @@
 
 #[test]
 fn units_refunded_by_a_peer_are_available_again() {
-    let mut bucket = QuotaBucket::new(BOUNDS, ClockTime::ZERO);
+    let mut bucket = QuotaBucket::new(BOUNDS, QuotaTolerance::default(), ClockTime::ZERO);
     let at = ClockTime::from_millis;
     bucket.record_usage(at(0), &Fleet::name(1), 20_000_000.0, OLD_AGE);
     bucket.record_usage(at(250), &Fleet::name(1), 20_200_000.0, OLD_AGE);
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -337,11 +337,12 @@
                 continue;
             };
             limited.insert(name.clone());
-            match quotas.get_mut(name) {
-                Some(quota) => quota.set_bounds(bounds),
-                None => {
-                    quotas.insert(name.clone(), QuotaBucket::new(bounds, now));
-                }
+            if let Some(quota) = quotas.get_mut(name) {
+                quota.set_bounds(bounds);
+            } else {
+                let tolerance = self.settings.bounds.quota_tolerance();
+                let quota = QuotaBucket::new(bounds, tolerance, now);
+                quotas.insert(name.clone(), quota);
             }
         }
         quotas.retain(|name, _| limited.contains(name));
--- a/src/gateway/metering.rs
+++ b/src/gateway/metering.rs
@@ -71,6 +71,9 @@
     if let Some(age) = host.state.freshness.borrow().age(now) {
         metrics.set_state_age(age);
     }
+    for (workspace, bucket) in host.state.quotas.borrow().iter() {
+        metrics.set_quota(workspace, &bucket.view(now));
+    }
     metering::set_slots(metrics, &host.cells);
     metrics.render()
 }
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -27,6 +27,7 @@
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::prompt::PartDigest;
+use crate::kernel::quota::QuotaShortage;
 use crate::kernel::route::RouteSpec;
 use crate::kernel::stream::StreamKey;
 
@@ -37,7 +38,7 @@
 const OPEN_WORKSPACE: &str = "open";
 
 /// Reason why the gateway answers a request itself; the text is the body of the answer.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[derive(Clone, Debug, Error, PartialEq)]
 pub enum CallError {
     /// The host has no configuration that is recent enough to act on.
     #[error("not run: this host has no configuration that is recent enough")]
@@ -56,8 +57,8 @@
     OverQuota {
         /// The workspace.
         workspace: WorkspaceName,
-        /// Time until the quota covers the request.
-        retry_after: Duration,
+        /// What the quota lacks, and what the host knows of its use.
+        shortage: QuotaShortage,
     },
     /// The request got no slot on a worker, could not use a granted one, or was not run by the
     /// worker.
@@ -111,8 +112,8 @@
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NotReady => Some(NOT_READY_RETRY),
-            Self::OverQuota { retry_after, .. }
-            | Self::Refused { retry_after, .. }
+            Self::OverQuota { shortage, .. } => Some(shortage.wait),
+            Self::Refused { retry_after, .. }
             | Self::Quarantined { retry_after }
             | Self::PartQuarantined { retry_after } => Some(*retry_after),
             Self::NoIdentifier | Self::NoRoute | Self::UnknownKey | Self::Lost | Self::TimedOut => {
@@ -334,9 +335,9 @@
         quota.charge(planned.arrival, charge.units, hosts)
     });
     match charged {
-        Some(Err(retry_after)) => Err(CallError::OverQuota {
+        Some(Err(shortage)) => Err(CallError::OverQuota {
             workspace: charge.workspace.clone(),
-            retry_after,
+            shortage,
         }),
         Some(Ok(())) | None => Ok(()),
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -15,6 +15,7 @@
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RegionName;
+use crate::kernel::quota::QuotaTolerance;
 use crate::kernel::retry::RetryBounds;
 
 /// The checked settings of a gateway host.
@@ -90,6 +91,16 @@
     pub retry_window_s: f64,
     /// The number of retries allowed per window in addition to the ratio, over all hosts.
     pub retry_headroom: f64,
+    /// The tolerated use of a quota beyond its bounds, as a fraction of what they allow in the quota
+    /// window; 0 by default.
+    #[serde(default)]
+    pub quota_ratio: f64,
+    /// The units tolerated beyond a quota in addition, in each quota window; 0 by default.
+    #[serde(default)]
+    pub quota_headroom: f64,
+    /// The window over which the use of a quota is counted, in seconds; 0 by default.
+    #[serde(default)]
+    pub quota_window_s: f64,
 }
 
 const fn default_processor_cores() -> f64 {
@@ -132,6 +143,18 @@
     }
 }
 
+impl GatewayBounds {
+    /// Returns the tolerated use of a quota beyond its bounds.
+    #[must_use]
+    pub fn quota_tolerance(&self) -> QuotaTolerance {
+        QuotaTolerance {
+            ratio: self.quota_ratio,
+            headroom: self.quota_headroom,
+            window: Duration::try_from_secs_f64(self.quota_window_s).unwrap_or_default(),
+        }
+    }
+}
+
 /// The reason why settings are invalid.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -173,6 +196,9 @@
             ("retry_ratio", bounds.retry_ratio),
             ("retry_window_s", bounds.retry_window_s),
             ("retry_headroom", bounds.retry_headroom),
+            ("quota_ratio", bounds.quota_ratio),
+            ("quota_headroom", bounds.quota_headroom),
+            ("quota_window_s", bounds.quota_window_s),
         ];
         for (name, value) in numbers {
             if !value.is_finite() || value < 0.0 {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -17,7 +17,9 @@
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkerVersion;
+use crate::kernel::name::WorkspaceName;
 use crate::kernel::pace::RateStatement;
+use crate::kernel::quota::QuotaShortage;
 use crate::log_event;
 use crate::metrics::RequestLabels;
 use crate::metrics::RequestOutcome;
@@ -111,14 +113,39 @@
             CallError::Quarantined { .. } | CallError::PartQuarantined { .. } => {
                 log_refusal!(LogEvent::RequestQuarantined);
             }
+            CallError::OverQuota {
+                workspace,
+                shortage,
+            } => self.over_quota(error, workspace, shortage),
             CallError::NoIdentifier
             | CallError::NoRoute
             | CallError::NotReady
-            | CallError::OverQuota { .. }
             | CallError::UnknownKey => log_refusal!(LogEvent::RequestRejected),
         }
     }
 
+    /// Logs a request that exceeds its workspace's quota, and what the host knows of its use.
+    fn over_quota(&self, error: &CallError, workspace: &WorkspaceName, shortage: &QuotaShortage) {
+        let view = &shortage.view;
+        log_event!(self.host.log, LogEvent::RequestRejected,
+            "request" => self.attempt_id.clone(),
+            "status" => error.status().as_u16(),
+            "reason" => error.to_string(),
+            "retry_after_ms" => millis(shortage.wait),
+            "total_us" => micros(self.host.clock.now().since(self.arrival)),
+            "version" => self.host.latest_configuration().map(|newest| newest.version),
+            "workspace" => workspace.as_str(),
+            "units" => shortage.units,
+            "level" => view.level.round(),
+            "reserve" => view.reserve.round(),
+            "rate" => view.bounds.rate,
+            "burst" => view.bounds.burst,
+            "own_use" => view.own_use.round(),
+            "peer_use" => view.peer_use.round(),
+            "assumed" => view.assumed.round(),
+        );
+    }
+
     /// Logs and counts a request whose answer ended before it was complete.
     pub(super) fn truncated(&self, error: &dyn std::error::Error) {
         self.count(RequestOutcome::Cut, 0);
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -91,6 +91,12 @@
         "Estimated number of prompt tokens that workers computed.";
     QUEUE_TIME Histogram "borageladder_queue_seconds" ["service" "tier"]
         "Time from the arrival of a request to the grant of a slot.";
+    QUOTA_LEVEL Gauge "borageladder_quota_level_units" ["workspace"]
+        "Units of a workspace's quota that are available on the host; negative if more were used than its bounds allow.";
+    QUOTA_RATE Gauge "borageladder_quota_rate_units" ["workspace"]
+        "Units per second that the quota of a workspace allows.";
+    QUOTA_USE Gauge "borageladder_quota_use_units" ["source" "workspace"]
+        "Recent use of a workspace's quota: units per second charged by the host (own) and by others (peers), units kept for unreported use (reserve) and units charged for silent hosts (assumed).";
     READY Gauge "borageladder_ready" []
         "Whether the host accepts new requests (1) or not (0).";
     REFUSED Counter "borageladder_refused_requests" ["reason" "service" "tier"]
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -18,6 +18,8 @@
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::name::ServiceName;
+use crate::kernel::name::WorkspaceName;
+use crate::kernel::quota::QuotaView;
 use crate::wire::MessageKind;
 
 pub mod catalogue;
@@ -69,6 +71,9 @@
     platform_calls: Counter<u64>,
     prefill_tokens: Counter<u64>,
     queue_time: Histogram<f64>,
+    quota_level: Gauge<f64>,
+    quota_rate: Gauge<f64>,
+    quota_use: Gauge<f64>,
     ready: Gauge<u64>,
     refused: Counter<u64>,
     requests: Counter<u64>,
@@ -95,7 +100,7 @@
     gauge.with_description(entry.description).build()
 }
 
-fn time_gauge(meter: &Meter, entry: &MetricEntry) -> Gauge<f64> {
+fn real_gauge(meter: &Meter, entry: &MetricEntry) -> Gauge<f64> {
     let gauge = meter.f64_gauge(entry.name);
     gauge.with_description(entry.description).build()
 }
@@ -154,14 +159,17 @@
             platform_calls: counter(&meter, &catalogue::PLATFORM_CALLS),
             prefill_tokens: counter(&meter, &catalogue::PREFILL_TOKENS),
             queue_time: histogram(&meter, &catalogue::QUEUE_TIME),
+            quota_level: real_gauge(&meter, &catalogue::QUOTA_LEVEL),
+            quota_rate: real_gauge(&meter, &catalogue::QUOTA_RATE),
+            quota_use: real_gauge(&meter, &catalogue::QUOTA_USE),
             ready: gauge(&meter, &catalogue::READY),
             refused: counter(&meter, &catalogue::REFUSED),
             requests: counter(&meter, &catalogue::REQUESTS),
             resumed: counter(&meter, &catalogue::RESUMED),
             running: gauge(&meter, &catalogue::RUNNING),
             slots: gauge(&meter, &catalogue::SLOTS),
-            state_age: time_gauge(&meter, &catalogue::STATE_AGE),
-            timer_delay: time_gauge(&meter, &catalogue::TIMER_DELAY),
+            state_age: real_gauge(&meter, &catalogue::STATE_AGE),
+            timer_delay: real_gauge(&meter, &catalogue::TIMER_DELAY),
             token_gap: histogram(&meter, &catalogue::TOKEN_GAP),
             traffic: counter(&meter, &catalogue::TRAFFIC),
             waiting: gauge(&meter, &catalogue::WAITING),
@@ -265,6 +273,24 @@
         }
     }
 
+    /// Sets what the host knows of the use of a workspace's quota.
+    pub fn set_quota(&self, workspace: &WorkspaceName, view: &QuotaView) {
+        let workspace = KeyValue::new("workspace", workspace.to_string());
+        let labels = std::slice::from_ref(&workspace);
+        self.quota_level.record(view.level, labels);
+        self.quota_rate.record(view.bounds.rate, labels);
+        let uses = [
+            ("own", view.own_use),
+            ("peers", view.peer_use),
+            ("reserve", view.reserve),
+            ("assumed", view.assumed),
+        ];
+        for (source, units) in uses {
+            let source = KeyValue::new("source", source);
+            self.quota_use.record(units, &[source, workspace.clone()]);
+        }
+    }
+
     /// Sets whether the host accepts new requests.
     pub fn set_ready(&self, ready: bool) {
         self.ready.record(u64::from(ready), &[]);
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -7,8 +7,12 @@
 
 use borageladder::event::LogEvent;
 use borageladder::kernel::ask::RefusalReason;
+use borageladder::kernel::clock::ClockTime;
 use borageladder::kernel::configuration::ConfigVersion;
 use borageladder::kernel::name::ServiceName;
+use borageladder::kernel::quota::QuotaBounds;
+use borageladder::kernel::quota::QuotaBucket;
+use borageladder::kernel::quota::QuotaTolerance;
 use borageladder::metrics::CallOutcome;
 use borageladder::metrics::ClaimAttemptLabel;
 use borageladder::metrics::MetricSet;
@@ -63,6 +67,16 @@
     metrics.worker_failed(&service);
     metrics.lines_dropped(LogEvent::RequestSent, 7);
     metrics.set_state_age(second);
+    let bucket = QuotaBucket::new(
+        QuotaBounds {
+            rate: 100.0,
+            burst: 200.0,
+        },
+        QuotaTolerance::default(),
+        ClockTime::ZERO,
+    );
+    let workspace = "union".parse().expect("the name is valid");
+    metrics.set_quota(&workspace, &bucket.view(ClockTime::ZERO));
 }
 
 fn rendered() -> String {
