Let hosts of an earlier and of this build serve side by side

Ruled out: one protocol version with converters, named features, skipping alone (docs/WIRE.md). Change: the handshake states the revision of a host's messages; a peer is sent what it knows, with an earlier form where there is one (the end of a request; a resting or leaving worker as failed); unknown kinds are skipped and counted, and leave the tables equal. No tunnel is asked of a host that knows none.

--- a/src/event.rs
+++ b/src/event.rs
@@ -82,6 +82,7 @@
     202 Warning LinkRejected "link-rejected" "A link could not be accepted or its handshake failed, for example because the shared keys differ.";
     203 Warning LinkSilent "link-silent" "A link was closed because nothing arrived on it within the timeout.";
     204 Warning FrameRejected "frame-rejected" "A frame on a link was too large or could not be decoded.";
+    205 Warning MessagesSkipped "messages-skipped" "Messages of kinds that this build does not know arrived on a link and were skipped; logged for the first of a link.";
     210 Info MemberJoined "member-joined" "Another host was detected as alive.";
     211 Warning MemberLost "member-lost" "Another host was declared dead.";
     212 Warning HostEntryUnusable "host-entry-unusable" "The stored row of another host can't be read and the host is ignored.";
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -25,6 +25,7 @@
 use crate::kernel::roster::UpstreamRecord;
 use crate::link::TunnelDenial;
 use crate::link::TunnelError;
+use crate::wire::WireRevision;
 
 /// The time limit for a tunnel through one host.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -219,7 +220,11 @@
         let configuration = self.state.cell_configuration();
         let own = NetworkLocation::of(&configuration, &self.settings.datacenter);
         let peers = self.members.serving_peers().into_iter();
-        let linked = peers.filter(|(host, _)| self.links.is_connected(host));
+        let opens_tunnels = |host: &HostName| {
+            let revision = self.links.peer_revision(host);
+            revision.is_some_and(|revision| revision >= WireRevision::TUNNELS)
+        };
+        let linked = peers.filter(|(host, _)| opens_tunnels(host));
         let candidates = linked.map(|(host, datacenter)| {
             let location = NetworkLocation::of(&configuration, &datacenter);
             let distance = own.distance(&location);
--- a/src/gateway/metering.rs
+++ b/src/gateway/metering.rs
@@ -19,6 +19,7 @@
 use crate::server::HttpServer;
 use crate::server::ServerError;
 use crate::server::StopSignal;
+use crate::wire::WireRevision;
 
 /// The path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
@@ -63,6 +64,12 @@
     let now = host.clock.now();
     metrics.set_ready(host.is_ready());
     metrics.set_links(host.links.connected().len() as u64);
+    let counts = host.links.peers_by_revision();
+    let own = (WireRevision::EARLIEST.0..=WireRevision::CURRENT.0).map(WireRevision);
+    for revision in own.chain(counts.keys().copied()) {
+        let count = counts.get(&revision).copied().unwrap_or_default();
+        metrics.set_links_by_revision(revision, count);
+    }
     metrics.set_live_hosts(host.host_count() as u64);
     if let Some(newest) = host.latest_configuration() {
         let version = ConfigVersion(newest.version);
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -1,5 +1,6 @@
 //! One established link: sends queued messages and delivers received ones.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 
 use super::error::LinkError;
 use super::handshake::AuthenticatedPeer;
+use super::knowledge::PeerKnowledge;
 use super::queue::SendQueue;
 use super::watched::ArrivalTime;
 use super::watched::WatchedStream;
@@ -43,17 +45,23 @@
     pub queue: SendQueue,
     /// The signal to close the link.
     pub close: Notify,
+    /// What the peer understands.
+    pub knowledge: PeerKnowledge,
+    /// The number of received messages of unknown kinds.
+    pub skipped: Cell<u64>,
 }
 
 impl LinkHandle {
     /// Creates the handle of a link to an authenticated peer, with an empty queue.
     #[must_use]
-    pub fn new(peer: AuthenticatedPeer, dialer: HostName) -> Self {
+    pub fn new(peer: AuthenticatedPeer, dialer: HostName, knowledge: PeerKnowledge) -> Self {
         Self {
             peer,
             dialer,
             queue: SendQueue::default(),
             close: Notify::new(),
+            knowledge,
+            skipped: Cell::new(0),
         }
     }
 
@@ -116,7 +124,8 @@
     loop {
         let ready = timeout(ping_interval, handle.queue.wait_nonempty()).await;
         let message = match ready {
-            Ok(()) => match next_frame(&handle.queue, &mut encoder) {
+            Ok(()) => match next_frame(handle, &mut encoder) {
+                Ok(frame) if frame.is_empty() => continue,
                 Ok(frame) => Message::binary(frame),
                 Err(error) => return error.into(),
             },
@@ -128,7 +137,8 @@
     }
 }
 
-fn next_frame(queue: &SendQueue, encoder: &mut FrameEncoder) -> Result<Vec<u8>, CodecError> {
+fn next_frame(handle: &LinkHandle, encoder: &mut FrameEncoder) -> Result<Vec<u8>, CodecError> {
+    let queue = &handle.queue;
     let mut frame = Vec::new();
     for _ in 0..MAX_FRAME_MESSAGES {
         if frame.len() >= FULL_FRAME_BYTES {
@@ -137,6 +147,9 @@
         let Some(message) = queue.pop() else {
             break;
         };
+        let Some(message) = handle.knowledge.adapt(message) else {
+            continue;
+        };
         if matches!(message, LinkMessage::Configuration(_)) && !frame.is_empty() {
             // A configuration can take up the whole frame limit, so it must come first in its
             // frame.
@@ -189,7 +202,9 @@
             Some(Ok(_)) | None => return LinkError::Closed,
             Some(Err(error)) => return LinkError::Socket(error.to_string()),
         };
-        match decoder.decode(&frame) {
+        let messages = decoder.decode(&frame);
+        handle.skipped.set(decoder.skipped());
+        match messages {
             Ok(messages) => {
                 for message in messages {
                     receiver(&handle.peer.host, message);
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -28,6 +28,7 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::WorkerName;
 use crate::wire::MAX_FRAME_BYTES;
+use crate::wire::WireRevision;
 
 /// The time limit of a handshake, and of opening the connection before it.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -68,6 +69,10 @@
     /// The worker to which the dialer wants a tunnel; `None` for a link.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     tunnel: Option<String>,
+    /// The revision of the messages that the host understands; `None` up to
+    /// [`WireRevision::UNSTATED`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    revision: Option<WireRevision>,
 }
 
 /// The host at the other end of a link, after it proved the shared key.
@@ -81,6 +86,8 @@
     pub address: SocketAddr,
     /// The worker to which the peer wants a tunnel through this host; `None` for a link.
     pub tunnel: Option<WorkerName>,
+    /// The revision of the messages that the peer understands; `None` if it states none.
+    pub revision: Option<WireRevision>,
 }
 
 fn socket_config() -> WebSocketConfig {
@@ -141,6 +148,7 @@
         address: own_address,
         nonce: rand::random(),
         tunnel: tunnel.map(ToString::to_string),
+        revision: Some(WireRevision::CURRENT),
     };
     let own_bytes = encode(&own_hello)?;
     send(&mut stream, own_bytes.clone()).await?;
@@ -230,6 +238,7 @@
         incarnation: hello.incarnation,
         address: hello.address,
         tunnel: tunnel.map_err(|error| handshake_error(HandshakeError::Name(error)))?,
+        revision: hello.revision,
     })
 }
 
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -9,6 +9,7 @@
 mod dial;
 mod error;
 mod handshake;
+mod knowledge;
 mod queue;
 mod settings;
 mod traffic;
@@ -36,6 +37,7 @@
 use crate::log_event;
 use crate::wire::LinkMessage;
 use crate::wire::MAX_MESSAGE_BYTES;
+use crate::wire::WireRevision;
 use handshake::LinkEnd;
 use handshake::LinkStream;
 use handshake::perform_handshake;
@@ -48,6 +50,7 @@
 pub use error::LinkError;
 pub use handshake::AuthenticatedPeer;
 pub use handshake::HANDSHAKE_TIMEOUT;
+pub use knowledge::PeerKnowledge;
 pub use queue::MAX_QUEUED_MESSAGES;
 pub use queue::MAX_QUEUED_TEXT_BYTES;
 pub use queue::QueueFull;
@@ -87,6 +90,8 @@
     receiver: MessageReceiver,
     traffic: Rc<MessageCounter>,
     links: RefCell<BTreeMap<HostName, Rc<LinkHandle>>>,
+    /// The hosts that were found to know the earliest revision only, by their incarnations.
+    earliest_peers: RefCell<BTreeMap<HostName, u64>>,
     dialed: RefCell<BTreeSet<SocketAddr>>,
     connect_listeners: RefCell<Vec<ConnectListener>>,
     tunnel_listener: RefCell<Option<TunnelListener>>,
@@ -130,6 +135,7 @@
             receiver: receive,
             traffic: Rc::default(),
             links: RefCell::default(),
+            earliest_peers: RefCell::default(),
             dialed: RefCell::default(),
             connect_listeners: RefCell::default(),
             tunnel_listener: RefCell::default(),
@@ -250,6 +256,23 @@
         links.get(host).map(|link| link.peer.incarnation)
     }
 
+    /// Returns the revision of the messages that a linked host understands; `None` without a link.
+    #[must_use]
+    pub fn peer_revision(&self, host: &HostName) -> Option<WireRevision> {
+        let links = self.links.borrow();
+        links.get(host).map(|link| link.knowledge.revision())
+    }
+
+    /// Returns the number of linked hosts by the revision of the messages that they understand.
+    #[must_use]
+    pub fn peers_by_revision(&self) -> BTreeMap<WireRevision, u64> {
+        let mut counts = BTreeMap::new();
+        for link in self.links.borrow().values() {
+            *counts.entry(link.knowledge.revision()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Registers a callback for links that are established from now on.
     pub fn on_connect(&self, listener: ConnectListener) {
         self.connect_listeners.borrow_mut().push(listener);
@@ -350,12 +373,16 @@
 
     /// Registers and runs a link after its handshake, until it ends.
     async fn run(&self, stream: LinkStream, peer: AuthenticatedPeer, dialer: HostName) {
-        let handle = Rc::new(LinkHandle::new(peer, dialer));
+        let knowledge = PeerKnowledge::of(&peer, self.is_earliest(&peer));
+        let handle = Rc::new(LinkHandle::new(peer, dialer, knowledge));
         if self.is_stopped() || !self.register(&handle) {
             return;
         }
         let host = handle.peer.host.clone();
-        log_event!(self.log, LogEvent::LinkOpened, "peer" => host.as_str());
+        log_event!(self.log, LogEvent::LinkOpened,
+            "peer" => host.as_str(),
+            "revision" => handle.knowledge.revision().0,
+            "stated" => handle.knowledge.is_stated());
         let listeners = self.connect_listeners.borrow().clone();
         for listener in listeners {
             listener(&host);
@@ -365,12 +392,43 @@
             silence_timeout: self.settings.silence_timeout,
         };
         let incarnation = self.settings.incarnation;
-        let receiver = counted(Rc::clone(&self.traffic), Rc::clone(&self.receiver));
+        let receiver = self.observed_receiver(&handle);
         let error = run_link(stream, &handle, incarnation, times, &receiver).await;
         self.log_closure(&host, &error);
+        let is_break = matches!(error, LinkError::Socket(_));
+        if is_break && handle.knowledge.is_refuted_by_break() {
+            self.record_earliest(&handle.peer);
+        }
         self.unregister(&handle);
     }
 
+    /// Returns a receiver that counts each message before it passes it on, and logs the first one
+    /// that was skipped.
+    fn observed_receiver(&self, handle: &Rc<LinkHandle>) -> MessageReceiver {
+        let traffic = Rc::clone(&self.traffic);
+        let receive = Rc::clone(&self.receiver);
+        let log = self.log.clone();
+        let handle = Rc::clone(handle);
+        let is_logged = Cell::new(false);
+        Rc::new(move |from, message| {
+            if handle.skipped.get() > 0 && !is_logged.replace(true) {
+                log_event!(log, LogEvent::MessagesSkipped, "peer" => from.as_str());
+            }
+            traffic.record_received(&message);
+            receive(from, message);
+        })
+    }
+
+    fn is_earliest(&self, peer: &AuthenticatedPeer) -> bool {
+        let peers = self.earliest_peers.borrow();
+        peers.get(&peer.host) == Some(&peer.incarnation)
+    }
+
+    fn record_earliest(&self, peer: &AuthenticatedPeer) {
+        let mut peers = self.earliest_peers.borrow_mut();
+        peers.insert(peer.host.clone(), peer.incarnation);
+    }
+
     fn log_closure(&self, host: &HostName, error: &LinkError) {
         let peer = host.as_str();
         let reason = error.to_string();
@@ -422,11 +480,3 @@
         }
     }
 }
-
-/// Returns a receiver that counts each message before it passes it on.
-fn counted(traffic: Rc<MessageCounter>, receive: MessageReceiver) -> MessageReceiver {
-    Rc::new(move |from, message| {
-        traffic.record_received(&message);
-        receive(from, message);
-    })
-}
--- a/src/link/tunnel.rs
+++ b/src/link/tunnel.rs
@@ -140,7 +140,12 @@
             return Err(LinkError::NotConnected(host.clone()).into());
         }
         let bytes = handshake::receive(&mut stream).await?;
-        let answer: TunnelAnswer = ciborium::from_reader(&bytes[..]).map_err(malformed)?;
+        let answer: Result<TunnelAnswer, _> = ciborium::from_reader(&bytes[..]);
+        if answer.is_err() && peer.revision.is_none() {
+            // A host that knows no tunnels takes the connection for a link.
+            self.record_earliest(&peer);
+        }
+        let answer = answer.map_err(malformed)?;
         match answer.denial {
             None => Ok(into_connection(stream)?),
             Some(denial) => Err(denial.into()),
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -81,6 +81,8 @@
         "Messages exchanged with other hosts, by kind.";
     LINKS Gauge "borageladder_links" []
         "Open links to other hosts.";
+    LINKS_BY_REVISION Gauge "borageladder_links_by_revision" ["revision"]
+        "Open links to other hosts, by the revision of the messages that these understand.";
     LIVE_HOSTS Gauge "borageladder_live_hosts" []
         "Hosts that the host considers alive, including itself.";
     LOG_LINES_DROPPED Counter "borageladder_log_lines_dropped" ["event"]
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -21,6 +21,7 @@
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::quota::QuotaView;
 use crate::wire::MessageKind;
+use crate::wire::WireRevision;
 
 pub mod catalogue;
 mod label;
@@ -66,6 +67,7 @@
     goodput_tokens: Counter<u64>,
     link_messages: Counter<u64>,
     links: Gauge<u64>,
+    links_by_revision: Gauge<u64>,
     live_hosts: Gauge<u64>,
     log_lines_dropped: Counter<u64>,
     platform_calls: Counter<u64>,
@@ -154,6 +156,7 @@
             goodput_tokens: counter(&meter, &catalogue::GOODPUT_TOKENS),
             link_messages: counter(&meter, &catalogue::LINK_MESSAGES),
             links: gauge(&meter, &catalogue::LINKS),
+            links_by_revision: gauge(&meter, &catalogue::LINKS_BY_REVISION),
             live_hosts: gauge(&meter, &catalogue::LIVE_HOSTS),
             log_lines_dropped: counter(&meter, &catalogue::LOG_LINES_DROPPED),
             platform_calls: counter(&meter, &catalogue::PLATFORM_CALLS),
@@ -326,6 +329,12 @@
         self.links.record(count, &[]);
     }
 
+    /// Sets the number of open links to hosts that understand messages of a revision.
+    pub fn set_links_by_revision(&self, revision: WireRevision, count: u64) {
+        let revision = KeyValue::new("revision", i64::from(revision.0));
+        self.links_by_revision.record(count, &[revision]);
+    }
+
     /// Sets the number of hosts considered alive, including this one.
     pub fn set_live_hosts(&self, count: u64) {
         self.live_hosts.record(count, &[]);
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -9,6 +9,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::de::IgnoredAny;
 
 use super::LinkMessage;
 use super::error::CodecError;
@@ -49,6 +50,10 @@
 /// The lowest kind of a report; each [`ProgressKind`] has its own kind, counted from here.
 const REPORT: u8 = 16;
 
+/// The highest kind of a report. Reports of unknown kinds are decoded and skipped, since their rows
+/// change the tables of the link; rows of other kinds after [`RATES`] must not.
+const LAST_REPORT: u8 = 31;
+
 const USAGE: u8 = 32;
 const WAITING: u8 = 33;
 const STATE_WANTED: u8 = 34;
@@ -196,18 +201,32 @@
 }
 
 /// Decodes the messages in one direction of a link.
+///
+/// Messages of unknown kinds, which a host of a newer build may send, are skipped and counted.
 #[derive(Debug)]
-pub struct FrameDecoder(CodecState);
+pub struct FrameDecoder {
+    state: CodecState,
+    skipped: u64,
+}
 
 impl FrameDecoder {
     /// Creates the decoder of a new link; takes the same incarnations as the encoder at the other
     /// end.
     #[must_use]
     pub fn new(incarnations: LinkIncarnations) -> Self {
-        Self(CodecState::new(incarnations))
+        Self {
+            state: CodecState::new(incarnations),
+            skipped: 0,
+        }
+    }
+
+    /// Returns the number of messages of unknown kinds that were skipped.
+    #[must_use]
+    pub const fn skipped(&self) -> u64 {
+        self.skipped
     }
 
-    /// Decodes all messages of a frame.
+    /// Decodes all messages of a frame whose kinds are known.
     ///
     /// # Errors
     ///
@@ -220,20 +239,30 @@
         }
         let mut rest = frame;
         let mut messages = Vec::new();
+        let mut count = 0;
         while let Some((kind, row)) = rest.split_first() {
-            if messages.len() == MAX_FRAME_MESSAGES {
+            if count == MAX_FRAME_MESSAGES {
                 return Err(CodecError::TooManyMessages);
             }
+            count += 1;
             rest = row;
-            messages.push(self.decode_message(*kind, &mut rest)?);
+            match self.decode_message(*kind, &mut rest)? {
+                Some(message) => messages.push(message),
+                None => self.skipped += 1,
+            }
         }
         Ok(messages)
     }
 
-    fn decode_message(&mut self, kind: u8, rest: &mut &[u8]) -> Result<LinkMessage, CodecError> {
-        let state = &mut self.0;
+    /// Decodes the row of a message; returns `None` for one of an unknown kind.
+    fn decode_message(
+        &mut self,
+        kind: u8,
+        rest: &mut &[u8],
+    ) -> Result<Option<LinkMessage>, CodecError> {
+        let state = &mut self.state;
         let limit = MAX_MESSAGE_BYTES;
-        Ok(match kind {
+        Ok(Some(match kind {
             HEARTBEAT => LinkMessage::Heartbeat(state.decode_heartbeat(read(rest, limit)?)?),
             MEMBERS => LinkMessage::Members(state.decode_members(read(rest, limit)?)?),
             ASK => LinkMessage::Ask(Box::new(state.decode_ask(read(rest, limit)?)?)),
@@ -295,13 +324,18 @@
                 let (number, rows) = read(rest, limit)?;
                 LinkMessage::QueryAnswer { number, rows }
             }
-            _ => {
-                let index = usize::from(kind.wrapping_sub(REPORT));
-                let progress_kind = ProgressKind::ALL.get(index).copied();
-                let progress_kind = progress_kind.ok_or(CodecError::Kind { kind })?;
-                let (service, report) = state.decode_report(progress_kind, read(rest, limit)?)?;
+            REPORT..=LAST_REPORT => {
+                let progress_kind = ProgressKind::ALL.get(usize::from(kind - REPORT));
+                let report = state.decode_report(progress_kind.copied(), read(rest, limit)?)?;
+                let Some((service, report)) = report else {
+                    return Ok(None);
+                };
                 LinkMessage::Report { service, report }
             }
-        })
+            _ => {
+                let _skipped: IgnoredAny = read(rest, MAX_FRAME_BYTES)?;
+                return Ok(None);
+            }
+        }))
     }
 }
--- a/src/wire/error.rs
+++ b/src/wire/error.rs
@@ -26,12 +26,6 @@
         /// The actual length, in bytes.
         length: usize,
     },
-    /// The message kind is unknown.
-    #[error("unknown message kind {kind}")]
-    Kind {
-        /// The received kind number.
-        kind: u8,
-    },
     /// The value of a field is out of range, or is an index at which the link's table of names,
     /// numbers or texts holds nothing.
     #[error("invalid value in field {field}")]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,4 +1,7 @@
 //! The messages between hosts and their encoding on links.
+//!
+//! Hosts of several builds exchange them, so each new kind has a revision ([`WireRevision`]) and a row
+//! in `docs/WIRE.md`.
 
 mod code;
 mod codec;
@@ -6,6 +9,7 @@
 mod host;
 mod kind;
 mod progress;
+mod revision;
 mod state;
 mod work;
 
@@ -47,6 +51,7 @@
 pub use codec::MAX_MESSAGE_BYTES;
 pub use error::CodecError;
 pub use kind::MessageKind;
+pub use revision::WireRevision;
 pub use state::LinkIncarnations;
 
 /// A message from one host to another.
--- a/src/wire/progress.rs
+++ b/src/wire/progress.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::error::CodecError;
+use super::revision::WireRevision;
 use crate::kernel::ask::WorkProgress;
 use crate::kernel::pace::RequestRate;
 use crate::kernel::pushback::RejectionTolerance;
@@ -67,6 +68,21 @@
         }
     }
 
+    /// Returns the revision that brought the kind.
+    pub const fn revision(self) -> WireRevision {
+        match self {
+            Self::Dispatched
+            | Self::FirstToken
+            | Self::Finished
+            | Self::Stopped
+            | Self::Failed
+            | Self::Released
+            | Self::Erred
+            | Self::RateNamed => WireRevision::EARLIEST,
+            Self::Rejected | Self::ToleranceNamed | Self::LeavingNamed => WireRevision::UNSTATED,
+        }
+    }
+
     /// Returns the progress of this kind with the given numbers; a kind with fewer numbers ignores
     /// the rest.
     pub(super) fn progress(self, first: u64, second: u64) -> Result<WorkProgress, CodecError> {
--- /dev/null
+++ b/src/wire/revision.rs
@@ -0,0 +1,105 @@
+//! Revisions of the protocol between hosts, and the messages that each of them brought.
+//!
+//! Hosts of an older and a newer build serve side by side while they are replaced one after the
+//! other. Each host states its revision in the handshake of a link and is sent only messages that
+//! this revision knows. `docs/WIRE.md` is the register of the revisions.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::LinkMessage;
+use super::progress::ProgressKind;
+use crate::kernel::ask::WorkProgress;
+use crate::kernel::ask::WorkReport;
+
+/// A revision of the protocol between hosts.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder::kernel::ask::WorkProgress;
+/// use borageladder::kernel::ask::WorkReport;
+/// use borageladder::kernel::name::GrantId;
+/// use borageladder::kernel::name::RequestId;
+/// use borageladder::wire::LinkMessage;
+/// use borageladder::wire::WireRevision;
+///
+/// let report = WorkReport {
+///     request: RequestId { incarnation: 7, sequence: 1 },
+///     grant: GrantId { broker: 3, sequence: 1 },
+///     worker: "drafter-1".parse()?,
+///     progress: WorkProgress::LeavingNamed,
+/// };
+/// let message = LinkMessage::Report { service: "drafter".parse()?, report };
+/// assert_eq!(message.revision(), WireRevision::UNSTATED);
+/// assert_eq!(message.clone().for_revision(WireRevision::CURRENT), Some(message.clone()));
+/// let earliest = message.for_revision(WireRevision::EARLIEST);
+/// assert!(matches!(earliest, Some(LinkMessage::Report { report, .. })
+///     if report.progress == WorkProgress::Failed));
+/// # Ok::<(), borageladder::kernel::name::NameError>(())
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct WireRevision(pub u16);
+
+impl WireRevision {
+    /// The earliest revision that hosts of this build work with.
+    pub const EARLIEST: Self = Self(1);
+
+    /// The last revision that hosts don't state: rejections, tolerances and leaving workers in
+    /// reports, and tunnels.
+    pub const UNSTATED: Self = Self(2);
+
+    /// The revision of this build; hosts state their revisions and skip messages of unknown kinds.
+    pub const CURRENT: Self = Self(3);
+
+    /// The revision from which on hosts open tunnels for others.
+    pub const TUNNELS: Self = Self(2);
+}
+
+impl fmt::Display for WireRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl LinkMessage {
+    /// Returns the revision that brought the kind of the message.
+    #[must_use]
+    pub const fn revision(&self) -> WireRevision {
+        match self {
+            Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
+            _ => WireRevision::EARLIEST,
+        }
+    }
+
+    /// Returns the message in the form that a host of the revision understands, or `None` if there
+    /// is none.
+    #[must_use]
+    pub fn for_revision(self, revision: WireRevision) -> Option<Self> {
+        if self.revision() <= revision {
+            return Some(self);
+        }
+        match self {
+            Self::Report { service, report } => {
+                let progress = earlier_progress(report.progress)?;
+                let report = WorkReport { progress, ..report };
+                Some(Self::Report { service, report })
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Returns what a host that doesn't know a progress is told instead. The end of a request must be
+/// reported in any case, since it frees the slot. A worker that asked for rest or is leaving is
+/// reported as failed, since only that keeps the broker from granting it at once again.
+const fn earlier_progress(progress: WorkProgress) -> Option<WorkProgress> {
+    match progress {
+        WorkProgress::Rejected { rest } if rest.is_zero() => Some(WorkProgress::Stopped),
+        WorkProgress::Rejected { .. } | WorkProgress::LeavingNamed => Some(WorkProgress::Failed),
+        _ => None,
+    }
+}
--- a/src/wire/work.rs
+++ b/src/wire/work.rs
@@ -294,12 +294,13 @@
         }
     }
 
-    /// Returns the service and the report of a row.
+    /// Returns the service and the report of a row; `None` if its kind is unknown, in which case the
+    /// row still changes the tables.
     pub fn decode_report(
         &mut self,
-        kind: ProgressKind,
+        kind: Option<ProgressKind>,
         row: ReportRow,
-    ) -> Result<(ServiceName, WorkReport), CodecError> {
+    ) -> Result<Option<(ServiceName, WorkReport)>, CodecError> {
         let (service, request, broker, sequence, worker, first, second) = match row {
             ReportRow::NoNumber(service, request, broker, sequence, worker) => {
                 (service, request, broker, sequence, worker, 0, 0)
@@ -312,13 +313,19 @@
             }
         };
         let service = self.names.decode(service)?;
+        let request = self.decode_request_id(&request, RequestOwner::Sender);
+        let grant = self.decode_grant_id(&(broker, sequence))?;
+        let worker = self.names.decode(worker)?;
+        let Some(kind) = kind else {
+            return Ok(None);
+        };
         let report = WorkReport {
-            request: self.decode_request_id(&request, RequestOwner::Sender),
-            grant: self.decode_grant_id(&(broker, sequence))?,
-            worker: self.names.decode(worker)?,
+            request,
+            grant,
+            worker,
             progress: kind.progress(first, second)?,
         };
-        Ok((service, report))
+        Ok(Some((service, report)))
     }
 
     /// Returns the row of a declaration.
--- a/tests/link_times.rs
+++ b/tests/link_times.rs
@@ -12,6 +12,7 @@
 use borageladder::link::LinkHandle;
 use borageladder::link::LinkTimes;
 use borageladder::link::MessageReceiver;
+use borageladder::link::PeerKnowledge;
 use borageladder::link::WatchedStream;
 use borageladder::link::run_link;
 use borageladder::wire::FrameDecoder;
@@ -58,9 +59,11 @@
         host: host("b"),
         incarnation: PEER_INCARNATION,
         tunnel: None,
+        revision: None,
         address: "127.0.0.1:7000".parse().expect("an address"),
     };
-    LinkHandle::new(peer, host("a"))
+    let knowledge = PeerKnowledge::of(&peer, false);
+    LinkHandle::new(peer, host("a"), knowledge)
 }
 
 fn ignore() -> MessageReceiver {
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -24,6 +24,7 @@
 use borageladder::metrics::WasteCause;
 use borageladder::metrics::catalogue::CATALOGUE;
 use borageladder::wire::MessageKind;
+use borageladder::wire::WireRevision;
 
 /// The rows of the table before the first entry: the header and the separator.
 const TABLE_HEAD_ROWS: usize = 2;
@@ -56,6 +57,7 @@
     metrics.messages_exchanged(MessageKind::Heartbeat, TrafficDirection::Sent, 9);
     metrics.set_timer_delay(second);
     metrics.set_links(5);
+    metrics.set_links_by_revision(WireRevision::CURRENT, 5);
     metrics.set_live_hosts(6);
     metrics.traffic(
         TrafficCarrier::Link,
