Report the use of quotas by data centre in large deployments

Cause: each host reported its use to each other one four times a second: 1,176 messages a second received by each of 295 hosts, each of which visited all 40 workspaces. Ruled out: longer intervals (a hot workspace exceeds the quota meanwhile); reports only of what matters (with 295 hosts a single request is more than a host's part of the tolerance); sums by reporter without a source (two reporters around a change would be subtracted from each other). Change: above 100 hosts, a host reports to those of its data centre only, and one host of each reports the sum to the reporters of the others, which pass it on. A sum counts from the first one of its source; use is assumed from the last one on, before it is overdue. Hosts that know no sums report to all and are reported to by all. Received: 49 x 4 reports and 5 x 4 sums a second (calculated), against 1,176. Conclusion: one hop more, in messages that grow with the data centre, not with the deployment.

--- /dev/null
+++ b/kernel/src/quota/peer.rs
@@ -0,0 +1,206 @@
+//! The use of a quota by other hosts, as far as this host knows it.
+
+use std::time::Duration;
+
+use crate::clock::ClockTime;
+
+/// The time constant of the moving average of a host's use.
+const USE_AVERAGING_TIME: Duration = Duration::from_secs(2);
+
+/// The time without a report or heartbeat after which the use of a host is assumed. The assumed use
+/// is counted from the last report or heartbeat on.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The time without a report or heartbeat for which a host is assumed to continue at its last rate. It
+/// is longer than the window of 8 s over which the use of a quota is measured, so that all units
+/// that the host may have charged before its silence have left the window.
+pub const LAST_RATE_TIME: Duration = Duration::from_secs(10);
+
+/// Who receives the reports that a host makes of its use of quotas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportScope {
+    /// All hosts of the deployment.
+    Deployment,
+    /// The hosts of its data centre; one of them reports their sum to the others.
+    Datacenter,
+}
+
+/// The use of a quota by the hosts of another data centre that report to each other only.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DatacenterUse {
+    /// The random number that the process of the reporting host drew at its start. Totals of
+    /// different processes can't be compared.
+    pub source: u64,
+    /// The number of hosts that the sum speaks for.
+    pub hosts: u32,
+    /// The units that they charged, on top of a number that the source has chosen.
+    pub total: f64,
+}
+
+/// The last sum of a data centre, and what is assumed since.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SumUse {
+    pub source: u64,
+    pub hosts: u32,
+    pub known: PeerUse,
+}
+
+impl SumUse {
+    /// Returns the use by the first sum that a host receives, which only gives the base of the next.
+    pub(super) fn new(now: ClockTime, sum: &DatacenterUse) -> Self {
+        let DatacenterUse {
+            source,
+            hosts,
+            total,
+        } = *sum;
+        Self {
+            source,
+            hosts,
+            known: PeerUse::new(now, ReportScope::Deployment, total, Duration::ZERO),
+        }
+    }
+
+    /// Returns the last sum.
+    pub(super) const fn last(&self) -> DatacenterUse {
+        DatacenterUse {
+            source: self.source,
+            hosts: self.hosts,
+            total: self.known.total,
+        }
+    }
+
+    /// Records a further sum; returns the units used since the one before, less those that were
+    /// assumed. What was assumed before the first sum of another source stays assumed.
+    pub(super) fn record(&mut self, now: ClockTime, sum: &DatacenterUse) -> f64 {
+        if self.source != sum.source {
+            // While the reporter changes, both may report; their totals can't be compared.
+            if !self.known.is_overdue(now) {
+                return 0.0;
+            }
+            let recent = self.known.recent;
+            *self = Self::new(now, sum);
+            self.known.recent = recent;
+            return 0.0;
+        }
+        self.hosts = sum.hosts;
+        let assumed = self.known.assumed;
+        let scope = self.known.scope;
+        self.known.record(now, scope, sum.total, Duration::ZERO) - assumed
+    }
+}
+
+/// The use of a quota by another host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerUse {
+    /// Which hosts the reports speak for.
+    pub scope: ReportScope,
+    /// The units charged by the host since its bucket was created, by its last report.
+    pub total: f64,
+    /// The units that were deducted for the reports of the host, over all of its incarnations.
+    pub used: f64,
+    /// The time since the start of the host, by its last report.
+    pub age: Duration,
+    /// The moving average of the reported use.
+    pub recent: UseAverage,
+    /// The time of the last report or heartbeat.
+    pub last_seen: ClockTime,
+    /// The units deducted as assumed use since the last report.
+    pub assumed: f64,
+    /// The time up to which assumed units have been deducted.
+    pub assumed_until: ClockTime,
+}
+
+impl PeerUse {
+    /// Returns the use of a host whose first report was received.
+    pub(super) fn new(now: ClockTime, scope: ReportScope, total: f64, age: Duration) -> Self {
+        Self {
+            scope,
+            total,
+            used: 0.0,
+            age,
+            recent: UseAverage::default(),
+            last_seen: now,
+            assumed: 0.0,
+            assumed_until: now,
+        }
+    }
+
+    /// Replaces what is known by a further report; returns the units used since the one before.
+    pub(super) fn record(
+        &mut self,
+        now: ClockTime,
+        scope: ReportScope,
+        total: f64,
+        age: Duration,
+    ) -> f64 {
+        // A lower age means that the host restarted; a lower total alone comes from refunds.
+        let used = if age < self.age {
+            total
+        } else {
+            total - self.total
+        };
+        let mut recent = self.recent;
+        recent.record(now, used.max(0.0));
+        *self = Self {
+            used: self.used + used,
+            recent,
+            ..Self::new(now, scope, total, age)
+        };
+        used
+    }
+}
+
+impl PeerUse {
+    /// Returns whether the reports of the host are overdue.
+    pub(super) fn is_overdue(&self, now: ClockTime) -> bool {
+        now.since(self.last_seen) > REPORT_TIMEOUT
+    }
+
+    /// Assumes use since the last report, or since the last call; `part` is the use in units per
+    /// second that is assumed at least. Returns the assumed units.
+    pub(super) fn assume(&mut self, now: ClockTime, part: f64) -> f64 {
+        let rate = if now.since(self.last_seen) < LAST_RATE_TIME {
+            self.recent.last_rate().max(part)
+        } else {
+            part
+        };
+        let used = rate * now.since(self.assumed_until).as_secs_f64();
+        self.assumed += used;
+        self.assumed_until = now;
+        used
+    }
+}
+
+impl SumUse {
+    /// Assumes use of the data centre as [`PeerUse::assume`] does. It is called also before the
+    /// reports are overdue: a sum stands for too many hosts to do without it.
+    pub(super) fn assume(&mut self, now: ClockTime, part: f64) -> f64 {
+        self.known.assume(now, part * f64::from(self.hosts))
+    }
+}
+
+/// A moving average of the units charged, in units per second.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct UseAverage {
+    rate: f64,
+    updated_at: ClockTime,
+}
+
+impl UseAverage {
+    /// Records units that were used.
+    pub(super) fn record(&mut self, now: ClockTime, units: f64) {
+        self.rate = self.rate(now) + units / USE_AVERAGING_TIME.as_secs_f64();
+        self.updated_at = now;
+    }
+
+    /// Returns the average at the time of the last use.
+    pub(super) const fn last_rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Returns the average at a time.
+    pub(super) fn rate(&self, now: ClockTime) -> f64 {
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        self.rate * (-elapsed / USE_AVERAGING_TIME.as_secs_f64()).exp()
+    }
+}
--- a/kernel/tests/quota_model.rs
+++ b/kernel/tests/quota_model.rs
@@ -9,9 +9,11 @@
 
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::name::HostName;
+use borageladder_kernel::quota::DatacenterUse;
 use borageladder_kernel::quota::QuotaBounds;
 use borageladder_kernel::quota::QuotaBucket;
 use borageladder_kernel::quota::QuotaTolerance;
+use borageladder_kernel::quota::ReportScope;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -45,10 +47,22 @@
 /// The share of the exact bucket's units that the hosts may refuse.
 const MAX_SHORTFALL: f64 = 0.01;
 
+/// That share where one host of each data centre reports its sum.
+const MAX_RELAYED_SHORTFALL: f64 = 0.02;
+
 /// The units of one request.
 const MIN_UNITS: u64 = 600;
 const MAX_UNITS: u64 = 7_400;
 
+/// The data centres of a deployment in which one host of each reports its sum to the others.
+const DATACENTERS: usize = 6;
+
+/// The hosts of such a deployment.
+const RELAYED_HOSTS: usize = 300;
+
+/// The time until another host reports the sum of a data centre in place of one that was killed.
+const DETECTION_US: u64 = 2_500_000;
+
 /// The interval between two reports of a host, in microseconds.
 const REPORT_INTERVAL_US: u64 = 250_000;
 
@@ -80,15 +94,24 @@
     Restart {
         host: usize,
     },
+    KillRelays,
+    ReplaceRelays,
 }
 
 /// A report on its way: the units charged since the start of its sender, and that time.
 #[derive(Clone, Copy)]
 struct SentReport {
-    total: f64,
+    content: ReportContent,
     age: Duration,
 }
 
+/// What a report says: the use of its sender, or the sum of its data centre.
+#[derive(Clone, Copy)]
+enum ReportContent {
+    Own { scope: ReportScope, total: f64 },
+    Sum(DatacenterUse),
+}
+
 struct SimulatedHost {
     bucket: QuotaBucket,
     started_us: u64,
@@ -118,6 +141,11 @@
     reports: Vec<SentReport>,
     random: StdRng,
     exact: QuotaBucket,
+    /// The hosts that report the sums of the data centres, in their order; none in a deployment in
+    /// which each host reports to all.
+    relays: Vec<usize>,
+    /// Whether the relays were killed and not replaced yet.
+    relays_killed: bool,
     /// When the two halves of the hosts are cut off from each other.
     cut: Range<u64>,
     /// When a third of the hosts stand still.
@@ -143,6 +171,8 @@
             reports: Vec::new(),
             random: StdRng::seed_from_u64(seed),
             exact: bucket.clone(),
+            relays: Vec::new(),
+            relays_killed: false,
             cut: 0..0,
             freeze: 0..0,
             charged: Vec::new(),
@@ -171,6 +201,8 @@
                 FleetEvent::Report { from } => self.send_report(at, from),
                 FleetEvent::Arrival { from, to, report } => self.receive(at, from, to, report),
                 FleetEvent::Restart { host } => self.restart(at, host),
+                FleetEvent::KillRelays => self.kill_relays(at),
+                FleetEvent::ReplaceRelays => self.replace_relays(),
             }
         }
         DayOutcome {
@@ -218,12 +250,37 @@
         if self.is_frozen(at, from) {
             return;
         }
-        let host = &mut self.hosts[from];
-        let total = host.bucket.usage_report(true).expect("a full report");
-        let age = Duration::from_micros(at - host.started_us);
-        self.reports.push(SentReport { total, age });
+        let age = Duration::from_micros(at - self.hosts[from].started_us);
+        let total = self.hosts[from].bucket.usage_report(true);
+        let total = total.expect("a full report");
+        let is_relayed = !self.relays.is_empty();
+        let scope = if is_relayed {
+            ReportScope::Datacenter
+        } else {
+            ReportScope::Deployment
+        };
+        let is_near = |to: usize| !is_relayed || to % DATACENTERS == from % DATACENTERS;
+        let content = ReportContent::Own { scope, total };
+        self.send(at, from, SentReport { content, age }, is_near);
+        if self.relays.contains(&from) && !self.relays_killed {
+            let count = self.hosts.len();
+            let host = &mut self.hosts[from];
+            let total = host.bucket.datacenter_total(host.now(at), count);
+            let hosts = u32::try_from(count / DATACENTERS).expect("few hosts");
+            let source = u64::try_from(from).expect("few hosts");
+            let content = ReportContent::Sum(DatacenterUse {
+                source,
+                hosts,
+                total,
+            });
+            self.send(at, from, SentReport { content, age }, |to| !is_near(to));
+        }
+    }
+
+    fn send(&mut self, at: u64, from: usize, report: SentReport, gets: impl Fn(usize) -> bool) {
+        self.reports.push(report);
         let report = self.reports.len() - 1;
-        for to in 0..self.hosts.len() {
+        for to in (0..self.hosts.len()).filter(|to| gets(*to)) {
             let half = self.hosts.len() / 2;
             let is_cut = self.cut.contains(&at) && (to < half) != (from < half);
             if to != from && !is_cut {
@@ -233,11 +290,37 @@
         }
     }
 
+    /// Restarts the relays; the others notice later, and then replace them.
+    fn kill_relays(&mut self, at: u64) {
+        for relay in self.relays.clone() {
+            self.restart(at, relay);
+        }
+        self.relays_killed = true;
+        self.schedule(at + DETECTION_US, FleetEvent::ReplaceRelays);
+    }
+
+    fn replace_relays(&mut self) {
+        self.relays_killed = false;
+        for relay in &mut self.relays {
+            *relay += DATACENTERS;
+        }
+    }
+
     fn receive(&mut self, at: u64, from: usize, to: usize, report: usize) {
-        let SentReport { total, age } = self.reports[report];
+        let SentReport { content, age } = self.reports[report];
         let host = &mut self.hosts[to];
         let now = host.now(at);
-        host.bucket.record_usage(now, &self.names[from], total, age);
+        match content {
+            ReportContent::Own { scope, total } => {
+                let from = &self.names[from];
+                host.bucket.record_report(now, from, scope, total, age);
+            }
+            ReportContent::Sum(sum) => {
+                let datacenter = format!("datacenter-{}", from % DATACENTERS);
+                let datacenter = datacenter.parse().expect("a valid name");
+                host.bucket.record_sum(now, &datacenter, &sum);
+            }
+        }
     }
 
     fn restart(&mut self, at: u64, host: usize) {
@@ -278,10 +361,12 @@
 }
 
 /// Returns the share of the exact bucket's units that the hosts refuse, on average over the seeds.
-fn shortfall(hosts: usize, demand: &[DemandStep]) -> f64 {
+fn shortfall(hosts: usize, demand: &[DemandStep], relays: usize) -> f64 {
     let (mut admitted, mut exact) = (0.0, 0.0);
     for seed in 0..seeds() {
-        let outcome = SimulatedDay::new(hosts, seed, demand).run();
+        let mut day = SimulatedDay::new(hosts, seed, demand);
+        day.relays = (0..relays).collect();
+        let outcome = day.run();
         let most = outcome.most_in_window;
         assert!(most <= MAX_IN_WINDOW, "seed {seed}: {most} units in 8 s");
         admitted += outcome.admitted;
@@ -300,7 +385,7 @@
     hot_on_70_hosts = { 70, HOT },
 )]
 fn hosts_admit_what_the_quota_allows(hosts: usize, demand: &[DemandStep]) {
-    let refused = shortfall(hosts, demand);
+    let refused = shortfall(hosts, demand, 0);
     println!("{hosts} hosts refuse {refused:.4} of the units");
     assert!(
         refused <= MAX_SHORTFALL,
@@ -340,3 +425,38 @@
         assert!(most <= MAX_IN_WINDOW, "seed {seed}: {most} units in 8 s");
     }
 }
+
+// Guards against a quota that many hosts exceed, or use too little of, since they hear of each other's
+// use by way of one host of each data centre.
+#[parameterized(
+    usual = { USUAL },
+    lowered = { LOWERED },
+    hot = { HOT },
+)]
+fn hosts_of_data_centres_with_relays_admit_what_the_quota_allows(demand: &[DemandStep]) {
+    let refused = shortfall(RELAYED_HOSTS, demand, DATACENTERS);
+    println!("{RELAYED_HOSTS} relayed hosts refuse {refused:.4} of the units");
+    assert!(
+        refused <= MAX_RELAYED_SHORTFALL,
+        "{refused:.4} of the units refused"
+    );
+}
+
+// Guards against use that nobody reports once the relays are gone, and against use that is deducted
+// again by those that replace them.
+#[test]
+fn relays_that_are_killed_under_overload_leave_the_quota_in_force() {
+    for seed in 0..seeds() {
+        let mut day = SimulatedDay::new(RELAYED_HOSTS, seed, HOT);
+        day.relays = (0..DATACENTERS).collect();
+        day.schedule(10_000_000, FleetEvent::KillRelays);
+        let outcome = day.run();
+        let most = outcome.most_in_window;
+        assert!(most <= MAX_IN_WINDOW, "seed {seed}: {most} units in 8 s");
+        let share = outcome.admitted / outcome.exact;
+        assert!(
+            share >= 0.85,
+            "seed {seed}: only {share:.2} of the units admitted"
+        );
+    }
+}
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -27,7 +27,6 @@
 use crate::crashes::SharedPartRegister;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
-use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::WorkspaceName;
@@ -39,9 +38,6 @@
 use crate::member::MemberService;
 use crate::metrics::MetricSet;
 use crate::server::StopSignal;
-use crate::wire::LinkMessage;
-use crate::wire::UsageReport;
-use crate::wire::WorkspaceUsage;
 
 /// The services and state shared by the tasks of a gateway host.
 pub struct GatewayHost {
@@ -244,7 +240,7 @@
     /// Returns the number of live hosts, this one included.
     #[must_use]
     pub fn host_count(&self) -> usize {
-        self.members.all_alive().len()
+        self.members.alive_count()
     }
 
     /// Records a request to a service in its retry budget.
@@ -279,38 +275,6 @@
         self.state.quotas.borrow_mut().get_mut(workspace).map(act)
     }
 
-    /// Sends the other hosts the units that this host has charged to the quota of each workspace
-    /// whose use changed, or of every workspace if `include_unchanged` is set.
-    pub fn report_usage(&self, include_unchanged: bool) {
-        let mut quotas = self.state.quotas.borrow_mut();
-        let uses = quotas.iter_mut().filter_map(|(workspace, quota)| {
-            let units = quota.usage_report(include_unchanged)?;
-            let workspace = workspace.clone();
-            Some(WorkspaceUsage { workspace, units })
-        });
-        let uses: Vec<WorkspaceUsage> = uses.collect();
-        drop(quotas);
-        // An empty report is sent too: it shows that no further units were charged.
-        let age = self.clock.now().since(ClockTime::ZERO);
-        self.links
-            .broadcast(&LinkMessage::Usage(UsageReport { age, uses }));
-    }
-
-    /// Records the quota units charged by another host.
-    pub fn record_peer_usage(&self, from: &HostName, report: &UsageReport) {
-        let now = self.clock.now();
-        for (workspace, quota) in self.state.quotas.borrow_mut().iter_mut() {
-            let reported = report
-                .uses
-                .iter()
-                .find(|reported| reported.workspace == *workspace);
-            match reported {
-                Some(reported) => quota.record_usage(now, from, reported.units, report.age),
-                None => quota.record_liveness(now, from),
-            }
-        }
-    }
-
     /// Applies a configuration if its version is higher than the current one; returns whether it
     /// was applied.
     pub fn apply_configuration(&self, configuration: Arc<ServingConfiguration>) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod sync;
 mod trace;
 mod tunnel;
+mod usage;
 mod worker;
 
 pub use self::dialect::AnswerMetadata;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -251,6 +251,7 @@
         LinkMessage::CrashedParts(reports) => host.crashes.merge(&reports),
         LinkMessage::SoundParts(parts) => host.crashes.clear(&parts),
         LinkMessage::Usage(report) => host.record_peer_usage(from, &report),
+        LinkMessage::UsageSum(sum) => host.record_usage_sum(from, &sum),
         LinkMessage::StateWanted(poll) => sync::record_poll(host, from, poll),
         LinkMessage::State(update) => sync::receive_update(host, from, *update),
         LinkMessage::StreamVersion { stream, version } => {
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -13,6 +13,7 @@
 
 use super::LinkMessage;
 use super::error::CodecError;
+use super::host;
 use super::progress::ProgressKind;
 use super::state::CodecState;
 use super::state::LinkIncarnations;
@@ -64,6 +65,7 @@
 const CRASHED_PARTS: u8 = 39;
 const SOUND_PARTS: u8 = 40;
 const RATES: u8 = 41;
+const USAGE_SUM: u8 = 42;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -192,6 +194,7 @@
             }
             LinkMessage::StreamWanted(stream) => write(frame, STREAM_WANTED, stream),
             LinkMessage::Usage(report) => write(frame, USAGE, &state.encode_usage(report)),
+            LinkMessage::UsageSum(sum) => write(frame, USAGE_SUM, &host::sum_row(sum)),
             LinkMessage::Query { number, text } => write(frame, QUERY, &(number, text)),
             LinkMessage::QueryAnswer { number, rows } => {
                 write(frame, QUERY_ANSWER, &(number, rows))
@@ -316,6 +319,7 @@
             }
             STREAM_WANTED => LinkMessage::StreamWanted(read(rest, limit)?),
             USAGE => LinkMessage::Usage(state.decode_usage(read(rest, limit)?)?),
+            USAGE_SUM => LinkMessage::UsageSum(host::read_sum(read(rest, limit)?)),
             QUERY => {
                 let (number, text) = read(rest, limit)?;
                 LinkMessage::Query { number, text }
--- a/src/wire/host.rs
+++ b/src/wire/host.rs
@@ -7,6 +7,7 @@
 use super::MemberEntry;
 use super::MemberList;
 use super::UsageReport;
+use super::UsageSum;
 use super::WorkspaceUsage;
 use super::code::NameCode;
 use super::error::CodecError;
@@ -14,6 +15,8 @@
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::membership::HostClass;
+use crate::kernel::name::DatacenterName;
+use crate::kernel::name::WorkspaceName;
 
 const FRESH_FLAG: u8 = 1;
 const STOPPING_FLAG: u8 = 2;
@@ -34,6 +37,35 @@
 /// Age of the sender in ms, workspaces with the units charged.
 pub type UsageRow = (u64, Vec<(NameCode, f64)>);
 
+/// Data centre, incarnation of the sender, number of hosts, workspaces with the units charged; without
+/// codes of the link's tables, since earlier builds skip it.
+pub type SumRow = (DatacenterName, u64, u32, Vec<(WorkspaceName, f64)>);
+
+/// Returns the row of the use of a data centre.
+pub fn sum_row(sum: &UsageSum) -> SumRow {
+    let uses = sum.uses.iter();
+    let uses = uses.map(|usage| (usage.workspace.clone(), usage.units));
+    (
+        sum.datacenter.clone(),
+        sum.source,
+        sum.hosts,
+        uses.collect(),
+    )
+}
+
+/// Returns the use of a data centre of a row.
+pub fn read_sum(row: SumRow) -> UsageSum {
+    let (datacenter, source, hosts, uses) = row;
+    let uses = uses.into_iter();
+    let uses = uses.map(|(workspace, units)| WorkspaceUsage { workspace, units });
+    UsageSum {
+        datacenter,
+        source,
+        hosts,
+        uses: uses.collect(),
+    }
+}
+
 fn whole_millis(time: ClockTime) -> u64 {
     time.as_micros() / 1_000
 }
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -55,6 +55,7 @@
     SoundParts "sound-parts";
     Waiting "waiting";
     Usage "usage";
+    UsageSum "usage-sum";
     StateWanted "state-wanted";
     State "state";
     StreamVersion "stream-version";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -122,6 +122,8 @@
     /// The sender's quota usage, for the workspaces whose usage changed since its last report or
     /// for all of them.
     Usage(UsageReport),
+    /// The use of quotas by the hosts of the sender's data centre that report to each other only.
+    UsageSum(UsageSum),
     /// The version of the worker that began a stream: sent to the replicas of its record, and in
     /// answer to [`Self::StreamWanted`].
     StreamVersion {
@@ -232,6 +234,19 @@
     pub units: f64,
 }
 
+/// The use of quotas by the hosts of one data centre, reported by one of them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UsageSum {
+    /// The data centre.
+    pub datacenter: DatacenterName,
+    /// The random number that the sender's process drew at its start.
+    pub source: u64,
+    /// The number of hosts that the sum speaks for.
+    pub hosts: u32,
+    /// The units that they charged to each workspace, on top of a number that the sender has chosen.
+    pub uses: Vec<WorkspaceUsage>,
+}
+
 /// The live hosts of one data centre.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberList {
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -55,6 +55,10 @@
     /// The revision of this build; hosts state their revisions and skip messages of unknown kinds.
     pub const CURRENT: Self = Self(3);
 
+    /// The revision from which on hosts take the sum of a data centre in place of the reports of its
+    /// hosts.
+    pub const SUMS: Self = Self(3);
+
     /// The revision from which on hosts open tunnels for others.
     pub const TUNNELS: Self = Self(2);
 }
@@ -71,6 +75,7 @@
     pub const fn revision(&self) -> WireRevision {
         match self {
             Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
+            Self::UsageSum(_) => WireRevision::SUMS,
             _ => WireRevision::EARLIEST,
         }
     }
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -41,6 +41,7 @@
 use borageladder::wire::StatePoll;
 use borageladder::wire::StateUpdate;
 use borageladder::wire::UsageReport;
+use borageladder::wire::UsageSum;
 use borageladder::wire::WorkspaceUsage;
 
 /// The incarnation of the host whose entry reads the requests: the random number that its process
@@ -199,6 +200,18 @@
     }
 }
 
+fn sum_message() -> LinkMessage {
+    LinkMessage::UsageSum(UsageSum {
+        datacenter: name("kushiro-a"),
+        source: u64::MAX,
+        hosts: 49,
+        uses: vec![WorkspaceUsage {
+            workspace: name("union"),
+            units: 40_000_001.5,
+        }],
+    })
+}
+
 fn stream_messages() -> Vec<LinkMessage> {
     vec![
         LinkMessage::StreamVersion {
@@ -316,7 +329,7 @@
     ];
     messages.extend(crash_messages());
     messages.extend(stream_messages());
-    messages.push(rates_message());
+    messages.extend([rates_message(), sum_message()]);
     messages.extend(reports(70));
     for progress in [
         WorkProgress::Stopped,
