--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -73,6 +73,10 @@
     /// The bandwidth of the host's network link, in megabits per second.
     #[serde(default = "default_link_megabits")]
     pub link_megabits: f64,
+    /// The number of live hosts up to which each of them reports its use of quotas to all others;
+    /// above it, the sum of each data centre is reported to the others.
+    #[serde(default = "default_direct_hosts")]
+    pub direct_hosts: usize,
     /// The limits set by the operators of the deployment.
     pub bounds: GatewayBounds,
 }
@@ -107,6 +111,10 @@
     1.0
 }
 
+const fn default_direct_hosts() -> usize {
+    100
+}
+
 const fn default_link_megabits() -> f64 {
     1_000.0
 }
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -17,9 +17,6 @@
 use crate::wire::WireRevision;
 use crate::wire::WorkspaceUsage;
 
-/// The number of live hosts up to which each of them reports to all others.
-const MAX_DIRECT_HOSTS: usize = 100;
-
 impl GatewayHost {
     /// Sends the other hosts the units that this host has charged to the quota of each workspace
     /// whose use changed, or of every workspace if `include_unchanged` is set; sends the sum of the
@@ -137,7 +134,7 @@
 
     /// Returns whether hosts report to those of their data centre only.
     fn sums_usage(&self) -> bool {
-        self.host_count() > MAX_DIRECT_HOSTS
+        self.host_count() > self.settings.direct_hosts
     }
 
     fn is_near(&self, peer: &HostName) -> bool {
