--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -34,7 +34,9 @@
             peers.filter(|peer| self.is_near(peer) || !self.takes_sums(peer)),
             &message,
         );
-        self.forget_summed_peers();
+        if include_unchanged {
+            self.forget_summed_peers();
+        }
         let own = &self.settings.datacenter;
         if self.reporter(own).as_ref() == Some(&self.settings.host) {
             let message = LinkMessage::UsageSum(self.own_sum(include_unchanged));
