--- a/kernel/src/membership/mod.rs
+++ b/kernel/src/membership/mod.rs
@@ -11,7 +11,6 @@
 use crate::clock::ClockTime;
 use crate::name::DatacenterName;
 use crate::name::HostName;
-use crate::name::ServiceName;
 
 pub use self::announcement::ListSchedule;
 pub use self::announcement::MAX_LIST_RECIPIENTS;
@@ -311,77 +310,6 @@
         self.alive.len() + 1
     }
 
-    /// Returns the host that reports for a data centre to the others, chosen as brokers are among the
-    /// live hosts that `may_report` selects.
-    #[must_use]
-    pub fn reporter(
-        &self,
-        datacenter: &DatacenterName,
-        may_report: impl Fn(&HostName) -> bool,
-    ) -> Option<&HostName> {
-        let others = self.alive.iter();
-        let others = others.filter(|(_, live)| live.datacenter == *datacenter);
-        let others = others.map(|(host, live)| ((!live.stopping, live.host_class), host));
-        let own = ((!self.stopping, self.host_class), &self.host);
-        let own = (self.datacenter == *datacenter).then_some(own);
-        let eligible = others.chain(own).filter(|(_, host)| may_report(host));
-        let highest = eligible.max_by_key(|(suitability, host)| {
-            (*suitability, election::reporter_hash(datacenter, host))
-        });
-        highest.map(|(_, host)| host)
-    }
-
-    /// Returns the broker of the cell of a service in a data centre: among the live hosts there
-    /// that are not stopping, the one with the highest class, with ties broken by the highest
-    /// rendezvous hash.
-    ///
-    /// If all live hosts there are stopping, the broker is chosen among them in the same way.
-    #[must_use]
-    pub fn broker(&self, service: &ServiceName, datacenter: &DatacenterName) -> Option<&HostName> {
-        let brokers = self.brokers(service, datacenter, |other| other == datacenter);
-        brokers.broker
-    }
-
-    /// Returns the broker and the deputy of a service's cell that several data centres share;
-    /// `cell_datacenter` is the data centre that the cell is named after, and `within` selects the
-    /// data centres that share it.
-    #[must_use]
-    pub fn brokers(
-        &self,
-        service: &ServiceName,
-        cell_datacenter: &DatacenterName,
-        within: impl Fn(&DatacenterName) -> bool,
-    ) -> BrokerPair<'_> {
-        let others = self.alive.iter();
-        let others = others.filter(|(_, live)| within(&live.datacenter));
-        let others = others.map(|(host, live)| ((!live.stopping, live.host_class), host));
-        let own = ((!self.stopping, self.host_class), &self.host);
-        let own = within(&self.datacenter).then_some(own);
-        let eligible: Vec<((bool, HostClass), &HostName)> = others.chain(own).collect();
-        let lowest = second_highest(eligible.iter().map(|(suitability, _)| *suitability));
-        let mut pair = BrokerPair::default();
-        let mut ranks = [None, None];
-        // Hashing costs most here, so hosts below the two most suitable ones are left out.
-        for (suitability, host) in eligible {
-            if Some(suitability) < lowest {
-                continue;
-            }
-            let hash = election::rendezvous_hash(service, cell_datacenter, host);
-            let rank = Some((suitability, hash, host));
-            if rank > ranks[0] {
-                ranks = [rank, ranks[0]];
-                pair = BrokerPair {
-                    broker: Some(host),
-                    deputy: pair.broker,
-                };
-            } else if rank > ranks[1] {
-                ranks[1] = rank;
-                pair.deputy = Some(host);
-            }
-        }
-        pair
-    }
-
     /// Recomputes the live hosts and returns what changed.
     fn refresh(&mut self, now: ClockTime) -> Vec<MemberChange> {
         self.direct
@@ -426,19 +354,6 @@
     }
 }
 
-/// Returns the second highest value, which can equal the highest; `None` of fewer than two.
-fn second_highest<T: Copy + Ord>(values: impl Iterator<Item = T>) -> Option<T> {
-    let mut highest = [None, None];
-    for value in values.map(Some) {
-        if value > highest[0] {
-            highest = [value, highest[0]];
-        } else if value > highest[1] {
-            highest[1] = value;
-        }
-    }
-    highest[1]
-}
-
 /// Returns whether two lists differ in a host for which lists decide whether it is alive.
 ///
 /// Most hosts of a fully linked deployment are known by their heartbeats, so most lists change
--- a/kernel/tests/membership.rs
+++ b/kernel/tests/membership.rs
@@ -290,3 +290,28 @@
     members.tick(ClockTime::ZERO + HEARTBEAT_TIMEOUT);
     changed(&members);
 }
+
+// Guards against hosts that take different hosts for the reporter of a data centre.
+#[test]
+fn the_reporter_of_a_data_centre_is_the_same_in_every_view() {
+    let names = ["a", "b", "c", "e"];
+    let views = names.map(|own| {
+        let mut members = Membership::new(host(own), datacenter("d1"));
+        for other in names.iter().filter(|other| **other != own) {
+            members.record_heartbeat(ClockTime::ZERO, &host(other), signal("d1", 1));
+        }
+        members
+    });
+    let reporter = |members: &Membership, without: &str| {
+        let chosen = members.reporter(&datacenter("d1"), |other| other.as_str() != without);
+        chosen.expect("a live host").clone()
+    };
+    let first = reporter(&views[0], "");
+    let second = reporter(&views[0], first.as_str());
+    assert_ne!(first, second);
+    for members in &views {
+        assert_eq!(reporter(members, ""), first);
+        assert_eq!(reporter(members, first.as_str()), second);
+    }
+    assert_eq!(views[0].reporter(&datacenter("d2"), |_| true), None);
+}
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -10,6 +10,7 @@
 mod error;
 mod handshake;
 mod knowledge;
+mod peers;
 mod queue;
 mod settings;
 mod traffic;
@@ -37,7 +38,6 @@
 use crate::log_event;
 use crate::wire::LinkMessage;
 use crate::wire::MAX_MESSAGE_BYTES;
-use crate::wire::WireRevision;
 use handshake::LinkEnd;
 use handshake::LinkStream;
 use handshake::perform_handshake;
@@ -231,48 +231,6 @@
         }
     }
 
-    /// Returns the names of the linked hosts, in ascending order.
-    #[must_use]
-    pub fn connected(&self) -> Vec<HostName> {
-        self.links.borrow().keys().cloned().collect()
-    }
-
-    /// Returns whether a link to the host is established.
-    #[must_use]
-    pub fn is_connected(&self, host: &HostName) -> bool {
-        self.links.borrow().contains_key(host)
-    }
-
-    /// Returns the address at which a linked host accepts links; `None` without a link.
-    #[must_use]
-    pub fn address(&self, host: &HostName) -> Option<SocketAddr> {
-        self.links.borrow().get(host).map(|link| link.address())
-    }
-
-    /// Returns the incarnation of a linked host; `None` without a link.
-    #[must_use]
-    pub fn peer_incarnation(&self, host: &HostName) -> Option<u64> {
-        let links = self.links.borrow();
-        links.get(host).map(|link| link.peer.incarnation)
-    }
-
-    /// Returns the revision of the messages that a linked host understands; `None` without a link.
-    #[must_use]
-    pub fn peer_revision(&self, host: &HostName) -> Option<WireRevision> {
-        let links = self.links.borrow();
-        links.get(host).map(|link| link.knowledge.revision())
-    }
-
-    /// Returns the number of linked hosts by the revision of the messages that they understand.
-    #[must_use]
-    pub fn peers_by_revision(&self) -> BTreeMap<WireRevision, u64> {
-        let mut counts = BTreeMap::new();
-        for link in self.links.borrow().values() {
-            *counts.entry(link.knowledge.revision()).or_default() += 1;
-        }
-        counts
-    }
-
     /// Registers a callback for links that are established from now on.
     pub fn on_connect(&self, listener: ConnectListener) {
         self.connect_listeners.borrow_mut().push(listener);
@@ -419,16 +377,6 @@
         })
     }
 
-    fn is_earliest(&self, peer: &AuthenticatedPeer) -> bool {
-        let peers = self.earliest_peers.borrow();
-        peers.get(&peer.host) == Some(&peer.incarnation)
-    }
-
-    fn record_earliest(&self, peer: &AuthenticatedPeer) {
-        let mut peers = self.earliest_peers.borrow_mut();
-        peers.insert(peer.host.clone(), peer.incarnation);
-    }
-
     fn log_closure(&self, host: &HostName, error: &LinkError) {
         let peer = host.as_str();
         let reason = error.to_string();
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,6 +1,7 @@
 //! Membership of the hosts: heartbeats, links between hosts and the choice of brokers.
 
 mod dialing;
+mod lists;
 
 use std::cell::RefCell;
 use std::fmt;
@@ -19,7 +20,6 @@
 use crate::kernel::membership::HEARTBEAT_INTERVAL;
 use crate::kernel::membership::HostClass;
 use crate::kernel::membership::ListSchedule;
-use crate::kernel::membership::ListedMember;
 use crate::kernel::membership::LivenessSignal;
 use crate::kernel::membership::MAX_LIST_RECIPIENTS;
 use crate::kernel::membership::Membership;
@@ -31,7 +31,6 @@
 use crate::log_event;
 use crate::wire::Heartbeat;
 use crate::wire::LinkMessage;
-use crate::wire::MemberEntry;
 use crate::wire::MemberList;
 use dialing::PeerDialer;
 pub use dialing::REMOTE_LINKS;
@@ -324,36 +323,6 @@
         self.announce_changes(changes);
     }
 
-    fn receive_list(&self, from: &HostName, list: &MemberList) {
-        let now = (self.clock)();
-        let mut dialer = self.dialer.borrow_mut();
-        let mut has_new_address = false;
-        for entry in list
-            .members
-            .iter()
-            .filter(|entry| entry.host != *self.links.host())
-        {
-            has_new_address |= dialer.record_address(&list.datacenter, &entry.host, entry.address);
-        }
-        drop(dialer);
-        let membership = self.membership.borrow();
-        let from_listed_datacenter = membership.datacenter(from) == Some(&list.datacenter);
-        drop(membership);
-        // Only the hosts of a data centre know which others are alive there; other lists give no
-        // more than addresses to dial.
-        if from_listed_datacenter && list.datacenter != self.settings.datacenter {
-            let members = list.members.iter().map(listed_member).collect();
-            let mut membership = self.membership.borrow_mut();
-            let changes = membership.record_member_list(now, from, members);
-            drop(membership);
-            self.announce_changes(changes);
-        }
-        // With many links, the next interval dials the new addresses of all lists at once.
-        if has_new_address && self.links.connected().len() <= MAX_FREQUENT_LINKS {
-            self.maintain_links(now);
-        }
-    }
-
     /// Calls the listeners for each change, and sends the list of this data centre to the linked
     /// hosts, now or with those of later changes.
     fn announce_changes(&self, changes: Vec<MemberChange>) {
@@ -414,69 +383,6 @@
         // A heartbeat that can't be queued is dropped; the next one replaces it.
         let _ = self.links.send(host, LinkMessage::Heartbeat(heartbeat));
     }
-
-    fn announce_own_list(&self) {
-        self.list_schedule.borrow_mut().record_sent((self.clock)());
-        self.announce(&self.own_list());
-    }
-
-    fn announce_changed_hints(&self) {
-        let hints = self.dialer.borrow().hints(&self.membership.borrow());
-        let before = self.sent_hints.replace(hints.clone());
-        for hint in hints.iter().filter(|hint| !before.contains(hint)) {
-            self.announce(hint);
-        }
-    }
-
-    fn announce(&self, list: &MemberList) {
-        let linked = self.links.connected();
-        let recipients = self.list_schedule.borrow_mut().take_recipients(&linked);
-        for host in recipients {
-            // A list that can't be queued is dropped; the next one replaces it.
-            let _ = self.links.send(host, LinkMessage::Members(list.clone()));
-        }
-    }
-
-    /// Sends a host the list of this data centre and the address hints.
-    fn send_all_lists(&self, host: &HostName) {
-        let own = self.own_list();
-        let hints = self.dialer.borrow().hints(&self.membership.borrow());
-        for list in std::iter::once(own).chain(hints) {
-            // A list that can't be queued is dropped; the next one replaces it.
-            let _ = self.links.send(host, LinkMessage::Members(list));
-        }
-    }
-
-    fn own_list(&self) -> MemberList {
-        let membership = self.membership.borrow();
-        let others = membership.others().iter();
-        let others = others.filter(|(_, live)| live.datacenter == self.settings.datacenter);
-        let others = others.map(|(host, live)| MemberEntry {
-            host: host.clone(),
-            address: live.address,
-            incarnation: live.incarnation,
-            stopping: live.stopping,
-        });
-        let own = MemberEntry {
-            host: self.links.host().clone(),
-            address: self.links.own_address(),
-            incarnation: self.links.incarnation(),
-            stopping: membership.is_stopping(),
-        };
-        MemberList {
-            datacenter: self.settings.datacenter.clone(),
-            members: others.chain(std::iter::once(own)).collect(),
-        }
-    }
-}
-
-fn listed_member(entry: &MemberEntry) -> ListedMember {
-    ListedMember {
-        host: entry.host.clone(),
-        incarnation: entry.incarnation,
-        stopping: entry.stopping,
-        address: entry.address,
-    }
 }
 
 /// Returns the report of a host without a source of versions: a gateway host, or any host before
