Name the reporters of sums alike in code and model, and keep the use by peers in one place

Cause: found on reading the diff: the model said relay where the code says reporter, two impl blocks held the functions of one type, and two doc comments described the earlier form of the scope. Change: names, moves and comments; no change of behaviour. Conclusion: one word for one concept.

--- a/kernel/src/quota/bucket.rs
+++ b/kernel/src/quota/bucket.rs
@@ -124,8 +124,7 @@
         self.record_report(now, host, ReportScope::Deployment, total, age);
     }
 
-    /// Records a report that speaks for the hosts of its scope; `total` and `age` are those of the
-    /// reporting host, or of the sum that it reports.
+    /// Records a report as [`Self::record_usage`] does; `scope` says who receives those of the host.
     pub fn record_report(
         &mut self,
         now: ClockTime,
--- a/kernel/src/quota/peer.rs
+++ b/kernel/src/quota/peer.rs
@@ -40,8 +40,11 @@
 /// The last sum of a data centre, and what is assumed since.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SumUse {
+    /// The process that reported it.
     pub source: u64,
+    /// The number of hosts that it speaks for.
     pub hosts: u32,
+    /// The use by the sum, as if one host had reported it.
     pub known: PeerUse,
 }
 
@@ -87,12 +90,18 @@
         let scope = self.known.scope;
         self.known.record(now, scope, sum.total, Duration::ZERO) - assumed
     }
+
+    /// Assumes use of the data centre as [`PeerUse::assume`] does. It is called also before the
+    /// reports are overdue: a sum stands for too many hosts to do without it.
+    pub(super) fn assume(&mut self, now: ClockTime, part: f64) -> f64 {
+        self.known.assume(now, part * f64::from(self.hosts))
+    }
 }
 
 /// The use of a quota by another host.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerUse {
-    /// Which hosts the reports speak for.
+    /// Who receives the reports.
     pub scope: ReportScope,
     /// The units charged by the host since its bucket was created, by its last report.
     pub total: f64,
@@ -148,9 +157,7 @@
         };
         used
     }
-}
 
-impl PeerUse {
     /// Returns whether the reports of the host are overdue.
     pub(super) fn is_overdue(&self, now: ClockTime) -> bool {
         now.since(self.last_seen) > REPORT_TIMEOUT
@@ -171,14 +178,6 @@
     }
 }
 
-impl SumUse {
-    /// Assumes use of the data centre as [`PeerUse::assume`] does. It is called also before the
-    /// reports are overdue: a sum stands for too many hosts to do without it.
-    pub(super) fn assume(&mut self, now: ClockTime, part: f64) -> f64 {
-        self.known.assume(now, part * f64::from(self.hosts))
-    }
-}
-
 /// A moving average of the units charged, in units per second.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct UseAverage {
--- a/kernel/tests/quota_model.rs
+++ b/kernel/tests/quota_model.rs
@@ -48,7 +48,7 @@
 const MAX_SHORTFALL: f64 = 0.01;
 
 /// That share where one host of each data centre reports its sum.
-const MAX_RELAYED_SHORTFALL: f64 = 0.02;
+const MAX_SUMMED_SHORTFALL: f64 = 0.02;
 
 /// The units of one request.
 const MIN_UNITS: u64 = 600;
@@ -58,7 +58,7 @@
 const DATACENTERS: usize = 6;
 
 /// The hosts of such a deployment.
-const RELAYED_HOSTS: usize = 300;
+const SUMMED_HOSTS: usize = 300;
 
 /// The time until another host reports the sum of a data centre in place of one that was killed.
 const DETECTION_US: u64 = 2_500_000;
@@ -94,8 +94,8 @@
     Restart {
         host: usize,
     },
-    KillRelays,
-    ReplaceRelays,
+    KillReporters,
+    ReplaceReporters,
 }
 
 /// A report on its way: the units charged since the start of its sender, and that time.
@@ -143,9 +143,9 @@
     exact: QuotaBucket,
     /// The hosts that report the sums of the data centres, in their order; none in a deployment in
     /// which each host reports to all.
-    relays: Vec<usize>,
-    /// Whether the relays were killed and not replaced yet.
-    relays_killed: bool,
+    reporters: Vec<usize>,
+    /// Whether the reporters were killed and not replaced yet.
+    reporters_killed: bool,
     /// When the two halves of the hosts are cut off from each other.
     cut: Range<u64>,
     /// When a third of the hosts stand still.
@@ -171,8 +171,8 @@
             reports: Vec::new(),
             random: StdRng::seed_from_u64(seed),
             exact: bucket.clone(),
-            relays: Vec::new(),
-            relays_killed: false,
+            reporters: Vec::new(),
+            reporters_killed: false,
             cut: 0..0,
             freeze: 0..0,
             charged: Vec::new(),
@@ -201,8 +201,8 @@
                 FleetEvent::Report { from } => self.send_report(at, from),
                 FleetEvent::Arrival { from, to, report } => self.receive(at, from, to, report),
                 FleetEvent::Restart { host } => self.restart(at, host),
-                FleetEvent::KillRelays => self.kill_relays(at),
-                FleetEvent::ReplaceRelays => self.replace_relays(),
+                FleetEvent::KillReporters => self.kill_reporters(at),
+                FleetEvent::ReplaceReporters => self.replace_reporters(),
             }
         }
         DayOutcome {
@@ -253,16 +253,16 @@
         let age = Duration::from_micros(at - self.hosts[from].started_us);
         let total = self.hosts[from].bucket.usage_report(true);
         let total = total.expect("a full report");
-        let is_relayed = !self.relays.is_empty();
-        let scope = if is_relayed {
+        let is_summed = !self.reporters.is_empty();
+        let scope = if is_summed {
             ReportScope::Datacenter
         } else {
             ReportScope::Deployment
         };
-        let is_near = |to: usize| !is_relayed || to % DATACENTERS == from % DATACENTERS;
+        let is_near = |to: usize| !is_summed || to % DATACENTERS == from % DATACENTERS;
         let content = ReportContent::Own { scope, total };
         self.send(at, from, SentReport { content, age }, is_near);
-        if self.relays.contains(&from) && !self.relays_killed {
+        if self.reporters.contains(&from) && !self.reporters_killed {
             let count = self.hosts.len();
             let host = &mut self.hosts[from];
             let total = host.bucket.datacenter_total(host.now(at), count);
@@ -290,19 +290,19 @@
         }
     }
 
-    /// Restarts the relays; the others notice later, and then replace them.
-    fn kill_relays(&mut self, at: u64) {
-        for relay in self.relays.clone() {
-            self.restart(at, relay);
+    /// Restarts the reporters; the others notice later, and then replace them.
+    fn kill_reporters(&mut self, at: u64) {
+        for reporter in self.reporters.clone() {
+            self.restart(at, reporter);
         }
-        self.relays_killed = true;
-        self.schedule(at + DETECTION_US, FleetEvent::ReplaceRelays);
+        self.reporters_killed = true;
+        self.schedule(at + DETECTION_US, FleetEvent::ReplaceReporters);
     }
 
-    fn replace_relays(&mut self) {
-        self.relays_killed = false;
-        for relay in &mut self.relays {
-            *relay += DATACENTERS;
+    fn replace_reporters(&mut self) {
+        self.reporters_killed = false;
+        for reporter in &mut self.reporters {
+            *reporter += DATACENTERS;
         }
     }
 
@@ -361,11 +361,11 @@
 }
 
 /// Returns the share of the exact bucket's units that the hosts refuse, on average over the seeds.
-fn shortfall(hosts: usize, demand: &[DemandStep], relays: usize) -> f64 {
+fn shortfall(hosts: usize, demand: &[DemandStep], reporters: usize) -> f64 {
     let (mut admitted, mut exact) = (0.0, 0.0);
     for seed in 0..seeds() {
         let mut day = SimulatedDay::new(hosts, seed, demand);
-        day.relays = (0..relays).collect();
+        day.reporters = (0..reporters).collect();
         let outcome = day.run();
         let most = outcome.most_in_window;
         assert!(most <= MAX_IN_WINDOW, "seed {seed}: {most} units in 8 s");
@@ -433,23 +433,23 @@
     lowered = { LOWERED },
     hot = { HOT },
 )]
-fn hosts_of_data_centres_with_relays_admit_what_the_quota_allows(demand: &[DemandStep]) {
-    let refused = shortfall(RELAYED_HOSTS, demand, DATACENTERS);
-    println!("{RELAYED_HOSTS} relayed hosts refuse {refused:.4} of the units");
+fn hosts_that_report_by_data_centre_admit_what_the_quota_allows(demand: &[DemandStep]) {
+    let refused = shortfall(SUMMED_HOSTS, demand, DATACENTERS);
+    println!("{SUMMED_HOSTS} summed hosts refuse {refused:.4} of the units");
     assert!(
-        refused <= MAX_RELAYED_SHORTFALL,
+        refused <= MAX_SUMMED_SHORTFALL,
         "{refused:.4} of the units refused"
     );
 }
 
-// Guards against use that nobody reports once the relays are gone, and against use that is deducted
+// Guards against use that nobody reports once the reporters are gone, and against use that is deducted
 // again by those that replace them.
 #[test]
-fn relays_that_are_killed_under_overload_leave_the_quota_in_force() {
+fn reporters_that_are_killed_under_overload_leave_the_quota_in_force() {
     for seed in 0..seeds() {
-        let mut day = SimulatedDay::new(RELAYED_HOSTS, seed, HOT);
-        day.relays = (0..DATACENTERS).collect();
-        day.schedule(10_000_000, FleetEvent::KillRelays);
+        let mut day = SimulatedDay::new(SUMMED_HOSTS, seed, HOT);
+        day.reporters = (0..DATACENTERS).collect();
+        day.schedule(10_000_000, FleetEvent::KillReporters);
         let outcome = day.run();
         let most = outcome.most_in_window;
         assert!(most <= MAX_IN_WINDOW, "seed {seed}: {most} units in 8 s");
