Log crashes that nobody confirms, cleared records, and what shows the version of a stream

Ruled out: counting the lines of all hosts (a crash that isn't recorded leaves none).

No decision is changed.

--- a/src/crashes/parts.rs
+++ b/src/crashes/parts.rs
@@ -55,14 +55,16 @@
         }
     }
 
-    /// Clears the parts of a request that a worker completed, and tells the other hosts of those
-    /// that had a crash on record.
-    pub fn record_answer(&self, parts: &[PartDigest]) {
+    /// Clears the parts of a request that a worker completed, tells the other hosts of those that
+    /// had a crash on record, and returns these.
+    pub fn record_answer(&self, parts: &[PartDigest]) -> Vec<PartDigest> {
         let now = self.clock.now();
         let cleared = self.register.borrow_mut().record_answer(now, parts);
         if !cleared.is_empty() {
-            self.links.broadcast(&LinkMessage::SoundParts(cleared));
+            self.links
+                .broadcast(&LinkMessage::SoundParts(cleared.clone()));
         }
+        cleared
     }
 
     /// Merges the reports of another host.
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -37,7 +37,7 @@
             self.check_crash(evidence, true);
         } else {
             let candidates = &self.planned.crash_candidates;
-            self.host.crashes.record_answer(candidates);
+            record_answer(self.host, &self.planned.attempt_id, candidates);
         }
     }
 
@@ -56,7 +56,8 @@
             match opened.await {
                 Ok(connection) => {
                     if completed {
-                        host.crashes.record_answer(&planned.crash_candidates);
+                        let candidates = &planned.crash_candidates;
+                        record_answer(&host, &planned.attempt_id, candidates);
                     }
                     let now = host.clock.now();
                     host.pool.put(now, &evidence.worker, connection, None);
@@ -64,12 +65,23 @@
                 Err(error) if is_candidate && error.blames_worker => {
                     record_crash(&host, &planned, &evidence);
                 }
+                Err(_) if is_candidate => {
+                    trace::crash_unconfirmed(&host, &planned, &evidence.worker);
+                }
                 Err(_) => (),
             }
         });
     }
 }
 
+/// Clears the parts of a request that a worker completed.
+fn record_answer(host: &GatewayHost, attempt_id: &str, candidates: &[PartDigest]) {
+    let cleared = host.crashes.record_answer(candidates);
+    if !cleared.is_empty() {
+        trace::crashes_cleared(host, attempt_id, &cleared);
+    }
+}
+
 fn record_crash(host: &GatewayHost, planned: &PlannedCall, evidence: &DispatchEvidence) {
     host.crashes.record_crash(&CrashedRequest {
         worker: &evidence.worker,
@@ -77,7 +89,7 @@
         parts: &planned.crash_candidates,
         suspected: &evidence.suspected,
     });
-    trace::worker_crashed(host, planned, &evidence.worker);
+    trace::worker_crashed(host, planned, evidence);
 }
 
 /// Checks that neither the content of the request nor a part of its prompt is in quarantine.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use super::slot::DispatchedCall;
 use super::slot::SlotError;
 use super::streams;
+use super::streams::OriginEvidence;
 use super::streams::StreamOrigin;
 use super::trace::CallTrace;
 use super::worker::WorkerConnection;
@@ -118,6 +119,7 @@
         dispatches: DispatchTally::new(planned.route.run_limit),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
         required_version: None,
+        origin: None,
         planned,
     };
     if exchange.planned.continues_stream() {
@@ -137,6 +139,8 @@
     /// The only version of a worker at which the stream may continue; `None` if any may run the
     /// request.
     pub(super) required_version: Option<WorkerVersion>,
+    /// What shows the version of the stream that the caller resumes; `None` if it resumes none.
+    pub(super) origin: Option<OriginEvidence>,
 }
 
 impl CallExchange<'_> {
@@ -144,9 +148,9 @@
     async fn find_version(&mut self) -> Result<(), CallError> {
         let stream = self.planned.stream_key();
         let origin = streams::find_origin(self.host, stream, &self.planned.service).await;
-        self.required_version = match origin {
-            StreamOrigin::Any => None,
-            StreamOrigin::At(version) => Some(version),
+        (self.required_version, self.origin) = match origin {
+            StreamOrigin::Any => (None, Some(OriginEvidence::Unversioned)),
+            StreamOrigin::At(version, evidence) => (Some(version), Some(evidence)),
             StreamOrigin::Unknown => {
                 let reason = "the version that began the stream is not known";
                 let error = refusal_error(reason, UNKNOWN_ORIGIN_RETRY);
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -173,6 +173,7 @@
         let sent = SentCall {
             worker: &worker,
             version: record.version.as_ref(),
+            origin: self.origin,
             number: self.dispatches.count(),
             choice: &choice,
             resume_after: self.relay.last_event_id(),
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -36,11 +36,39 @@
     /// Any version, since no worker of the service states one.
     Any,
     /// The version that began the stream.
-    At(WorkerVersion),
+    At(WorkerVersion, OriginEvidence),
     /// Not known, while workers of several versions serve or may serve.
     Unknown,
 }
 
+/// What shows the version at which a stream began.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum OriginEvidence {
+    /// No worker states a version.
+    Unversioned,
+    /// A record of this host.
+    Record,
+    /// A record of another host.
+    Peer,
+    /// Only one version was registered since the oldest open stream can have begun.
+    OnlyVersion,
+    /// Only one version was registered since the host started.
+    OnlySinceStart,
+}
+
+impl OriginEvidence {
+    /// Returns the name in log lines.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unversioned => "unversioned",
+            Self::Record => "record",
+            Self::Peer => "peer",
+            Self::OnlyVersion => "only-version",
+            Self::OnlySinceStart => "only-since-start",
+        }
+    }
+}
+
 /// What a host knows about the versions of streams and of workers.
 #[derive(Debug, Default)]
 pub(super) struct StreamState {
@@ -92,23 +120,28 @@
     service: &ServiceName,
 ) -> StreamOrigin {
     if let Some(version) = stream.and_then(|stream| known_version(host, stream)) {
-        return StreamOrigin::At(version);
+        return StreamOrigin::At(version, OriginEvidence::Record);
     }
     match version_view(host, service) {
         VersionView::None => return StreamOrigin::Any,
-        VersionView::Only(version) if is_confirmed(host) => return StreamOrigin::At(version),
+        VersionView::Only(version) if is_confirmed(host) => {
+            return StreamOrigin::At(version, OriginEvidence::OnlyVersion);
+        }
         _ => (),
     }
     if let Some(stream) = stream {
         query_replicas(host, stream).await;
         if let Some(version) = known_version(host, stream) {
-            return StreamOrigin::At(version);
+            return StreamOrigin::At(version, OriginEvidence::Peer);
         }
     }
     match version_view(host, service) {
         VersionView::None => StreamOrigin::Any,
-        VersionView::Only(version) | VersionView::OnlySinceStart(version) if is_confirmed(host) => {
-            StreamOrigin::At(version)
+        VersionView::Only(version) if is_confirmed(host) => {
+            StreamOrigin::At(version, OriginEvidence::OnlyVersion)
+        }
+        VersionView::OnlySinceStart(version) if is_confirmed(host) => {
+            StreamOrigin::At(version, OriginEvidence::OnlySinceStart)
         }
         _ => StreamOrigin::Unknown,
     }
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -4,12 +4,14 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
 use super::host::GatewayHost;
 use super::metering;
 use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
+use super::streams::OriginEvidence;
 use super::worker::AnswerError;
 use super::worker::AnswerFraming;
 use super::worker::ConnectionTunnel;
@@ -19,6 +21,7 @@
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::pace::RateStatement;
+use crate::kernel::prompt::PartDigest;
 use crate::kernel::quota::QuotaShortage;
 use crate::log_event;
 use crate::metrics::RequestLabels;
@@ -43,6 +46,8 @@
     pub worker: &'a WorkerName,
     /// The version of the worker's software.
     pub version: Option<&'a WorkerVersion>,
+    /// What shows the version of the stream that the caller resumes; `None` if it resumes none.
+    pub origin: Option<OriginEvidence>,
     /// The number of the dispatch, from one.
     pub number: u32,
     /// The broker's reason for the choice of the worker.
@@ -165,6 +170,7 @@
             "request" => self.attempt_id.clone(),
             "worker" => call.worker.as_str(),
             "worker_version" => call.version.map(WorkerVersion::as_str),
+            "origin" => call.origin.map(OriginEvidence::as_str),
             "resumes" => planned.metadata.resumed_attempt.clone(),
             "resume_after" => call.resume_after.or(planned.metadata.resume_after),
             "attempt" => call.number,
@@ -278,16 +284,39 @@
 }
 
 /// Logs that a worker crashed while it ran a request.
-pub(super) fn worker_crashed(host: &GatewayHost, planned: &PlannedCall, worker: &WorkerName) {
-    let candidates = planned.crash_candidates.iter();
-    let candidates: Vec<String> = candidates.map(ToString::to_string).collect();
+pub(super) fn worker_crashed(
+    host: &GatewayHost,
+    planned: &PlannedCall,
+    evidence: &DispatchEvidence,
+) {
     log_event!(host.log, LogEvent::WorkerCrashed,
+        "request" => planned.attempt_id.clone(),
+        "worker" => evidence.worker.as_str(),
+        "candidates" => digest_list(&planned.crash_candidates),
+        "suspected" => digest_list(&evidence.suspected),
+        "crashes" => host.crashes.most_crashes(&planned.crash_candidates));
+}
+
+/// Logs that a worker may have crashed while it ran a request.
+pub(super) fn crash_unconfirmed(host: &GatewayHost, planned: &PlannedCall, worker: &WorkerName) {
+    log_event!(host.log, LogEvent::CrashUnconfirmed,
         "request" => planned.attempt_id.clone(),
         "worker" => worker.as_str(),
-        "candidates" => candidates.join(" "),
+        "candidates" => digest_list(&planned.crash_candidates),
         "crashes" => host.crashes.most_crashes(&planned.crash_candidates));
 }
 
+/// Logs that a complete answer removed the crashes on record for some parts of prompts.
+pub(super) fn crashes_cleared(host: &GatewayHost, attempt_id: &str, parts: &[PartDigest]) {
+    log_event!(host.log, LogEvent::CrashesCleared,
+        "request" => attempt_id.to_owned(), "parts" => digest_list(parts));
+}
+
+fn digest_list(parts: &[PartDigest]) -> String {
+    let digests: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    digests.join(" ")
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
