Take a worker for alive only if it keeps a new connection open

What callers saw: workers went on crashing under one part. Whether a worker crashed was judged by one connection right after the lost answer. A worker that is ending may still accept it: the crash was then not recorded, or the end of an answer without framing passed for complete, which cleared the part and hid its next crashes for two seconds.

Change: the connection must still be open after 200 ms; one that was closed is tried again, and a worker that accepts and closes is neither alive nor crashed, since one at its limit of connections does the same.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -3,7 +3,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use super::connector::ConnectError;
 use super::exchange::CallExchange;
 use super::frontend::CallerRequest;
 use super::host::GatewayHost;
@@ -12,11 +14,15 @@
 use super::plan::first_u64;
 use super::trace;
 use super::worker::AnswerFraming;
+use super::worker::WorkerConnection;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::poison::CrashedRequest;
 use crate::kernel::prompt::PartDigest;
 
+/// The time for which a worker must keep a connection open to count as alive.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
 /// What is known about a dispatch when its answer has ended, to judge a crash of its worker.
 #[derive(Clone, Debug)]
 pub(super) struct DispatchEvidence {
@@ -41,7 +47,7 @@
         }
     }
 
-    /// Attributes a crash to the request if its worker no longer accepts connections.
+    /// Attributes a crash to the request if its worker has ended.
     ///
     /// The check runs in a separate task. If the worker is alive, `completed` says whether that
     /// shows that it completed the request.
@@ -52,9 +58,8 @@
         // A worker crashes as it begins to answer the request that crashes it.
         let is_candidate = !self.relay.is_established();
         actix_rt::spawn(async move {
-            let opened = host.connect_worker(&evidence.worker, evidence.address);
-            match opened.await {
-                Ok(connection) => {
+            match check_worker(&host, &evidence).await {
+                WorkerCheck::Alive(connection) => {
                     if completed {
                         let candidates = &planned.crash_candidates;
                         record_answer(&host, &planned.attempt_id, candidates);
@@ -62,18 +67,48 @@
                     let now = host.clock.now();
                     host.pool.put(now, &evidence.worker, connection, None);
                 }
-                Err(error) if is_candidate && error.blames_worker => {
+                WorkerCheck::Ended(error) if is_candidate && error.blames_worker => {
                     record_crash(&host, &planned, &evidence);
                 }
-                Err(_) if is_candidate => {
+                WorkerCheck::Ended(_) if is_candidate => {
                     trace::crash_unconfirmed(&host, &planned, &evidence.worker);
                 }
-                Err(_) => (),
+                WorkerCheck::Ended(_) | WorkerCheck::Unclear => (),
             }
         });
     }
 }
 
+/// What a host finds out about a worker after the end of an answer.
+enum WorkerCheck {
+    /// The worker keeps a new connection open.
+    Alive(WorkerConnection),
+    /// The worker accepts no connection.
+    Ended(ConnectError),
+    /// The worker accepts connections and closes them.
+    Unclear,
+}
+
+/// Finds out whether a worker has ended.
+///
+/// A worker that ends may still accept a connection, which it then closes.
+async fn check_worker(host: &Rc<GatewayHost>, evidence: &DispatchEvidence) -> WorkerCheck {
+    let connect = || host.connect_worker(&evidence.worker, evidence.address);
+    match connect().await {
+        Ok(connection) => {
+            actix_rt::time::sleep(SETTLE_TIME).await;
+            if connection.is_idle() {
+                return WorkerCheck::Alive(connection);
+            }
+        }
+        Err(error) => return WorkerCheck::Ended(error),
+    }
+    match connect().await {
+        Ok(_accepted) => WorkerCheck::Unclear,
+        Err(error) => WorkerCheck::Ended(error),
+    }
+}
+
 /// Clears the parts of a request that a worker completed.
 fn record_answer(host: &GatewayHost, attempt_id: &str, candidates: &[PartDigest]) {
     let cleared = host.crashes.record_answer(candidates);
