Run requests with a suspect part one at a time over all hosts

What callers saw: requests with one part, under which many workers had crashed, were sent to workers again, all at once.

Cause: a part was refused only after a crash under a request that was sent when an earlier crash was on record. Crashes within a few milliseconds never are, so nothing held back the requests that waited while the workers were down: they were released together when these returned, each with a second attempt.

Ruled out: refusing after crashes that happen at once (the loss of a rack would refuse the service for ten minutes); one at a time from the first crash on (the parts of all neighbours are on record then); trying on one elected host.

Change: after three crashes that don't suffice for a quarantine a part is suspect. The broker grants one suspect of the cell a slot at a time, and the next one 250 ms after a failure. Entries return a slot granted before, and ask anew when a part is cleared. The same holds for workspaces that a quarantine doesn't cover and after its end.

It works since the first of the waiting requests alone is sent, and its crash is on record before the next.

--- a/kernel/src/ask.rs
+++ b/kernel/src/ask.rs
@@ -153,6 +153,14 @@
     Released,
 }
 
+impl WorkProgress {
+    /// Returns whether the worker may have crashed under the request.
+    #[must_use]
+    pub const fn may_follow_crash(self) -> bool {
+        matches!(self, Self::Stopped | Self::Failed | Self::Erred)
+    }
+}
+
 /// A report of an entry about one grant.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkReport {
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -236,6 +236,7 @@
             .prefill_expected(&ask.prefix, ready_at, &mut self.workers.index);
         if ask.suspect {
             record.exclusive_request = Some(ask.request);
+            self.running_suspects += 1;
         }
         self.workers.refresh(now, worker);
         uncached
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -44,6 +44,7 @@
 use self::reports::OrphanedWork;
 pub use self::settings::BrokerError;
 pub use self::settings::BrokerSettings;
+pub use self::settings::SuspectPlacement;
 use self::timers::TimerKey;
 pub use self::views::BrokerSummary;
 pub use self::views::WaitingView;
@@ -140,6 +141,10 @@
     arrivals: u64,
     grant_count: u64,
     orphans: Vec<OrphanedWork>,
+    /// The number of slots that suspects hold.
+    running_suspects: usize,
+    /// The time from which the next suspect may be granted a slot, if they run one by one.
+    next_suspect_at: ClockTime,
     /// The suspensions that [`Self::take_suspensions`] has not returned yet.
     suspensions: Vec<WorkerSuspension>,
     /// The buffers of the last candidate list, kept to save allocations.
@@ -184,6 +189,8 @@
             arrivals: 0,
             grant_count: 0,
             orphans: Vec::new(),
+            running_suspects: 0,
+            next_suspect_at: now,
             suspensions: Vec::new(),
             scratch: CandidateList::default(),
             host_locations: BTreeMap::new(),
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -43,6 +43,10 @@
             return;
         }
         let worker = record.worker;
+        let sent_at = record.started;
+        if record.exclusive && report.progress.may_follow_crash() {
+            self.delay_next_suspect(now);
+        }
         match report.progress {
             WorkProgress::Dispatched => self.on_dispatched(now, report.grant),
             WorkProgress::RateNamed { rate } => {
@@ -79,7 +83,6 @@
                 self.free_slot(now, report.grant);
             }
             WorkProgress::Failed => {
-                let sent_at = record.started;
                 self.free_slot(now, report.grant);
                 self.on_failed(now, worker, host, sent_at);
             }
@@ -200,6 +203,7 @@
         worker_record.used -= 1;
         if record.exclusive {
             worker_record.exclusive_request = None;
+            self.running_suspects -= 1;
         }
         if record.state != GrantState::Prefilled {
             worker_record.unanswered -= 1;
--- a/kernel/src/broker/settings.rs
+++ b/kernel/src/broker/settings.rs
@@ -6,6 +6,15 @@
 
 use crate::policy::DEFAULT_POLICY;
 
+/// How a broker grants slots to suspects: requests that may crash their workers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuspectPlacement {
+    /// Each of them runs alone on an idle worker.
+    Alone,
+    /// One of them runs at a time in the cell; its worker is granted nothing else meanwhile.
+    OneByOne,
+}
+
 /// The settings of the broker of one cell.
 ///
 /// # Examples
@@ -36,6 +45,8 @@
     pub takeover_time: Duration,
     /// The seed for the random choices of a policy; no registered policy makes any.
     pub seed: u64,
+    /// How suspects are granted slots.
+    pub suspects: SuspectPlacement,
 }
 
 impl Default for BrokerSettings {
@@ -47,6 +58,7 @@
             max_waiting: 100_000,
             takeover_time: Duration::from_secs(1),
             seed: 0,
+            suspects: SuspectPlacement::Alone,
         }
     }
 }
@@ -93,6 +105,13 @@
         self.seed = seed;
         self
     }
+
+    /// Sets how suspects are granted slots.
+    #[must_use]
+    pub const fn with_suspects(mut self, placement: SuspectPlacement) -> Self {
+        self.suspects = placement;
+        self
+    }
 }
 
 /// An error that prevents the creation of a broker.
--- a/kernel/src/broker/suspects.rs
+++ b/kernel/src/broker/suspects.rs
@@ -1,14 +1,20 @@
-//! Suspects: requests that may have crashed a worker and therefore run alone on one.
+//! Suspects: requests that may crash their worker and therefore run alone on one, or one by one.
+
+use std::time::Duration;
 
 use super::CellBroker;
 use super::records::WorkerHealth;
 use super::records::WorkerRecord;
+use super::settings::SuspectPlacement;
 use crate::ask::BrokerAction;
 use crate::clock::ClockTime;
 use crate::name::RequestId;
 use crate::policy::ChoiceReason;
 use crate::queue::QueueEntry;
 
+/// The time after a suspect has failed in which the entries of the others hear of the crash.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(250);
+
 impl CellBroker {
     /// Grants idle workers to suspects, or reserves a worker for one; returns whether a reservation
     /// ended without a grant, so that other requests may use the worker.
@@ -17,6 +23,10 @@
         now: ClockTime,
         actions: &mut Vec<BrokerAction>,
     ) -> bool {
+        if self.settings.suspects == SuspectPlacement::OneByOne {
+            self.assign_next_suspect(now, actions);
+            return false;
+        }
         let mut released = false;
         for lane in 0..self.workers.lanes.len() {
             released |= self.assign_lane_suspects(now, lane, actions);
@@ -24,6 +34,29 @@
         released
     }
 
+    /// Grants a slot to the first suspect of the cell, unless one holds a slot or has just failed.
+    fn assign_next_suspect(&mut self, now: ClockTime, actions: &mut Vec<BrokerAction>) {
+        if self.running_suspects > 0 || now < self.next_suspect_at {
+            return;
+        }
+        let lanes = self.workers.lanes.iter();
+        let open = lanes.filter(|lane| !lane.available.is_empty());
+        let first = open.filter_map(|lane| Some((lane.suspects.first()?, lane)));
+        let Some((suspect, lane)) = first.min_by_key(|(suspect, _)| suspect.key) else {
+            return;
+        };
+        let used = |worker: &usize| self.workers.records[*worker].used;
+        let Some(worker) = lane.available.iter().copied().min_by_key(used) else {
+            return;
+        };
+        self.grant(now, suspect.request, worker, ChoiceReason::Alone, actions);
+    }
+
+    /// Delays the next suspect after one has failed on its worker.
+    pub(super) fn delay_next_suspect(&mut self, now: ClockTime) {
+        self.next_suspect_at = now + SUSPECT_PAUSE;
+    }
+
     fn assign_lane_suspects(
         &mut self,
         now: ClockTime,
--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -6,7 +6,8 @@
 //!
 //! - A complete answer clears the parts of its request, since the worker would not have completed it.
 //! - A part is quarantined after [`CRASHES_TO_QUARANTINE`] crashes, one of them under a request that
-//!   was sent when an earlier crash was on record. Workers that fail all at once don't suffice.
+//!   was sent when an earlier crash was on record. Workers that fail all at once don't suffice; after
+//!   as many of those the part is suspect, and requests with it run one at a time over all hosts.
 //! - A crash that a quarantined part explains doesn't count for parts with fewer crashes.
 //!
 //! Hosts exchange reports of crashes and of cleared parts, and merge them in any order.
@@ -217,6 +218,25 @@
             .max()
     }
 
+    /// Returns whether a request of a workspace with the parts may crash its worker, so that all hosts
+    /// together run one such request at a time: a part has as many crashes as a quarantined one, but
+    /// all of them may have another cause, were under requests of other workspaces, or lie back
+    /// longer than a quarantine.
+    #[must_use]
+    pub fn is_suspect(
+        &self,
+        now: ClockTime,
+        workspace: Option<&WorkspaceName>,
+        parts: &[PartDigest],
+    ) -> bool {
+        let mut records = parts.iter().filter_map(|part| self.records.get(part));
+        records.any(|record| {
+            let is_quarantined =
+                record.is_quarantined_for(workspace) && record.quarantine(millis(now)).is_some();
+            record.crashes.len() >= CRASHES_TO_QUARANTINE && !is_quarantined
+        })
+    }
+
     /// Records a crash for the parts of a request, and returns the reports for the other hosts.
     ///
     /// Parts that were answered completely within [`SOUND_TIME`] are left out.
--- a/kernel/tests/broker/faults.rs
+++ b/kernel/tests/broker/faults.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use borageladder_kernel::ask::BrokerAction;
 use borageladder_kernel::ask::BrokerEvent;
 use borageladder_kernel::ask::Grant;
 use borageladder_kernel::ask::LoadReport;
 use borageladder_kernel::ask::RunningWork;
 use borageladder_kernel::ask::WorkProgress;
 use borageladder_kernel::ask::WorkReport;
+use borageladder_kernel::broker::SuspectPlacement;
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::name::GrantId;
 use borageladder_kernel::name::HostName;
@@ -268,3 +270,53 @@
     }
     assert_eq!(harness.submit(0, 60), []);
 }
+
+fn one_by_one(workers: &[(&str, u32)]) -> BrokerHarness {
+    let settings = settings().with_suspects(SuspectPlacement::OneByOne);
+    BrokerHarness::new(settings, workers)
+}
+
+fn send_suspect(harness: &mut BrokerHarness) -> Vec<BrokerAction> {
+    let mut ask = harness.ask(0, Duration::from_mins(1));
+    ask.suspect = true;
+    harness.send(&ask)
+}
+
+// Guards against requests that crash their workers and are granted slots together, when workers
+// return or before the crash of the first is known.
+#[test]
+fn suspects_run_one_by_one_over_all_workers() {
+    let mut harness = one_by_one(&[("a", 4), ("b", 4), ("c", 4)]);
+    let first = only_grant(&send_suspect(&mut harness));
+    for _ in 0..3 {
+        assert_eq!(send_suspect(&mut harness), []);
+    }
+    let others = (0..4).map(|_| only_grant(&harness.submit(0, 60)));
+    let others: Vec<Grant> = others.collect();
+    assert!(others.iter().all(|grant| grant.worker != first.worker));
+    assert_eq!(grants(&harness.finish(&first, 20)).len(), 1);
+    assert_eq!(grants(&harness.advance(Duration::from_secs(1))), []);
+}
+
+// Guards against a suspect that is granted a slot before its host has heard of the crash under the
+// one before it.
+#[test]
+fn a_suspect_that_fails_delays_the_next() {
+    let mut harness = one_by_one(&[("a", 4), ("b", 4), ("c", 4)]);
+    let first = only_grant(&send_suspect(&mut harness));
+    assert_eq!(send_suspect(&mut harness), []);
+    let failed = harness.report(&first, WorkProgress::Failed);
+    assert_eq!(grants(&failed), []);
+    assert_eq!(grants(&harness.advance(Duration::from_millis(249))), []);
+    assert_eq!(grants(&harness.advance(Duration::from_millis(1))).len(), 1);
+}
+
+// Guards against a place for suspects that stays taken by one that was never sent.
+#[test]
+fn a_suspect_that_gives_its_slot_back_lets_the_next_run() {
+    let mut harness = one_by_one(&[("a", 4), ("b", 4)]);
+    let first = only_grant(&send_suspect(&mut harness));
+    assert_eq!(send_suspect(&mut harness), []);
+    let released = harness.report(&first, WorkProgress::Released);
+    assert_eq!(grants(&released).len(), 1);
+}
--- a/kernel/tests/poison.rs
+++ b/kernel/tests/poison.rs
@@ -126,6 +126,42 @@
     assert!(!is_quarantined(&register, at(5), SHARED));
 }
 
+fn is_suspect(register: &PoisonRegister, now: ClockTime, part: PartDigest, name: &str) -> bool {
+    register.is_suspect(now, Some(&workspace(name)), &[part])
+}
+
+// Guards against requests with a part that are sent together after many crashes, because all of these
+// happened at once.
+#[test]
+fn a_part_is_suspect_after_crashes_that_happen_at_once() {
+    let mut register = PoisonRegister::default();
+    for number in 0..CRASHES_TO_QUARANTINE {
+        assert!(!is_suspect(&register, at(5), CAUSE, "union"));
+        crash_of_sent(&mut register, at(5), number, &[CAUSE], &[]);
+    }
+    assert!(is_suspect(&register, at(5), CAUSE, "union"));
+    // One more crash, under a request that was sent meanwhile, decides.
+    crash(&mut register, at(900), 9, &[CAUSE]);
+    assert!(!is_suspect(&register, at(900), CAUSE, "union"));
+    assert!(is_quarantined(&register, at(900), CAUSE));
+}
+
+// Guards against requests of a second workspace that are sent together with a part in quarantine for
+// the first, and against a rush when a quarantine ends.
+#[test]
+fn a_part_in_quarantine_is_suspect_for_others_and_afterwards() {
+    let mut register = PoisonRegister::default();
+    for number in 0..CRASHES_TO_QUARANTINE {
+        crash(&mut register, at(0), number, &[CAUSE]);
+    }
+    assert!(!is_suspect(&register, at(0), CAUSE, "union"));
+    assert!(is_suspect(&register, at(0), CAUSE, "small"));
+    let ended = at(1) + QUARANTINE_TIME;
+    assert!(is_suspect(&register, ended, CAUSE, "union"));
+    register.record_answer(ended, &[CAUSE]);
+    assert!(!is_suspect(&register, ended, CAUSE, "union"));
+}
+
 #[test]
 fn a_quarantined_part_explains_the_crashes_of_its_neighbours() {
     let mut register = PoisonRegister::default();
--- a/src/crashes/parts.rs
+++ b/src/crashes/parts.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use super::report_on_connect;
 use crate::clock::ProcessClock;
 use crate::kernel::name::HostName;
@@ -22,6 +24,8 @@
     register: RefCell<PoisonRegister>,
     links: Rc<LinkSet>,
     clock: ProcessClock,
+    /// Notified when crashes were recorded or cleared.
+    changed: Notify,
 }
 
 impl fmt::Debug for SharedPartRegister {
@@ -41,6 +45,7 @@
             register: RefCell::default(),
             links: Rc::clone(links),
             clock,
+            changed: Notify::default(),
         });
         report_on_connect(links, &register, Self::report_to);
         register
@@ -50,6 +55,7 @@
     pub fn record_crash(&self, request: &CrashedRequest<'_>) {
         let now = self.clock.now();
         let reports = self.register.borrow_mut().record_crash(now, request);
+        self.changed.notify_waiters();
         if !reports.is_empty() {
             self.links.broadcast(&LinkMessage::CrashedParts(reports));
         }
@@ -61,6 +67,7 @@
         let now = self.clock.now();
         let cleared = self.register.borrow_mut().record_answer(now, parts);
         if !cleared.is_empty() {
+            self.changed.notify_waiters();
             self.links
                 .broadcast(&LinkMessage::SoundParts(cleared.clone()));
         }
@@ -70,11 +77,13 @@
     /// Merges the reports of another host.
     pub fn merge(&self, reports: &[PartReport]) {
         self.register.borrow_mut().merge(self.clock.now(), reports);
+        self.changed.notify_waiters();
     }
 
     /// Clears parts that another host saw completed.
     pub fn clear(&self, parts: &[PartDigest]) {
         self.register.borrow_mut().clear(self.clock.now(), parts);
+        self.changed.notify_waiters();
     }
 
     fn report_to(&self, host: &HostName) {
@@ -91,6 +100,19 @@
         self.register.borrow().suspected(parts)
     }
 
+    /// Returns whether a request of a workspace with the parts may crash its worker, so that it must
+    /// not run beside another one of that kind.
+    #[must_use]
+    pub fn is_suspect(&self, workspace: Option<&WorkspaceName>, parts: &[PartDigest]) -> bool {
+        let register = self.register.borrow();
+        register.is_suspect(self.clock.now(), workspace, parts)
+    }
+
+    /// Waits until crashes are recorded or cleared.
+    pub async fn wait_for_change(&self) {
+        self.changed.notified().await;
+    }
+
     /// Returns the number of crashes on record for the part that has most.
     #[must_use]
     pub fn most_crashes(&self, parts: &[PartDigest]) -> usize {
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -38,9 +38,9 @@
     ///
     /// An answer without framing may have ended by a crash, so it counts only if its worker still
     /// accepts connections.
-    pub(super) fn record_completion(&self, evidence: &DispatchEvidence) {
+    pub(super) async fn record_completion(&self, evidence: &DispatchEvidence) {
         if self.relay.framing() == Some(AnswerFraming::UntilClose) {
-            self.check_crash(evidence, true);
+            self.check_crash(evidence, true).await;
         } else {
             let candidates = &self.planned.crash_candidates;
             record_answer(self.host, &self.planned.attempt_id, candidates);
@@ -49,33 +49,52 @@
 
     /// Attributes a crash to the request if its worker has ended.
     ///
-    /// The check runs in a separate task. If the worker is alive, `completed` says whether that
-    /// shows that it completed the request.
-    pub(super) fn check_crash(&self, evidence: &DispatchEvidence, completed: bool) {
-        let host = Rc::clone(self.host);
-        let evidence = evidence.clone();
-        let planned = self.planned.clone();
+    /// If the worker is alive, `completed` says whether that shows that it completed the request.
+    /// The check runs in a separate task, except for a suspect: what is found out about it is known
+    /// before its slot is free for the next one.
+    pub(super) async fn check_crash(&self, evidence: &DispatchEvidence, completed: bool) {
         // A worker crashes as it begins to answer the request that crashes it.
         let is_candidate = !self.relay.is_established();
-        actix_rt::spawn(async move {
-            match check_worker(&host, &evidence).await {
-                WorkerCheck::Alive(connection) => {
-                    if completed {
-                        let candidates = &planned.crash_candidates;
-                        record_answer(&host, &planned.attempt_id, candidates);
-                    }
-                    let now = host.clock.now();
-                    host.pool.put(now, &evidence.worker, connection, None);
-                }
-                WorkerCheck::Ended(error) if is_candidate && error.blames_worker => {
-                    record_crash(&host, &planned, &evidence);
-                }
-                WorkerCheck::Ended(_) if is_candidate => {
-                    trace::crash_unconfirmed(&host, &planned, &evidence.worker);
-                }
-                WorkerCheck::Ended(_) | WorkerCheck::Unclear => (),
+        let host = Rc::clone(self.host);
+        let check = judge_crash(
+            host,
+            self.planned.clone(),
+            evidence.clone(),
+            completed,
+            is_candidate,
+        );
+        if self.is_suspect {
+            check.await;
+        } else {
+            actix_rt::spawn(check);
+        }
+    }
+}
+
+/// Finds out whether a worker has ended, and records what that says of the request.
+async fn judge_crash(
+    host: Rc<GatewayHost>,
+    planned: PlannedCall,
+    evidence: DispatchEvidence,
+    completed: bool,
+    is_candidate: bool,
+) {
+    match check_worker(&host, &evidence).await {
+        WorkerCheck::Alive(connection) => {
+            if completed {
+                let candidates = &planned.crash_candidates;
+                record_answer(&host, &planned.attempt_id, candidates);
             }
-        });
+            let now = host.clock.now();
+            host.pool.put(now, &evidence.worker, connection, None);
+        }
+        WorkerCheck::Ended(error) if is_candidate && error.blames_worker => {
+            record_crash(&host, &planned, &evidence);
+        }
+        WorkerCheck::Ended(_) if is_candidate => {
+            trace::crash_unconfirmed(&host, &planned, &evidence.worker);
+        }
+        WorkerCheck::Ended(_) | WorkerCheck::Unclear => (),
     }
 }
 
@@ -146,6 +165,21 @@
     }
 }
 
+/// Returns whether the request may crash its worker, so that it must not run beside another one of
+/// that kind.
+pub(super) fn is_suspect(host: &GatewayHost, planned: &PlannedCall) -> bool {
+    let workspace = planned.workspace.as_ref();
+    host.crashes
+        .is_suspect(workspace, &planned.crash_candidates)
+}
+
+/// Waits until a suspect is in quarantine or is one no longer.
+pub(super) async fn wait_until_judged(host: &GatewayHost, planned: &PlannedCall) {
+    while is_suspect(host, planned) && check_quarantine(host, planned).is_ok() {
+        host.crashes.wait_for_change().await;
+    }
+}
+
 /// Returns what a crash of a request's worker may be attributed to; the last part of the prompt
 /// belongs to the request itself.
 pub(super) fn crash_candidates(request: &CallerRequest, planned: &PlannedCall) -> Vec<PartDigest> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -118,6 +118,7 @@
         trace,
         dispatches: DispatchTally::new(planned.route.run_limit),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
+        is_suspect: false,
         required_version: None,
         origin: None,
         planned,
@@ -136,6 +137,8 @@
     pub(super) planned: PlannedCall,
     pub(super) dispatches: DispatchTally,
     pub(super) relay: AnswerRelay,
+    /// Whether the last slot was asked for as a suspect.
+    pub(super) is_suspect: bool,
     /// The only version of a worker at which the stream may continue; `None` if any may run the
     /// request.
     pub(super) required_version: Option<WorkerVersion>,
@@ -178,6 +181,11 @@
                     let error = refusal_error("the deadline has passed", DEFAULT_RETRY_AFTER);
                     return Err(self.fail_unsent(error).into());
                 }
+                Err((SlotError::Suspect, waiting)) => {
+                    self.trace.slot_unused(&worker, &SlotError::Suspect);
+                    life = waiting;
+                    continue;
+                }
                 Err((error, waiting)) => {
                     self.trace.slot_unused(&worker, &error);
                     if matches!(error, SlotError::WorkerUnknown) {
@@ -245,10 +253,10 @@
             DispatchEnd::Answered { status } => {
                 self.trace
                     .answered(&self.planned, &self.relay, &worker, dispatched_at);
-                lease.finished(self.relay.tokens(), self.relay.token_gap());
                 if status.is_success() {
-                    self.record_completion(&evidence);
+                    self.record_completion(&evidence).await;
                 }
+                lease.finished(self.relay.tokens(), self.relay.token_gap());
                 Ok(None)
             }
             DispatchEnd::Erred(permit) => {
@@ -271,15 +279,15 @@
             DispatchEnd::Broken { error, lost } => {
                 self.trace.failed(&worker, &error, lost.as_ref());
                 self.host.pool.close_connections(&worker);
+                if lost.is_some() {
+                    self.check_crash(&evidence, false).await;
+                }
                 if is_direct {
                     lease.failed();
                 } else {
                     // The host in between may have failed instead of the worker.
                     drop(lease);
                 }
-                if lost.is_some() {
-                    self.check_crash(&evidence, false);
-                }
                 if self.relay.has_begun() {
                     self.required_version = self.required_version.take().or(version);
                 }
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -190,8 +190,10 @@
 
     /// Returns the ask for a slot on a worker, of a certain version if one is given, with times
     /// relative to `now`.
+    ///
+    /// A suspect must not run beside another request that may crash its worker.
     #[must_use]
-    pub fn ask(&self, now: ClockTime, version: Option<WorkerVersion>) -> Ask {
+    pub fn ask(&self, now: ClockTime, version: Option<WorkerVersion>, suspect: bool) -> Ask {
         let usage = self.metadata.usage;
         let open = || OPEN_WORKSPACE.parse().ok();
         Ask {
@@ -216,7 +218,7 @@
             max_answer_tokens: usage.map_or(0, |usage| usage.answer),
             hinted_tokens: self.metadata.answer_hint,
             prefix: Vec::new(),
-            suspect: false,
+            suspect,
         }
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -33,6 +33,7 @@
 use crate::clock::ProcessClock;
 use crate::event::LogEvent;
 use crate::kernel::broker::BrokerSettings;
+use crate::kernel::broker::SuspectPlacement;
 use crate::kernel::name::HostName;
 use crate::kernel::policy::FIRST_TOKEN_POLICY;
 use crate::link::LinkSet;
@@ -297,7 +298,8 @@
     let broker_settings = BrokerSettings::default()
         .with_incarnation(incarnation)
         .with_policy(FIRST_TOKEN_POLICY)
-        .with_takeover_time(TAKEOVER_TIME);
+        .with_takeover_time(TAKEOVER_TIME)
+        .with_suspects(SuspectPlacement::OneByOne);
     let cells = CellService::new(Box::new(network), clock, broker_settings);
     let cells = Rc::new(cells.with_span(settings.cells));
     let host = Rc::new(GatewayHost::from(GatewayParts {
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -61,6 +61,9 @@
         /// The rest of that time.
         remaining: Duration,
     },
+    /// The request was granted the slot before crashes made it a suspect.
+    #[error("the request may crash its worker and runs only if no other one of that kind does")]
+    Suspect,
     /// No connection to the worker could be opened.
     #[error(transparent)]
     Unreachable(#[from] ConnectError),
@@ -78,13 +81,10 @@
 impl CallExchange<'_> {
     /// Asks the broker for a slot on a worker and waits for the grant.
     pub(super) async fn wait_for_slot(
-        &self,
+        &mut self,
         life: RequestLife<WaitingState>,
     ) -> Result<(RequestLife<GrantedState>, SlotLease), CallError> {
-        let now = self.host.clock.now();
-        let ask = self.planned.ask(now, self.required_version.clone());
-        let answer = self.host.cells.ask(ask, self.planned.deadline).await;
-        match answer {
+        match self.ask_for_slot().await? {
             Some(SlotAnswer::Granted { grant, received }) => {
                 let lease = SlotLease::new(Rc::clone(&self.host.cells), grant.clone());
                 Ok((life.granted(grant, received), lease))
@@ -98,6 +98,27 @@
         }
     }
 
+    /// Asks the broker for a slot, and asks again once the request is no longer a suspect.
+    async fn ask_for_slot(&mut self) -> Result<Option<SlotAnswer>, CallError> {
+        loop {
+            let now = self.host.clock.now();
+            self.is_suspect = crash::is_suspect(self.host, &self.planned);
+            let version = self.required_version.clone();
+            let ask = self.planned.ask(now, version, self.is_suspect);
+            let waiting = self.host.cells.ask(ask, self.planned.deadline);
+            if !self.is_suspect {
+                return Ok(waiting.await);
+            }
+            tokio::select! {
+                biased;
+                answer = waiting => return Ok(answer),
+                () = crash::wait_until_judged(self.host, &self.planned) => (),
+            }
+            crash::check_quarantine(self.host, &self.planned)
+                .map_err(|error| self.fail_unsent(error))?;
+        }
+    }
+
     /// Obtains a connection to the granted worker and marks the request as dispatched.
     ///
     /// There is no await point between the last checks and the dispatch, so the configuration, the
@@ -150,6 +171,9 @@
         if let Err(error) = crash::check_quarantine(self.host, &self.planned) {
             return Err((error.into(), granted.release_grant()));
         }
+        if !self.is_suspect && crash::is_suspect(self.host, &self.planned) {
+            return Err((SlotError::Suspect, granted.release_grant()));
+        }
         let Some(record) = self.host.worker(&worker) else {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         };
