Count crashes that no other host confirms towards suspicion

What callers saw: requests with a crashing part were sent again although many workers had crashed under it.

Cause: a crash was recorded only if the worker was to blame for the failed connection, which other hosts have to confirm. While many workers are down each host takes itself for cut off and confirms nothing, so the crashes left no record: two questions, whether the path is gone and whether the worker ended with the request, had one answer.

Ruled out: blaming the worker without confirmation (a host cut off from all workers would quarantine sound parts).

Change: such a crash is recorded, but never as one under a request that was sent with a crash on record: it makes parts suspect and quarantines none. What runs next runs alone, while other workers serve, so its crash can be confirmed.

--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -8,6 +8,8 @@
 //! - A part is quarantined after [`CRASHES_TO_QUARANTINE`] crashes, one of them under a request that
 //!   was sent when an earlier crash was on record. Workers that fail all at once don't suffice; after
 //!   as many of those the part is suspect, and requests with it run one at a time over all hosts.
+//! - A crash that isn't certain, since the host may have lost its path instead, makes parts suspect but
+//!   quarantines none.
 //! - A crash that a quarantined part explains doesn't count for parts with fewer crashes.
 //!
 //! Hosts exchange reports of crashes and of cleared parts, and merge them in any order.
@@ -72,6 +74,8 @@
     pub parts: &'a [PartDigest],
     /// The parts that had a crash on record when the request was sent.
     pub suspected: &'a [PartDigest],
+    /// Whether it is certain that the worker ended, and not the host's path to it.
+    pub confirmed: bool,
 }
 
 /// What a host reports of the crashes under one part.
@@ -81,7 +85,8 @@
     pub part: PartDigest,
     /// The workspaces whose requests had the part; `None` stands for requests without one.
     pub workspaces: Vec<Option<WorkspaceName>>,
-    /// Whether one of the requests was sent when an earlier crash was on record.
+    /// Whether one of the requests was sent when an earlier crash was on record, and its own crash is
+    /// certain.
     pub repeated: bool,
     /// The crashes.
     pub crashes: Vec<CrashReport>,
@@ -177,6 +182,7 @@
 ///         workspace: None,
 ///         parts: &parts,
 ///         suspected: &suspected,
+///         confirmed: true,
 ///     };
 ///     assert_eq!(register.quarantine(now, None, &parts), None);
 ///     register.record_crash(now, &request);
@@ -254,7 +260,7 @@
         let report = |part: &PartDigest| PartReport {
             part: *part,
             workspaces: vec![request.workspace.cloned()],
-            repeated: request.suspected.contains(part),
+            repeated: request.confirmed && request.suspected.contains(part),
             crashes: vec![CrashReport {
                 worker: request.worker.clone(),
                 age: Duration::ZERO,
--- a/kernel/tests/poison.rs
+++ b/kernel/tests/poison.rs
@@ -54,6 +54,7 @@
         workspace: Some(&workspace("union")),
         parts,
         suspected,
+        confirmed: true,
     };
     register.record_crash(now, &request)
 }
@@ -146,6 +147,29 @@
     assert!(is_quarantined(&register, at(900), CAUSE));
 }
 
+// Guards against crashes that leave no record, because the host takes itself for cut off when many
+// workers are down, and against a quarantine by such crashes alone.
+#[test]
+fn crashes_that_are_not_certain_make_a_part_suspect_and_quarantine_none() {
+    let mut register = PoisonRegister::default();
+    let workspace = workspace("union");
+    for number in 0..2 * CRASHES_TO_QUARANTINE {
+        let suspected = register.suspected(&[CAUSE]);
+        let request = CrashedRequest {
+            worker: &worker(number),
+            workspace: Some(&workspace),
+            parts: &[CAUSE],
+            suspected: &suspected,
+            confirmed: false,
+        };
+        register.record_crash(at(5), &request);
+    }
+    assert!(is_suspect(&register, at(5), CAUSE, "union"));
+    assert!(!is_quarantined(&register, at(5), CAUSE));
+    crash(&mut register, at(6), 9, &[CAUSE]);
+    assert!(is_quarantined(&register, at(6), CAUSE));
+}
+
 // Guards against requests of a second workspace that are sent together with a part in quarantine for
 // the first, and against a rush when a quarantine ends.
 #[test]
@@ -247,6 +271,7 @@
         workspace: Some(&other),
         parts: &[CAUSE],
         suspected: &[CAUSE],
+        confirmed: true,
     };
     register.record_crash(at(0), &request);
     assert!(register.quarantine(at(0), Some(&other), &[CAUSE]).is_some());
--- a/kernel/tests/poison_model.rs
+++ b/kernel/tests/poison_model.rs
@@ -291,6 +291,7 @@
             workspace: None,
             parts: &request.parts,
             suspected: &request.suspected,
+            confirmed: true,
         };
         let reports = self.registers[request.host].record_crash(self.now, &crashed);
         self.tell_others(request.host, |host| Step::Reports {
--- a/src/event.rs
+++ b/src/event.rs
@@ -119,7 +119,7 @@
     606 Info WorkerRateChanged "worker-rate-changed" "A worker named another rate of requests that it takes from all hosts together than before, or none any more.";
     607 Info WorkerSuspended "worker-suspended" "A broker on this host suspended a worker after a failure that a host reported; the line may follow two seconds later.";
     608 Warning PathChanged "path-changed" "The host probably lost the path to all workers and connects through other hosts, or no connection has failed that way for two seconds.";
-    609 Warning CrashUnconfirmed "crash-unconfirmed" "An answer was lost and its worker accepts no connection, but no other host confirmed that the worker is at fault; the crash was not recorded.";
+    609 Warning CrashUnconfirmed "crash-unconfirmed" "An answer was lost and its worker accepts no connection, but no other host confirmed that the worker is at fault; the crash can make parts of prompts suspect, but quarantines none.";
     610 Info CrashesCleared "crashes-cleared" "A complete answer showed that parts of prompts with crashes on record don't crash workers, and their record was removed.";
     700 Warning PlatformFailed "platform-failed" "A call to the platform failed or timed out.";
     800 Warning LinesDropped "lines-dropped" "Log lines were dropped by the rate limit.";
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -88,11 +88,8 @@
             let now = host.clock.now();
             host.pool.put(now, &evidence.worker, connection, None);
         }
-        WorkerCheck::Ended(error) if is_candidate && error.blames_worker => {
-            record_crash(&host, &planned, &evidence);
-        }
-        WorkerCheck::Ended(_) if is_candidate => {
-            trace::crash_unconfirmed(&host, &planned, &evidence.worker);
+        WorkerCheck::Ended(error) if is_candidate => {
+            record_crash(&host, &planned, &evidence, error.blames_worker);
         }
         WorkerCheck::Ended(_) | WorkerCheck::Unclear => (),
     }
@@ -136,14 +133,24 @@
     }
 }
 
-fn record_crash(host: &GatewayHost, planned: &PlannedCall, evidence: &DispatchEvidence) {
+fn record_crash(
+    host: &GatewayHost,
+    planned: &PlannedCall,
+    evidence: &DispatchEvidence,
+    confirmed: bool,
+) {
     host.crashes.record_crash(&CrashedRequest {
         worker: &evidence.worker,
         workspace: planned.workspace.as_ref(),
         parts: &planned.crash_candidates,
         suspected: &evidence.suspected,
+        confirmed,
     });
-    trace::worker_crashed(host, planned, evidence);
+    if confirmed {
+        trace::worker_crashed(host, planned, evidence);
+    } else {
+        trace::crash_unconfirmed(host, planned, &evidence.worker);
+    }
 }
 
 /// Checks that neither the content of the request nor a part of its prompt is in quarantine.
