Keep the crashes of a part that another one explains

What callers would see: a crashing part that is sent again and again while ordinary crashes happen beside it.

Cause: a part with more crashes, such as the first part of all prompts beside one ordinary crash, took the crashes of the cause off its record when it was quarantined. The next sound answer cleared that part, and the cause began from zero.

Evidence: the_cause_is_quarantined_once_a_part_that_explained_its_crashes_is_cleared fails on the code before.

Ruled out: not explaining crashes at all (neighbours with three crashes beside the cause would be refused).

Change: which crashes are explained is computed from the records after each change and removes nothing.

--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -10,7 +10,8 @@
 //!   as many of those the part is suspect, and requests with it run one at a time over all hosts.
 //! - A crash that isn't certain, since the host may have lost its path instead, makes parts suspect but
 //!   quarantines none.
-//! - A crash that a quarantined part explains doesn't count for parts with fewer crashes.
+//! - A crash that a quarantined part explains doesn't count for parts with fewer crashes, as long as
+//!   that part is in quarantine.
 //!
 //! Hosts exchange reports of crashes and of cleared parts, and merge them in any order.
 
@@ -147,8 +148,9 @@
     }
 
     /// Returns the remaining time of the quarantine; `None` if the part isn't quarantined.
-    fn quarantine(&self, now: i64) -> Option<Duration> {
-        if !self.repeated || self.crashes.len() < CRASHES_TO_QUARANTINE {
+    /// `unexplained` is the number of crashes that no other part explains.
+    fn quarantine(&self, now: i64, unexplained: usize) -> Option<Duration> {
+        if !self.repeated || unexplained < CRASHES_TO_QUARANTINE {
             return None;
         }
         let age = u64::try_from(now - self.newest_crash()).unwrap_or(0);
@@ -194,6 +196,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct PoisonRegister {
     records: BTreeMap<PartDigest, PartRecord>,
+    /// The number of crashes of each part that a quarantined part with more crashes explains; absent
+    /// if it is zero.
+    explained: BTreeMap<PartDigest, usize>,
     sound: BTreeMap<PartDigest, ClockTime>,
     /// The sound parts by the time of their answers; a part that was answered again stands here
     /// more than once.
@@ -201,10 +206,10 @@
 }
 
 impl PoisonRegister {
-    /// Returns those of the parts that have a crash on record.
+    /// Returns those of the parts that have a crash on record that no other part explains.
     #[must_use]
     pub fn suspected(&self, parts: &[PartDigest]) -> Vec<PartDigest> {
-        let suspected = parts.iter().filter(|part| self.records.contains_key(*part));
+        let suspected = parts.iter().filter(|part| self.crashes(**part) > 0);
         suspected.copied().collect()
     }
 
@@ -217,13 +222,22 @@
         workspace: Option<&WorkspaceName>,
         parts: &[PartDigest],
     ) -> Option<Duration> {
-        let records = parts.iter().filter_map(|part| self.records.get(part));
-        let concerned = records.filter(|record| record.is_quarantined_for(workspace));
+        let concerns = |part: &&PartDigest| {
+            let record = self.records.get(*part);
+            record.is_some_and(|record| record.is_quarantined_for(workspace))
+        };
+        let concerned = parts.iter().filter(concerns);
         concerned
-            .filter_map(|record| record.quarantine(millis(now)))
+            .filter_map(|part| self.part_quarantine(millis(now), *part))
             .max()
     }
 
+    /// Returns the remaining time of the quarantine of a part, whichever workspaces it concerns.
+    fn part_quarantine(&self, now: i64, part: PartDigest) -> Option<Duration> {
+        let record = self.records.get(&part)?;
+        record.quarantine(now, self.crashes(part))
+    }
+
     /// Returns whether a request of a workspace with the parts may crash its worker, so that all hosts
     /// together run one such request at a time: a part has as many crashes as a quarantined one, but
     /// all of them may have another cause, were under requests of other workspaces, or lie back
@@ -235,12 +249,10 @@
         workspace: Option<&WorkspaceName>,
         parts: &[PartDigest],
     ) -> bool {
-        let mut records = parts.iter().filter_map(|part| self.records.get(part));
-        records.any(|record| {
-            let is_quarantined =
-                record.is_quarantined_for(workspace) && record.quarantine(millis(now)).is_some();
-            record.crashes.len() >= CRASHES_TO_QUARANTINE && !is_quarantined
-        })
+        let mut frequent = parts
+            .iter()
+            .filter(|part| self.crashes(**part) >= CRASHES_TO_QUARANTINE);
+        frequent.any(|part| self.quarantine(now, workspace, &[*part]).is_none())
     }
 
     /// Records a crash for the parts of a request, and returns the reports for the other hosts.
@@ -280,13 +292,14 @@
                 crashed_at: now.saturating_sub_unsigned(whole_millis(crash.age)),
             });
             for crash in crashes {
-                self.add_crash(now, report, &crash);
+                self.add_crash(report, &crash);
             }
         }
         self.evict(now);
+        self.explain_crashes(now);
     }
 
-    fn add_crash(&mut self, now: i64, report: &PartReport, crash: &CrashRecord) {
+    fn add_crash(&mut self, report: &PartReport, crash: &CrashRecord) {
         let record = self.records.entry(report.part).or_default();
         record.repeated |= report.repeated;
         for workspace in &report.workspaces {
@@ -300,35 +313,43 @@
             let surplus = record.crashes.len().saturating_sub(MAX_CRASHES);
             record.crashes.drain(..surplus);
         }
-        let explaining = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.quarantine(now).is_some() && record.has_crash(crash));
-        let explaining: Vec<PartDigest> = explaining.map(|(part, _)| *part).collect();
-        for part in explaining {
-            self.explain_crashes(part);
-        }
     }
 
-    /// Removes the crashes under a quarantined part from the parts with fewer crashes.
-    fn explain_crashes(&mut self, part: PartDigest) {
-        let Some(cause) = self.records.get(&part).cloned() else {
-            return;
-        };
-        for record in self.records.values_mut() {
-            if record.crashes.len() < cause.crashes.len() {
-                record.crashes.retain(|crash| !cause.has_crash(crash));
+    /// Recomputes which crashes are explained by a quarantined part with more crashes. Parts with many
+    /// crashes come first, so that a part whose crashes are explained explains none.
+    fn explain_crashes(&mut self, now: i64) {
+        self.explained.clear();
+        let records = self.records.iter();
+        let mut causes: Vec<PartDigest> = records
+            .filter(|(_, record)| record.quarantine(now, record.crashes.len()).is_some())
+            .map(|(part, _)| *part)
+            .collect();
+        causes.sort_by_key(|part| Reverse(self.records[part].crashes.len()));
+        for part in causes {
+            if self.part_quarantine(now, part).is_none() {
+                continue;
+            }
+            let cause = &self.records[&part];
+            for (neighbour, record) in &self.records {
+                if record.crashes.len() >= cause.crashes.len() {
+                    continue;
+                }
+                let crashes = record.crashes.iter();
+                let explained = crashes.filter(|crash| cause.has_crash(crash)).count();
+                let known = self.explained.entry(*neighbour).or_default();
+                *known = explained.max(*known);
             }
         }
-        self.records.retain(|_, record| !record.crashes.is_empty());
+        self.explained.retain(|_, explained| *explained > 0);
     }
 
     /// Removes the records of the parts of a request that was answered completely, and returns the
     /// parts that had one, for the other hosts.
     pub fn record_answer(&mut self, now: ClockTime, parts: &[PartDigest]) -> Vec<PartDigest> {
-        let suspected = self.suspected(parts);
+        let known = parts.iter().filter(|part| self.records.contains_key(*part));
+        let known = known.copied().collect();
         self.clear(now, parts);
-        suspected
+        known
     }
 
     /// Removes the records of parts that were answered completely, at this host or another.
@@ -339,6 +360,7 @@
             self.sound.insert(*part, now);
             self.sound_by_age.push_back((now, *part));
         }
+        self.explain_crashes(millis(now));
     }
 
     /// Returns reports of the parts with several crashes, those with most first, for a host that may
@@ -347,7 +369,7 @@
     pub fn reports(&self, now: ClockTime) -> Vec<PartReport> {
         let now = millis(now);
         let records = self.records.iter();
-        let several = records.filter(|(_, record)| record.crashes.len() >= MIN_REPORTED_CRASHES);
+        let several = records.filter(|(part, _)| self.crashes(**part) >= MIN_REPORTED_CRASHES);
         let mut records: Vec<(&PartDigest, &PartRecord)> = several.collect();
         records.sort_by_key(|(_, record)| Reverse((record.crashes.len(), record.newest_crash())));
         records.truncate(MAX_REPORTED_PARTS);
@@ -360,12 +382,13 @@
         records.into_iter().map(report).collect()
     }
 
-    /// Returns the number of crashes on record for a part.
+    /// Returns the number of crashes on record for a part that no other part explains.
     #[must_use]
     pub fn crashes(&self, part: PartDigest) -> usize {
-        self.records
-            .get(&part)
-            .map_or(0, |record| record.crashes.len())
+        let record = self.records.get(&part);
+        let crashes = record.map_or(0, |record| record.crashes.len());
+        let explained = self.explained.get(&part).copied().unwrap_or(0);
+        crashes - explained
     }
 
     fn forget_sound(&mut self, now: ClockTime) {
--- a/kernel/tests/poison.rs
+++ b/kernel/tests/poison.rs
@@ -186,6 +186,21 @@
     assert!(!is_suspect(&register, ended, CAUSE, "union"));
 }
 
+// Guards against the cause of crashes losing its record to a more frequent part that shares them and
+// is cleared by the next sound answer.
+#[test]
+fn the_cause_is_quarantined_once_a_part_that_explained_its_crashes_is_cleared() {
+    let mut register = PoisonRegister::default();
+    crash(&mut register, at(0), 1, &[SHARED]);
+    for number in 2..5 {
+        crash(&mut register, at(0), number, &[SHARED, CAUSE]);
+    }
+    assert!(is_quarantined(&register, at(0), SHARED));
+    register.record_answer(at(10), &[SHARED]);
+    assert!(!is_quarantined(&register, at(10), SHARED));
+    assert!(is_quarantined(&register, at(10), CAUSE));
+}
+
 #[test]
 fn a_quarantined_part_explains_the_crashes_of_its_neighbours() {
     let mut register = PoisonRegister::default();
