Let an answer clear only the crashes before its begin

What callers saw: a part under which workers had crashed was sent to workers again.

Cause: a complete answer cleared its parts at all hosts whenever it had begun, and hid the next crashes under them for two seconds. Answers last for many seconds, so requests sent before a part began to crash workers went on clearing it.

Ruled out: not clearing quarantined parts (a part refused by mistake would stay refused for ten minutes).

Change: an answer counts as of its first event. It does so once it is complete or has been arriving for a second, after which its worker's crash isn't blamed on it either, so long answers don't come too late to show that their parts are sound. Hosts tell each other the age (kind 43, revision 4; earlier ones are sent kind 40).

--- a/kernel/src/poison.rs
+++ b/kernel/src/poison.rs
@@ -4,7 +4,9 @@
 //! A worker that crashes loses the answers to all of its requests, so the parts of each of them are
 //! candidates. What tells the cause from its neighbours:
 //!
-//! - A complete answer clears the parts of its request, since the worker would not have completed it.
+//! - A sound answer, which is complete or has been arriving for a while, clears the parts of its
+//!   request of all crashes before it began. It says nothing of later ones: what the part does to
+//!   workers may have changed since.
 //! - A part is quarantined after [`CRASHES_TO_QUARANTINE`] crashes, one of them under a request that
 //!   was sent when an earlier crash was on record. Workers that fail all at once don't suffice; after
 //!   as many of those the part is suspect, and requests with it run one at a time over all hosts.
@@ -34,7 +36,7 @@
 /// The number of crashes at which requests with a part are refused.
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 
-/// The time for which a part that was answered completely is no candidate.
+/// The time for which a part is no candidate after a sound answer has begun.
 pub const SOUND_TIME: Duration = Duration::from_secs(2);
 
 /// The maximum number of parts on record on one host; those with the fewest crashes are evicted
@@ -199,10 +201,12 @@
     /// The number of crashes of each part that a quarantined part with more crashes explains; absent
     /// if it is zero.
     explained: BTreeMap<PartDigest, usize>,
-    sound: BTreeMap<PartDigest, ClockTime>,
-    /// The sound parts by the time of their answers; a part that was answered again stands here
-    /// more than once.
-    sound_by_age: VecDeque<(ClockTime, PartDigest)>,
+    /// The parts of recent sound answers, with the begin of the last one in milliseconds on the clock
+    /// of this process.
+    sound: BTreeMap<PartDigest, i64>,
+    /// The same in the order in which the answers were recorded; a part that was answered again
+    /// stands here more than once.
+    sound_by_age: VecDeque<(i64, PartDigest)>,
 }
 
 impl PoisonRegister {
@@ -257,7 +261,7 @@
 
     /// Records a crash for the parts of a request, and returns the reports for the other hosts.
     ///
-    /// Parts that were answered completely within [`SOUND_TIME`] are left out.
+    /// Parts of a sound answer that began within [`SOUND_TIME`] are left out.
     pub fn record_crash(
         &mut self,
         now: ClockTime,
@@ -268,7 +272,7 @@
             .parts
             .iter()
             .take(MAX_CANDIDATES)
-            .filter(|part| !self.sound.contains_key(*part));
+            .filter(|part| !self.is_sound(now, **part));
         let report = |part: &PartDigest| PartReport {
             part: *part,
             workspaces: vec![request.workspace.cloned()],
@@ -343,23 +347,37 @@
         self.explained.retain(|_, explained| *explained > 0);
     }
 
-    /// Removes the records of the parts of a request that was answered completely, and returns the
-    /// parts that had one, for the other hosts.
-    pub fn record_answer(&mut self, now: ClockTime, parts: &[PartDigest]) -> Vec<PartDigest> {
+    /// Removes the crashes of the parts of a request before a sound answer to it began, and returns
+    /// the parts that had a crash on record, for the other hosts. `age` is the time since that answer
+    /// began.
+    pub fn record_answer(
+        &mut self,
+        now: ClockTime,
+        age: Duration,
+        parts: &[PartDigest],
+    ) -> Vec<PartDigest> {
         let known = parts.iter().filter(|part| self.records.contains_key(*part));
         let known = known.copied().collect();
-        self.clear(now, parts);
+        self.clear(now, age, parts);
         known
     }
 
-    /// Removes the records of parts that were answered completely, at this host or another.
-    pub fn clear(&mut self, now: ClockTime, parts: &[PartDigest]) {
+    /// Removes the crashes of parts before a sound answer, at this host or another, began.
+    pub fn clear(&mut self, now: ClockTime, age: Duration, parts: &[PartDigest]) {
         self.forget_sound(now);
+        let began_at = millis(now).saturating_sub_unsigned(whole_millis(age));
+        let is_recent = age < SOUND_TIME;
         for part in parts.iter().take(MAX_CANDIDATES) {
-            self.records.remove(part);
-            self.sound.insert(*part, now);
-            self.sound_by_age.push_back((now, *part));
+            if let Some(record) = self.records.get_mut(part) {
+                record.crashes.retain(|crash| crash.crashed_at > began_at);
+            }
+            let is_newest = self.sound.get(part).is_none_or(|known| began_at > *known);
+            if is_recent && is_newest {
+                self.sound.insert(*part, began_at);
+                self.sound_by_age.push_back((began_at, *part));
+            }
         }
+        self.records.retain(|_, record| !record.crashes.is_empty());
         self.explain_crashes(millis(now));
     }
 
@@ -391,14 +409,19 @@
         crashes - explained
     }
 
+    fn is_sound(&self, now: ClockTime, part: PartDigest) -> bool {
+        let began_at = self.sound.get(&part);
+        began_at.is_some_and(|began_at| time_since(now, *began_at) < SOUND_TIME)
+    }
+
     fn forget_sound(&mut self, now: ClockTime) {
-        while let Some((answered_at, part)) = self.sound_by_age.front().copied() {
-            let is_old = now.since(answered_at) >= SOUND_TIME;
+        while let Some((began_at, part)) = self.sound_by_age.front().copied() {
+            let is_old = time_since(now, began_at) >= SOUND_TIME;
             if !is_old && self.sound_by_age.len() < MAX_SOUND_PARTS {
                 return;
             }
             self.sound_by_age.pop_front();
-            if self.sound.get(&part) == Some(&answered_at) {
+            if self.sound.get(&part) == Some(&began_at) {
                 self.sound.remove(&part);
             }
         }
@@ -422,6 +445,10 @@
     }
 }
 
+fn time_since(now: ClockTime, earlier: i64) -> Duration {
+    Duration::from_millis(u64::try_from(millis(now) - earlier).unwrap_or(0))
+}
+
 fn millis(time: ClockTime) -> i64 {
     i64::try_from(time.as_micros() / 1_000).unwrap_or(i64::MAX)
 }
--- a/kernel/tests/poison.rs
+++ b/kernel/tests/poison.rs
@@ -111,7 +111,7 @@
         let now = at(1_000 * number);
         let unit = usize::try_from(number).expect("a small number");
         crash(&mut register, now, unit, &[SHARED, CAUSE]);
-        register.record_answer(now, &[SHARED]);
+        register.record_answer(now, Duration::ZERO, &[SHARED]);
         assert!(!is_quarantined(&register, now, SHARED));
     }
     assert!(is_quarantined(&register, at(20_000), CAUSE));
@@ -182,10 +182,27 @@
     assert!(is_suspect(&register, at(0), CAUSE, "small"));
     let ended = at(1) + QUARANTINE_TIME;
     assert!(is_suspect(&register, ended, CAUSE, "union"));
-    register.record_answer(ended, &[CAUSE]);
+    register.record_answer(ended, Duration::ZERO, &[CAUSE]);
     assert!(!is_suspect(&register, ended, CAUSE, "union"));
 }
 
+// Guards against an answer that began before a part crashed workers, ends after that, and has it sent
+// again, and against crashes that leave no record for two seconds after such an answer.
+#[test]
+fn an_answer_clears_only_the_crashes_before_its_begin() {
+    let mut register = PoisonRegister::default();
+    for number in 0..CRASHES_TO_QUARANTINE {
+        crash(&mut register, at(5_000), number, &[CAUSE]);
+    }
+    let age = Duration::from_secs(4);
+    register.record_answer(at(8_999), age, &[CAUSE]);
+    assert!(is_quarantined(&register, at(8_999), CAUSE));
+    register.record_answer(at(9_001), age, &[CAUSE]);
+    assert!(!is_quarantined(&register, at(9_001), CAUSE));
+    crash(&mut register, at(9_002), 7, &[CAUSE]);
+    assert_eq!(register.crashes(CAUSE), 1);
+}
+
 // Guards against the cause of crashes losing its record to a more frequent part that shares them and
 // is cleared by the next sound answer.
 #[test]
@@ -196,7 +213,7 @@
         crash(&mut register, at(0), number, &[SHARED, CAUSE]);
     }
     assert!(is_quarantined(&register, at(0), SHARED));
-    register.record_answer(at(10), &[SHARED]);
+    register.record_answer(at(10), Duration::ZERO, &[SHARED]);
     assert!(!is_quarantined(&register, at(10), SHARED));
     assert!(is_quarantined(&register, at(10), CAUSE));
 }
@@ -219,7 +236,7 @@
 #[test]
 fn a_part_answered_a_moment_ago_is_no_candidate() {
     let mut register = PoisonRegister::default();
-    register.record_answer(at(0), &[SHARED]);
+    register.record_answer(at(0), Duration::ZERO, &[SHARED]);
     assert!(crash(&mut register, at(1), 1, &[SHARED]).is_empty());
     let later = at(0) + SOUND_TIME;
     assert_eq!(crash(&mut register, later, 1, &[SHARED]).len(), 1);
@@ -239,9 +256,9 @@
     for host in &hosts {
         assert!(is_quarantined(host, at(1), CAUSE));
     }
-    let cleared = hosts[0].record_answer(at(2), &[SHARED, CAUSE]);
+    let cleared = hosts[0].record_answer(at(2), Duration::ZERO, &[SHARED, CAUSE]);
     assert_eq!(cleared, [CAUSE]);
-    hosts[1].clear(at(2), &cleared);
+    hosts[1].clear(at(2), Duration::ZERO, &cleared);
     assert!(!is_quarantined(&hosts[1], at(2), CAUSE));
 }
 
--- a/kernel/tests/poison_model.rs
+++ b/kernel/tests/poison_model.rs
@@ -78,6 +78,7 @@
         crashing: bool,
     },
     Begin(usize),
+    Established(usize),
     End(usize),
     Reports {
         host: usize,
@@ -85,6 +86,8 @@
     },
     Cleared {
         host: usize,
+        /// The time since the begin of the answer when it was reported.
+        age: Duration,
         parts: Vec<PartDigest>,
     },
 }
@@ -144,9 +147,10 @@
             match self.steps[position].clone() {
                 Step::Arrival { crashing } => self.arrive(crashing),
                 Step::Begin(request) => self.begin(request),
+                Step::Established(request) => self.report_sound(request),
                 Step::End(request) => self.end(request),
                 Step::Reports { host, reports } => self.registers[host].merge(at, &reports),
-                Step::Cleared { host, parts } => self.registers[host].clear(at, &parts),
+                Step::Cleared { host, age, parts } => self.registers[host].clear(at, age, &parts),
             }
         }
         self.result
@@ -241,6 +245,7 @@
         } else {
             self.millis(100, 6_000)
         };
+        self.schedule(ESTABLISHED, Step::Established(position));
         self.schedule(rest, Step::End(position));
     }
 
@@ -253,11 +258,23 @@
             self.crash(request.worker);
             return;
         }
+        self.report_sound(position);
         self.requests[position].ended = true;
-        let cleared = self.registers[request.host].record_answer(self.now, &request.parts);
+    }
+
+    /// Reports that the answer to a request is complete or has been arriving for a while.
+    fn report_sound(&mut self, position: usize) {
+        let request = self.requests[position].clone();
+        if self.is_lost(position) || request.ended {
+            return;
+        }
+        let age = self.now.since(request.began_at);
+        let register = &mut self.registers[request.host];
+        let cleared = register.record_answer(self.now, age, &request.parts);
         if !cleared.is_empty() {
             self.tell_others(request.host, |host| Step::Cleared {
                 host,
+                age,
                 parts: cleared.clone(),
             });
         }
--- a/src/crashes/parts.rs
+++ b/src/crashes/parts.rs
@@ -61,15 +61,16 @@
         }
     }
 
-    /// Clears the parts of a request that a worker completed, tells the other hosts of those that
-    /// had a crash on record, and returns these.
-    pub fn record_answer(&self, parts: &[PartDigest]) -> Vec<PartDigest> {
+    /// Clears the parts of a request to which a sound answer began at `age` before now, tells the
+    /// other hosts of those that had a crash on record, and returns these.
+    pub fn record_answer(&self, age: Duration, parts: &[PartDigest]) -> Vec<PartDigest> {
         let now = self.clock.now();
-        let cleared = self.register.borrow_mut().record_answer(now, parts);
+        let cleared = self.register.borrow_mut().record_answer(now, age, parts);
         if !cleared.is_empty() {
             self.changed.notify_waiters();
+            let parts = cleared.clone();
             self.links
-                .broadcast(&LinkMessage::SoundParts(cleared.clone()));
+                .broadcast(&LinkMessage::SoundAnswer { age, parts });
         }
         cleared
     }
@@ -80,9 +81,10 @@
         self.changed.notify_waiters();
     }
 
-    /// Clears parts that another host saw completed.
-    pub fn clear(&self, parts: &[PartDigest]) {
-        self.register.borrow_mut().clear(self.clock.now(), parts);
+    /// Clears parts of a sound answer that another host saw begin at `age` before now.
+    pub fn clear(&self, age: Duration, parts: &[PartDigest]) {
+        let now = self.clock.now();
+        self.register.borrow_mut().clear(now, age, parts);
         self.changed.notify_waiters();
     }
 
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::connector::ConnectError;
 use super::exchange::CallExchange;
 use super::frontend::CallerRequest;
@@ -12,6 +14,7 @@
 use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::plan::first_u64;
+use super::relay::BeginReport;
 use super::trace;
 use super::worker::AnswerFraming;
 use super::worker::WorkerConnection;
@@ -38,21 +41,34 @@
     ///
     /// An answer without framing may have ended by a crash, so it counts only if its worker still
     /// accepts connections.
-    pub(super) async fn record_completion(&self, evidence: &DispatchEvidence) {
+    pub(super) async fn record_completion(&self, evidence: &DispatchEvidence, sent_at: Instant) {
+        // An answer that isn't a stream may have begun at any time since it was asked for.
+        let began_at = self.relay.dispatch_began_at().unwrap_or(sent_at);
         if self.relay.framing() == Some(AnswerFraming::UntilClose) {
-            self.check_crash(evidence, true).await;
+            self.check_crash(evidence, Some(began_at)).await;
         } else {
-            let candidates = &self.planned.crash_candidates;
-            record_answer(self.host, &self.planned.attempt_id, candidates);
+            record_answer(self.host, &self.planned, began_at);
         }
     }
 
+    /// Returns a function that records that the parts of the request don't crash workers.
+    pub(super) fn begin_report(&self) -> BeginReport {
+        let host = Rc::clone(self.host);
+        let planned = self.planned.clone();
+        BeginReport::new(move |began_at| record_answer(&host, &planned, began_at))
+    }
+
     /// Attributes a crash to the request if its worker has ended.
     ///
-    /// If the worker is alive, `completed` says whether that shows that it completed the request.
+    /// `completed` is the begin of an answer that the worker has completed if it is alive; `None` if
+    /// the answer was lost.
     /// The check runs in a separate task, except for a suspect: what is found out about it is known
     /// before its slot is free for the next one.
-    pub(super) async fn check_crash(&self, evidence: &DispatchEvidence, completed: bool) {
+    pub(super) async fn check_crash(
+        &self,
+        evidence: &DispatchEvidence,
+        completed: Option<Instant>,
+    ) {
         // A worker crashes as it begins to answer the request that crashes it.
         let is_candidate = !self.relay.is_established();
         let host = Rc::clone(self.host);
@@ -76,14 +92,13 @@
     host: Rc<GatewayHost>,
     planned: PlannedCall,
     evidence: DispatchEvidence,
-    completed: bool,
+    completed: Option<Instant>,
     is_candidate: bool,
 ) {
     match check_worker(&host, &evidence).await {
         WorkerCheck::Alive(connection) => {
-            if completed {
-                let candidates = &planned.crash_candidates;
-                record_answer(&host, &planned.attempt_id, candidates);
+            if let Some(began_at) = completed {
+                record_answer(&host, &planned, began_at);
             }
             let now = host.clock.now();
             host.pool.put(now, &evidence.worker, connection, None);
@@ -125,11 +140,12 @@
     }
 }
 
-/// Clears the parts of a request that a worker completed.
-fn record_answer(host: &GatewayHost, attempt_id: &str, candidates: &[PartDigest]) {
-    let cleared = host.crashes.record_answer(candidates);
+/// Clears the parts of a request to which a sound answer began at `began_at`.
+fn record_answer(host: &GatewayHost, planned: &PlannedCall, began_at: Instant) {
+    let candidates = &planned.crash_candidates;
+    let cleared = host.crashes.record_answer(began_at.elapsed(), candidates);
     if !cleared.is_empty() {
-        trace::crashes_cleared(host, attempt_id, &cleared);
+        trace::crashes_cleared(host, &planned.attempt_id, &cleared);
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,6 +7,7 @@
 
 use actix_http::HttpMessage;
 use thiserror::Error;
+use tokio::time::Instant;
 
 use super::caller::CallerWriter;
 use super::crash::DispatchEvidence;
@@ -233,7 +234,8 @@
             suspected,
         };
         let is_direct = connection.tunnel().is_none();
-        self.relay.start_dispatch();
+        let sent_at = Instant::now();
+        self.relay.start_dispatch(self.begin_report());
         let request = self.worker_request(&worker, dispatched_at);
         let end = self
             .send_and_relay(
@@ -254,7 +256,7 @@
                 self.trace
                     .answered(&self.planned, &self.relay, &worker, dispatched_at);
                 if status.is_success() {
-                    self.record_completion(&evidence).await;
+                    self.record_completion(&evidence, sent_at).await;
                 }
                 lease.finished(self.relay.tokens(), self.relay.token_gap());
                 Ok(None)
@@ -280,7 +282,7 @@
                 self.trace.failed(&worker, &error, lost.as_ref());
                 self.host.pool.close_connections(&worker);
                 if lost.is_some() {
-                    self.check_crash(&evidence, false).await;
+                    self.check_crash(&evidence, None).await;
                 }
                 if is_direct {
                     lease.failed();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,6 +5,7 @@
 //! another worker after the last complete event. Any other answer is buffered up to a limit, so that
 //! nothing is sent to the caller if the worker fails early.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,22 @@
 /// Time after its first event from which an answer is past its beginning.
 const ESTABLISHED_TIME: Duration = Duration::from_secs(1);
 
+/// A function that is called once when an answer is past its beginning, with the time of its first
+/// event.
+pub(super) struct BeginReport(Box<dyn FnOnce(Instant)>);
+
+impl BeginReport {
+    pub(super) fn new(report: impl FnOnce(Instant) + 'static) -> Self {
+        Self(Box::new(report))
+    }
+}
+
+impl fmt::Debug for BeginReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BeginReport").finish_non_exhaustive()
+    }
+}
+
 /// Result of relaying an answer.
 #[derive(Debug)]
 pub enum RelayEnd {
@@ -64,6 +81,8 @@
     first_event_at: Option<Instant>,
     /// The time of the first event of the present dispatch; `None` before it.
     dispatch_began_at: Option<Instant>,
+    /// Called when the answer to the present dispatch is established; `None` afterwards.
+    begin_report: Option<BeginReport>,
     last_event_at: Option<Instant>,
 }
 
@@ -83,6 +102,7 @@
             time_to_first_event: None,
             first_event_at: None,
             dispatch_began_at: None,
+            begin_report: None,
             last_event_at: None,
         }
     }
@@ -106,9 +126,16 @@
         (self.events.events() > 0).then(|| self.events.last_id())
     }
 
-    /// Prepares for the answer to a further dispatch.
-    pub const fn start_dispatch(&mut self) {
+    /// Prepares for the answer to a further dispatch; `report` is called once it is established.
+    pub(super) fn start_dispatch(&mut self, report: BeginReport) {
         self.dispatch_began_at = None;
+        self.begin_report = Some(report);
+    }
+
+    /// Returns the time of the first event of the present dispatch, or `None` before it.
+    #[must_use]
+    pub const fn dispatch_began_at(&self) -> Option<Instant> {
+        self.dispatch_began_at
     }
 
     /// Returns whether events of the present dispatch have been arriving for [`ESTABLISHED_TIME`].
@@ -208,7 +235,12 @@
                 self.time_to_first_event = Some(after);
                 lease.first_token(after);
             }
-            self.dispatch_began_at.get_or_insert(now);
+            let began_at = *self.dispatch_began_at.get_or_insert(now);
+            if self.is_established()
+                && let Some(report) = self.begin_report.take()
+            {
+                report.0(began_at);
+            }
             self.last_event_at = Some(now);
             self.relay_stream_head(&answer, caller).await?;
             caller.write_body(events).await?;
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -66,6 +66,7 @@
 const SOUND_PARTS: u8 = 40;
 const RATES: u8 = 41;
 const USAGE_SUM: u8 = 42;
+const SOUND_ANSWER: u8 = 43;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -183,6 +184,9 @@
             }
             LinkMessage::CrashedParts(reports) => write(frame, CRASHED_PARTS, reports),
             LinkMessage::SoundParts(parts) => write(frame, SOUND_PARTS, parts),
+            LinkMessage::SoundAnswer { age, parts } => {
+                write(frame, SOUND_ANSWER, &(millis(*age), parts))
+            }
             LinkMessage::Waiting(request) => {
                 let code = state.encode_request_id(*request, RequestOwner::Receiver);
                 write(frame, WAITING, &code)
@@ -307,6 +311,11 @@
             }
             CRASHED_PARTS => LinkMessage::CrashedParts(read(rest, limit)?),
             SOUND_PARTS => LinkMessage::SoundParts(read(rest, limit)?),
+            SOUND_ANSWER => {
+                let (age, parts) = read(rest, limit)?;
+                let age = Duration::from_millis(age);
+                LinkMessage::SoundAnswer { age, parts }
+            }
             WAITING => {
                 let code = read(rest, limit)?;
                 LinkMessage::Waiting(state.decode_request_id(&code, RequestOwner::Receiver))
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -53,6 +53,7 @@
     Crash "crash";
     CrashedParts "crashed-parts";
     SoundParts "sound-parts";
+    SoundAnswer "sound-answer";
     Waiting "waiting";
     Usage "usage";
     UsageSum "usage-sum";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -115,8 +115,16 @@
     /// Crashes of workers under requests with certain prompt parts: a new one, or those on the
     /// sender's record when a link is opened.
     CrashedParts(Vec<PartReport>),
-    /// Prompt parts with crashes on record that a worker has completed a request with.
+    /// Prompt parts with crashes on record that a worker has completed a request with; sent by and
+    /// to hosts that don't know [`Self::SoundAnswer`].
     SoundParts(Vec<PartDigest>),
+    /// A sound answer to a request with prompt parts that have crashes on record.
+    SoundAnswer {
+        /// The time since the answer began.
+        age: Duration,
+        /// The parts.
+        parts: Vec<PartDigest>,
+    },
     /// The sender's broker has queued the receiver's request until a slot is free.
     Waiting(RequestId),
     /// The sender's quota usage, for the workspaces whose usage changed since its last report or
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -53,7 +53,10 @@
     pub const UNSTATED: Self = Self(2);
 
     /// The revision of this build; hosts state their revisions and skip messages of unknown kinds.
-    pub const CURRENT: Self = Self(3);
+    pub const CURRENT: Self = Self(4);
+
+    /// The revision from which on hosts are told when a sound answer began.
+    pub const SOUND_ANSWERS: Self = Self(4);
 
     /// The revision from which on hosts take the sum of a data centre in place of the reports of its
     /// hosts.
@@ -75,6 +78,7 @@
     pub const fn revision(&self) -> WireRevision {
         match self {
             Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
+            Self::SoundAnswer { .. } => WireRevision::SOUND_ANSWERS,
             Self::UsageSum(_) => WireRevision::SUMS,
             _ => WireRevision::EARLIEST,
         }
@@ -93,6 +97,7 @@
                 let report = WorkReport { progress, ..report };
                 Some(Self::Report { service, report })
             }
+            Self::SoundAnswer { parts, .. } => Some(Self::SoundParts(parts)),
             _ => None,
         }
     }
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -244,6 +244,10 @@
             }],
         }]),
         LinkMessage::SoundParts(vec![PartDigest(0), PartDigest(7)]),
+        LinkMessage::SoundAnswer {
+            age: Duration::from_millis(1_040),
+            parts: vec![PartDigest(1), PartDigest(u64::MAX)],
+        },
     ]
 }
 
