Report a host as ready only when it has read the workers

What callers saw: a stream taken up at a host that has just started continued at any version.

Cause: a host reported itself ready after the configuration, which it reads before the workers. With no worker known it took a service for one whose workers state no version, and let a stream continue anywhere.

Change: readiness needs the workers too, and until they are read no version is taken for known.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -221,10 +221,12 @@
         self.state.serving.borrow().as_ref().map(Arc::clone)
     }
 
-    /// Returns whether the load balancer should send requests to this host.
+    /// Returns whether the load balancer should send requests to this host, which needs a recent
+    /// configuration and the workers for them.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_stopped() && self.fresh_configuration(self.clock.now()).is_some()
+        let serves = self.fresh_configuration(self.clock.now()).is_some();
+        serves && self.state.workers_known.get() && !self.stopping.is_stopped()
     }
 
     /// Returns the limits on requests and connections of callers; the defaults before the first
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -40,6 +40,7 @@
             .observe_workers(now, &self.state.roster.borrow());
         self.forget_restarted(&update);
         let changed = self.state.roster.borrow_mut().apply(now, update);
+        self.state.workers_known.set(true);
         self.streams
             .observe_workers(now, &self.state.roster.borrow());
         if changed {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,6 +24,8 @@
     /// The data centres, services and usable workers, in the form used by the cells.
     pub(super) cell_configuration: RefCell<Arc<Configuration>>,
     pub(super) roster: RefCell<UpstreamRoster>,
+    /// Whether the workers were read since the host started.
+    pub(super) workers_known: Cell<bool>,
     /// Whether the latest read of the store is recent enough to act on.
     pub(super) freshness: RefCell<FreshnessGate>,
     pub(super) quotas: RefCell<BTreeMap<WorkspaceName, QuotaBucket>>,
@@ -41,6 +43,7 @@
             serving: RefCell::default(),
             cell_configuration: RefCell::default(),
             roster: RefCell::default(),
+            workers_known: Cell::new(false),
             freshness: RefCell::new(gate),
             quotas: RefCell::default(),
             // The random start keeps a restarted host from repeating revisions of its previous run.
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -122,6 +122,9 @@
     if let Some(version) = stream.and_then(|stream| known_version(host, stream)) {
         return StreamOrigin::At(version, OriginEvidence::Record);
     }
+    if !host.state.workers_known.get() {
+        return StreamOrigin::Unknown;
+    }
     match version_view(host, service) {
         VersionView::None => return StreamOrigin::Any,
         VersionView::Only(version) if is_confirmed(host) => {
