Keep the versions of streams in the store, so that they outlive a kill of all hosts

Cause: the version of a stream was known to three hosts, in memory. And a host that had seen one version since its start took that for the only one, although the stream may be older than the host.

A host that finds a stream neither at home nor at its peers reads the log. One version since the start is trusted only if the log was empty then.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod rule;
 pub mod share;
 pub mod stream;
+pub mod stream_log;
 pub mod table;
--- a/kernel/tests/streams.rs
+++ b/kernel/tests/streams.rs
@@ -14,6 +14,12 @@
 use borageladder_kernel::stream::StreamKey;
 use borageladder_kernel::stream::VersionHistory;
 use borageladder_kernel::stream::VersionView;
+use borageladder_kernel::stream_log::LogRows;
+use borageladder_kernel::stream_log::MAX_BATCH_STREAMS;
+use borageladder_kernel::stream_log::ROW_RETENTION;
+use borageladder_kernel::stream_log::SavedStreams;
+use borageladder_kernel::stream_log::StreamBatch;
+use borageladder_kernel::stream_log::UnsavedStreams;
 
 fn hosts(count: u32) -> Vec<HostName> {
     let names = (0..count).map(|number| format!("host-{number}").parse());
@@ -121,3 +127,66 @@
         VersionView::Only(version("v2"))
     );
 }
+
+fn log_batch(streams: &[&str], name: &str) -> StreamBatch {
+    let mut unsaved = UnsavedStreams::default();
+    for stream in streams {
+        unsaved.push(StreamKey::of(stream), version(name));
+    }
+    unsaved.take_batch()
+}
+
+#[test]
+fn batches_hold_each_new_stream_once_and_a_limited_number() {
+    let mut unsaved = UnsavedStreams::default();
+    for number in 0..=MAX_BATCH_STREAMS {
+        unsaved.push(StreamKey::of(&number.to_string()), version("v1"));
+    }
+    assert_eq!(unsaved.take_batch().iter().count(), MAX_BATCH_STREAMS);
+    let rest = unsaved.take_batch();
+    assert_eq!(rest.iter().count(), 1);
+    unsaved.extend(&rest);
+    assert_eq!(unsaved.take_batch(), rest);
+    assert!(unsaved.take_batch().is_empty());
+}
+
+// Guards against streams that are lost with their hosts although they are in the store.
+#[test]
+fn the_log_tells_the_versions_of_streams() {
+    let mut saved = SavedStreams::default();
+    assert_eq!(saved.age(at(5)), None);
+    let batches = [log_batch(&["a", "b"], "v1"), log_batch(&["c"], "v1.1")];
+    saved.replace(at(5), &batches);
+    assert_eq!(saved.find(StreamKey::of("a")), Some(&version("v1")));
+    assert_eq!(saved.find(StreamKey::of("c")), Some(&version("v1.1")));
+    assert_eq!(saved.find(StreamKey::of("d")), None);
+    assert_eq!(saved.age(at(7)), Some(Duration::from_secs(2)));
+}
+
+// Guards against a host that takes an empty log, read after rows were removed, for a first start.
+#[test]
+fn only_the_first_read_tells_that_no_stream_was_served_before() {
+    let mut saved = SavedStreams::default();
+    saved.replace(at(5), &[log_batch(&["a"], "v1")]);
+    saved.replace(at(9), &[]);
+    assert!(!saved.began_empty());
+    let mut saved = SavedStreams::default();
+    saved.replace(at(5), &[]);
+    saved.replace(at(9), &[log_batch(&["a"], "v1")]);
+    assert!(saved.began_empty());
+}
+
+// Guards against a log that grows without end, and against rows removed while their streams are open.
+#[test]
+fn rows_of_the_log_are_removed_after_the_last_stream_in_them_has_ended() {
+    let mut rows = LogRows::default();
+    rows.push(at(0), "first".to_owned());
+    rows.push(at(10), "second".to_owned());
+    let kept = at(0) + STREAM_MEMORY_TIME;
+    assert!(rows.take_expired(kept).is_empty());
+    let expired = at(0) + ROW_RETENTION;
+    assert_eq!(rows.take_expired(expired), ["first"]);
+    rows.restore(expired, vec!["first".to_owned()]);
+    let later = at(10) + ROW_RETENTION;
+    assert_eq!(rows.take_expired(later), ["first", "second"]);
+}
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -19,6 +19,7 @@
 use super::pool::ConnectionPool;
 use super::settings::GatewaySettings;
 use super::state::GatewayState;
+use super::store::FleetStore;
 use super::streams::StreamState;
 use super::sync::SyncState;
 use crate::activity::ActivitySource;
@@ -53,6 +54,8 @@
     pub dialect: Rc<dyn GatewayDialect>,
     /// The settings of the HTTP codecs.
     pub http: ServiceConfig,
+    /// The platform's store.
+    pub store: Rc<dyn FleetStore>,
     /// The links to other hosts.
     pub links: Rc<LinkSet>,
     /// The membership of hosts.
@@ -104,6 +107,8 @@
     pub metrics: MetricSet,
     /// The names and formats of headers on the platform.
     pub dialect: Rc<dyn GatewayDialect>,
+    /// The platform's store.
+    pub store: Rc<dyn FleetStore>,
     /// The links to other hosts.
     pub links: Rc<LinkSet>,
     /// The membership of hosts.
@@ -132,6 +137,7 @@
             metrics: parts.metrics,
             dialect: parts.dialect,
             http: ServiceConfig::default(),
+            store: parts.store,
             links: parts.links,
             members: parts.members,
             cells: parts.cells,
@@ -196,6 +202,12 @@
         self.in_flight.get()
     }
 
+    /// Returns the random number that distinguishes this run of the process from earlier ones.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Returns the next request identifier.
     #[must_use]
     pub fn next_request_id(&self) -> RequestId {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -25,6 +25,7 @@
 use super::snapshot;
 use super::state::GatewayState;
 use super::store::FleetStore;
+use super::stream_log;
 use super::streams;
 use super::sync;
 use super::tunnel;
@@ -259,6 +260,7 @@
         LinkMessage::StreamVersion { stream, version } => {
             streams::receive_version(host, stream, version);
         }
+        LinkMessage::StreamRecords(batch) => host.streams.log.receive(&batch),
         LinkMessage::StreamWanted(stream) => streams::answer_lookup(host, from, stream),
         other => host.cells.receive(from, other),
     }
@@ -309,6 +311,7 @@
         log,
         metrics: MetricSet::new()?,
         dialect: Rc::clone(&platform.dialect),
+        store: Rc::clone(&platform.store),
         links,
         members,
         cells,
@@ -331,6 +334,7 @@
     actix_rt::spawn(Rc::clone(&host.cells).run_summaries());
     actix_rt::spawn(close_expired_connections(Rc::clone(host)));
     actix_rt::spawn(report_usage(Rc::clone(host)));
+    actix_rt::spawn(stream_log::save_streams(Rc::clone(host)));
     actix_rt::spawn(record_activity(Rc::clone(host)));
 }
 
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -37,6 +37,15 @@
     },
 }
 
+/// An entry of a log that hosts keep in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogEntry {
+    /// The key, at most 100 bytes of ASCII.
+    pub key: String,
+    /// The value, at most 64 KiB.
+    pub value: Vec<u8>,
+}
+
 /// The calls to the platform's store that a gateway host makes.
 ///
 /// Every call ends within a bounded time.
@@ -62,4 +71,14 @@
         host: HostRecord,
         proposed_key: [u8; 32],
     ) -> LocalBoxFuture<'_, Result<RegistrationOutcome, StoreError>>;
+
+    /// Reads all entries of the log of streams, in the order of their keys.
+    fn stream_log(&self) -> LocalBoxFuture<'_, Result<Vec<LogEntry>, StoreError>>;
+
+    /// Adds an entry to the log of streams, and removes those with the keys in `expired`.
+    fn append_stream_log(
+        &self,
+        entry: LogEntry,
+        expired: Vec<String>,
+    ) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 }
--- /dev/null
+++ b/src/gateway/stream_log.rs
@@ -0,0 +1,232 @@
+//! The log of streams in the store: its writer, and its reads by hosts that don't know a stream.
+//!
+//! The host that reads the store for others also writes the streams of all of them.
+//! [`crate::kernel::stream_log`] says what is kept and for how long.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Mutex;
+
+use super::host::GatewayHost;
+use super::store::LogEntry;
+use super::store::StoreError;
+use super::sync;
+use crate::event::LogEvent;
+use crate::kernel::name::HostName;
+use crate::kernel::name::WorkerVersion;
+use crate::kernel::share::DIRECT_HOSTS;
+use crate::kernel::stream::StreamKey;
+use crate::kernel::stream_log::LogRows;
+use crate::kernel::stream_log::SavedStreams;
+use crate::kernel::stream_log::StreamBatch;
+use crate::kernel::stream_log::UnsavedStreams;
+use crate::log_event;
+use crate::metrics::CallOutcome;
+use crate::wire::LinkMessage;
+use crate::wire::WireRevision;
+
+/// The interval at which new streams are passed on or written.
+const SAVE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The same on deployments with relays, which would else receive many small messages.
+const RELAYED_SAVE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The delay before a failed write is repeated.
+const SAVE_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// The age of the last read up to which a stream that it did not find is taken for unknown.
+const READ_AGAIN_TIME: Duration = Duration::from_secs(2);
+
+/// What a host knows of the log, and what it has to add to it.
+#[derive(Debug, Default)]
+pub(super) struct StreamLogState {
+    unsaved: RefCell<UnsavedStreams>,
+    saved: RefCell<SavedStreams>,
+    /// Held during a read, so that requests wait for one read together.
+    reading: Mutex<()>,
+    rows: RefCell<LogRows>,
+    /// Whether the rows of other hosts are among `rows`.
+    rows_listed: Cell<bool>,
+    /// The number of the last row that this host has written.
+    last_row: Cell<u64>,
+}
+
+impl StreamLogState {
+    /// Adds a stream that was dispatched to a worker of a version.
+    pub(super) fn record(&self, stream: StreamKey, version: &WorkerVersion) {
+        let mut unsaved = self.unsaved.borrow_mut();
+        unsaved.push(stream, version.clone());
+    }
+
+    /// Adds the streams of another host.
+    pub(super) fn receive(&self, batch: &StreamBatch) {
+        self.unsaved.borrow_mut().extend(batch);
+    }
+
+    /// Returns whether the log had no entry at the host's first read.
+    pub(super) fn began_empty(&self) -> bool {
+        self.saved.borrow().began_empty()
+    }
+}
+
+/// Passes the new streams of a host on to the store until the process ends.
+pub(super) async fn save_streams(host: Rc<GatewayHost>) {
+    loop {
+        let interval = if host.host_count() > DIRECT_HOSTS {
+            RELAYED_SAVE_INTERVAL
+        } else {
+            SAVE_INTERVAL
+        };
+        actix_rt::time::sleep(interval).await;
+        let saved = match writer(&host) {
+            Some(writer) => pass_on(&host, &writer),
+            None => write(&host).await,
+        };
+        if !saved {
+            actix_rt::time::sleep(SAVE_RETRY_DELAY).await;
+        }
+    }
+}
+
+/// Returns the host that writes the streams of this one, or `None` if it writes them itself.
+fn writer(host: &GatewayHost) -> Option<HostName> {
+    let source = sync::source_host(host)?;
+    let revision = host.links.peer_revision(&source)?;
+    (revision >= WireRevision::STREAM_RECORDS).then_some(source)
+}
+
+/// Sends the new streams to another host; returns whether that succeeded.
+fn pass_on(host: &GatewayHost, writer: &HostName) -> bool {
+    let log = &host.streams.log;
+    let batch = log.unsaved.borrow_mut().take_batch();
+    if batch.is_empty() {
+        return true;
+    }
+    let message = LinkMessage::StreamRecords(batch.clone());
+    let sent = host.links.send(writer, message).is_ok();
+    if !sent {
+        log.receive(&batch);
+    }
+    sent
+}
+
+/// Writes the new streams to the store; returns whether that succeeded.
+async fn write(host: &GatewayHost) -> bool {
+    let log = &host.streams.log;
+    let batch = log.unsaved.borrow_mut().take_batch();
+    if batch.is_empty() {
+        return true;
+    }
+    list_rows(host).await;
+    let row = log.last_row.get() + 1;
+    log.last_row.set(row);
+    let entry = LogEntry {
+        key: format!("{:016x}-{row:08}", host.incarnation()),
+        value: encode(&batch),
+    };
+    let key = entry.key.clone();
+    let expired = log.rows.borrow_mut().take_expired(host.clock.now());
+    let appended = host.store.append_stream_log(entry, expired.clone()).await;
+    count_call(host, "append-streams", &appended);
+    let now = host.clock.now();
+    // A write without an answer may have been made.
+    log.rows.borrow_mut().push(now, key);
+    if appended.is_err() {
+        log.rows.borrow_mut().restore(now, expired);
+        log.receive(&batch);
+    }
+    appended.is_ok()
+}
+
+/// Takes over the removal of the rows that other hosts have left.
+async fn list_rows(host: &GatewayHost) {
+    let log = &host.streams.log;
+    if log.rows_listed.get() {
+        return;
+    }
+    let read = host.store.stream_log().await;
+    count_call(host, "streams", &read);
+    let Ok(entries) = read else {
+        return;
+    };
+    log.rows_listed.set(true);
+    let now = host.clock.now();
+    let mut rows = log.rows.borrow_mut();
+    for entry in entries {
+        rows.push(now, entry.key);
+    }
+}
+
+/// Returns the version at which a stream was begun, by the log in the store; `None` if it is not in
+/// the log.
+///
+/// # Errors
+///
+/// Returns an error if the log can't be read.
+pub(super) async fn find(
+    host: &GatewayHost,
+    stream: StreamKey,
+) -> Result<Option<WorkerVersion>, StoreError> {
+    let log = &host.streams.log;
+    let known = || log.saved.borrow().find(stream).cloned();
+    let _reading = log.reading.lock().await;
+    let age = log.saved.borrow().age(host.clock.now());
+    let is_recent = age.is_some_and(|age| age < READ_AGAIN_TIME);
+    if let Some(version) = known() {
+        return Ok(Some(version));
+    }
+    if !is_recent {
+        read(host).await?;
+    }
+    Ok(known())
+}
+
+/// Reads the log unless that was done before.
+///
+/// # Errors
+///
+/// Returns an error if the log can't be read.
+pub(super) async fn ensure_read(host: &GatewayHost) -> Result<(), StoreError> {
+    let log = &host.streams.log;
+    let _reading = log.reading.lock().await;
+    let was_read = log.saved.borrow().age(host.clock.now()).is_some();
+    if was_read { Ok(()) } else { read(host).await }
+}
+
+async fn read(host: &GatewayHost) -> Result<(), StoreError> {
+    let begin = host.clock.now();
+    let read = host.store.stream_log().await;
+    count_call(host, "streams", &read);
+    let batches: Vec<StreamBatch> = read?.iter().map(decode).collect::<Result<_, _>>()?;
+    let mut saved = host.streams.log.saved.borrow_mut();
+    saved.replace(begin, &batches);
+    Ok(())
+}
+
+fn count_call<T>(host: &GatewayHost, call: &'static str, outcome: &Result<T, StoreError>) {
+    let counted = match outcome {
+        Ok(_) => CallOutcome::Answered,
+        Err(error) => {
+            let error = error.to_string();
+            log_event!(host.log, LogEvent::PlatformFailed, "call" => call, "error" => error);
+            CallOutcome::Failed
+        }
+    };
+    host.metrics.platform_called(call, counted);
+}
+
+fn encode(batch: &StreamBatch) -> Vec<u8> {
+    let mut value = Vec::new();
+    ciborium::into_writer(batch, &mut value).expect("a batch can be encoded");
+    value
+}
+
+fn decode(entry: &LogEntry) -> Result<StreamBatch, StoreError> {
+    let batch = ciborium::from_reader(entry.value.as_slice());
+    batch.map_err(|error| StoreError::InvalidAnswer {
+        reason: format!("entry {} of the log of streams: {error}", entry.key),
+    })
+}
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -11,6 +11,8 @@
 use tokio::sync::Notify;
 
 use super::host::GatewayHost;
+use super::stream_log;
+use super::stream_log::StreamLogState;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::HostName;
 use crate::kernel::name::ServiceName;
@@ -50,9 +52,11 @@
     Record,
     /// A record of another host.
     Peer,
+    /// The log in the store.
+    Log,
     /// Only one version was registered since the oldest open stream can have begun.
     OnlyVersion,
-    /// Only one version was registered since the host started.
+    /// Only one version was registered since the host started, and no host has served a stream before.
     OnlySinceStart,
 }
 
@@ -63,6 +67,7 @@
             Self::Unversioned => "unversioned",
             Self::Record => "record",
             Self::Peer => "peer",
+            Self::Log => "log",
             Self::OnlyVersion => "only-version",
             Self::OnlySinceStart => "only-since-start",
         }
@@ -75,6 +80,7 @@
     directory: RefCell<StreamDirectory>,
     history: RefCell<VersionHistory>,
     lookups: RefCell<BTreeMap<StreamKey, Rc<StreamLookup>>>,
+    pub(super) log: StreamLogState,
 }
 
 /// A query to the replicas of a stream that has not been answered yet.
@@ -104,6 +110,7 @@
     let mut directory = host.streams.directory.borrow_mut();
     directory.record(now, stream, version.clone());
     drop(directory);
+    host.streams.log.record(stream, version);
     for replica in replicas(host, stream, REPLICAS_PER_STREAM) {
         let version = Some(version.clone());
         let message = LinkMessage::StreamVersion { stream, version };
@@ -138,18 +145,47 @@
             return StreamOrigin::At(version, OriginEvidence::Peer);
         }
     }
+    let found = find_in_log(host, stream).await;
+    if let LogSearch::Found(version) = found {
+        return StreamOrigin::At(version, OriginEvidence::Log);
+    }
     match version_view(host, service) {
         VersionView::None => StreamOrigin::Any,
         VersionView::Only(version) if is_confirmed(host) => {
             StreamOrigin::At(version, OriginEvidence::OnlyVersion)
         }
-        VersionView::OnlySinceStart(version) if is_confirmed(host) => {
+        VersionView::OnlySinceStart(version)
+            if is_confirmed(host) && found == LogSearch::NoStreamYet =>
+        {
             StreamOrigin::At(version, OriginEvidence::OnlySinceStart)
         }
         _ => StreamOrigin::Unknown,
     }
 }
 
+/// What the log in the store says of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum LogSearch {
+    /// The version that began it.
+    Found(WorkerVersion),
+    /// Nothing: no host had served a stream when this one started.
+    NoStreamYet,
+    /// Nothing, since the stream is not in the log or the log can't be read.
+    Unknown,
+}
+
+async fn find_in_log(host: &GatewayHost, stream: Option<StreamKey>) -> LogSearch {
+    let found = match stream {
+        Some(stream) => stream_log::find(host, stream).await,
+        None => stream_log::ensure_read(host).await.map(|()| None),
+    };
+    match found {
+        Ok(Some(version)) => LogSearch::Found(version),
+        Ok(None) if host.streams.log.began_empty() => LogSearch::NoStreamYet,
+        Ok(None) | Err(_) => LogSearch::Unknown,
+    }
+}
+
 /// Returns whether the host would know of a worker of another version that was registered some
 /// time ago.
 fn is_confirmed(host: &GatewayHost) -> bool {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -157,6 +157,16 @@
     }
 }
 
+/// Returns the host from which this one gets the state of the store, and through which it writes to
+/// it; `None` if it reads the store itself.
+pub(super) fn source_host(host: &GatewayHost) -> Option<HostName> {
+    let roles = ReaderRoles::of(host);
+    match roles.view(host).source() {
+        StateSource::Store => None,
+        StateSource::Reader(name) | StateSource::Relay(name) => Some(name.clone()),
+    }
+}
+
 /// Returns the host that comes first for the reader or relay role among the hosts of the data
 /// centres that satisfy `within`.
 fn first_ranked(
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -67,6 +67,7 @@
 const RATES: u8 = 41;
 const USAGE_SUM: u8 = 42;
 const SOUND_ANSWER: u8 = 43;
+const STREAM_RECORDS: u8 = 44;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -184,6 +185,7 @@
             }
             LinkMessage::CrashedParts(reports) => write(frame, CRASHED_PARTS, reports),
             LinkMessage::SoundParts(parts) => write(frame, SOUND_PARTS, parts),
+            LinkMessage::StreamRecords(batch) => write(frame, STREAM_RECORDS, batch),
             LinkMessage::SoundAnswer { age, parts } => {
                 write(frame, SOUND_ANSWER, &(millis(*age), parts))
             }
@@ -311,6 +313,7 @@
             }
             CRASHED_PARTS => LinkMessage::CrashedParts(read(rest, limit)?),
             SOUND_PARTS => LinkMessage::SoundParts(read(rest, limit)?),
+            STREAM_RECORDS => LinkMessage::StreamRecords(read(rest, limit)?),
             SOUND_ANSWER => {
                 let (age, parts) = read(rest, limit)?;
                 let age = Duration::from_millis(age);
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -61,6 +61,7 @@
     State "state";
     StreamVersion "stream-version";
     StreamWanted "stream-wanted";
+    StreamRecords "stream-records";
     Query "query";
     QueryAnswer "query-answer";
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -43,6 +43,7 @@
 use crate::kernel::quarantine::CrashCount;
 use crate::kernel::roster::UpstreamRecord;
 use crate::kernel::stream::StreamKey;
+use crate::kernel::stream_log::StreamBatch;
 
 pub use codec::FrameDecoder;
 pub use codec::FrameEncoder;
@@ -140,6 +141,8 @@
         /// The version; `None` in an answer if the sender does not know the stream.
         version: Option<WorkerVersion>,
     },
+    /// Streams that the sender, or hosts of its data centre, dispatched, for the log in the store.
+    StreamRecords(StreamBatch),
     /// The sender queries the version of the worker that began a stream.
     StreamWanted(StreamKey),
     /// The sender polls the receiver for the state of the platform's store.
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -58,6 +58,9 @@
     /// The revision from which on hosts are told when a sound answer began.
     pub const SOUND_ANSWERS: Self = Self(4);
 
+    /// The revision from which on hosts write the streams of others to the store.
+    pub const STREAM_RECORDS: Self = Self(4);
+
     /// The revision from which on hosts take the sum of a data centre in place of the reports of its
     /// hosts.
     pub const SUMS: Self = Self(3);
@@ -79,6 +82,7 @@
         match self {
             Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
             Self::SoundAnswer { .. } => WireRevision::SOUND_ANSWERS,
+            Self::StreamRecords(_) => WireRevision::STREAM_RECORDS,
             Self::UsageSum(_) => WireRevision::SUMS,
             _ => WireRevision::EARLIEST,
         }
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -1,5 +1,6 @@
 //! Sample messages with realistic values.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 use borageladder::kernel::pushback::RejectionTolerance;
 use borageladder::kernel::quarantine::CrashCount;
 use borageladder::kernel::stream::StreamKey;
+use borageladder::kernel::stream_log::StreamBatch;
 use borageladder::wire::CellSummary;
 use borageladder::wire::Heartbeat;
 use borageladder::wire::LinkIncarnations;
@@ -223,6 +225,10 @@
             version: None,
         },
         LinkMessage::StreamWanted(StreamKey(0)),
+        LinkMessage::StreamRecords(StreamBatch(BTreeMap::from([
+            (name("v1"), vec![StreamKey(0), StreamKey(u64::MAX)]),
+            (name("v1.2"), vec![StreamKey::of("attempt-1")]),
+        ]))),
     ]
 }
 
