Write the record of crashes again if more is known after the write

Cause: a change during the calls to the store wakes nobody, so the quarantine that follows a suspect part by a few milliseconds was written only at the next check, up to a second later.

Evidence: the logs of both hosts: crashes-restored with three crashes, then one request-sent, 0.5 s after the quarantine.

Change: after a write the host compares again, at most four times in a row.

--- a/src/gateway/crash_record.rs
+++ b/src/gateway/crash_record.rs
@@ -24,8 +24,8 @@
 /// The delay before a failed call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// The maximum number of tries to write the record while other hosts write it too.
-const MAX_TRIES: usize = 3;
+/// The maximum number of writes in a row, while other hosts write the record too or crashes go on.
+const MAX_WRITES: usize = 4;
 
 /// The record in the store.
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -85,7 +85,7 @@
 
     /// Writes the record if this host is the one that does so and knows something else.
     async fn update(&mut self) -> Result<(), StoreError> {
-        for _ in 0..MAX_TRIES {
+        for _ in 0..MAX_WRITES {
             let lasting = self.host.crashes.lasting_reports();
             let is_known = self.known.as_ref() == Some(&digest(&lasting));
             if is_known || sync::source_host(&self.host).is_some() {
@@ -106,8 +106,8 @@
             self.host
                 .record_store_call("replace-crash-record", &replaced);
             if replaced? {
+                // The host may have learned more during the calls.
                 self.known = Some(written);
-                return Ok(());
             }
         }
         Ok(())
