--- a/kernel/src/poison.rs
+++ b/kernel/src/poison/mod.rs
@@ -17,24 +17,28 @@
 //!
 //! Hosts exchange reports of crashes and of cleared parts, and merge them in any order.
 
+mod record;
+mod report;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+use self::record::CrashRecord;
+use self::record::PartRecord;
+use self::record::millis;
+use self::record::time_since;
+use self::record::whole_millis;
 use crate::clock::ClockTime;
-use crate::name::WorkerName;
 use crate::name::WorkspaceName;
 use crate::prompt::PartDigest;
-use crate::quarantine::CRASH_MERGE_TIME;
 use crate::quarantine::QUARANTINE_TIME;
 
-/// The number of crashes at which requests with a part are refused.
-pub const CRASHES_TO_QUARANTINE: usize = 3;
+pub use self::record::CRASHES_TO_QUARANTINE;
+pub use self::report::CrashReport;
+pub use self::report::CrashedRequest;
+pub use self::report::PartReport;
 
 /// The time for which a part is no candidate after a sound answer has begun.
 pub const SOUND_TIME: Duration = Duration::from_secs(2);
@@ -53,9 +57,6 @@
 /// parts with fewer are those of neighbours.
 const MIN_REPORTED_CRASHES: usize = 2;
 
-/// The maximum number of crashes on record for one part; the oldest is dropped first.
-const MAX_CRASHES: usize = 8;
-
 /// The maximum number of parts that are remembered as sound.
 const MAX_SOUND_PARTS: usize = 4_096;
 
@@ -63,108 +64,6 @@
 /// renews a quarantine that has ended.
 const RECORD_TIME: Duration = QUARANTINE_TIME.saturating_mul(2);
 
-/// The number of workspaces whose crashes quarantine a part for all workspaces.
-const WORKSPACES_TO_QUARANTINE_ALL: usize = 2;
-
-/// A request whose answer was lost in the crash of its worker.
-#[derive(Clone, Copy, Debug)]
-pub struct CrashedRequest<'a> {
-    /// The worker.
-    pub worker: &'a WorkerName,
-    /// The workspace of the caller; `None` if the request belongs to none.
-    pub workspace: Option<&'a WorkspaceName>,
-    /// The parts of the prompt that other requests may share, and the content as one more.
-    pub parts: &'a [PartDigest],
-    /// The parts that had a crash on record when the request was sent.
-    pub suspected: &'a [PartDigest],
-    /// Whether it is certain that the worker ended, and not the host's path to it.
-    pub confirmed: bool,
-}
-
-/// What a host reports of the crashes under one part.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartReport {
-    /// The part.
-    pub part: PartDigest,
-    /// The workspaces whose requests had the part; `None` stands for requests without one.
-    pub workspaces: Vec<Option<WorkspaceName>>,
-    /// Whether one of the requests was sent when an earlier crash was on record, and its own crash is
-    /// certain.
-    pub repeated: bool,
-    /// The crashes.
-    pub crashes: Vec<CrashReport>,
-}
-
-/// A crash of a worker.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CrashReport {
-    /// The worker.
-    pub worker: WorkerName,
-    /// The time since the crash.
-    pub age: Duration,
-}
-
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct CrashRecord {
-    worker: WorkerName,
-    /// Milliseconds on the clock of this process; negative before its start.
-    crashed_at: i64,
-}
-
-impl CrashRecord {
-    fn is_same(&self, other: &Self) -> bool {
-        let apart = self.crashed_at.abs_diff(other.crashed_at);
-        self.worker == other.worker && u128::from(apart) < CRASH_MERGE_TIME.as_millis()
-    }
-
-    fn report(&self, now: i64) -> CrashReport {
-        let age = u64::try_from(now - self.crashed_at).unwrap_or(0);
-        CrashReport {
-            worker: self.worker.clone(),
-            age: Duration::from_millis(age),
-        }
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct PartRecord {
-    workspaces: BTreeSet<Option<WorkspaceName>>,
-    repeated: bool,
-    /// At most [`MAX_CRASHES`], by time.
-    crashes: Vec<CrashRecord>,
-}
-
-impl PartRecord {
-    fn newest_crash(&self) -> i64 {
-        let times = self.crashes.iter().map(|crash| crash.crashed_at);
-        times.max().unwrap_or(i64::MIN)
-    }
-
-    fn latest_crashes(&self, now: i64) -> Vec<CrashReport> {
-        let latest = self.crashes.iter().rev().take(CRASHES_TO_QUARANTINE);
-        latest.map(|crash| crash.report(now)).collect()
-    }
-
-    fn has_crash(&self, crash: &CrashRecord) -> bool {
-        self.crashes.iter().any(|known| known.is_same(crash))
-    }
-
-    /// Returns the remaining time of the quarantine; `None` if the part isn't quarantined.
-    /// `unexplained` is the number of crashes that no other part explains.
-    fn quarantine(&self, now: i64, unexplained: usize) -> Option<Duration> {
-        if !self.repeated || unexplained < CRASHES_TO_QUARANTINE {
-            return None;
-        }
-        let age = u64::try_from(now - self.newest_crash()).unwrap_or(0);
-        QUARANTINE_TIME.checked_sub(Duration::from_millis(age))
-    }
-
-    fn is_quarantined_for(&self, workspace: Option<&WorkspaceName>) -> bool {
-        self.workspaces.len() >= WORKSPACES_TO_QUARANTINE_ALL
-            || self.workspaces.contains(&workspace.cloned())
-    }
-}
-
 /// The crashes of workers by the parts of the prompts that they ran, as known to one host.
 ///
 /// # Examples
@@ -296,29 +195,14 @@
                 crashed_at: now.saturating_sub_unsigned(whole_millis(crash.age)),
             });
             for crash in crashes {
-                self.add_crash(report, &crash);
+                let record = self.records.entry(report.part).or_default();
+                record.add(report, crash);
             }
         }
         self.evict(now);
         self.explain_crashes(now);
     }
 
-    fn add_crash(&mut self, report: &PartReport, crash: &CrashRecord) {
-        let record = self.records.entry(report.part).or_default();
-        record.repeated |= report.repeated;
-        for workspace in &report.workspaces {
-            if record.workspaces.len() < WORKSPACES_TO_QUARANTINE_ALL {
-                record.workspaces.insert(workspace.clone());
-            }
-        }
-        if !record.has_crash(crash) {
-            record.crashes.push(crash.clone());
-            record.crashes.sort_by_key(|known| known.crashed_at);
-            let surplus = record.crashes.len().saturating_sub(MAX_CRASHES);
-            record.crashes.drain(..surplus);
-        }
-    }
-
     /// Recomputes which crashes are explained by a quarantined part with more crashes. Parts with many
     /// crashes come first, so that a part whose crashes are explained explains none.
     fn explain_crashes(&mut self, now: i64) {
@@ -454,15 +338,3 @@
         }
     }
 }
-
-fn time_since(now: ClockTime, earlier: i64) -> Duration {
-    Duration::from_millis(u64::try_from(millis(now) - earlier).unwrap_or(0))
-}
-
-fn millis(time: ClockTime) -> i64 {
-    i64::try_from(time.as_micros() / 1_000).unwrap_or(i64::MAX)
-}
-
-fn whole_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
