Leave out rows of crashes and streams that can't be decoded

What would be seen: one malformed row of the log of streams, such as of a later build, has all streams that only the log knows refused; a malformed record of crashes is read again by every host twice a second, and never replaced.

Cause: found on reading the diff: an entry that can't be decoded failed the whole read.

Change: such an entry is logged and left out; such a record counts as empty and is replaced by the next change. Failed reads of the record are repeated every two seconds in place of two a second, since all hosts repeat theirs. The report of a sound answer copies the parts of the request only, not the request.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -47,22 +47,23 @@
         if self.relay.framing() == Some(AnswerFraming::UntilClose) {
             self.check_crash(evidence, Some(began_at)).await;
         } else {
-            record_answer(self.host, &self.planned, began_at);
+            let candidates = &self.planned.crash_candidates;
+            record_answer(self.host, &self.planned.attempt_id, candidates, began_at);
         }
     }
 
     /// Returns a function that records that the parts of the request don't crash workers.
     pub(super) fn begin_report(&self) -> BeginReport {
         let host = Rc::clone(self.host);
-        let planned = self.planned.clone();
-        BeginReport::new(move |began_at| record_answer(&host, &planned, began_at))
+        let attempt_id = self.planned.attempt_id.clone();
+        let candidates = self.planned.crash_candidates.clone();
+        BeginReport::new(move |began_at| record_answer(&host, &attempt_id, &candidates, began_at))
     }
 
     /// Attributes a crash to the request if its worker has ended.
     ///
     /// `completed` is the begin of an answer that the worker has completed if it is alive; `None` if
-    /// the answer was lost.
-    /// The check runs in a separate task, except for a suspect: what is found out about it is known
+    /// the answer was lost. The check runs in a separate task, except for a suspect: what is found out about it is known
     /// before its slot is free for the next one.
     pub(super) async fn check_crash(
         &self,
@@ -72,13 +73,8 @@
         // A worker crashes as it begins to answer the request that crashes it.
         let is_candidate = !self.relay.is_established();
         let host = Rc::clone(self.host);
-        let check = judge_crash(
-            host,
-            self.planned.clone(),
-            evidence.clone(),
-            completed,
-            is_candidate,
-        );
+        let (planned, evidence) = (self.planned.clone(), evidence.clone());
+        let check = judge_crash(host, planned, evidence, completed, is_candidate);
         if self.is_suspect {
             check.await;
         } else {
@@ -98,7 +94,8 @@
     match check_worker(&host, &evidence).await {
         WorkerCheck::Alive(connection) => {
             if let Some(began_at) = completed {
-                record_answer(&host, &planned, began_at);
+                let candidates = &planned.crash_candidates;
+                record_answer(&host, &planned.attempt_id, candidates, began_at);
             }
             let now = host.clock.now();
             host.pool.put(now, &evidence.worker, connection, None);
@@ -141,11 +138,15 @@
 }
 
 /// Clears the parts of a request to which a sound answer began at `began_at`.
-fn record_answer(host: &GatewayHost, planned: &PlannedCall, began_at: Instant) {
-    let candidates = &planned.crash_candidates;
+fn record_answer(
+    host: &GatewayHost,
+    attempt_id: &str,
+    candidates: &[PartDigest],
+    began_at: Instant,
+) {
     let cleared = host.crashes.record_answer(began_at.elapsed(), candidates);
     if !cleared.is_empty() {
-        trace::crashes_cleared(host, &planned.attempt_id, &cleared);
+        trace::crashes_cleared(host, attempt_id, &cleared);
     }
 }
 
--- a/src/gateway/crash_record.rs
+++ b/src/gateway/crash_record.rs
@@ -21,8 +21,8 @@
 /// The interval at which the record is compared with what the host knows, beside each change.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The delay before a failed call is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// The delay before a failed call is repeated; all hosts that have not read the record repeat theirs.
+const RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// The maximum number of writes in a row, while other hosts write the record too or crashes go on.
 const MAX_WRITES: usize = 4;
@@ -64,7 +64,8 @@
         let read = self.host.store.crash_record().await;
         self.host.record_store_call("crash-record", &read);
         let stored = read?;
-        self.learn(stored.value.as_deref(), stored.read_at)
+        self.learn(stored.value.as_deref(), stored.read_at);
+        Ok(())
     }
 
     /// Keeps the record until the process ends.
@@ -94,7 +95,7 @@
             let read = self.host.store.crash_record().await;
             self.host.record_store_call("crash-record", &read);
             let stored = read?;
-            self.learn(stored.value.as_deref(), stored.read_at)?;
+            self.learn(stored.value.as_deref(), stored.read_at);
             let parts = self.host.crashes.lasting_reports();
             let written = digest(&parts);
             let value = encode(&CrashRecord {
@@ -115,8 +116,8 @@
 
     /// Adds the parts of the record that the host has not seen in it before. One that it has seen and
     /// no longer has on record was cleared since.
-    fn learn(&mut self, value: Option<&[u8]>, read_at: Duration) -> Result<(), StoreError> {
-        let record = value.map(decode).transpose()?.unwrap_or_default();
+    fn learn(&mut self, value: Option<&[u8]>, read_at: Duration) {
+        let record = value.map(|value| self.decode(value)).unwrap_or_default();
         let elapsed = read_at.saturating_sub(Duration::from_millis(record.as_of_ms));
         let known = self.known.take().unwrap_or_default();
         self.known = Some(digest(&record.parts));
@@ -125,14 +126,23 @@
             .filter(|report| !known.contains_key(&report.part))
             .collect();
         if added.is_empty() {
-            return Ok(());
+            return;
         }
         for crash in added.iter_mut().flat_map(|report| &mut report.crashes) {
             crash.age = crash.age.saturating_add(elapsed);
         }
         self.host.crashes.merge(&added);
         log_event!(self.host.log, LogEvent::CrashesRestored, "parts" => added.len());
-        Ok(())
+    }
+
+    /// Decodes the record. One that can't be decoded counts as empty, so that it is replaced.
+    fn decode(&self, value: &[u8]) -> CrashRecord {
+        ciborium::from_reader(value).unwrap_or_else(|error| {
+            let error = format!("invalid record of crashes: {error}");
+            log_event!(self.host.log, LogEvent::PlatformFailed,
+                "call" => "crash-record", "error" => error);
+            CrashRecord::default()
+        })
     }
 }
 
@@ -146,9 +156,3 @@
     ciborium::into_writer(record, &mut value).expect("a record can be encoded");
     value
 }
-
-fn decode(value: &[u8]) -> Result<CrashRecord, StoreError> {
-    ciborium::from_reader(value).map_err(|error| StoreError::InvalidAnswer {
-        reason: format!("the record of crashes: {error}"),
-    })
-}
--- a/src/gateway/stream_log.rs
+++ b/src/gateway/stream_log.rs
@@ -14,6 +14,7 @@
 use super::store::LogEntry;
 use super::store::StoreError;
 use super::sync;
+use crate::event::LogEvent;
 use crate::kernel::name::HostName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::share::DIRECT_HOSTS;
@@ -22,6 +23,7 @@
 use crate::kernel::stream_log::SavedStreams;
 use crate::kernel::stream_log::StreamBatch;
 use crate::kernel::stream_log::UnsavedStreams;
+use crate::log_event;
 use crate::wire::LinkMessage;
 use crate::wire::WireRevision;
 
@@ -197,7 +199,9 @@
     let begin = host.clock.now();
     let read = host.store.stream_log().await;
     host.record_store_call("streams", &read);
-    let batches: Vec<StreamBatch> = read?.iter().map(decode).collect::<Result<_, _>>()?;
+    let entries = read?;
+    let batches = entries.iter().filter_map(|entry| decode(host, entry));
+    let batches: Vec<StreamBatch> = batches.collect();
     let mut saved = host.streams.log.saved.borrow_mut();
     saved.replace(begin, &batches);
     Ok(())
@@ -209,9 +213,13 @@
     value
 }
 
-fn decode(entry: &LogEntry) -> Result<StreamBatch, StoreError> {
+/// Decodes an entry; one that can't be decoded is logged and left out.
+fn decode(host: &GatewayHost, entry: &LogEntry) -> Option<StreamBatch> {
     let batch = ciborium::from_reader(entry.value.as_slice());
-    batch.map_err(|error| StoreError::InvalidAnswer {
-        reason: format!("entry {} of the log of streams: {error}", entry.key),
-    })
+    batch
+        .inspect_err(|error| {
+            let error = format!("invalid entry {} of the log of streams: {error}", entry.key);
+            log_event!(host.log, LogEvent::PlatformFailed, "call" => "streams", "error" => error);
+        })
+        .ok()
 }
