--- a/review/standin/crashed_streams.rs
+++ b/review/standin/crashed_streams.rs
@@ -10,7 +10,7 @@
 use crate::deployment::{Record, ZONES, has_trouble, start_gateways};
 use crate::http::Connection;
 use crate::store::Store;
-use crate::stream_worker::{EVENTS, StreamWorker};
+use crate::stream_worker::{Behaviour, EVENTS, StreamWorker};
 
 const CONFIGURATION: &str = r#"{"version": 5,
   "routes": [{"name": "letter", "hostname": "letters.example", "prefix": "/letter/",
@@ -26,7 +26,10 @@
 const WORKERS: usize = 4;
 
 /// The share of answers without a length.
-const UNFRAMED: f64 = 0.05;
+const BEHAVIOUR: Behaviour = Behaviour {
+    unframed: 0.05,
+    errors: 0.0,
+};
 
 /// The length of the traffic.
 const LENGTH: Duration = Duration::from_secs(80);
@@ -50,7 +53,8 @@
     let mut started = 0;
     let mut start = |place: usize| {
         started += 1;
-        let worker = StreamWorker::start(&format!("i-{:08x}", 0xd4af_0000u32 + started), UNFRAMED);
+        let worker =
+            StreamWorker::start(&format!("i-{:08x}", 0xd4af_0000u32 + started), &BEHAVIOUR);
         worker.register("drafter", ZONES[place % ZONES.len()].0, &store);
         worker
     };
--- a/review/standin/large_bodies.rs
+++ b/review/standin/large_bodies.rs
@@ -10,7 +10,7 @@
 use crate::deployment::{Gateway, Record, ZONES, has_trouble, start_gateways};
 use crate::http::Connection;
 use crate::store::Store;
-use crate::stream_worker::StreamWorker;
+use crate::stream_worker::{Behaviour, StreamWorker};
 use crate::worker::{Runs, Worker};
 
 const CONFIGURATION: &str = r#"{"version": 5,
@@ -42,6 +42,12 @@
 /// The model workers, which run ten requests each at once.
 const MODEL_WORKERS: usize = 9;
 
+/// The model workers are sound.
+const SOUND: Behaviour = Behaviour {
+    unframed: 0.0,
+    errors: 0.0,
+};
+
 /// The clients of each host that send prompts, and during a burst of twice the traffic.
 const CLIENTS: usize = 8;
 const BURST_CLIENTS: usize = 16;
@@ -91,7 +97,7 @@
         })
         .collect();
     let models: Vec<StreamWorker> = (0..MODEL_WORKERS)
-        .map(|number| StreamWorker::start(&format!("i-{:08x}", 0xaae5_0000 + number), 0.0))
+        .map(|number| StreamWorker::start(&format!("i-{:08x}", 0xaae5_0000 + number), &SOUND))
         .collect();
     for (number, model) in models.iter().enumerate() {
         model.register("maestro-llm", ZONES[number % ZONES.len()].0, &store);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,7 +6,7 @@
 mod json;
 mod large_bodies;
 mod late_copies;
-mod other_part;
+mod rejoined_streams;
 mod store;
 mod stream_worker;
 mod tenant_name;
@@ -18,7 +18,7 @@
         "crashed-streams" => crashed_streams::run(),
         "large-bodies" => large_bodies::run(),
         "late-copies" => late_copies::run(),
-        "other-part" => other_part::run(),
+        "rejoined-streams" => rejoined_streams::run(),
         "stream-worker" => stream_worker::run(),
         "tenant-name" => tenant_name::run(),
         _ => deployment::cannot_run("no such case"),
--- a/review/standin/stream_worker.rs
+++ b/review/standin/stream_worker.rs
@@ -17,6 +17,14 @@
 /// The time between two events.
 const EVENT_GAP: Duration = Duration::from_millis(40);
 
+/// The shares of the requests that a worker answers in another way.
+pub struct Behaviour {
+    /// Without a length: the answer ends with the connection.
+    pub unframed: f64,
+    /// With an error, before the first event.
+    pub errors: f64,
+}
+
 /// A worker's process.
 pub struct StreamWorker {
     pub id: String,
@@ -26,11 +34,12 @@
 }
 
 impl StreamWorker {
-    /// Starts a worker; it gives the share of its answers no length, which end with the connection.
-    pub fn start(id: &str, unframed: f64) -> Self {
+    /// Starts a worker.
+    pub fn start(id: &str, behaviour: &Behaviour) -> Self {
         let program = std::env::current_exe().expect("the path of this program");
         let mut process = Command::new(program)
-            .args(["stream-worker", id, &unframed.to_string()])
+            .args(["stream-worker", id])
+            .args([behaviour.unframed.to_string(), behaviour.errors.to_string()])
             .stdout(Stdio::piped())
             .spawn()
             .expect("the worker starts");
@@ -48,9 +57,14 @@
 
     /// Registers the worker in the store.
     pub fn register(&self, service: &str, zone: &str, store: &Store) {
+        self.register_version(service, zone, "v1", store);
+    }
+
+    /// Registers the worker with the version of its software.
+    pub fn register_version(&self, service: &str, zone: &str, version: &str, store: &Store) {
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"batch_slots\":10,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+             \"version\":\"{version}\",\"batch_slots\":10,\"state\":\"ready\",\"cold_remaining_ms\":0,\
              \"sequence\":1,\"born\":1796000000000}}",
             self.address
         );
@@ -70,11 +84,12 @@
     }
 }
 
-/// The program of a worker: `stream-worker ID SHARE`.
+/// The program of a worker: `stream-worker ID UNFRAMED ERRORS`.
 pub fn run() -> bool {
     let argument = |at: usize| std::env::args().nth(at).unwrap_or_default();
     let id = argument(2);
-    let unframed: f64 = argument(3).parse().unwrap_or(0.0);
+    let share = |at: usize| argument(at).parse::<f64>().unwrap_or(0.0);
+    let (unframed, errors) = (share(3), share(4));
     let (listener, address) = listen();
     println!("{address}");
     let _ = std::io::stdout().flush();
@@ -84,6 +99,12 @@
     let random = std::sync::Arc::new(Random::new(seed));
     serve(listener, move |mut connection| {
         while let Ok(Some(request)) = connection.read() {
+            if request.complete && random.share() < errors {
+                if connection.write(&error(&request)).is_err() {
+                    return;
+                }
+                continue;
+            }
             let is_unframed = random.share() < unframed;
             if !request.complete || answer(&mut connection, &id, &request, is_unframed).is_err() {
                 return;
@@ -141,3 +162,13 @@
     }
     Ok(())
 }
+
+/// Returns a worker's own error, which counts as run.
+fn error(request: &Message) -> Vec<u8> {
+    let attempt = request.header("x-attempt-id").unwrap_or("");
+    format!(
+        "HTTP/1.1 500 Error\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: e.{attempt}\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+    .into_bytes()
+}
