--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/review-standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/review-standin review/main.rs
--- a/review/standin/crashed_streams.rs
+++ b/review/crashed_streams.rs
@@ -25,6 +25,15 @@
 /// The workers.
 const WORKERS: usize = 4;
 
+/// The workers of which some answers have no length.
+const UNFRAMED_WORKERS: usize = 2;
+
+/// The others.
+const SOUND: Behaviour = Behaviour {
+    unframed: 0.0,
+    errors: 0.0,
+};
+
 /// The share of answers without a length.
 const BEHAVIOUR: Behaviour = Behaviour {
     unframed: 0.05,
@@ -53,8 +62,14 @@
     let mut started = 0;
     let mut start = |place: usize| {
         started += 1;
-        let worker =
-            StreamWorker::start(&format!("i-{:08x}", 0xd4af_0000u32 + started), &BEHAVIOUR);
+        let worker = StreamWorker::start(
+            &format!("i-{:08x}", 0xd4af_0000u32 + started),
+            if place < UNFRAMED_WORKERS {
+                &BEHAVIOUR
+            } else {
+                &SOUND
+            },
+        );
         worker.register("drafter", ZONES[place % ZONES.len()].0, &store);
         worker
     };
@@ -87,7 +102,7 @@
             thread::sleep(DOWN);
             continue;
         }
-        let place = crashes % WORKERS;
+        let place = crashes % UNFRAMED_WORKERS;
         crashes += 1;
         record.line(&format!("{} crashes", workers[place].id));
         workers[place].crash();
--- a/review/standin/deployment.rs
+++ b/review/deployment.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,20 @@
 /// The program that the deploy file starts.
 const PROGRAM: &str = "target/release/borageladder-gateway";
 
+/// Returns a free loopback address whose port the kernel gives to no outgoing connection meanwhile.
+fn free_address() -> SocketAddr {
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let next = TRIED.fetch_add(1, Ordering::Relaxed);
+        let offset = (std::process::id().wrapping_mul(97).wrapping_add(next)) % 20_000;
+        let port = 11_000 + u16::try_from(offset).unwrap_or(0);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// A gateway process.
 pub struct Gateway {
     pub name: String,
@@ -38,14 +53,7 @@
     pub fn start(number: usize, store: SocketAddr) -> Self {
         let (zone, _) = ZONES[number % ZONES.len()];
         let name = format!("edge-{zone}-{number}");
-        let ports: Vec<TcpListener> = (0..4)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-            .collect();
-        let addresses: Vec<SocketAddr> = ports
-            .iter()
-            .map(|port| port.local_addr().expect("an address"))
-            .collect();
-        drop(ports);
+        let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
         let zones: Vec<String> = ZONES
             .iter()
             .map(|(zone, region)| format!("{zone} = \"{region}\""))
--- a/review/standin/large_bodies.rs
+++ b/review/large_bodies.rs
@@ -60,7 +60,7 @@
 
 /// The times at which bursts begin, in seconds, and their length.
 const BURSTS: [f64; 3] = [10.0, 23.0, 36.0];
-const BURST: f64 = 5.0;
+const BURST: f64 = 2.5;
 
 /// The time until a process that has ended starts again.
 const RESTART: Duration = Duration::from_millis(500);
--- a/review/standin/late_copies.rs
+++ b/review/late_copies.rs
@@ -25,14 +25,17 @@
 const LENGTH: Duration = Duration::from_secs(96);
 
 /// The time from one disruption to the next.
-const PERIOD: f64 = 6.0;
+const PERIOD: f64 = 4.5;
 
 /// The length of each disruption.
-const DISRUPTION: f64 = 5.5;
+const DISRUPTION: f64 = 4.0;
 
 /// The workers of the service.
 const WORKERS: usize = 1;
 
+/// Those of them that send late copies.
+const GARBLED_WORKERS: usize = 1;
+
 /// The share of requests that a worker turns away during a disruption.
 const SHED: f64 = 0.2;
 
@@ -68,8 +71,8 @@
     while began.elapsed() < LENGTH {
         let phase = began.elapsed().as_secs_f64() % PERIOD;
         let active = phase < DISRUPTION;
-        for worker in &workers {
-            let copies = has_trouble() && active;
+        for (number, worker) in workers.iter().enumerate() {
+            let copies = has_trouble() && active && number < GARBLED_WORKERS;
             *worker.faults.lock().expect("a lock") = Faults {
                 shed: if active { SHED } else { 0.0 },
                 late_copy: if copies { LATE_COPIES } else { 0.0 },
--- a/review/standin/rejoined_streams.rs
+++ b/review/rejoined_streams.rs
@@ -26,14 +26,17 @@
 const VERSIONS: [&str; 4] = ["v1", "v1", "v2", "v2"];
 
 /// The share of requests that a worker answers with an error before its first event (`srv_grey`).
-const ERRORS: f64 = 0.4;
+const ERRORS: f64 = 0.45;
+
+/// The time before a kill for which workers fail.
+const ERROR_TIME: Duration = Duration::from_secs(4);
 
 /// The length of the traffic.
 const LENGTH: Duration = Duration::from_secs(92);
 
 /// The time from one kill of all hosts to the next, and the time until they start again.
 const KILL_PERIOD: Duration = Duration::from_secs(8);
-const DOWN: Duration = Duration::from_millis(1_500);
+const DOWN: Duration = Duration::from_millis(1_000);
 
 /// The clients.
 const CLIENTS: usize = 36;
@@ -52,9 +55,9 @@
     store.put("op", "config", CONFIGURATION);
     let behaviour = Behaviour {
         unframed: 0.0,
-        errors: ERRORS,
+        errors: 0.0,
     };
-    let workers: Vec<StreamWorker> = (0..VERSIONS.len())
+    let mut workers: Vec<StreamWorker> = (0..VERSIONS.len())
         .map(|number| StreamWorker::start(&format!("i-{:08x}", 0xd4af_0000 + number), &behaviour))
         .collect();
     for (number, worker) in workers.iter().enumerate() {
@@ -95,7 +98,12 @@
     let began = Instant::now();
     let mut kills = 0;
     while began.elapsed() + KILL_PERIOD < LENGTH {
-        thread::sleep(KILL_PERIOD - DOWN);
+        thread::sleep(KILL_PERIOD - DOWN - ERROR_TIME);
+        workers
+            .iter_mut()
+            .for_each(|worker| worker.set_errors(ERRORS));
+        thread::sleep(ERROR_TIME);
+        workers.iter_mut().for_each(|worker| worker.set_errors(0.0));
         if !has_trouble() {
             continue;
         }
--- a/review/standin/stream_worker.rs
+++ b/review/stream_worker.rs
@@ -2,7 +2,9 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
-use std::process::{Child, ChildStdout, Command, Stdio};
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -30,6 +32,7 @@
     pub id: String,
     pub address: SocketAddr,
     process: Child,
+    input: ChildStdin,
     _output: BufReader<ChildStdout>,
 }
 
@@ -40,10 +43,12 @@
         let mut process = Command::new(program)
             .args(["stream-worker", id])
             .args([behaviour.unframed.to_string(), behaviour.errors.to_string()])
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
             .expect("the worker starts");
         note_process(&process);
+        let input = process.stdin.take().expect("a pipe");
         let mut output = BufReader::new(process.stdout.take().expect("a pipe"));
         let mut line = String::new();
         let _ = output.read_line(&mut line);
@@ -51,6 +56,7 @@
             id: id.to_owned(),
             address: line.trim().parse().expect("an address"),
             process,
+            input,
             _output: output,
         }
     }
@@ -71,6 +77,11 @@
         store.put("servers", &self.id, &entry);
     }
 
+    /// Sets the share of the requests that are answered with an error from now on.
+    pub fn set_errors(&mut self, share: f64) {
+        let _ = writeln!(self.input, "{share}");
+    }
+
     /// Ends the process as a crash does.
     pub fn crash(&mut self) {
         let _ = self.process.kill();
@@ -96,10 +107,12 @@
     let seed = id
         .bytes()
         .fold(7, |seed: u64, byte| seed * 31 + u64::from(byte));
-    let random = std::sync::Arc::new(Random::new(seed));
+    let random = Arc::new(Random::new(seed));
+    let errors = Arc::new(AtomicU64::new(errors.to_bits()));
+    let current = Arc::clone(&errors);
     serve(listener, move |mut connection| {
         while let Ok(Some(request)) = connection.read() {
-            if request.complete && random.share() < errors {
+            if request.complete && random.share() < f64::from_bits(errors.load(Ordering::Relaxed)) {
                 if connection.write(&error(&request)).is_err() {
                     return;
                 }
@@ -115,6 +128,10 @@
             }
         }
     });
+    for line in std::io::stdin().lines().map_while(Result::ok) {
+        let share = line.trim().parse::<f64>().unwrap_or(0.0);
+        current.store(share.to_bits(), Ordering::Relaxed);
+    }
     loop {
         thread::sleep(Duration::from_secs(60));
     }
