Record the version of a stream with its first event, not with its dispatch

Cause: a stream was recorded when it was sent to a worker. A first dispatch that failed (500, turned away, lost, no event) left a record too, and hosts that start take the one that the log happens to name first.

Ruled out: the order of the log alone. The log lacks the last dispatch for up to 200 ms while its first event is with the caller, so no order of dispatches tells the version. A replica that keeps the wrong one: joined streams were seen after kills of all hosts only.

Change: the record is made before the first event is relayed; a stream has one version then. Records of hosts of earlier builds, which are of dispatches, are kept apart (wire revision 5, kinds 45 and 46, rows ending in "-begun"), count less, and are refused where they name two versions.

Conclusion: a record is a fact about what a caller has. A stream that began within a third of a second before the kill is refused as not run.

--- a/kernel/src/stream.rs
+++ b/kernel/src/stream.rs
@@ -2,9 +2,11 @@
 //!
 //! What workers of two software versions write doesn't fit together, so a stream may continue
 //! only at the version that began it. The caller may resume a stream at any host, after the host that
-//! served it has died. Each host therefore records the streams that it dispatches and replicates the
-//! record to a few hosts, which rendezvous hashing selects for each stream. A host that receives a
-//! resumption of a stream that it does not know queries these replicas.
+//! served it has died. Each host therefore records a stream before it relays the first event of a
+//! dispatch, and replicates the record to a few hosts, which rendezvous hashing selects for each
+//! stream. A host that receives a resumption of a stream that it does not know queries these replicas.
+//!
+//! A dispatch that brought no event leaves no record, since the next one may go to another version.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -18,7 +20,7 @@
 use crate::name::ServiceName;
 use crate::name::WorkerVersion;
 
-/// The time for which a stream is remembered after its last dispatch, longer than any stream lasts.
+/// The time for which a stream is remembered after its last record, longer than any stream lasts.
 pub const STREAM_MEMORY_TIME: Duration = Duration::from_secs(30);
 
 /// The number of hosts to which the record of each stream is replicated.
@@ -71,6 +73,41 @@
     leading.copied().map(u64::from_le_bytes).unwrap_or_default()
 }
 
+/// How far a stream had come when its version was recorded; later stages order after earlier ones.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum StreamStage {
+    /// The request was sent to a worker, which may have written no event. Only builds before wire
+    /// revision 5 record this.
+    Dispatched,
+    /// The worker wrote an event for the caller.
+    Begun,
+}
+
+/// The version of the worker that a stream was sent to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamRecord {
+    /// The version.
+    pub version: WorkerVersion,
+    /// What is known of the stream at this version.
+    pub stage: StreamStage,
+}
+
+impl StreamRecord {
+    /// Returns the record of a stream of which a worker of the version wrote an event.
+    #[must_use]
+    pub const fn begun(version: WorkerVersion) -> Self {
+        let stage = StreamStage::Begun;
+        Self { version, stage }
+    }
+
+    /// Returns the record of a stream that was sent to a worker of the version.
+    #[must_use]
+    pub const fn dispatched(version: WorkerVersion) -> Self {
+        let stage = StreamStage::Dispatched;
+        Self { version, stage }
+    }
+}
+
 /// The versions at which recent streams were begun.
 ///
 /// # Examples
@@ -80,12 +117,14 @@
 /// use borageladder_kernel::stream::STREAM_MEMORY_TIME;
 /// use borageladder_kernel::stream::StreamDirectory;
 /// use borageladder_kernel::stream::StreamKey;
+/// use borageladder_kernel::stream::StreamRecord;
 ///
 /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
 /// let mut directory = StreamDirectory::default();
 /// let stream = StreamKey::of("attempt-1");
-/// directory.record(ClockTime::ZERO, stream, "v1.2".parse()?);
-/// assert_eq!(directory.find(stream), Some(&"v1.2".parse()?));
+/// let record = StreamRecord::begun("v1.2".parse()?);
+/// directory.record(ClockTime::ZERO, stream, record.clone());
+/// assert_eq!(directory.find(stream), Some(&record));
 /// directory.forget_old(ClockTime::ZERO + STREAM_MEMORY_TIME);
 /// assert_eq!(directory.find(stream), None);
 /// # Ok(())
@@ -93,34 +132,38 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct StreamDirectory {
-    streams: BTreeMap<StreamKey, StreamRecord>,
+    streams: BTreeMap<StreamKey, TimedRecord>,
     /// The streams by the time of their records; a stream that was recorded again stands here
     /// more than once.
     by_age: VecDeque<(ClockTime, StreamKey)>,
 }
 
 #[derive(Clone, Debug)]
-struct StreamRecord {
-    version: WorkerVersion,
+struct TimedRecord {
+    record: StreamRecord,
     recorded_at: ClockTime,
 }
 
 impl StreamDirectory {
-    /// Records that a stream was dispatched to a worker of a version.
-    pub fn record(&mut self, now: ClockTime, stream: StreamKey, version: WorkerVersion) {
+    /// Records the version of a stream, unless a record of a later stage is known.
+    pub fn record(&mut self, now: ClockTime, stream: StreamKey, record: StreamRecord) {
         self.forget_old(now);
-        let record = StreamRecord {
-            version,
+        let known = self.streams.get(&stream);
+        if known.is_some_and(|known| known.record.stage > record.stage) {
+            return;
+        }
+        let record = TimedRecord {
+            record,
             recorded_at: now,
         };
         self.streams.insert(stream, record);
         self.by_age.push_back((now, stream));
     }
 
-    /// Returns the version at which a stream was begun; `None` if it is not known.
+    /// Returns the record of a stream; `None` if it is not known.
     #[must_use]
-    pub fn find(&self, stream: StreamKey) -> Option<&WorkerVersion> {
-        self.streams.get(&stream).map(|record| &record.version)
+    pub fn find(&self, stream: StreamKey) -> Option<&StreamRecord> {
+        self.streams.get(&stream).map(|known| &known.record)
     }
 
     /// Forgets the streams that were last recorded [`STREAM_MEMORY_TIME`] ago or earlier, and the
--- a/kernel/src/stream_log.rs
+++ b/kernel/src/stream_log.rs
@@ -1,8 +1,8 @@
 //! The log of streams in the platform's store, from which hosts that start learn at which versions
 //! streams were begun.
 //!
-//! Hosts keep the records of the streams that they dispatch in memory only. One host writes those of
-//! all hosts to the store, in batches, so that they outlive a kill of all hosts.
+//! Hosts keep the records of their streams in memory only. One host writes those of all hosts to the
+//! store, in batches, so that they outlive a kill of all hosts.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -16,6 +16,7 @@
 use crate::name::WorkerVersion;
 use crate::stream::STREAM_MEMORY_TIME;
 use crate::stream::StreamKey;
+use crate::stream::StreamStage;
 
 /// The maximum number of streams in one batch, which fits a row of the store.
 pub const MAX_BATCH_STREAMS: usize = 4_000;
@@ -32,7 +33,11 @@
 /// The maximum number of streams that are held of those in the store.
 const MAX_SAVED_STREAMS: usize = 200_000;
 
-/// Streams with the versions that began them.
+/// The end of the keys of rows whose streams have begun. Rows of builds before wire revision 5 hold
+/// streams that were dispatched, and have keys without it.
+const BEGUN_SUFFIX: &str = "-begun";
+
+/// Streams of one stage with their versions.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamBatch(pub BTreeMap<WorkerVersion, Vec<StreamKey>>);
 
@@ -72,7 +77,7 @@
 }
 
 impl UnsavedStreams {
-    /// Adds a stream that was dispatched to a worker of a version.
+    /// Adds a stream.
     pub fn push(&mut self, stream: StreamKey, version: WorkerVersion) {
         self.streams.push_back((stream, version));
         while self.streams.len() > MAX_UNSAVED_STREAMS {
@@ -98,12 +103,59 @@
     }
 }
 
+/// A row of the log, as it was read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LoggedBatch {
+    /// The stage that the streams had reached.
+    pub stage: StreamStage,
+    /// The streams.
+    pub streams: StreamBatch,
+}
+
+/// Returns the key of the row that a host writes as its row `number` in this life of its process.
+#[must_use]
+pub fn row_key(incarnation: u64, number: u64, stage: StreamStage) -> String {
+    let suffix = match stage {
+        StreamStage::Dispatched => "",
+        StreamStage::Begun => BEGUN_SUFFIX,
+    };
+    format!("{incarnation:016x}-{number:08}{suffix}")
+}
+
+/// Returns the stage of the streams in the row with a key.
+#[must_use]
+pub fn row_stage(key: &str) -> StreamStage {
+    if key.ends_with(BEGUN_SUFFIX) {
+        StreamStage::Begun
+    } else {
+        StreamStage::Dispatched
+    }
+}
+
+/// A stream of the log.
+#[derive(Clone, Copy, Debug)]
+struct SavedStream {
+    stage: StreamStage,
+    /// The position of its version; `None` if it was recorded at several versions in this stage.
+    version: Option<u16>,
+}
+
+impl SavedStream {
+    /// Takes over what another row says of the same stream.
+    fn merge(&mut self, other: Self) {
+        if other.stage > self.stage {
+            *self = other;
+        } else if other.stage == self.stage && other.version != self.version {
+            self.version = None;
+        }
+    }
+}
+
 /// The streams that were in the store at the last read.
 #[derive(Clone, Debug, Default)]
 pub struct SavedStreams {
     versions: Vec<WorkerVersion>,
-    /// The streams, with the positions of their versions.
-    streams: HashMap<StreamKey, usize>,
+    streams: HashMap<StreamKey, SavedStream>,
     read_at: Option<ClockTime>,
     /// Whether the first read found no row, so that no host has served a stream before.
     began_empty: bool,
@@ -111,29 +163,44 @@
 
 impl SavedStreams {
     /// Replaces the streams by those of the batches that a read at `now` found.
-    pub fn replace(&mut self, now: ClockTime, batches: &[StreamBatch]) {
+    pub fn replace(&mut self, now: ClockTime, batches: &[LoggedBatch]) {
         if self.read_at.is_none() {
             self.began_empty = batches.is_empty();
         }
         self.read_at = Some(now);
         self.versions.clear();
         self.streams.clear();
-        let newest_first = batches.iter().rev().flat_map(StreamBatch::iter);
-        for (stream, version) in newest_first.take(MAX_SAVED_STREAMS) {
-            let known = self.versions.iter().position(|name| name == version);
-            let position = known.unwrap_or_else(|| {
-                self.versions.push(version.clone());
-                self.versions.len() - 1
-            });
-            self.streams.entry(stream).or_insert(position);
+        let mut left = MAX_SAVED_STREAMS;
+        for batch in batches.iter().rev() {
+            for (stream, version) in batch.streams.iter().take(left) {
+                left -= 1;
+                let saved = SavedStream {
+                    stage: batch.stage,
+                    version: self.position(version),
+                };
+                let known = self.streams.entry(stream).or_insert(saved);
+                known.merge(saved);
+            }
         }
     }
 
-    /// Returns the version at which a stream was begun; `None` if it was not in the store.
+    fn position(&mut self, version: &WorkerVersion) -> Option<u16> {
+        let known = self.versions.iter().position(|name| name == version);
+        let position = known.unwrap_or_else(|| {
+            self.versions.push(version.clone());
+            self.versions.len() - 1
+        });
+        u16::try_from(position).ok()
+    }
+
+    /// Returns the version at which a stream was begun; `None` if it was not in the store, or the store
+    /// does not tell.
+    ///
+    /// A stream that was only dispatched, to workers of one version, counts as begun there.
     #[must_use]
     pub fn find(&self, stream: StreamKey) -> Option<&WorkerVersion> {
-        let position = self.streams.get(&stream)?;
-        self.versions.get(*position)
+        let position = self.streams.get(&stream)?.version?;
+        self.versions.get(usize::from(position))
     }
 
     /// Returns the time since the last read; `None` before the first.
--- a/kernel/tests/streams.rs
+++ b/kernel/tests/streams.rs
@@ -12,14 +12,18 @@
 use borageladder_kernel::stream::STREAM_MEMORY_TIME;
 use borageladder_kernel::stream::StreamDirectory;
 use borageladder_kernel::stream::StreamKey;
+use borageladder_kernel::stream::StreamRecord;
+use borageladder_kernel::stream::StreamStage;
 use borageladder_kernel::stream::VersionHistory;
 use borageladder_kernel::stream::VersionView;
 use borageladder_kernel::stream_log::LogRows;
+use borageladder_kernel::stream_log::LoggedBatch;
 use borageladder_kernel::stream_log::MAX_BATCH_STREAMS;
 use borageladder_kernel::stream_log::ROW_RETENTION;
 use borageladder_kernel::stream_log::SavedStreams;
-use borageladder_kernel::stream_log::StreamBatch;
 use borageladder_kernel::stream_log::UnsavedStreams;
+use borageladder_kernel::stream_log::row_key;
+use borageladder_kernel::stream_log::row_stage;
 
 fn hosts(count: u32) -> Vec<HostName> {
     let names = (0..count).map(|number| format!("host-{number}").parse());
@@ -76,13 +80,14 @@
 
 // Guards against a stream that is forgotten while it is open.
 #[test]
-fn a_stream_is_remembered_from_its_last_dispatch_on() {
+fn a_stream_is_remembered_from_its_last_record_on() {
     let mut directory = StreamDirectory::default();
     let stream = StreamKey::of("attempt-1");
-    directory.record(at(0), stream, version("v1"));
-    directory.record(at(20), stream, version("v1"));
+    let record = StreamRecord::begun(version("v1"));
+    directory.record(at(0), stream, record.clone());
+    directory.record(at(20), stream, record.clone());
     directory.forget_old(at(0) + STREAM_MEMORY_TIME);
-    assert_eq!(directory.find(stream), Some(&version("v1")));
+    assert_eq!(directory.find(stream), Some(&record));
     directory.forget_old(at(20) + STREAM_MEMORY_TIME);
     assert_eq!(directory.find(stream), None);
 }
@@ -93,7 +98,8 @@
     let mut directory = StreamDirectory::default();
     let stream = |number: u32| StreamKey::of(&number.to_string());
     for number in 0..30_000 {
-        directory.record(at(0), stream(number), version("v1"));
+        let record = StreamRecord::begun(version("v1"));
+        directory.record(at(0), stream(number), record);
     }
     let known: BTreeSet<u32> = (0..30_000)
         .filter(|number| directory.find(stream(*number)).is_some())
@@ -128,12 +134,66 @@
     );
 }
 
-fn log_batch(streams: &[&str], name: &str) -> StreamBatch {
+fn log_batch(streams: &[&str], name: &str) -> LoggedBatch {
+    logged(StreamStage::Begun, streams, name)
+}
+
+fn logged(stage: StreamStage, streams: &[&str], name: &str) -> LoggedBatch {
     let mut unsaved = UnsavedStreams::default();
     for stream in streams {
         unsaved.push(StreamKey::of(stream), version(name));
     }
-    unsaved.take_batch()
+    let streams = unsaved.take_batch();
+    LoggedBatch { stage, streams }
+}
+
+// Guards against a stream that a replica takes for dispatched again after it has begun.
+#[test]
+fn a_record_of_a_begun_stream_is_not_replaced_by_one_of_a_dispatch() {
+    let mut directory = StreamDirectory::default();
+    let stream = StreamKey::of("attempt-1");
+    directory.record(at(0), stream, StreamRecord::dispatched(version("v1")));
+    let begun = StreamRecord::begun(version("v2"));
+    directory.record(at(1), stream, begun.clone());
+    directory.record(at(2), stream, StreamRecord::dispatched(version("v3")));
+    assert_eq!(directory.find(stream), Some(&begun));
+}
+
+// Guards against a stream that continues at a version to which it was only dispatched, whatever the
+// order of the rows.
+#[test]
+fn the_log_prefers_the_version_that_began_a_stream() {
+    let dispatched = logged(StreamStage::Dispatched, &["a"], "v1");
+    let begun = logged(StreamStage::Begun, &["a"], "v2");
+    for batches in [[dispatched.clone(), begun.clone()], [begun, dispatched]] {
+        let mut saved = SavedStreams::default();
+        saved.replace(at(5), &batches);
+        assert_eq!(saved.find(StreamKey::of("a")), Some(&version("v2")));
+    }
+}
+
+// Guards against a stream that continues at one of two versions of which the log does not tell which
+// one began it.
+#[test]
+fn a_stream_that_was_dispatched_to_two_versions_is_unknown() {
+    let mut saved = SavedStreams::default();
+    let first = logged(StreamStage::Dispatched, &["a", "b"], "v1");
+    let second = logged(StreamStage::Dispatched, &["a"], "v2");
+    saved.replace(at(5), &[first, second]);
+    assert_eq!(saved.find(StreamKey::of("a")), None);
+    assert_eq!(saved.find(StreamKey::of("b")), Some(&version("v1")));
+}
+
+#[test]
+fn the_key_of_a_row_tells_the_stage_of_its_streams() {
+    for stage in [StreamStage::Dispatched, StreamStage::Begun] {
+        assert_eq!(row_stage(&row_key(u64::MAX, 7, stage)), stage);
+    }
+    // Rows of earlier builds.
+    assert_eq!(
+        row_stage("00000000000000ff-00000001"),
+        StreamStage::Dispatched
+    );
 }
 
 #[test]
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
+use super::relay::FirstEventReport;
 use super::slot::DispatchedCall;
 use super::slot::SlotError;
 use super::streams;
@@ -29,6 +30,7 @@
 use crate::kernel::attempt::DispatchTally;
 use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
+use crate::kernel::attempt::WorkKind;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::RequestLife;
@@ -235,7 +237,8 @@
         };
         let is_direct = connection.tunnel().is_none();
         let sent_at = Instant::now();
-        self.relay.start_dispatch(self.begin_report());
+        let first_event = self.first_event_report(version.as_ref());
+        self.relay.start_dispatch(first_event, self.begin_report());
         let request = self.worker_request(&worker, dispatched_at);
         let end = self
             .send_and_relay(
@@ -310,6 +313,18 @@
         }
     }
 
+    /// Returns a function that records the version at which a resumable stream begins; `None` if the
+    /// worker states no version, or the stream has no key.
+    fn first_event_report(&self, version: Option<&WorkerVersion>) -> Option<FirstEventReport> {
+        let resumable = self.planned.route.kind == WorkKind::Stream { resumable: true };
+        let stream = self.planned.stream_key().filter(|_| resumable)?;
+        let version = version?.clone();
+        let host = Rc::clone(self.host);
+        Some(FirstEventReport::new(move || {
+            streams::record_begin(&host, stream, &version);
+        }))
+    }
+
     /// Returns a permit for a retry if the kind of work, the run limit and the retry budget allow
     /// one; a permit uses up one retry of the budget.
     pub(super) fn retry_permit(&mut self) -> Option<RetryPermit> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,6 +26,21 @@
 /// Time after its first event from which an answer is past its beginning.
 const ESTABLISHED_TIME: Duration = Duration::from_secs(1);
 
+/// A function that is called before the first event of an answer is relayed.
+pub(super) struct FirstEventReport(Box<dyn FnOnce()>);
+
+impl FirstEventReport {
+    pub(super) fn new(report: impl FnOnce() + 'static) -> Self {
+        Self(Box::new(report))
+    }
+}
+
+impl fmt::Debug for FirstEventReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FirstEventReport").finish_non_exhaustive()
+    }
+}
+
 /// A function that is called once when an answer is past its beginning, with the time of its first
 /// event.
 pub(super) struct BeginReport(Box<dyn FnOnce(Instant)>);
@@ -81,6 +96,9 @@
     first_event_at: Option<Instant>,
     /// The time of the first event of the present dispatch; `None` before it.
     dispatch_began_at: Option<Instant>,
+    /// Called before the first event of the present dispatch is relayed; `None` afterwards, or if
+    /// nobody needs to know.
+    first_event_report: Option<FirstEventReport>,
     /// Called when the answer to the present dispatch is established; `None` afterwards.
     begin_report: Option<BeginReport>,
     last_event_at: Option<Instant>,
@@ -102,6 +120,7 @@
             time_to_first_event: None,
             first_event_at: None,
             dispatch_began_at: None,
+            first_event_report: None,
             begin_report: None,
             last_event_at: None,
         }
@@ -126,10 +145,15 @@
         (self.events.events() > 0).then(|| self.events.last_id())
     }
 
-    /// Prepares for the answer to a further dispatch; `report` is called once it is established.
-    pub(super) fn start_dispatch(&mut self, report: BeginReport) {
+    /// Prepares for the answer to a further dispatch; `established` is called once it is established.
+    pub(super) fn start_dispatch(
+        &mut self,
+        first_event: Option<FirstEventReport>,
+        established: BeginReport,
+    ) {
         self.dispatch_began_at = None;
-        self.begin_report = Some(report);
+        self.first_event_report = first_event;
+        self.begin_report = Some(established);
     }
 
     /// Returns the time of the first event of the present dispatch, or `None` before it.
@@ -235,6 +259,9 @@
                 self.time_to_first_event = Some(after);
                 lease.first_token(after);
             }
+            if let Some(report) = self.first_event_report.take() {
+                report.0();
+            }
             let began_at = *self.dispatch_began_at.get_or_insert(now);
             if self.is_established()
                 && let Some(report) = self.begin_report.take()
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -38,6 +38,8 @@
 use crate::kernel::broker::SuspectPlacement;
 use crate::kernel::name::HostName;
 use crate::kernel::policy::FIRST_TOKEN_POLICY;
+use crate::kernel::stream::StreamRecord;
+use crate::kernel::stream::StreamStage;
 use crate::link::LinkSet;
 use crate::link::LinkSettings;
 use crate::link::SharedKey;
@@ -262,10 +264,19 @@
         LinkMessage::UsageSum(sum) => host.record_usage_sum(from, &sum),
         LinkMessage::StateWanted(poll) => sync::record_poll(host, from, poll),
         LinkMessage::State(update) => sync::receive_update(host, from, *update),
+        LinkMessage::StreamBegun { stream, version } => {
+            streams::receive_record(host, stream, Some(StreamRecord::begun(version)));
+        }
         LinkMessage::StreamVersion { stream, version } => {
-            streams::receive_version(host, stream, version);
+            let record = version.map(StreamRecord::dispatched);
+            streams::receive_record(host, stream, record);
+        }
+        LinkMessage::BegunStreams(batch) => {
+            host.streams.log.receive(StreamStage::Begun, &batch);
+        }
+        LinkMessage::StreamRecords(batch) => {
+            host.streams.log.receive(StreamStage::Dispatched, &batch);
         }
-        LinkMessage::StreamRecords(batch) => host.streams.log.receive(&batch),
         LinkMessage::StreamWanted(stream) => streams::answer_lookup(host, from, stream),
         other => host.cells.receive(from, other),
     }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -14,14 +14,12 @@
 use super::exchange::refusal_error;
 use super::plan;
 use super::plan::CallError;
-use super::streams;
 use super::trace::SentCall;
 use super::worker::WorkerConnection;
 use crate::cell::SlotAnswer;
 use crate::cell::SlotLease;
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RefusalReason;
-use crate::kernel::attempt::WorkKind;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::DispatchedState;
@@ -193,7 +191,6 @@
             .map_err(|(error, life)| (error.into(), life))?;
         lease.dispatched();
         self.dispatches.record_dispatch();
-        self.record_stream(record.version.as_ref());
         let sent = SentCall {
             worker: &worker,
             version: record.version.as_ref(),
@@ -238,15 +235,6 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    /// Records the version of the worker to which a resumable stream is dispatched.
-    fn record_stream(&self, version: Option<&WorkerVersion>) {
-        let resumable = self.planned.route.kind == WorkKind::Stream { resumable: true };
-        let stream = self.planned.stream_key().filter(|_| resumable);
-        if let Some((stream, version)) = stream.zip(version) {
-            streams::record_dispatch(self.host, stream, version);
-        }
-    }
-
     /// Returns the error for a refusal by the broker.
     fn broker_error(refusal: &Refusal) -> CallError {
         let reason = match refusal.reason {
--- a/src/gateway/stream_log.rs
+++ b/src/gateway/stream_log.rs
@@ -19,7 +19,10 @@
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::share::DIRECT_HOSTS;
 use crate::kernel::stream::StreamKey;
+use crate::kernel::stream::StreamStage;
+use crate::kernel::stream_log;
 use crate::kernel::stream_log::LogRows;
+use crate::kernel::stream_log::LoggedBatch;
 use crate::kernel::stream_log::SavedStreams;
 use crate::kernel::stream_log::StreamBatch;
 use crate::kernel::stream_log::UnsavedStreams;
@@ -42,7 +45,10 @@
 /// What a host knows of the log, and what it has to add to it.
 #[derive(Debug, Default)]
 pub(super) struct StreamLogState {
-    unsaved: RefCell<UnsavedStreams>,
+    /// The streams that have begun and are not in the log yet.
+    begun: RefCell<UnsavedStreams>,
+    /// The streams that hosts before wire revision 5 have dispatched.
+    dispatched: RefCell<UnsavedStreams>,
     saved: RefCell<SavedStreams>,
     /// Held during a read, so that requests wait for one read together.
     reading: Mutex<()>,
@@ -54,15 +60,22 @@
 }
 
 impl StreamLogState {
-    /// Adds a stream that was dispatched to a worker of a version.
+    /// Adds a stream of which a worker of a version wrote an event.
     pub(super) fn record(&self, stream: StreamKey, version: &WorkerVersion) {
-        let mut unsaved = self.unsaved.borrow_mut();
+        let mut unsaved = self.begun.borrow_mut();
         unsaved.push(stream, version.clone());
     }
 
-    /// Adds the streams of another host.
-    pub(super) fn receive(&self, batch: &StreamBatch) {
-        self.unsaved.borrow_mut().extend(batch);
+    /// Adds streams of another host, or those of a write that failed.
+    pub(super) fn receive(&self, stage: StreamStage, batch: &StreamBatch) {
+        self.unsaved(stage).borrow_mut().extend(batch);
+    }
+
+    const fn unsaved(&self, stage: StreamStage) -> &RefCell<UnsavedStreams> {
+        match stage {
+            StreamStage::Begun => &self.begun,
+            StreamStage::Dispatched => &self.dispatched,
+        }
     }
 
     /// Returns whether the log had no entry at the host's first read.
@@ -80,10 +93,13 @@
             SAVE_INTERVAL
         };
         actix_rt::time::sleep(interval).await;
-        let saved = match writer(&host) {
-            Some(writer) => pass_on(&host, &writer),
-            None => write(&host).await,
-        };
+        let mut saved = true;
+        for stage in [StreamStage::Begun, StreamStage::Dispatched] {
+            saved &= match writer(&host) {
+                Some(writer) => pass_on(&host, &writer, stage),
+                None => write(&host, stage).await,
+            };
+        }
         if !saved {
             actix_rt::time::sleep(SAVE_RETRY_DELAY).await;
         }
@@ -98,24 +114,27 @@
 }
 
 /// Sends the new streams to another host; returns whether that succeeded.
-fn pass_on(host: &GatewayHost, writer: &HostName) -> bool {
+fn pass_on(host: &GatewayHost, writer: &HostName, stage: StreamStage) -> bool {
     let log = &host.streams.log;
-    let batch = log.unsaved.borrow_mut().take_batch();
+    let batch = log.unsaved(stage).borrow_mut().take_batch();
     if batch.is_empty() {
         return true;
     }
-    let message = LinkMessage::StreamRecords(batch.clone());
+    let message = match stage {
+        StreamStage::Begun => LinkMessage::BegunStreams(batch.clone()),
+        StreamStage::Dispatched => LinkMessage::StreamRecords(batch.clone()),
+    };
     let sent = host.links.send(writer, message).is_ok();
     if !sent {
-        log.receive(&batch);
+        log.receive(stage, &batch);
     }
     sent
 }
 
 /// Writes the new streams to the store; returns whether that succeeded.
-async fn write(host: &GatewayHost) -> bool {
+async fn write(host: &GatewayHost, stage: StreamStage) -> bool {
     let log = &host.streams.log;
-    let batch = log.unsaved.borrow_mut().take_batch();
+    let batch = log.unsaved(stage).borrow_mut().take_batch();
     if batch.is_empty() {
         return true;
     }
@@ -123,7 +142,7 @@
     let row = log.last_row.get() + 1;
     log.last_row.set(row);
     let entry = LogEntry {
-        key: format!("{:016x}-{row:08}", host.incarnation()),
+        key: stream_log::row_key(host.incarnation(), row, stage),
         value: encode(&batch),
     };
     let key = entry.key.clone();
@@ -135,7 +154,7 @@
     log.rows.borrow_mut().push(now, key);
     if appended.is_err() {
         log.rows.borrow_mut().restore(now, expired);
-        log.receive(&batch);
+        log.receive(stage, &batch);
     }
     appended.is_ok()
 }
@@ -201,7 +220,7 @@
     host.record_store_call("streams", &read);
     let entries = read?;
     let batches = entries.iter().filter_map(|entry| decode(host, entry));
-    let batches: Vec<StreamBatch> = batches.collect();
+    let batches: Vec<LoggedBatch> = batches.collect();
     let mut saved = host.streams.log.saved.borrow_mut();
     saved.replace(begin, &batches);
     Ok(())
@@ -214,9 +233,11 @@
 }
 
 /// Decodes an entry; one that can't be decoded is logged and left out.
-fn decode(host: &GatewayHost, entry: &LogEntry) -> Option<StreamBatch> {
-    let batch = ciborium::from_reader(entry.value.as_slice());
-    batch
+fn decode(host: &GatewayHost, entry: &LogEntry) -> Option<LoggedBatch> {
+    let stage = stream_log::row_stage(&entry.key);
+    let streams = ciborium::from_reader(entry.value.as_slice());
+    streams
+        .map(|streams| LoggedBatch { stage, streams })
         .inspect_err(|error| {
             let error = format!("invalid entry {} of the log of streams: {error}", entry.key);
             log_event!(host.log, LogEvent::PlatformFailed, "call" => "streams", "error" => error);
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -22,6 +22,8 @@
 use crate::kernel::stream::REPLICAS_PER_STREAM;
 use crate::kernel::stream::StreamDirectory;
 use crate::kernel::stream::StreamKey;
+use crate::kernel::stream::StreamRecord;
+use crate::kernel::stream::StreamStage;
 use crate::kernel::stream::VersionHistory;
 use crate::kernel::stream::VersionView;
 use crate::wire::LinkMessage;
@@ -104,16 +106,16 @@
     }
 }
 
-/// Records that a stream is dispatched to a worker of a version, and replicates the record.
-pub(super) fn record_dispatch(host: &GatewayHost, stream: StreamKey, version: &WorkerVersion) {
+/// Records that a worker of a version wrote an event of a stream, and replicates the record.
+pub(super) fn record_begin(host: &GatewayHost, stream: StreamKey, version: &WorkerVersion) {
     let now = host.clock.now();
     let mut directory = host.streams.directory.borrow_mut();
-    directory.record(now, stream, version.clone());
+    directory.record(now, stream, StreamRecord::begun(version.clone()));
     drop(directory);
     host.streams.log.record(stream, version);
     for replica in replicas(host, stream, REPLICAS_PER_STREAM) {
-        let version = Some(version.clone());
-        let message = LinkMessage::StreamVersion { stream, version };
+        let version = version.clone();
+        let message = LinkMessage::StreamBegun { stream, version };
         // A replica that misses the message can't answer for the stream; the others can.
         let _ = host.links.send(&replica, message);
     }
@@ -196,23 +198,27 @@
 
 /// Answers the query of another host for the version of a stream.
 pub(super) fn answer_lookup(host: &GatewayHost, from: &HostName, stream: StreamKey) {
-    let version = known_version(host, stream);
-    let message = LinkMessage::StreamVersion { stream, version };
+    let record = host.streams.directory.borrow().find(stream).cloned();
+    let message = match record {
+        Some(StreamRecord { version, stage }) if stage == StreamStage::Begun => {
+            LinkMessage::StreamBegun { stream, version }
+        }
+        record => {
+            let version = record.map(|record| record.version);
+            LinkMessage::StreamVersion { stream, version }
+        }
+    };
     // The other host does not wait longer than the lookup time.
     let _ = host.links.send(from, message);
 }
 
-/// Records what another host knows about a stream.
-pub(super) fn receive_version(
-    host: &GatewayHost,
-    stream: StreamKey,
-    version: Option<WorkerVersion>,
-) {
-    let known = version.is_some();
-    if let Some(version) = version {
+/// Records what another host knows about a stream; `None` if it does not know it.
+pub(super) fn receive_record(host: &GatewayHost, stream: StreamKey, record: Option<StreamRecord>) {
+    let known = record.is_some();
+    if let Some(record) = record {
         let now = host.clock.now();
         let mut directory = host.streams.directory.borrow_mut();
-        directory.record(now, stream, version);
+        directory.record(now, stream, record);
     }
     let Some(lookup) = host.streams.lookups.borrow().get(&stream).cloned() else {
         return;
@@ -225,7 +231,8 @@
 }
 
 fn known_version(host: &GatewayHost, stream: StreamKey) -> Option<WorkerVersion> {
-    host.streams.directory.borrow().find(stream).cloned()
+    let directory = host.streams.directory.borrow();
+    directory.find(stream).map(|record| record.version.clone())
 }
 
 fn version_view(host: &GatewayHost, service: &ServiceName) -> VersionView {
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -68,6 +68,8 @@
 const USAGE_SUM: u8 = 42;
 const SOUND_ANSWER: u8 = 43;
 const STREAM_RECORDS: u8 = 44;
+const STREAM_BEGUN: u8 = 45;
+const BEGUN_STREAMS: u8 = 46;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -185,7 +187,11 @@
             }
             LinkMessage::CrashedParts(reports) => write(frame, CRASHED_PARTS, reports),
             LinkMessage::SoundParts(parts) => write(frame, SOUND_PARTS, parts),
+            LinkMessage::BegunStreams(batch) => write(frame, BEGUN_STREAMS, batch),
             LinkMessage::StreamRecords(batch) => write(frame, STREAM_RECORDS, batch),
+            LinkMessage::StreamBegun { stream, version } => {
+                write(frame, STREAM_BEGUN, &(stream, version))
+            }
             LinkMessage::SoundAnswer { age, parts } => {
                 write(frame, SOUND_ANSWER, &(millis(*age), parts))
             }
@@ -313,6 +319,7 @@
             }
             CRASHED_PARTS => LinkMessage::CrashedParts(read(rest, limit)?),
             SOUND_PARTS => LinkMessage::SoundParts(read(rest, limit)?),
+            BEGUN_STREAMS => LinkMessage::BegunStreams(read(rest, limit)?),
             STREAM_RECORDS => LinkMessage::StreamRecords(read(rest, limit)?),
             SOUND_ANSWER => {
                 let (age, parts) = read(rest, limit)?;
@@ -325,6 +332,10 @@
             }
             STATE_WANTED => LinkMessage::StateWanted(read(rest, limit)?),
             STATE => LinkMessage::State(read(rest, MAX_FRAME_BYTES)?),
+            STREAM_BEGUN => {
+                let (stream, version) = read(rest, limit)?;
+                LinkMessage::StreamBegun { stream, version }
+            }
             STREAM_VERSION => {
                 let (stream, version) = read(rest, limit)?;
                 LinkMessage::StreamVersion { stream, version }
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -59,8 +59,10 @@
     UsageSum "usage-sum";
     StateWanted "state-wanted";
     State "state";
+    StreamBegun "stream-begun";
     StreamVersion "stream-version";
     StreamWanted "stream-wanted";
+    BegunStreams "begun-streams";
     StreamRecords "stream-records";
     Query "query";
     QueryAnswer "query-answer";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -135,13 +135,23 @@
     UsageSum(UsageSum),
     /// The version of the worker that began a stream: sent to the replicas of its record, and in
     /// answer to [`Self::StreamWanted`].
+    StreamBegun {
+        /// The stream.
+        stream: StreamKey,
+        /// The version.
+        version: WorkerVersion,
+    },
+    /// The version of a worker to which a stream was dispatched, which may have written no event: sent
+    /// to and by hosts that don't know [`Self::StreamBegun`], and in answer to [`Self::StreamWanted`].
     StreamVersion {
         /// The stream.
         stream: StreamKey,
         /// The version; `None` in an answer if the sender does not know the stream.
         version: Option<WorkerVersion>,
     },
-    /// Streams that the sender, or hosts of its data centre, dispatched, for the log in the store.
+    /// Streams that have begun at the sender, or at hosts of its data centre, for the log in the store.
+    BegunStreams(StreamBatch),
+    /// Streams that hosts which don't know [`Self::BegunStreams`] dispatched, for the same log.
     StreamRecords(StreamBatch),
     /// The sender queries the version of the worker that began a stream.
     StreamWanted(StreamKey),
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -53,7 +53,10 @@
     pub const UNSTATED: Self = Self(2);
 
     /// The revision of this build; hosts state their revisions and skip messages of unknown kinds.
-    pub const CURRENT: Self = Self(4);
+    pub const CURRENT: Self = Self(5);
+
+    /// The revision from which on hosts tell streams that have begun from dispatched ones.
+    pub const BEGUN_STREAMS: Self = Self(5);
 
     /// The revision from which on hosts are told when a sound answer began.
     pub const SOUND_ANSWERS: Self = Self(4);
@@ -81,6 +84,7 @@
     pub const fn revision(&self) -> WireRevision {
         match self {
             Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
+            Self::BegunStreams(_) | Self::StreamBegun { .. } => WireRevision::BEGUN_STREAMS,
             Self::SoundAnswer { .. } => WireRevision::SOUND_ANSWERS,
             Self::StreamRecords(_) => WireRevision::STREAM_RECORDS,
             Self::UsageSum(_) => WireRevision::SUMS,
@@ -101,7 +105,12 @@
                 let report = WorkReport { progress, ..report };
                 Some(Self::Report { service, report })
             }
+            Self::BegunStreams(batch) => Self::StreamRecords(batch).for_revision(revision),
             Self::SoundAnswer { parts, .. } => Some(Self::SoundParts(parts)),
+            Self::StreamBegun { stream, version } => Some(Self::StreamVersion {
+                stream,
+                version: Some(version),
+            }),
             _ => None,
         }
     }
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -229,6 +229,14 @@
             (name("v1"), vec![StreamKey(0), StreamKey(u64::MAX)]),
             (name("v1.2"), vec![StreamKey::of("attempt-1")]),
         ]))),
+        LinkMessage::StreamBegun {
+            stream: StreamKey(u64::MAX),
+            version: name("v1.2"),
+        },
+        LinkMessage::BegunStreams(StreamBatch(BTreeMap::from([(
+            name("v1"),
+            vec![StreamKey(0), StreamKey(u64::MAX)],
+        )]))),
     ]
 }
 
