Never send an attempt twice on one connection to a worker

Cause: an answer is matched by the identifier of the attempt, which all dispatches of the attempt share. A worker that turned the request away sent a copy of its rejection late; the request had been sent again on the same connection, and the copy was taken for the answer to that dispatch. Likewise for an error to a safe request.

Ruled out: copies for another attempt (skipped by their identifier) and copies that come before the request is sent (the connection has unread bytes and is closed).

Change: connections to workers have numbers; an exchange takes no connection from the pool that it has used before. Other requests still use it.

Conclusion: what comes for an attempt on a connection answers its only dispatch there.

--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use super::host::GatewayHost;
+use super::worker::ConnectionNumber;
 use super::worker::ConnectionTunnel;
 use super::worker::WorkerConnection;
 use crate::connection::FreshConnection;
@@ -38,6 +39,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ConnectorState {
     pub(super) reachability: RefCell<ReachabilityTable>,
+    /// The number of connections to workers that the host has opened.
+    opened_connections: Cell<u64>,
     /// The number of tunnels that the host serves for others.
     pub(super) served_tunnels: Cell<usize>,
 }
@@ -125,7 +128,8 @@
     fn use_direct(&self, worker: &WorkerName, connection: FreshConnection) -> WorkerConnection {
         let mut reachability = self.connector.reachability.borrow_mut();
         reachability.record_opened(worker);
-        WorkerConnection::new(connection.into_stream(), None, self.http.clone())
+        let (number, http) = (self.next_connection_number(), self.http.clone());
+        WorkerConnection::new(number, connection.into_stream(), None, http)
     }
 
     fn use_tunnel(
@@ -139,7 +143,14 @@
         actix_rt::spawn(async move { checking.check_path(&failed).await });
         let opened_at = self.clock.now();
         let tunnel = ConnectionTunnel { host, opened_at };
-        WorkerConnection::new(stream, Some(tunnel), self.http.clone())
+        let (number, http) = (self.next_connection_number(), self.http.clone());
+        WorkerConnection::new(number, stream, Some(tunnel), http)
+    }
+
+    fn next_connection_number(&self) -> ConnectionNumber {
+        let opened = &self.connector.opened_connections;
+        opened.update(|count| count + 1);
+        ConnectionNumber(opened.get())
     }
 
     /// Records that no direct connection to a worker was opened in time, and connects to others to
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -26,6 +26,7 @@
 use super::streams::OriginEvidence;
 use super::streams::StreamOrigin;
 use super::trace::CallTrace;
+use super::worker::ConnectionNumber;
 use super::worker::WorkerConnection;
 use crate::kernel::attempt::DispatchTally;
 use crate::kernel::attempt::NotRunProof;
@@ -120,6 +121,7 @@
         request,
         trace,
         dispatches: DispatchTally::new(planned.route.run_limit),
+        used_connections: Vec::new(),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
         is_suspect: false,
         required_version: None,
@@ -139,6 +141,9 @@
     pub(super) trace: &'a CallTrace<'a>,
     pub(super) planned: PlannedCall,
     pub(super) dispatches: DispatchTally,
+    /// The connections on which the request was sent. Each is used once, as a late copy of an answer
+    /// bears the identifier of the attempt, which all dispatches share.
+    pub(super) used_connections: Vec<ConnectionNumber>,
     pub(super) relay: AnswerRelay,
     /// Whether the last slot was asked for as a suspect.
     pub(super) is_suspect: bool,
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::worker::ConnectionNumber;
 use super::worker::WorkerConnection;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
@@ -38,13 +39,23 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection that has not expired and is still open.
+    /// Takes the most recently used connection that has not expired, is still open and is none of
+    /// `excluded`.
     ///
     /// Expired and closed connections found on the way are dropped.
-    pub fn take(&self, now: ClockTime, worker: &WorkerName) -> Option<WorkerConnection> {
+    pub fn take(
+        &self,
+        now: ClockTime,
+        worker: &WorkerName,
+        excluded: &[ConnectionNumber],
+    ) -> Option<WorkerConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(worker)?;
-        while let Some(last) = connections.pop_back() {
+        for position in (0..connections.len()).rev() {
+            if excluded.contains(&connections[position].connection.number()) {
+                continue;
+            }
+            let last = connections.remove(position)?;
             if now < last.expires_at && last.connection.is_idle() {
                 return Some(last.connection);
             }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -140,7 +140,8 @@
         }
         let now = self.host.clock.now();
         let choice = granted.grant().choice.clone();
-        let idle = self.host.pool.take(now, &worker);
+        let pool = &self.host.pool;
+        let idle = pool.take(now, &worker, &self.used_connections);
         let is_reused = idle.is_some();
         let connection = if let Some(connection) = idle {
             connection
@@ -191,6 +192,7 @@
             .map_err(|(error, life)| (error.into(), life))?;
         lease.dispatched();
         self.dispatches.record_dispatch();
+        self.used_connections.push(connection.number());
         let sent = SentCall {
             worker: &worker,
             version: record.version.as_ref(),
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -109,12 +109,17 @@
     pub opened_at: ClockTime,
 }
 
+/// The number of a connection among those that a host has opened to workers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionNumber(pub u64);
+
 /// An open connection to a worker.
 ///
 /// If it is dropped between a request and the end of the answer, the connection is reset. A plain
 /// close would still deliver what the kernel has not sent yet, and the worker would run it.
 #[derive(Debug)]
 pub struct WorkerConnection {
+    number: ConnectionNumber,
     stream: TcpStream,
     /// The tunnel that carries the connection; `None` if it is direct.
     tunnel: Option<ConnectionTunnel>,
@@ -136,8 +141,14 @@
 impl WorkerConnection {
     /// Wraps a connection on which nothing has been sent yet.
     #[must_use]
-    pub fn new(stream: TcpStream, tunnel: Option<ConnectionTunnel>, config: ServiceConfig) -> Self {
+    pub fn new(
+        number: ConnectionNumber,
+        stream: TcpStream,
+        tunnel: Option<ConnectionTunnel>,
+        config: ServiceConfig,
+    ) -> Self {
         Self {
+            number,
             stream,
             tunnel,
             config,
@@ -146,6 +157,12 @@
         }
     }
 
+    /// Returns the number of the connection.
+    #[must_use]
+    pub const fn number(&self) -> ConnectionNumber {
+        self.number
+    }
+
     /// Returns the tunnel that carries the connection; `None` if it is direct.
     #[must_use]
     pub const fn tunnel(&self) -> Option<&ConnectionTunnel> {
