Write the rest of a request after a surplus answer was skipped

Callers saw: a request with a long body ended at its deadline (504) if a late copy of another answer came while the body was being written.

Cause: writing and reading were interleaved for the first head of an answer only. After a surplus answer, the next head was awaited without writing what was left.

Change: the rest of a request belongs to the connection and is written whenever a head is awaited. As before, the connection of a request that was answered before it was sent whole gets no further one.

--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -21,6 +21,7 @@
 use actix_http::h1::Message;
 use actix_http::h1::MessageType;
 use actix_http::header;
+use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::Uri;
@@ -125,6 +126,8 @@
     tunnel: Option<ConnectionTunnel>,
     config: ServiceConfig,
     received: BytesMut,
+    /// The rest of the request that has not been written yet.
+    unsent: Bytes,
     /// Whether a request was sent whose answer has not been read to its end.
     awaits_answer: bool,
 }
@@ -153,6 +156,7 @@
             tunnel,
             config,
             received: BytesMut::new(),
+            unsent: Bytes::new(),
             awaits_answer: false,
         }
     }
@@ -184,24 +188,47 @@
     pub async fn exchange(mut self, request: WorkerRequest) -> Result<WorkerAnswer, AnswerError> {
         let mut codec = ClientCodec::new(self.config.clone());
         let to_head_request = request.method == Method::HEAD;
-        let out = encode_request(&mut codec, request)?;
+        self.unsent = encode_request(&mut codec, request)?.freeze();
         self.awaits_answer = true;
-        let mut unsent = &out[..];
-        let head = loop {
+        let head = self.read_head(&mut codec).await?;
+        let framing = if to_head_request {
+            AnswerFraming::Empty
+        } else {
+            framing_of(&codec, &head)
+        };
+        self.awaits_answer = framing != AnswerFraming::Empty || !self.unsent.is_empty();
+        let further_use = match codec.keep_alive() && keeps_open(&head, framing) {
+            true if self.unsent.is_empty() => FurtherUse::Requests,
+            true => FurtherUse::Answers,
+            false => FurtherUse::None,
+        };
+        Ok(WorkerAnswer {
+            head,
+            framing,
+            codec: codec.into_payload_codec(),
+            connection: self,
+            done: framing == AnswerFraming::Empty,
+            further_use,
+            to_head_request,
+        })
+    }
+
+    /// Reads the head of an answer, and writes what is left of the request meanwhile: a worker may
+    /// answer before it has read the whole request.
+    async fn read_head(&mut self, codec: &mut ClientCodec) -> Result<ResponseHead, AnswerError> {
+        loop {
             if let Some(head) = codec.decode(&mut self.received)? {
-                break head;
+                return Ok(head);
             }
-            if unsent.is_empty() {
+            if self.unsent.is_empty() {
                 self.read_more().await?;
                 continue;
             }
-            // Reads and writes are interleaved, as a worker may answer before it has read the whole
-            // request.
             tokio::select! {
                 written = self.stream.writable() => {
                     written?;
-                    match self.stream.try_write(unsent) {
-                        Ok(count) => unsent = &unsent[count..],
+                    match self.stream.try_write(&self.unsent) {
+                        Ok(count) => self.unsent.advance(count),
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
                         Err(error) => return Err(error.into()),
                     }
@@ -217,27 +244,7 @@
                     }
                 }
             }
-        };
-        let framing = if to_head_request {
-            AnswerFraming::Empty
-        } else {
-            framing_of(&codec, &head)
-        };
-        self.awaits_answer = framing != AnswerFraming::Empty || !unsent.is_empty();
-        let further_use = match codec.keep_alive() && keeps_open(&head, framing) {
-            true if unsent.is_empty() => FurtherUse::Requests,
-            true => FurtherUse::Answers,
-            false => FurtherUse::None,
-        };
-        Ok(WorkerAnswer {
-            head,
-            framing,
-            codec: codec.into_payload_codec(),
-            connection: self,
-            done: framing == AnswerFraming::Empty,
-            further_use,
-            to_head_request,
-        })
+        }
     }
 
     async fn read_more(&mut self) -> Result<(), AnswerError> {
@@ -422,18 +429,14 @@
         }
         self.connection.awaits_answer = true;
         let mut codec = ClientCodec::new(self.connection.config.clone());
-        let head = loop {
-            if let Some(head) = codec.decode(&mut self.connection.received)? {
-                break head;
-            }
-            self.connection.read_more().await?;
-        };
+        let head = self.connection.read_head(&mut codec).await?;
         let framing = if self.to_head_request {
             AnswerFraming::Empty
         } else {
             framing_of(&codec, &head)
         };
-        self.connection.awaits_answer = framing != AnswerFraming::Empty;
+        let is_sent = self.connection.unsent.is_empty();
+        self.connection.awaits_answer = framing != AnswerFraming::Empty || !is_sent;
         // After one surplus answer, another may follow, so the connection gets no further request.
         let further_use = if keeps_open(&head, framing) {
             FurtherUse::Answers
