Take an answer without an identifier only as the first of its connection

Callers would see: a request that ran is refused or sent again, as by a late copy of a rejection.

Cause: an answer that names no attempt was accepted as the answer to whatever request waited, also on a connection that had served others. Workers name the attempt in all answers; other bytes belong to no request.

Change: on a connection that carried a request before, such an answer is skipped like one to another attempt. On a new connection nothing else can have been answered, so it counts (a 400 of a worker that could not read the request).

Evidence: repeats::a_late_answer_without_an_identifier_is_not_the_answer_to_another_request failed before (three dispatches in place of two).

--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -173,24 +173,29 @@
 
     /// Sends the request and reads the head of the answer to the caller's attempt.
     ///
-    /// Answers with the identifier of another attempt are skipped; one without any is accepted.
+    /// Answers with the identifier of another attempt are skipped. One without any is accepted only as
+    /// the first answer of a connection, which can be an answer to nothing else.
     async fn matching_answer(
         &self,
         connection: WorkerConnection,
         request: WorkerRequest,
     ) -> Result<(WorkerAnswer, AnswerMetadata), AnswerError> {
+        let mut may_be_anonymous = !connection.was_used();
         let mut answer = connection.exchange(request).await?;
         for _ in 0..=MAX_FOREIGN_ANSWERS {
             let head = answer.head();
             let status = head.status.as_u16();
             let metadata = self.host.dialect.answer_metadata(status, head.headers());
-            let foreign = metadata
+            let is_own = metadata
                 .attempt_id
                 .as_ref()
-                .is_some_and(|attempt_id| *attempt_id != self.planned.attempt_id);
-            if !foreign {
+                .map_or(may_be_anonymous, |attempt_id| {
+                    *attempt_id == self.planned.attempt_id
+                });
+            if is_own {
                 return Ok((answer, metadata));
             }
+            may_be_anonymous = false;
             answer = answer.next_answer().await?;
         }
         Err(AnswerError::Closed)
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -128,6 +128,7 @@
     received: BytesMut,
     /// The rest of the request that has not been written yet.
     unsent: Bytes,
+    was_used: bool,
     /// Whether a request was sent whose answer has not been read to its end.
     awaits_answer: bool,
 }
@@ -157,6 +158,7 @@
             config,
             received: BytesMut::new(),
             unsent: Bytes::new(),
+            was_used: false,
             awaits_answer: false,
         }
     }
@@ -173,6 +175,12 @@
         self.tunnel.as_ref()
     }
 
+    /// Returns whether a request was sent on the connection.
+    #[must_use]
+    pub const fn was_used(&self) -> bool {
+        self.was_used
+    }
+
     /// Returns whether the connection is open and holds no unread bytes.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -190,6 +198,7 @@
         let to_head_request = request.method == Method::HEAD;
         self.unsent = encode_request(&mut codec, request)?.freeze();
         self.awaits_answer = true;
+        self.was_used = true;
         let head = self.read_head(&mut codec).await?;
         let framing = if to_head_request {
             AnswerFraming::Empty
