Apply configurations whatever the names in them

A host that started never became ready.

Cause: names on the platform may be any text; the adapter parsed them as names of the product (64 bytes of ASCII letters, digits and ._-/), and one that isn't rejected the whole document on each read.

Ruled out: the store and the distribution (the document was read each time; the reads failed as invalid).

Workers get the text itself in X-Tenant, as UTF-8; what no header can hold is an error of the document and never forges a line.

--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -61,7 +61,7 @@
         let dispatch = DispatchMetadata {
             remaining: self.planned.deadline.since(now),
             worker,
-            workspace: self.planned.workspace.as_ref(),
+            workspace: self.planned.workspace_label(),
             resume_after: self.relay.last_event_id(),
         };
         WorkerRequest {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -7,7 +7,6 @@
 
 use crate::kernel::name::ModelName;
 use crate::kernel::name::WorkerName;
-use crate::kernel::name::WorkspaceName;
 use crate::kernel::pace::RateStatement;
 use crate::kernel::prompt::PartDigest;
 use crate::kernel::pushback::RejectionTolerance;
@@ -59,8 +58,8 @@
     pub remaining: Duration,
     /// Intended worker; any other worker must reject the request.
     pub worker: &'a WorkerName,
-    /// Workspace of the caller, if the request belongs to one.
-    pub workspace: Option<&'a WorkspaceName>,
+    /// Text that workers know the caller's workspace by, if the request belongs to one.
+    pub workspace: Option<&'a str>,
     /// Identifier of the event after which the stream continues; `None` unless it is resumed.
     pub resume_after: Option<u64>,
 }
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use thiserror::Error;
 
 use crate::kernel::configuration::ServiceKind;
 use crate::kernel::name::HostName;
@@ -57,6 +58,47 @@
     pub quota: Option<QuotaBounds>,
     /// Unit in which the quota is charged.
     pub unit: QuotaUnit,
+    /// Text that workers know the workspace by; `None` if that is its name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub label: Option<WorkspaceLabel>,
+}
+
+/// Text that workers know a workspace by, which a header can hold unchanged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct WorkspaceLabel(String);
+
+/// A text has control characters, or white space at an end, which headers don't hold unchanged.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("no header can hold {text:?} unchanged")]
+pub struct LabelError {
+    /// Rejected text.
+    pub text: String,
+}
+
+impl WorkspaceLabel {
+    /// Returns the text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<WorkspaceLabel> for String {
+    fn from(label: WorkspaceLabel) -> Self {
+        label.0
+    }
+}
+
+impl TryFrom<String> for WorkspaceLabel {
+    type Error = LabelError;
+
+    fn try_from(text: String) -> Result<Self, LabelError> {
+        if text.chars().any(char::is_control) || text.trim() != text {
+            return Err(LabelError { text });
+        }
+        Ok(Self(text))
+    }
 }
 
 impl ServingWorkspace {
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -15,6 +15,7 @@
 use super::dialect::CallMetadata;
 use super::dialect::TokenUsage;
 use super::document::ServingConfiguration;
+use super::document::WorkspaceLabel;
 use super::frontend::CallerRequest;
 use super::host::GatewayHost;
 use crate::kernel::ask::Ask;
@@ -147,6 +148,8 @@
     pub service: ServiceName,
     /// Workspace of the caller; `None` if the route is open or callers need no keys.
     pub workspace: Option<WorkspaceName>,
+    /// Text that workers know the workspace by; `None` if that is its name.
+    pub label: Option<WorkspaceLabel>,
     /// Tier by the priority of the workspace and the tier of the route.
     pub tier: TierRank,
     /// Time at which the request was completely read.
@@ -188,6 +191,13 @@
         Some(StreamKey::of(first_attempt))
     }
 
+    /// Returns the text that workers know the caller's workspace by, if the request belongs to one.
+    #[must_use]
+    pub fn workspace_label(&self) -> Option<&str> {
+        let name = self.workspace.as_ref().map(WorkspaceName::as_str);
+        self.label.as_ref().map(WorkspaceLabel::as_str).or(name)
+    }
+
     /// Returns the ask for a slot on a worker, of a certain version if one is given, with times
     /// relative to `now`.
     ///
@@ -317,6 +327,7 @@
             units: workspace.unit.units(tokens),
         }),
         workspace: owner.map(|(name, _)| name.clone()),
+        label: owner.and_then(|(_, workspace)| workspace.label.clone()),
         crash_candidates: Vec::new(),
         event_tokens: configured.map_or(1, |service| service.event_tokens),
         engine: configured.is_some_and(|service| service.kind == ServiceKind::Engine),
