Read the entries of a configuration one by one

Cause: the document was read as one value, so one entry that can't be read kept all others from being applied, revoked keys among them.

Change: entries are read one by one. One that can't be read refuses its own requests as not run: its route serves nobody and hides shorter prefixes, its keys are known and refused, and if keys can't be read, an unknown one gets 503 and not 401.

Weighed: serving such a route as one of unsafe requests (a type that we don't know may forbid more), leaving the entry out (its requests would fall to another route, or be told that their key is unknown).

--- a/kernel/src/route.rs
+++ b/kernel/src/route.rs
@@ -29,7 +29,8 @@
     pub prefix: String,
     /// The kind of work, which determines whether requests may be retried.
     pub kind: WorkKind,
-    /// The services that share the requests; at least one has a weight above zero.
+    /// The services that share the requests; at least one has a weight above zero, unless the route
+    /// serves no request.
     pub backends: Vec<RouteBackend>,
     /// The maximum time from the arrival of a request to its deadline.
     pub timeout: Duration,
@@ -124,6 +125,14 @@
         Ok(())
     }
 
+    /// Adds a route that serves no request, for one whose definition can't be used: requests for it
+    /// must not fall to a route with a shorter prefix.
+    pub fn insert_unserved(&mut self, hostname: String, prefix: String) {
+        let route = RouteSpec::unserved(hostname, prefix);
+        let prefixes = self.by_hostname.entry(route.hostname.clone()).or_default();
+        prefixes.insert(route.prefix.clone(), route);
+    }
+
     /// Returns the route of the host name with the longest matching path prefix.
     ///
     /// `hostname` must be in lower case, and `path` must not contain the query. A prefix matches
@@ -151,6 +160,21 @@
 }
 
 impl RouteSpec {
+    fn unserved(hostname: String, prefix: String) -> Self {
+        Self {
+            hostname,
+            prefix,
+            kind: WorkKind::Unsafe,
+            backends: Vec::new(),
+            timeout: Duration::ZERO,
+            target: Duration::ZERO,
+            event_gap_target: None,
+            run_limit: 0,
+            tier: TierRank::default(),
+            open: false,
+        }
+    }
+
     /// Selects the service of a backend by weight from a random number.
     ///
     /// Every residue of `draw` modulo the sum of the weights maps to one backend, so that a
--- a/kernel/tests/routes.rs
+++ b/kernel/tests/routes.rs
@@ -87,3 +87,13 @@
     };
     assert_eq!(inserted, Err(expected));
 }
+
+// Guards against requests for a route that can't be served which run at that of a shorter prefix.
+#[test]
+fn a_route_that_serves_no_request_hides_shorter_prefixes() {
+    let mut routes = table();
+    routes.insert_unserved("letters.example".to_owned(), "/a/c/".to_owned());
+    let found = routes.find("letters.example", "/a/c/1").expect("a route");
+    assert_eq!(found.prefix, "/a/c/");
+    assert_eq!(found.select_service(7), None);
+}
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -61,6 +61,9 @@
     /// Text that workers know the workspace by; `None` if that is its name.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub label: Option<WorkspaceLabel>,
+    /// Whether requests of the workspace are refused, since its entry could not be read.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub unreadable: bool,
 }
 
 /// Text that workers know a workspace by, which a header can hold unchanged.
@@ -101,7 +104,27 @@
     }
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature is that of serde's attribute"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 impl ServingWorkspace {
+    /// Returns a workspace whose entry could not be read, but for its keys.
+    #[must_use]
+    pub const fn unreadable() -> Self {
+        Self {
+            priority: None,
+            quota: None,
+            unit: QuotaUnit::Requests,
+            label: None,
+            unreadable: true,
+        }
+    }
+
     /// Returns the tier of a request, ordered by the priority of the workspace and then by the tier of
     /// the route.
     #[must_use]
@@ -146,6 +169,9 @@
 pub struct WorkspaceTable {
     workspaces: BTreeMap<WorkspaceName, ServingWorkspace>,
     keys: HashMap<[u8; 32], WorkspaceName>,
+    /// Whether keys could not be read, so that an unknown key may be a valid one.
+    #[serde(default, skip_serializing_if = "is_false")]
+    incomplete: bool,
 }
 
 impl WorkspaceTable {
@@ -170,6 +196,17 @@
         self.workspaces.get_key_value(name)
     }
 
+    /// Records that the keys of a workspace could not be read.
+    pub const fn mark_incomplete(&mut self) {
+        self.incomplete = true;
+    }
+
+    /// Returns whether keys could not be read, so that an unknown key may be a valid one.
+    #[must_use]
+    pub const fn is_incomplete(&self) -> bool {
+        self.incomplete
+    }
+
     /// Iterates over the workspaces in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = (&WorkspaceName, &ServingWorkspace)> {
         self.workspaces.iter()
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -16,6 +16,7 @@
 use super::dialect::TokenUsage;
 use super::document::ServingConfiguration;
 use super::document::WorkspaceLabel;
+use super::document::WorkspaceTable;
 use super::frontend::CallerRequest;
 use super::host::GatewayHost;
 use crate::kernel::ask::Ask;
@@ -35,6 +36,9 @@
 /// Retry-after time of a host that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
+/// Retry-after time of a request whose route or workspace the operators have to correct.
+const UNREADABLE_RETRY: Duration = Duration::from_secs(5);
+
 /// Workspace name in the asks of requests that belong to no workspace.
 const OPEN_WORKSPACE: &str = "open";
 
@@ -302,16 +306,20 @@
     let owner = match &serving.workspaces {
         Some(workspaces) if !route.open => {
             let key = metadata.key.as_deref().ok_or(CallError::UnknownKey)?;
-            Some(workspaces.find_by_key(key).ok_or(CallError::UnknownKey)?)
+            let found = workspaces.find_by_key(key);
+            Some(found.ok_or_else(|| unknown_key_error(workspaces))?)
         }
         _ => None,
     };
+    if owner.is_some_and(|(_, workspace)| workspace.unreadable) {
+        return Err(unreadable_error("the workspace"));
+    }
     // The draw depends only on the attempt identifier, so a replanned request keeps its service as
     // long as the backends of its route do not change.
     let draw = first_u64(blake3::hash(attempt_id.as_bytes()));
     let service = route
         .select_service(draw)
-        .ok_or(CallError::NoRoute)?
+        .ok_or_else(|| unreadable_error("the route"))?
         .clone();
     let tokens = metadata.usage.map(TokenUsage::total);
     let timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -338,6 +346,22 @@
     })
 }
 
+fn unknown_key_error(workspaces: &WorkspaceTable) -> CallError {
+    if workspaces.is_incomplete() {
+        unreadable_error("a workspace that may hold this key")
+    } else {
+        CallError::UnknownKey
+    }
+}
+
+/// Returns the error for a request that is refused because of an entry of the configuration.
+fn unreadable_error(entry: &str) -> CallError {
+    CallError::Refused {
+        reason: format!("the configuration of {entry} can't be read"),
+        retry_after: UNREADABLE_RETRY,
+    }
+}
+
 /// Charges a request to the quota of its workspace, if it has one.
 fn charge_quota(host: &GatewayHost, planned: &PlannedCall) -> Result<(), CallError> {
     let Some(charge) = &planned.charge else {
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -200,9 +200,10 @@
 pub(super) fn answer_lookup(host: &GatewayHost, from: &HostName, stream: StreamKey) {
     let record = host.streams.directory.borrow().find(stream).cloned();
     let message = match record {
-        Some(StreamRecord { version, stage }) if stage == StreamStage::Begun => {
-            LinkMessage::StreamBegun { stream, version }
-        }
+        Some(StreamRecord {
+            version,
+            stage: StreamStage::Begun,
+        }) => LinkMessage::StreamBegun { stream, version },
         record => {
             let version = record.map(|record| record.version);
             LinkMessage::StreamVersion { stream, version }
