Keep the order of the log of streams

Callers would see: streams refused as unknown after a kill of all hosts, when there are more than the log is read or held for: the newest ones are left out in place of the oldest.

Cause: rows were read in the order of their keys, which begin with the random incarnation of their writer, and taken for oldest first. A batch whose write had failed was put behind newer streams, of which the oldest are dropped first.

--- a/kernel/src/stream_log.rs
+++ b/kernel/src/stream_log.rs
@@ -85,13 +85,21 @@
         }
     }
 
-    /// Adds the streams of a batch: those of another host, or of a write that failed.
+    /// Adds the streams of a batch of another host.
     pub fn extend(&mut self, batch: &StreamBatch) {
         for (stream, version) in batch.iter() {
             self.push(stream, version.clone());
         }
     }
 
+    /// Puts the streams of a write that failed back before the newer ones, as far as there is room.
+    pub fn restore(&mut self, batch: &StreamBatch) {
+        let room = MAX_UNSAVED_STREAMS.saturating_sub(self.streams.len());
+        for (stream, version) in batch.iter().take(room) {
+            self.streams.push_front((stream, version.clone()));
+        }
+    }
+
     /// Takes the oldest streams, at most [`MAX_BATCH_STREAMS`].
     pub fn take_batch(&mut self) -> StreamBatch {
         let mut batch = StreamBatch::default();
@@ -162,7 +170,8 @@
 }
 
 impl SavedStreams {
-    /// Replaces the streams by those of the batches that a read at `now` found.
+    /// Replaces the streams by those of the batches that a read at `now` found, in the order in which
+    /// they were written.
     pub fn replace(&mut self, now: ClockTime, batches: &[LoggedBatch]) {
         if self.read_at.is_none() {
             self.began_empty = batches.is_empty();
--- a/kernel/tests/streams.rs
+++ b/kernel/tests/streams.rs
@@ -210,6 +210,34 @@
     assert!(unsaved.take_batch().is_empty());
 }
 
+// Guards against new streams that are dropped in favour of those of a write that failed.
+#[test]
+fn a_batch_that_was_not_written_comes_before_newer_streams() {
+    let mut unsaved = UnsavedStreams::default();
+    unsaved.push(StreamKey(1), version("v1"));
+    let failed = unsaved.take_batch();
+    for number in 2..=20_000 {
+        unsaved.push(StreamKey(number), version("v2"));
+    }
+    unsaved.restore(&failed);
+    let first = unsaved.take_batch();
+    assert!(first.iter().any(|(stream, _)| stream == StreamKey(1)));
+    unsaved.restore(&first);
+    for number in 20_001..=20_004 {
+        unsaved.push(StreamKey(number), version("v2"));
+    }
+    let mut streams = BTreeSet::new();
+    loop {
+        let batch = unsaved.take_batch();
+        if batch.is_empty() {
+            break;
+        }
+        streams.extend(batch.iter().map(|(stream, _)| stream));
+    }
+    assert!(streams.contains(&StreamKey(20_004)));
+    assert_eq!(streams.len(), 20_000);
+}
+
 // Guards against streams that are lost with their hosts although they are in the store.
 #[test]
 fn the_log_tells_the_versions_of_streams() {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -83,7 +83,7 @@
         proposed_key: [u8; 32],
     ) -> LocalBoxFuture<'_, Result<RegistrationOutcome, StoreError>>;
 
-    /// Reads all entries of the log of streams, in the order of their keys.
+    /// Reads all entries of the log of streams, in the order in which they were written.
     fn stream_log(&self) -> LocalBoxFuture<'_, Result<Vec<LogEntry>, StoreError>>;
 
     /// Adds an entry to the log of streams, and removes those with the keys in `expired`.
--- a/src/gateway/stream_log.rs
+++ b/src/gateway/stream_log.rs
@@ -66,11 +66,16 @@
         unsaved.push(stream, version.clone());
     }
 
-    /// Adds streams of another host, or those of a write that failed.
+    /// Adds streams of another host.
     pub(super) fn receive(&self, stage: StreamStage, batch: &StreamBatch) {
         self.unsaved(stage).borrow_mut().extend(batch);
     }
 
+    /// Adds the streams of a write that failed again.
+    fn restore(&self, stage: StreamStage, batch: &StreamBatch) {
+        self.unsaved(stage).borrow_mut().restore(batch);
+    }
+
     const fn unsaved(&self, stage: StreamStage) -> &RefCell<UnsavedStreams> {
         match stage {
             StreamStage::Begun => &self.begun,
@@ -126,7 +131,7 @@
     };
     let sent = host.links.send(writer, message).is_ok();
     if !sent {
-        log.receive(stage, &batch);
+        log.restore(stage, &batch);
     }
     sent
 }
@@ -154,7 +159,7 @@
     log.rows.borrow_mut().push(now, key);
     if appended.is_err() {
         log.rows.borrow_mut().restore(now, expired);
-        log.receive(stage, &batch);
+        log.restore(stage, &batch);
     }
     appended.is_ok()
 }
