Tell the roster of outages in which the configuration is not read

Callers would see: requests refused for want of workers right after an outage of the store (noted by the reviewer, by reading).

Cause: rows of workers may lapse while the store is away, and the roster keeps such workers for 2.2 s after its return, if it was told of the outage. Only a failed read of the workers told it; a failed read of the configuration, which comes first, did not.

Change: a read of the configuration that is rejected or gets no answer counts as an outage too. An answer that can't be read does not: the store serves.

Evidence: state::a_worker_whose_row_lapsed_in_an_outage_is_kept_for_a_while failed before (503), and passes now.

--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -37,6 +37,14 @@
     },
 }
 
+impl StoreError {
+    /// Returns whether the store did not serve the call, so that entries may lapse meanwhile.
+    #[must_use]
+    pub const fn is_outage(&self) -> bool {
+        matches!(self, Self::Rejected { .. } | Self::Unreachable { .. })
+    }
+}
+
 /// An entry of a log that hosts keep in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogEntry {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -352,6 +352,9 @@
     ) -> Result<bool, StoreError> {
         let read = self.store.configuration(self.configuration, wait).await;
         self.count_call("configuration", read.is_ok());
+        if read.as_ref().is_err_and(StoreError::is_outage) {
+            self.host.state.roster.borrow_mut().store_unavailable();
+        }
         self.configuration = next_revision(&read, |reading| reading.revision, self.configuration);
         let configuration = read?.configuration;
         let changed =
