Stop on SIGTERM while a host can't register

Cause: the registration was awaited without looking at the signal, whose handler was installed before.

Change: the signal ends the start. Nothing was accepted yet, so there is nothing to wait for.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -166,7 +166,13 @@
     let incarnation: u64 = rand::rng().random();
     let state = Rc::new(GatewayState::new(&settings, incarnation));
     let pending_host = PendingHost::default();
-    let registration = register_host(&settings, &platform, &log).await;
+    let registration = tokio::select! {
+        registration = register_host(&settings, &platform, &log) => registration,
+        _ = terminate.recv() => {
+            log_event!(log, LogEvent::StopFinished);
+            return Ok(());
+        }
+    };
     let links = start_links(
         &settings,
         incarnation,
