Hold a long body once

Cause: a body of 4 MB was collected in a buffer that doubles, and copied once more behind the head of the request for each dispatch, where it stayed until the answer began.

Ruled out: a leak (the peak falls with the number of callers).

Change: a body of stated length is read into a buffer of that size, whose memory is used only as bytes arrive, and a body of more than 16 KiB is written to the worker from where it was read. A short one is still copied, so that one write sends the whole request.

Conclusion: this is not the bound that the issue "A host's memory is bounded" asks for: more callers, or bodies in chunks, still use up any host.

--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use actix_codec::Decoder;
+use actix_http::HttpMessage;
 use actix_http::Request;
 use actix_http::StatusCode;
 use actix_http::error::ParseError;
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
 use actix_http::h1::MessageType;
+use actix_http::header;
 use bytes::Bytes;
 use bytes::BytesMut;
 use thiserror::Error;
@@ -173,7 +175,9 @@
         let body = match self.codec.message_type() {
             MessageType::None => Bytes::new(),
             MessageType::Payload | MessageType::Stream => {
-                self.read_body(limits.body_bytes, limits.idle_time).await?
+                let length = stated_length(&head).unwrap_or_default();
+                self.read_body(length, limits.body_bytes, limits.idle_time)
+                    .await?
             }
         };
         Ok(CallerRequest { head, body })
@@ -196,8 +200,15 @@
         }
     }
 
-    async fn read_body(&mut self, limit: usize, idle: Duration) -> Result<Bytes, ReadError> {
-        let mut body = BytesMut::new();
+    /// Reads a body of the stated length, 0 if none is stated.
+    async fn read_body(
+        &mut self,
+        length: usize,
+        limit: usize,
+        idle: Duration,
+    ) -> Result<Bytes, ReadError> {
+        // Memory is used only as the body arrives. A buffer that grows would use up to twice of it.
+        let mut body = BytesMut::with_capacity(length.min(limit));
         loop {
             match self.codec.decode(&mut self.received) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
@@ -268,6 +279,12 @@
     }
 }
 
+/// Returns the length of the body that the head states, if it does.
+fn stated_length(head: &Request) -> Option<usize> {
+    let value = head.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Waits until the caller disconnects; bytes of the next request are buffered meanwhile.
 ///
 /// Once [`MAX_READ_AHEAD_BYTES`] are buffered, reading stops and only the close is awaited.
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -24,6 +24,7 @@
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
+use bytes::buf::Chain;
 use http::Uri;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
@@ -36,6 +37,9 @@
 /// Free space reserved in the receive buffer before each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
+/// Length up to which a body is copied behind the head of its request, in bytes.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
 /// Failure after a request was dispatched; the request may have run.
 #[derive(Debug, Error)]
 pub enum AnswerError {
@@ -126,8 +130,8 @@
     tunnel: Option<ConnectionTunnel>,
     config: ServiceConfig,
     received: BytesMut,
-    /// The rest of the request that has not been written yet.
-    unsent: Bytes,
+    /// The rest of the request that has not been written yet: of its head, and of its body.
+    unsent: Chain<Bytes, Bytes>,
     was_used: bool,
     /// Whether a request was sent whose answer has not been read to its end.
     awaits_answer: bool,
@@ -157,7 +161,7 @@
             tunnel,
             config,
             received: BytesMut::new(),
-            unsent: Bytes::new(),
+            unsent: Bytes::new().chain(Bytes::new()),
             was_used: false,
             awaits_answer: false,
         }
@@ -196,7 +200,7 @@
     pub async fn exchange(mut self, request: WorkerRequest) -> Result<WorkerAnswer, AnswerError> {
         let mut codec = ClientCodec::new(self.config.clone());
         let to_head_request = request.method == Method::HEAD;
-        self.unsent = encode_request(&mut codec, request)?.freeze();
+        self.unsent = encode_request(&mut codec, request)?;
         self.awaits_answer = true;
         self.was_used = true;
         let head = self.read_head(&mut codec).await?;
@@ -205,9 +209,9 @@
         } else {
             framing_of(&codec, &head)
         };
-        self.awaits_answer = framing != AnswerFraming::Empty || !self.unsent.is_empty();
+        self.awaits_answer = framing != AnswerFraming::Empty || self.unsent.has_remaining();
         let further_use = match codec.keep_alive() && keeps_open(&head, framing) {
-            true if self.unsent.is_empty() => FurtherUse::Requests,
+            true if !self.unsent.has_remaining() => FurtherUse::Requests,
             true => FurtherUse::Answers,
             false => FurtherUse::None,
         };
@@ -229,14 +233,14 @@
             if let Some(head) = codec.decode(&mut self.received)? {
                 return Ok(head);
             }
-            if self.unsent.is_empty() {
+            if !self.unsent.has_remaining() {
                 self.read_more().await?;
                 continue;
             }
             tokio::select! {
                 written = self.stream.writable() => {
                     written?;
-                    match self.stream.try_write(&self.unsent) {
+                    match self.stream.try_write(self.unsent.chunk()) {
                         Ok(count) => self.unsent.advance(count),
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
                         Err(error) => return Err(error.into()),
@@ -265,7 +269,12 @@
     }
 }
 
-fn encode_request(codec: &mut ClientCodec, request: WorkerRequest) -> io::Result<BytesMut> {
+/// Returns the bytes of a request. A long body is not copied; a short one is, so that one write sends
+/// the whole request.
+fn encode_request(
+    codec: &mut ClientCodec,
+    request: WorkerRequest,
+) -> io::Result<Chain<Bytes, Bytes>> {
     let mut head = RequestHead::default();
     head.method = request.method;
     head.uri = request.target;
@@ -278,8 +287,11 @@
     let mut out = BytesMut::new();
     let head = RequestHeadType::Owned(head);
     codec.encode(Message::Item((head, size)), &mut out)?;
+    if request.body.len() > MAX_COPIED_BYTES {
+        return Ok(out.freeze().chain(request.body));
+    }
     out.extend_from_slice(&request.body);
-    Ok(out)
+    Ok(out.freeze().chain(Bytes::new()))
 }
 
 /// Returns the framing of an answer's body, from its head as decoded by the codec.
@@ -444,8 +456,8 @@
         } else {
             framing_of(&codec, &head)
         };
-        let is_sent = self.connection.unsent.is_empty();
-        self.connection.awaits_answer = framing != AnswerFraming::Empty || !is_sent;
+        let is_unsent = self.connection.unsent.has_remaining();
+        self.connection.awaits_answer = framing != AnswerFraming::Empty || is_unsent;
         // After one surplus answer, another may follow, so the connection gets no further request.
         let further_use = if keeps_open(&head, framing) {
             FurtherUse::Answers
