End a stream without framing only if its worker is still there

Cause: a stream with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that has ended in order. The host looked whether the worker was still there, but only after it had passed the end on, and only to find parts of prompts that crash workers.

Ruled out: events lost in the host.

Change: before the end of such a stream is passed on, the worker must keep a new connection open for 200 ms. If it accepts none, the stream counts as broken off and is resumed, or ends as incomplete.

Conclusion: other answers without framing are passed on as before; 200 ms would make most of them late.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -107,6 +107,21 @@
     }
 }
 
+/// Returns whether the worker of an answer has ended, so that the end of its connection does not show
+/// that the answer is complete.
+pub(super) async fn has_ended(host: &Rc<GatewayHost>, evidence: &DispatchEvidence) -> bool {
+    match check_worker(host, evidence).await {
+        WorkerCheck::Alive(connection) => {
+            let now = host.clock.now();
+            host.pool.put(now, &evidence.worker, connection, None);
+            false
+        }
+        WorkerCheck::Ended(_) => true,
+        // A worker that has no room for further connections closes them, too.
+        WorkerCheck::Unclear => false,
+    }
+}
+
 /// What a host finds out about a worker after the end of an answer.
 enum WorkerCheck {
     /// The worker keeps a new connection open.
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -6,11 +6,13 @@
 use actix_http::StatusCode;
 
 use super::caller::CallerWriter;
+use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
 use super::dialect::DispatchMetadata;
 use super::exchange::CallExchange;
 use super::exchange::ExchangeError;
 use super::plan::CallError;
+use super::relay::AnsweringWorker;
 use super::relay::RelayEnd;
 use super::worker::AnswerError;
 use super::worker::WorkerAnswer;
@@ -83,11 +85,12 @@
         &mut self,
         connection: WorkerConnection,
         request: WorkerRequest,
-        worker: &WorkerName,
+        evidence: &DispatchEvidence,
         lease: &mut SlotLease,
         dispatched_at: ClockTime,
         caller: &mut CallerWriter<'_>,
     ) -> Result<DispatchEnd, ExchangeError> {
+        let worker = &evidence.worker;
         let time_left = self.planned.deadline.since(dispatched_at) + ANSWER_GRACE;
         let limit = tokio::time::Instant::now() + time_left;
         let answering = self.matching_answer(connection, request);
@@ -152,7 +155,13 @@
         }
         let status = answer.head().status;
         let time_to_head = self.host.clock.now().since(dispatched_at);
-        let relaying = self.relay.relay_answer(answer, caller, lease, time_to_head);
+        let answering = AnsweringWorker {
+            host: self.host,
+            evidence,
+        };
+        let relaying = self
+            .relay
+            .relay_answer(answer, caller, lease, time_to_head, &answering);
         match tokio::time::timeout_at(limit, relaying).await {
             Ok(RelayEnd::Complete(answer)) => {
                 self.return_to_pool(worker, *answer, &metadata).await;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -249,7 +249,7 @@
             .send_and_relay(
                 connection,
                 request,
-                &worker,
+                &evidence,
                 &mut lease,
                 dispatched_at,
                 caller,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 //! nothing is sent to the caller if the worker fails early.
 
 use std::fmt;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,9 @@
 use tokio::time::Instant;
 
 use super::caller::CallerWriter;
+use super::crash;
+use super::crash::DispatchEvidence;
+use super::host::GatewayHost;
 use super::worker::AnswerError;
 use super::worker::AnswerFraming;
 use super::worker::WorkerAnswer;
@@ -26,6 +30,13 @@
 /// Time after its first event from which an answer is past its beginning.
 const ESTABLISHED_TIME: Duration = Duration::from_secs(1);
 
+/// The worker that writes an answer, as the host knows it from the dispatch.
+#[derive(Debug)]
+pub(super) struct AnsweringWorker<'a> {
+    pub(super) host: &'a Rc<GatewayHost>,
+    pub(super) evidence: &'a DispatchEvidence,
+}
+
 /// A function that is called before the first event of an answer is relayed.
 pub(super) struct FirstEventReport(Box<dyn FnOnce()>);
 
@@ -212,17 +223,19 @@
     /// Relays an answer to its end.
     ///
     /// `time_to_head` is the time from the dispatch until the head of the answer was read.
-    pub async fn relay_answer(
+    pub(super) async fn relay_answer(
         &mut self,
         answer: WorkerAnswer,
         caller: &mut CallerWriter<'_>,
         lease: &mut SlotLease,
         time_to_head: Duration,
+        worker: &AnsweringWorker<'_>,
     ) -> RelayEnd {
         self.framing = Some(answer.framing());
         let success = answer.head().status.is_success();
         let relayed = if success && self.kind.is_stream() {
-            self.relay_events(answer, caller, lease, time_to_head).await
+            self.relay_events(answer, caller, lease, time_to_head, worker)
+                .await
         } else {
             relay_buffered(answer, caller).await
         };
@@ -231,14 +244,16 @@
 
     /// Relays complete events as they arrive, and the bytes between events at the end of the stream.
     ///
-    /// The stream is truncated if it ends inside an event. If it ends with its connection, only a
-    /// complete event before the end shows that the worker did not fail at the start.
+    /// The stream is truncated if it ends inside an event. If it ends with its connection, a complete
+    /// event before the end shows that the worker did not fail at the start, and the worker is asked for
+    /// another connection, since the kernel closes those of a process that has ended in the same way.
     async fn relay_events(
         &mut self,
         mut answer: WorkerAnswer,
         caller: &mut CallerWriter<'_>,
         lease: &mut SlotLease,
         time_to_head: Duration,
+        worker: &AnsweringWorker<'_>,
     ) -> Result<RelayEnd, RelayEnd> {
         let head_at = Instant::now();
         let mut has_event = false;
@@ -276,8 +291,13 @@
         if self.events.is_within_event() {
             return Err(AnswerError::WithinEvent.into());
         }
-        if answer.framing() == AnswerFraming::UntilClose && !has_event {
-            return Err(AnswerError::NoEvent.into());
+        if answer.framing() == AnswerFraming::UntilClose {
+            if !has_event {
+                return Err(AnswerError::NoEvent.into());
+            }
+            if crash::has_ended(worker.host, worker.evidence).await {
+                return Err(AnswerError::WorkerEnded.into());
+            }
         }
         self.relay_stream_head(&answer, caller).await?;
         let rest = self.events.take_rest();
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -55,6 +55,9 @@
     /// The answer stated no length and ended with its connection before its first event.
     #[error("the worker closed the connection before the first event")]
     NoEvent,
+    /// The answer stated no length and ended with its connection, as did its worker.
+    #[error("the worker ended with the connection")]
+    WorkerEnded,
     /// An event of the stream is longer than the host buffers.
     #[error("an event of the stream is too long")]
     EventTooLong,
