Split the modules of workers' connections, call errors and messages of other hosts

What a worker answers is in worker/answer.rs, the errors of calls in call_error.rs, and the dispatch of messages of other hosts in messages.rs. The answer's framing and further use are now found where the answer is made (WorkerAnswer::first); nothing else changed.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -7,11 +7,11 @@
 
 use tokio::time::Instant;
 
+use super::call_error::CallError;
 use super::connector::ConnectError;
 use super::exchange::CallExchange;
 use super::frontend::CallerRequest;
 use super::host::GatewayHost;
-use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::plan::first_u64;
 use super::relay::BeginReport;
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -5,13 +5,13 @@
 use actix_http::HttpMessage;
 use actix_http::StatusCode;
 
+use super::call_error::CallError;
 use super::caller::CallerWriter;
 use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
 use super::dialect::DispatchMetadata;
 use super::exchange::CallExchange;
 use super::exchange::ExchangeError;
-use super::plan::CallError;
 use super::relay::AnsweringWorker;
 use super::relay::RelayEnd;
 use super::worker::AnswerError;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use super::call_error::CallError;
 use super::caller::CallerWriter;
 use super::crash::DispatchEvidence;
 use super::delivery::DispatchEnd;
@@ -16,7 +17,6 @@
 use super::frontend::CallerRequest;
 use super::host::GatewayHost;
 use super::plan;
-use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
 use super::relay::FirstEventReport;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! registered workers, and of [`GatewayDialect`], which reads and writes the headers of callers and
 //! workers. Scheduling decisions are made by the kernel crate.
 
+mod call_error;
 mod caller;
 mod connector;
 mod crash;
@@ -16,6 +17,7 @@
 mod exchange;
 mod frontend;
 mod host;
+mod messages;
 mod metering;
 mod plan;
 mod pool;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::frontend;
 use super::host::GatewayHost;
 use super::host::GatewayParts;
+use super::messages;
 use super::metering;
 use super::readiness;
 use super::settings::GatewaySettings;
@@ -27,7 +28,6 @@
 use super::state::GatewayState;
 use super::store::FleetStore;
 use super::stream_log;
-use super::streams;
 use super::sync;
 use super::tunnel;
 use crate::activity::record_activity;
@@ -38,8 +38,6 @@
 use crate::kernel::broker::SuspectPlacement;
 use crate::kernel::name::HostName;
 use crate::kernel::policy::FIRST_TOKEN_POLICY;
-use crate::kernel::stream::StreamRecord;
-use crate::kernel::stream::StreamStage;
 use crate::link::LinkSet;
 use crate::link::LinkSettings;
 use crate::link::SharedKey;
@@ -254,40 +252,12 @@
     let pending_host = Rc::clone(pending_host);
     let receive = Rc::new(move |from: &HostName, message: LinkMessage| {
         if let Some(host) = pending_host.get() {
-            handle_message(host, from, message);
+            messages::handle(host, from, message);
         }
     });
     Ok(LinkSet::start(link_settings, log, receive).await?)
 }
 
-fn handle_message(host: &Rc<GatewayHost>, from: &HostName, message: LinkMessage) {
-    host.members.receive(from, &message);
-    match message {
-        LinkMessage::CrashedParts(reports) => host.crashes.merge(&reports),
-        LinkMessage::SoundParts(parts) => host.crashes.clear(Duration::ZERO, &parts),
-        LinkMessage::SoundAnswer { age, parts } => host.crashes.clear(age, &parts),
-        LinkMessage::Usage(report) => host.record_peer_usage(from, &report),
-        LinkMessage::UsageSum(sum) => host.record_usage_sum(from, &sum),
-        LinkMessage::StateWanted(poll) => sync::record_poll(host, from, poll),
-        LinkMessage::State(update) => sync::receive_update(host, from, *update),
-        LinkMessage::StreamBegun { stream, version } => {
-            streams::receive_record(host, stream, Some(StreamRecord::begun(version)));
-        }
-        LinkMessage::StreamVersion { stream, version } => {
-            let record = version.map(StreamRecord::dispatched);
-            streams::receive_record(host, stream, record);
-        }
-        LinkMessage::BegunStreams(batch) => {
-            host.streams.log.receive(StreamStage::Begun, &batch);
-        }
-        LinkMessage::StreamRecords(batch) => {
-            host.streams.log.receive(StreamStage::Dispatched, &batch);
-        }
-        LinkMessage::StreamWanted(stream) => streams::answer_lookup(host, from, stream),
-        other => host.cells.receive(from, other),
-    }
-}
-
 fn start_parts(
     settings: GatewaySettings,
     platform: &GatewayPlatform,
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -4,11 +4,11 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use super::call_error::CallError;
 use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
 use super::host::GatewayHost;
 use super::metering;
-use super::plan::CallError;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
 use super::streams::OriginEvidence;
--- /dev/null
+++ b/src/gateway/worker/mod.rs
@@ -0,0 +1,221 @@
+//! HTTP/1.1 connections to workers, without pipelining.
+
+mod answer;
+
+use std::io;
+
+use actix_codec::Decoder;
+use actix_codec::Encoder;
+use actix_http::Method;
+use actix_http::RequestHead;
+use actix_http::RequestHeadType;
+use actix_http::ResponseHead;
+use actix_http::ServiceConfig;
+use actix_http::Version;
+use actix_http::body::BodySize;
+use actix_http::h1::ClientCodec;
+use actix_http::h1::Message;
+use actix_http::header;
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use bytes::buf::Chain;
+use http::Uri;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+pub use self::answer::AnswerError;
+pub use self::answer::AnswerFraming;
+pub use self::answer::WorkerAnswer;
+use crate::kernel::clock::ClockTime;
+use crate::kernel::name::HostName;
+use crate::probe::ReceiveState;
+
+/// Free space reserved in the receive buffer before each read, in bytes.
+const READ_BYTES: usize = 4 << 10;
+
+/// Length up to which a body is copied behind the head of its request, in bytes.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
+/// A request in the form in which it is sent to a worker.
+#[derive(Debug)]
+pub struct WorkerRequest {
+    /// The method.
+    pub method: Method,
+    /// The path and the query string.
+    pub target: Uri,
+    /// The headers.
+    pub headers: header::HeaderMap,
+    /// The complete body.
+    pub body: Bytes,
+}
+
+/// The way of a connection that another host opened for this one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConnectionTunnel {
+    /// The other host.
+    pub host: HostName,
+    /// The time at which the connection was opened.
+    pub opened_at: ClockTime,
+}
+
+/// The number of a connection among those that a host has opened to workers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionNumber(pub u64);
+
+/// An open connection to a worker.
+///
+/// If it is dropped between a request and the end of the answer, the connection is reset. A plain
+/// close would still deliver what the kernel has not sent yet, and the worker would run it.
+#[derive(Debug)]
+pub struct WorkerConnection {
+    number: ConnectionNumber,
+    stream: TcpStream,
+    /// The tunnel that carries the connection; `None` if it is direct.
+    tunnel: Option<ConnectionTunnel>,
+    config: ServiceConfig,
+    received: BytesMut,
+    /// The rest of the request that has not been written yet: of its head, and of its body.
+    unsent: Chain<Bytes, Bytes>,
+    was_used: bool,
+    /// Whether a request was sent whose answer has not been read to its end.
+    awaits_answer: bool,
+}
+
+impl Drop for WorkerConnection {
+    fn drop(&mut self) {
+        if self.awaits_answer {
+            // If the option can't be set, the connection is closed as usual.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
+impl WorkerConnection {
+    /// Wraps a connection on which nothing has been sent yet.
+    #[must_use]
+    pub fn new(
+        number: ConnectionNumber,
+        stream: TcpStream,
+        tunnel: Option<ConnectionTunnel>,
+        config: ServiceConfig,
+    ) -> Self {
+        Self {
+            number,
+            stream,
+            tunnel,
+            config,
+            received: BytesMut::new(),
+            unsent: Bytes::new().chain(Bytes::new()),
+            was_used: false,
+            awaits_answer: false,
+        }
+    }
+
+    /// Returns the number of the connection.
+    #[must_use]
+    pub const fn number(&self) -> ConnectionNumber {
+        self.number
+    }
+
+    /// Returns the tunnel that carries the connection; `None` if it is direct.
+    #[must_use]
+    pub const fn tunnel(&self) -> Option<&ConnectionTunnel> {
+        self.tunnel.as_ref()
+    }
+
+    /// Returns whether a request was sent on the connection.
+    #[must_use]
+    pub const fn was_used(&self) -> bool {
+        self.was_used
+    }
+
+    /// Returns whether the connection is open and holds no unread bytes.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.received.is_empty() && ReceiveState::of(&self.stream) == ReceiveState::Quiet
+    }
+
+    /// Sends a request and reads the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails or the received head is not valid. The worker may
+    /// have run the request nevertheless.
+    pub async fn exchange(mut self, request: WorkerRequest) -> Result<WorkerAnswer, AnswerError> {
+        let mut codec = ClientCodec::new(self.config.clone());
+        let to_head_request = request.method == Method::HEAD;
+        self.unsent = encode_request(&mut codec, request)?;
+        self.awaits_answer = true;
+        self.was_used = true;
+        let head = self.read_head(&mut codec).await?;
+        Ok(WorkerAnswer::first(self, codec, head, to_head_request))
+    }
+
+    /// Reads the head of an answer, and writes what is left of the request meanwhile: a worker may
+    /// answer before it has read the whole request.
+    async fn read_head(&mut self, codec: &mut ClientCodec) -> Result<ResponseHead, AnswerError> {
+        loop {
+            if let Some(head) = codec.decode(&mut self.received)? {
+                return Ok(head);
+            }
+            if !self.unsent.has_remaining() {
+                self.read_more().await?;
+                continue;
+            }
+            tokio::select! {
+                written = self.stream.writable() => {
+                    written?;
+                    match self.stream.try_write(self.unsent.chunk()) {
+                        Ok(count) => self.unsent.advance(count),
+                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
+                        Err(error) => return Err(error.into()),
+                    }
+                }
+                readable = self.stream.readable() => {
+                    readable?;
+                    self.received.reserve(READ_BYTES);
+                    match self.stream.try_read_buf(&mut self.received) {
+                        Ok(0) => return Err(AnswerError::Closed),
+                        Ok(_) => (),
+                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
+                        Err(error) => return Err(error.into()),
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_more(&mut self) -> Result<(), AnswerError> {
+        self.received.reserve(READ_BYTES);
+        match self.stream.read_buf(&mut self.received).await? {
+            0 => Err(AnswerError::Closed),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Returns the bytes of a request. A long body is not copied; a short one is, so that one write sends
+/// the whole request.
+fn encode_request(
+    codec: &mut ClientCodec,
+    request: WorkerRequest,
+) -> io::Result<Chain<Bytes, Bytes>> {
+    let mut head = RequestHead::default();
+    head.method = request.method;
+    head.uri = request.target;
+    head.version = Version::HTTP_11;
+    head.headers = request.headers;
+    let size = match request.body.len() {
+        0 if matches!(head.method, Method::GET | Method::HEAD) => BodySize::None,
+        length => BodySize::Sized(length as u64),
+    };
+    let mut out = BytesMut::new();
+    let head = RequestHeadType::Owned(head);
+    codec.encode(Message::Item((head, size)), &mut out)?;
+    if request.body.len() > MAX_COPIED_BYTES {
+        return Ok(out.freeze().chain(request.body));
+    }
+    out.extend_from_slice(&request.body);
+    Ok(out.freeze().chain(Bytes::new()))
+}
