--- a/src/gateway/stream_log.rs
+++ b/src/gateway/stream_log.rs
@@ -71,7 +71,7 @@
         self.unsaved(stage).borrow_mut().extend(batch);
     }
 
-    /// Adds the streams of a write that failed again.
+    /// Puts the streams of a write that failed back.
     fn restore(&self, stage: StreamStage, batch: &StreamBatch) {
         self.unsaved(stage).borrow_mut().restore(batch);
     }
