--- a/src/event.rs
+++ b/src/event.rs
@@ -94,7 +94,7 @@
     403 Warning ChangeLacking "change-lacking" "A change is recorded, but some data centres or hosts have not confirmed it.";
     404 Warning ChangeRefused "change-refused" "An operator's change was refused.";
     405 Error ConfigurationInvalid "configuration-invalid" "The configuration in the platform's table, or the answer to its read, is not valid.";
-    406 Error ConfigurationEntryUnusable "configuration-entry-unusable" "An entry of the operators' configuration can't be read: its requests are refused and all other entries are in force.";
+    406 Error ConfigurationEntryUnusable "configuration-entry-unusable" "An entry of the operators' configuration can't be read; a route or workspace is refused, a service counts as plain, limits are the defaults, and all other entries are in force.";
     410 Warning OperatorRejected "operator-rejected" "A command had no valid operator token.";
     500 Debug RequestPlaced "request-placed" "A request was read and placed in a tier.";
     501 Debug RequestGranted "request-granted" "A request was granted a slot on a worker.";
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -207,7 +207,7 @@
         limit: usize,
         idle: Duration,
     ) -> Result<Bytes, ReadError> {
-        // Memory is used only as the body arrives. A buffer that grows would use up to twice of it.
+        // A growing buffer would take up to twice the length; reserved memory is used only when written.
         let mut body = BytesMut::with_capacity(length.min(limit));
         loop {
             match self.codec.decode(&mut self.received) {
