Log which connection carries each dispatch, and what each rejection and surplus answer states

Cause: a refusal that wrongly says "not run" can't be traced: request-sent names no connection, request-turned-away neither status nor connection nor whether the answer named the attempt, and skipped answers leave no line.

Ruled out: a metric. A host can't tell a true statement from a false one; only the lines of one attempt beside the log of its worker can.

No change of logic.

--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -122,7 +122,8 @@
             lease.tolerance_named(tolerance);
         }
         if metadata.not_run {
-            self.trace.turned_away(worker, &metadata);
+            let status = answer.head().status;
+            self.trace.turned_away(worker, status, &metadata);
             self.return_to_pool(worker, answer, &metadata).await;
             let rest = metadata.rest.unwrap_or_default();
             return Ok(DispatchEnd::NotRun { rest });
@@ -204,6 +205,7 @@
             if is_own {
                 return Ok((answer, metadata));
             }
+            self.trace.answer_skipped(head.status, &metadata);
             may_be_anonymous = false;
             answer = answer.next_answer().await?;
         }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -200,6 +200,7 @@
             number: self.dispatches.count(),
             choice: &choice,
             resume_after: self.relay.last_event_id(),
+            connection: connection.number(),
             reused: is_reused,
             tunnel: connection.tunnel(),
             dispatched_at: now,
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -4,6 +4,8 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use actix_http::StatusCode;
+
 use super::call_error::CallError;
 use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
@@ -14,6 +16,7 @@
 use super::streams::OriginEvidence;
 use super::worker::AnswerError;
 use super::worker::AnswerFraming;
+use super::worker::ConnectionNumber;
 use super::worker::ConnectionTunnel;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
@@ -36,10 +39,20 @@
     arrival: ClockTime,
     labels: OnceCell<RequestLabels>,
     /// The last dispatch; `None` before the first.
-    last_dispatch: RefCell<Option<(WorkerName, ClockTime)>>,
+    last_dispatch: RefCell<Option<LoggedDispatch>>,
     ended: bool,
 }
 
+/// What later lines say of a dispatch.
+#[derive(Clone, Debug)]
+struct LoggedDispatch {
+    worker: WorkerName,
+    connection: ConnectionNumber,
+    /// The number of the dispatch, from one.
+    number: u32,
+    sent_at: ClockTime,
+}
+
 /// A dispatch to a worker.
 #[derive(Debug)]
 pub(super) struct SentCall<'a> {
@@ -54,6 +67,8 @@
     pub choice: &'a str,
     /// Identifier of the last event that was relayed to the caller before the dispatch.
     pub resume_after: Option<u64>,
+    /// The connection that carries the dispatch.
+    pub connection: ConnectionNumber,
     /// Whether the connection was taken from the pool.
     pub reused: bool,
     /// The tunnel that carries the connection; `None` if it is direct.
@@ -107,6 +122,7 @@
                     "status" => error.status().as_u16(),
                     "reason" => error.to_string(),
                     "retry_after_ms" => error.retry_after().map(millis),
+                    "attempts" => self.dispatch_count(),
                     "total_us" => micros(self.host.clock.now().since(self.arrival)),
                     "version" => self.host.latest_configuration().map(|newest| newest.version),
                 )
@@ -160,8 +176,12 @@
 
     /// Logs that the request is sent to a worker, and records its wait.
     pub(super) fn sent(&self, planned: &PlannedCall, call: &SentCall<'_>) {
-        let dispatch = (call.worker.clone(), call.dispatched_at);
-        *self.last_dispatch.borrow_mut() = Some(dispatch);
+        *self.last_dispatch.borrow_mut() = Some(LoggedDispatch {
+            worker: call.worker.clone(),
+            connection: call.connection,
+            number: call.number,
+            sent_at: call.dispatched_at,
+        });
         if let Some(labels) = self.labels.get() {
             let waited = call.dispatched_at.since(self.arrival);
             self.host.metrics.request_granted(labels, waited);
@@ -175,6 +195,7 @@
             "resume_after" => call.resume_after.or(planned.metadata.resume_after),
             "attempt" => call.number,
             "choice" => call.choice.to_owned(),
+            "connection" => call.connection.0,
             "kept" => call.reused,
             "via" => call.tunnel.map(|tunnel| tunnel.host.as_str()),
             "tier" => planned.tier.0,
@@ -195,14 +216,45 @@
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(), "rate" => rate);
     }
 
+    /// Returns the number of dispatches so far.
+    fn dispatch_count(&self) -> u32 {
+        let dispatch = self.last_dispatch.borrow();
+        dispatch.as_ref().map_or(0, |dispatch| dispatch.number)
+    }
+
+    /// Returns the number of the connection that carried the last dispatch; `None` before the first.
+    fn connection(&self) -> Option<u64> {
+        let dispatch = self.last_dispatch.borrow();
+        dispatch.as_ref().map(|dispatch| dispatch.connection.0)
+    }
+
     /// Logs that a worker turned the request away without running it.
-    pub(super) fn turned_away(&self, worker: &WorkerName, answer: &AnswerMetadata) {
+    pub(super) fn turned_away(
+        &self,
+        worker: &WorkerName,
+        status: StatusCode,
+        answer: &AnswerMetadata,
+    ) {
         log_event!(self.host.log, LogEvent::RequestTurnedAway,
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
+            "connection" => self.connection(),
+            "status" => status.as_u16(),
+            "identified" => answer.attempt_id.is_some(),
             "rest_ms" => answer.rest.map(millis),
             "tolerated" => answer.tolerance.map(|tolerance| tolerance.0));
     }
 
+    /// Logs that an answer was skipped which can't be the one to the last dispatch.
+    pub(super) fn answer_skipped(&self, status: StatusCode, answer: &AnswerMetadata) {
+        let dispatch = self.last_dispatch.borrow();
+        let worker = dispatch.as_ref().map(|dispatch| dispatch.worker.as_str());
+        log_event!(self.host.log, LogEvent::AnswerSkipped,
+            "request" => self.attempt_id.clone(), "worker" => worker,
+            "connection" => self.connection(),
+            "status" => status.as_u16(),
+            "answers" => answer.attempt_id.clone());
+    }
+
     /// Logs that a granted slot was not used.
     pub(super) fn slot_unused(&self, worker: &WorkerName, reason: &dyn std::error::Error) {
         log_event!(self.host.log, LogEvent::SlotUnused,
@@ -224,6 +276,7 @@
         }
         log_event!(self.host.log, LogEvent::WorkerFailed,
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
+            "connection" => self.connection(),
             "reason" => reason.to_string(),
             "cause" => lost.map(ToString::to_string));
     }
@@ -252,6 +305,7 @@
         log_event!(self.host.log, LogEvent::RequestAnswered,
             "request" => self.attempt_id.clone(),
             "worker" => worker.as_str(),
+            "connection" => self.connection(),
             "tier" => planned.tier.0,
             "prompt_tokens" => usage.map_or(0, |usage| usage.prompt),
             "most_tokens" => usage.map_or(0, |usage| usage.answer),
@@ -276,8 +330,8 @@
             let dispatch = dispatch.as_ref();
             log_event!(self.host.log, LogEvent::CallerLeft,
                 "request" => self.attempt_id.clone(),
-                "worker" => dispatch.map(|(worker, _)| worker.to_string()),
-                "sent_us" => dispatch.map(|(_, at)| micros(now.since(*at))),
+                "worker" => dispatch.map(|dispatch| dispatch.worker.to_string()),
+                "sent_us" => dispatch.map(|dispatch| micros(now.since(dispatch.sent_at))),
                 "total_us" => micros(now.since(self.arrival)));
         }
     }
