Check each further dispatch against the route to which the request belongs then

Callers saw, on stubs: a request to a route whose requests run at most once ran twice (TWICE). Whether that is what the users saw is only suspected; they did not say which configurations were sent.

Cause: the permit for a further dispatch is given by the plan of the failed one. The request is planned again before it is dispatched, for its service, key and deadline, but nothing asked whether the route that it belongs to now allows a further run: a type that was changed, a route that was split off, a stream that may no longer be resumed, fewer runs. The class: a right that is used later than the facts that gave it.

Ruled out: waiting is not needed. The change can come while the first dispatch runs.

Change: the tally of dispatches takes the limits of the route at each dispatch and refuses one that they don't allow; the request ends as unknown (502), a stream is broken off. The daemon dispatches a request once, so it has no such case (by reading: src/execution.rs, src/relay).

--- a/kernel/src/attempt.rs
+++ b/kernel/src/attempt.rs
@@ -2,10 +2,13 @@
 //!
 //! A [`RetryPermit`] for a further dispatch requires either a [`Retryable`], which only work that
 //! may run more than once provides, or a [`NotRunProof`], the statement of a worker that it did not
-//! run the request. The types make any other second dispatch impossible to express.
+//! run the request. The types make any other second dispatch impossible to express. As the
+//! configuration can change after a permit was given, [`DispatchTally::record_dispatch`] checks each
+//! dispatch against the route to which the request belongs then.
 
 use serde::Deserialize;
 use serde::Serialize;
+use thiserror::Error;
 
 /// The kind of work of a request, which determines whether it may be retried.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -58,25 +61,52 @@
 #[derive(Debug, Eq, PartialEq)]
 pub struct RetryPermit(());
 
+/// What a route allows of repeats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RepeatLimits {
+    /// The kind of work.
+    pub kind: WorkKind,
+    /// The maximum number of runs of one request.
+    pub max_runs: u32,
+}
+
+impl RepeatLimits {
+    /// Returns the right to a further run after `runs` runs, or `None` if the limits allow none.
+    const fn retryable_after(self, runs: u32) -> Option<Retryable> {
+        if runs < self.max_runs {
+            self.kind.retryable()
+        } else {
+            None
+        }
+    }
+}
+
+/// A request that may have run must not be sent again, by the limits of its route.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the request may have run, and its route does not allow a further run")]
+pub struct RepeatError;
+
 /// Counts the dispatches of one request, and those of them that may have run.
 ///
 /// # Examples
 ///
 /// ```
 /// use borageladder_kernel::attempt::DispatchTally;
+/// use borageladder_kernel::attempt::RepeatLimits;
 /// use borageladder_kernel::attempt::WorkKind;
 ///
-/// let mut dispatches = DispatchTally::new(2);
-/// dispatches.record_dispatch();
-/// let right = WorkKind::Safe.retryable().expect("safe work may be retried");
-/// assert!(dispatches.permit_retry(right).is_some());
-/// dispatches.record_dispatch();
-/// assert!(dispatches.permit_retry(right).is_none());
-/// assert!(WorkKind::Unsafe.retryable().is_none());
+/// let safe = RepeatLimits { kind: WorkKind::Safe, max_runs: 2 };
+/// let mut dispatches = DispatchTally::default();
+/// dispatches.record_dispatch(safe).expect("the first dispatch is allowed");
+/// assert!(dispatches.permit_retry(safe).is_some());
+///
+/// let unsafe_now = RepeatLimits { kind: WorkKind::Unsafe, max_runs: 2 };
+/// assert!(dispatches.record_dispatch(unsafe_now).is_err());
+/// assert!(dispatches.record_dispatch(safe).is_ok());
+/// assert!(dispatches.permit_retry(safe).is_none());
 /// ```
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct DispatchTally {
-    max_runs: u32,
     runs: u32,
     dispatches: u32,
 }
@@ -85,20 +115,19 @@
 const MAX_DISPATCHES: u32 = 4;
 
 impl DispatchTally {
-    /// Creates the tally of a request that may run at most `max_runs` times.
-    #[must_use]
-    pub const fn new(max_runs: u32) -> Self {
-        Self {
-            max_runs,
-            runs: 0,
-            dispatches: 0,
-        }
-    }
-
     /// Counts a dispatch, and a run unless the worker states later that it did not run the request.
-    pub const fn record_dispatch(&mut self) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an earlier dispatch may have run and the limits, those of the route at the
+    /// time of this dispatch, allow no further run; it is not counted then.
+    pub const fn record_dispatch(&mut self, limits: RepeatLimits) -> Result<(), RepeatError> {
+        if self.may_have_run() && limits.retryable_after(self.runs).is_none() {
+            return Err(RepeatError);
+        }
         self.runs += 1;
         self.dispatches += 1;
+        Ok(())
     }
 
     /// Returns the number of dispatches, including rejected ones.
@@ -119,9 +148,11 @@
         self.runs > 0
     }
 
-    /// Permits a further run of retryable work; `None` once its runs or dispatches are used up.
-    pub const fn permit_retry(&mut self, _right: Retryable) -> Option<RetryPermit> {
-        if self.runs < self.max_runs && self.dispatches < MAX_DISPATCHES {
+    /// Permits a further run within the limits; `None` once its runs or dispatches are used up, or if
+    /// the work may run at most once.
+    #[must_use]
+    pub const fn permit_retry(&self, limits: RepeatLimits) -> Option<RetryPermit> {
+        if limits.retryable_after(self.runs).is_some() && self.dispatches < MAX_DISPATCHES {
             Some(RetryPermit(()))
         } else {
             None
--- a/kernel/src/route.rs
+++ b/kernel/src/route.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::attempt::RepeatLimits;
 use crate::attempt::WorkKind;
 use crate::name::ServiceName;
 use crate::name::TierRank;
@@ -175,6 +176,15 @@
         }
     }
 
+    /// Returns what the route allows of repeats.
+    #[must_use]
+    pub const fn repeat_limits(&self) -> RepeatLimits {
+        RepeatLimits {
+            kind: self.kind,
+            max_runs: self.run_limit,
+        }
+    }
+
     /// Selects the service of a backend by weight from a random number.
     ///
     /// Every residue of `draw` modulo the sum of the weights maps to one backend, so that a
--- a/kernel/tests/attempts.rs
+++ b/kernel/tests/attempts.rs
@@ -4,6 +4,8 @@
 
 use borageladder_kernel::attempt::DispatchTally;
 use borageladder_kernel::attempt::NotRunProof;
+use borageladder_kernel::attempt::RepeatError;
+use borageladder_kernel::attempt::RepeatLimits;
 use borageladder_kernel::attempt::WorkKind;
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::failure::FailureRate;
@@ -27,10 +29,47 @@
     assert_eq!(kind.retryable().is_some(), expected);
 }
 
+/// The limits of work that runs at most once.
+const ONE_RUN: RepeatLimits = RepeatLimits {
+    kind: WorkKind::Unsafe,
+    max_runs: 1,
+};
+
+// Guards against a permit that outlives the limits by which it was given: a request that may have run
+// is sent again though its route changed meanwhile.
+#[parameterized(
+    unsafe_now = { WorkKind::Unsafe, 3 },
+    not_resumable_now = { WorkKind::Stream { resumable: false }, 3 },
+    fewer_runs = { WorkKind::Safe, 1 },
+    no_runs = { WorkKind::Safe, 0 },
+)]
+fn a_dispatch_is_checked_against_the_limits_that_hold_then(kind: WorkKind, max_runs: u32) {
+    let before = RepeatLimits {
+        kind: WorkKind::Safe,
+        max_runs: 3,
+    };
+    let now = RepeatLimits { kind, max_runs };
+    let mut dispatches = DispatchTally::default();
+    assert_eq!(dispatches.record_dispatch(before), Ok(()));
+    assert!(dispatches.permit_retry(before).is_some());
+    assert_eq!(dispatches.record_dispatch(now), Err(RepeatError));
+    assert_eq!(dispatches.count(), 1);
+    assert_eq!(dispatches.record_dispatch(before), Ok(()));
+}
+
+#[test]
+fn the_first_dispatch_is_allowed_whatever_the_limits() {
+    let none = RepeatLimits {
+        kind: WorkKind::Unsafe,
+        max_runs: 0,
+    };
+    assert_eq!(DispatchTally::default().record_dispatch(none), Ok(()));
+}
+
 #[test]
 fn a_rejection_is_not_a_run() {
-    let mut dispatches = DispatchTally::new(1);
-    dispatches.record_dispatch();
+    let mut dispatches = DispatchTally::default();
+    assert_eq!(dispatches.record_dispatch(ONE_RUN), Ok(()));
     assert!(dispatches.may_have_run());
     let permit = dispatches.permit_after_rejection(&NotRunProof::stated());
     assert!(permit.is_some());
@@ -39,9 +78,9 @@
 
 #[test]
 fn rejected_dispatches_are_limited() {
-    let mut dispatches = DispatchTally::new(1);
+    let mut dispatches = DispatchTally::default();
     let permits = (0..10).filter(|_| {
-        dispatches.record_dispatch();
+        assert_eq!(dispatches.record_dispatch(ONE_RUN), Ok(()));
         dispatches
             .permit_after_rejection(&NotRunProof::stated())
             .is_some()
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -120,7 +120,7 @@
         host,
         request,
         trace,
-        dispatches: DispatchTally::new(planned.route.run_limit),
+        dispatches: DispatchTally::default(),
         used_connections: Vec::new(),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
         is_suspect: false,
@@ -189,6 +189,10 @@
                     let error = refusal_error("the deadline has passed", DEFAULT_RETRY_AFTER);
                     return Err(self.fail_unsent(error).into());
                 }
+                Err((error @ SlotError::Repeat(_), _)) => {
+                    self.trace.slot_unused(&worker, &error);
+                    return Err(CallError::Lost.into());
+                }
                 Err((SlotError::Suspect, waiting)) => {
                     self.trace.slot_unused(&worker, &SlotError::Suspect);
                     life = waiting;
@@ -332,9 +336,9 @@
 
     /// Returns a permit for a retry if the kind of work, the run limit and the retry budget allow
     /// one; a permit uses up one retry of the budget.
-    pub(super) fn retry_permit(&mut self) -> Option<RetryPermit> {
-        let right = self.planned.route.kind.retryable()?;
-        let permit = self.dispatches.permit_retry(right)?;
+    pub(super) fn retry_permit(&self) -> Option<RetryPermit> {
+        let limits = self.planned.route.repeat_limits();
+        let permit = self.dispatches.permit_retry(limits)?;
         self.take_retry().then_some(permit)
     }
 
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -20,6 +20,7 @@
 use crate::cell::SlotLease;
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RefusalReason;
+use crate::kernel::attempt::RepeatError;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::DispatchedState;
@@ -71,6 +72,9 @@
     /// The grant or the deadline of the request has expired.
     #[error(transparent)]
     Dispatch(#[from] DispatchError),
+    /// The request may have run, and its route allows no further run any more.
+    #[error(transparent)]
+    Repeat(#[from] RepeatError),
     /// The request may no longer be sent to a worker.
     #[error(transparent)]
     Call(#[from] CallError),
@@ -187,11 +191,16 @@
         if caller.has_disconnected() {
             return Err((SlotError::CallerLeft, granted.release_grant()));
         }
+        let mut tally = self.dispatches;
+        let limits = self.planned.route.repeat_limits();
+        if let Err(error) = tally.record_dispatch(limits) {
+            return Err((error.into(), granted.release_grant()));
+        }
         let life = granted
             .dispatch(now)
             .map_err(|(error, life)| (error.into(), life))?;
         lease.dispatched();
-        self.dispatches.record_dispatch();
+        self.dispatches = tally;
         self.used_connections.push(connection.number());
         let sent = SentCall {
             worker: &worker,
