Take a rejection for "not run" only if it names the request

Callers saw, on stubs: a request that ran was answered 503, or sent again (REFUSED, TWICE), where a worker writes a rejection without an identifier as soon as it has accepted a connection, and then reads and runs the request.

Cause: an answer without an identifier counted as that of the first request on its connection, as nothing else was sent on it. But a worker, or what stands in for its address, can write before it reads. The class: a proof that is matched by less than what it proves.

Skipping such a rejection and waiting for another answer would have callers of workers that never name requests wait to their deadline; they get 502.

Change: the proof is made from what the answer says (RunStatement) where the answer is read, and not two functions later; it needs the identifier. Event 515 names the answer.

--- a/kernel/src/attempt.rs
+++ b/kernel/src/attempt.rs
@@ -49,11 +49,34 @@
 #[derive(Debug, Eq, PartialEq)]
 pub struct NotRunProof(());
 
+/// What an answer on the connection of a dispatch says about the run of the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunStatement {
+    /// Whether it states that the worker did not run the request.
+    pub not_run: bool,
+    /// Whether it names the request; any other may have been written before the request was read.
+    pub names_request: bool,
+}
+
 impl NotRunProof {
-    /// Creates the proof; call this only after the worker has made the statement.
+    /// Returns the proof if the answer is one to this request and states that it did not run.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use borageladder_kernel::attempt::NotRunProof;
+    /// use borageladder_kernel::attempt::RunStatement;
+    ///
+    /// let anonymous = RunStatement { not_run: true, names_request: false };
+    /// assert!(NotRunProof::of(anonymous).is_none());
+    /// ```
     #[must_use]
-    pub const fn stated() -> Self {
-        Self(())
+    pub const fn of(statement: RunStatement) -> Option<Self> {
+        if statement.not_run && statement.names_request {
+            Some(Self(()))
+        } else {
+            None
+        }
     }
 }
 
--- a/kernel/tests/attempts.rs
+++ b/kernel/tests/attempts.rs
@@ -6,6 +6,7 @@
 use borageladder_kernel::attempt::NotRunProof;
 use borageladder_kernel::attempt::RepeatError;
 use borageladder_kernel::attempt::RepeatLimits;
+use borageladder_kernel::attempt::RunStatement;
 use borageladder_kernel::attempt::WorkKind;
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::failure::FailureRate;
@@ -29,6 +30,15 @@
     assert_eq!(kind.retryable().is_some(), expected);
 }
 
+/// Returns the proof that a worker gives in a rejection that names the request.
+fn stated_proof() -> NotRunProof {
+    let statement = RunStatement {
+        not_run: true,
+        names_request: true,
+    };
+    NotRunProof::of(statement).expect("a proof")
+}
+
 /// The limits of work that runs at most once.
 const ONE_RUN: RepeatLimits = RepeatLimits {
     kind: WorkKind::Unsafe,
@@ -71,7 +81,7 @@
     let mut dispatches = DispatchTally::default();
     assert_eq!(dispatches.record_dispatch(ONE_RUN), Ok(()));
     assert!(dispatches.may_have_run());
-    let permit = dispatches.permit_after_rejection(&NotRunProof::stated());
+    let permit = dispatches.permit_after_rejection(&stated_proof());
     assert!(permit.is_some());
     assert!(!dispatches.may_have_run());
 }
@@ -81,9 +91,7 @@
     let mut dispatches = DispatchTally::default();
     let permits = (0..10).filter(|_| {
         assert_eq!(dispatches.record_dispatch(ONE_RUN), Ok(()));
-        dispatches
-            .permit_after_rejection(&NotRunProof::stated())
-            .is_some()
+        dispatches.permit_after_rejection(&stated_proof()).is_some()
     });
     assert_eq!(permits.count(), 3);
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -110,7 +110,7 @@
     512 Info RequestSent "request-sent" "A request was sent to a worker.";
     513 Info SlotUnused "slot-unused" "A granted slot was not used and the request waits again.";
     514 Info RequestTurnedAway "request-turned-away" "A worker turned a request away without running it.";
-    515 Warning AnswerSkipped "answer-skipped" "An answer to another request, or to none, arrived before the answer to a request and was skipped.";
+    515 Warning AnswerUnused "answer-unused" "An answer of a worker was not used, since it names another request, or names none and may be older than the request.";
     520 Info ClaimSettled "claim-settled" "An operator settled the outcome of a claim.";
     600 Info WorkerLeaving "worker-leaving" "A worker is leaving and is assigned no new work.";
     601 Warning WorkerFailed "worker-failed" "A worker failed while it ran a request, or no longer accepted connections afterwards.";
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -19,7 +19,9 @@
 use super::worker::WorkerConnection;
 use super::worker::WorkerRequest;
 use crate::cell::SlotLease;
+use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
+use crate::kernel::attempt::RunStatement;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
 
@@ -41,6 +43,7 @@
     },
     /// The worker stated that it did not run the request.
     NotRun {
+        proof: NotRunProof,
         /// The time for which it wants no requests; zero if it named none.
         rest: Duration,
     },
@@ -121,12 +124,19 @@
         if let Some(tolerance) = metadata.tolerance {
             lease.tolerance_named(tolerance);
         }
-        if metadata.not_run {
+        let statement = RunStatement {
+            not_run: metadata.not_run,
+            names_request: metadata.attempt_id.is_some(),
+        };
+        if let Some(proof) = NotRunProof::of(statement) {
             let status = answer.head().status;
             self.trace.turned_away(worker, status, &metadata);
             self.return_to_pool(worker, answer, &metadata).await;
             let rest = metadata.rest.unwrap_or_default();
-            return Ok(DispatchEnd::NotRun { rest });
+            return Ok(DispatchEnd::NotRun { proof, rest });
+        }
+        if metadata.not_run {
+            self.trace.answer_unused(answer.head().status, &metadata);
         }
         if !metadata.signed && answer.head().status.is_success() {
             let error = CallError::Lost;
@@ -205,7 +215,7 @@
             if is_own {
                 return Ok((answer, metadata));
             }
-            self.trace.answer_skipped(head.status, &metadata);
+            self.trace.answer_unused(head.status, &metadata);
             may_be_anonymous = false;
             answer = answer.next_answer().await?;
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -29,7 +29,6 @@
 use super::worker::ConnectionNumber;
 use super::worker::WorkerConnection;
 use crate::kernel::attempt::DispatchTally;
-use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
 use crate::kernel::attempt::WorkKind;
 use crate::kernel::clock::ClockTime;
@@ -277,9 +276,8 @@
                 lease.erred();
                 Ok(Some(life.retry(permit)))
             }
-            DispatchEnd::NotRun { rest } => {
+            DispatchEnd::NotRun { proof, rest } => {
                 lease.rejected(rest);
-                let proof = NotRunProof::stated();
                 let permit = self.dispatches.permit_after_rejection(&proof);
                 match permit {
                     Some(permit) if self.take_retry() => Ok(Some(life.retry(permit))),
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -239,16 +239,15 @@
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
             "connection" => self.connection(),
             "status" => status.as_u16(),
-            "identified" => answer.attempt_id.is_some(),
             "rest_ms" => answer.rest.map(millis),
             "tolerated" => answer.tolerance.map(|tolerance| tolerance.0));
     }
 
-    /// Logs that an answer was skipped which can't be the one to the last dispatch.
-    pub(super) fn answer_skipped(&self, status: StatusCode, answer: &AnswerMetadata) {
+    /// Logs that an answer is not used, since it may not be the one to the last dispatch.
+    pub(super) fn answer_unused(&self, status: StatusCode, answer: &AnswerMetadata) {
         let dispatch = self.last_dispatch.borrow();
         let worker = dispatch.as_ref().map(|dispatch| dispatch.worker.as_str());
-        log_event!(self.host.log, LogEvent::AnswerSkipped,
+        log_event!(self.host.log, LogEvent::AnswerUnused,
             "request" => self.attempt_id.clone(), "worker" => worker,
             "connection" => self.connection(),
             "status" => status.as_u16(),
