Skip interim answers of workers

Callers saw, on stubs: 502 or 504 for requests that ran, or status 102 and, on the kept connection, bytes that are no answer (MIXED), where a worker writes an interim answer (1xx) before the final one.

Cause: the first head on the connection counted as the answer. RFC 9110, 15.2, has clients skip interim answers. On a connection in use the head, which names no attempt, was skipped as a surplus answer after which no other may follow unnamed; on a new one it was relayed.

Change: heads with a status of 1xx other than 101 are read over where heads are read, for both first and further answers. Whether a connection stays open follows from the final head alone, as it did for further answers.

--- a/src/gateway/worker/answer.rs
+++ b/src/gateway/worker/answer.rs
@@ -147,10 +147,12 @@
         };
         let is_sent = !connection.unsent.has_remaining();
         connection.awaits_answer = framing != AnswerFraming::Empty || !is_sent;
-        let further_use = match codec.keep_alive() && keeps_open(&head, framing) {
-            true if is_sent => FurtherUse::Requests,
-            true => FurtherUse::Answers,
-            false => FurtherUse::None,
+        let further_use = if !keeps_open(&head, framing) {
+            FurtherUse::None
+        } else if is_sent {
+            FurtherUse::Requests
+        } else {
+            FurtherUse::Answers
         };
         Self {
             head,
--- a/src/gateway/worker/mod.rs
+++ b/src/gateway/worker/mod.rs
@@ -11,6 +11,7 @@
 use actix_http::RequestHeadType;
 use actix_http::ResponseHead;
 use actix_http::ServiceConfig;
+use actix_http::StatusCode;
 use actix_http::Version;
 use actix_http::body::BodySize;
 use actix_http::h1::ClientCodec;
@@ -154,9 +155,15 @@
 
     /// Reads the head of an answer, and writes what is left of the request meanwhile: a worker may
     /// answer before it has read the whole request.
+    ///
+    /// Interim answers, which the final one follows, are skipped.
     async fn read_head(&mut self, codec: &mut ClientCodec) -> Result<ResponseHead, AnswerError> {
         loop {
             if let Some(head) = codec.decode(&mut self.received)? {
+                if is_interim(head.status) {
+                    *codec = ClientCodec::new(self.config.clone());
+                    continue;
+                }
                 return Ok(head);
             }
             if !self.unsent.has_remaining() {
@@ -195,6 +202,11 @@
     }
 }
 
+/// Returns whether another answer to the same request follows one with the status.
+fn is_interim(status: StatusCode) -> bool {
+    status.is_informational() && status != StatusCode::SWITCHING_PROTOCOLS
+}
+
 /// Returns the bytes of a request. A long body is not copied; a short one is, so that one write sends
 /// the whole request.
 fn encode_request(
