--- a/kernel/src/attempt.rs
+++ b/kernel/src/attempt.rs
@@ -54,7 +54,8 @@
 pub struct RunStatement {
     /// Whether it states that the worker did not run the request.
     pub not_run: bool,
-    /// Whether it names the request; any other may have been written before the request was read.
+    /// Whether it names the request; one that names none may have been written before the request was
+    /// read.
     pub names_request: bool,
 }
 
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -43,7 +43,7 @@
     ended: bool,
 }
 
-/// What later lines say of a dispatch.
+/// A dispatch as the lines that follow it name it.
 #[derive(Clone, Debug)]
 struct LoggedDispatch {
     worker: WorkerName,
