Log what a host knew of a leaving worker, and each change of a registration

The four hypotheses could not be told apart: a statement that was dropped left no line, and neither the start under which it was kept, nor the way of the answer, nor the state of the row at a dispatch was logged.

--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -21,6 +21,10 @@
 /// The number of leaving workers from which those that are gone are forgotten at each new one.
 const MAX_LEAVING: usize = 1_024;
 
+/// The maximum number of transitions that are listed between two calls of
+/// [`UpstreamRoster::take_transitions`].
+const MAX_LISTED_TRANSITIONS: usize = 256;
+
 /// The registration of a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamRecord {
@@ -63,6 +67,65 @@
     pub removed: BTreeSet<WorkerName>,
 }
 
+/// How the registration of a worker changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntryTransition {
+    /// It was added after the first read of the workers.
+    Added,
+    /// It was active and states that the worker is draining.
+    Draining,
+    /// It stated that the worker is draining and is active, for the same start.
+    Reactivated,
+    /// It names another start.
+    Restarted,
+    /// It is missing after an outage of the store, and the worker is kept for a while.
+    Missing,
+    /// It was missing and is present again.
+    Returned,
+    /// It was removed, or can't be read.
+    Removed,
+}
+
+impl EntryTransition {
+    /// Returns the name in log lines.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Added => "added",
+            Self::Draining => "draining",
+            Self::Reactivated => "reactivated",
+            Self::Restarted => "restarted",
+            Self::Missing => "missing",
+            Self::Returned => "returned",
+            Self::Removed => "removed",
+        }
+    }
+
+    /// Returns how a registration that is present changed, if in a way that is listed.
+    fn between(old: &RosterEntry, new: &UpstreamRecord) -> Option<Self> {
+        let record = &old.record;
+        if record.started_ms != new.started_ms {
+            return Some(Self::Restarted);
+        }
+        match (record.state, new.state) {
+            (WorkerState::Active, WorkerState::Draining) => Some(Self::Draining),
+            (WorkerState::Draining, WorkerState::Active) => Some(Self::Reactivated),
+            _ => old.missing_since.map(|_| Self::Returned),
+        }
+    }
+}
+
+/// A change of the registration of one worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RosterTransition {
+    /// The worker.
+    pub worker: WorkerName,
+    /// The start that the registration names, or named last.
+    pub started_ms: Option<u64>,
+    /// What changed.
+    pub transition: EntryTransition,
+}
+
 #[derive(Clone, Debug)]
 struct RosterEntry {
     record: UpstreamRecord,
@@ -96,6 +159,10 @@
     store_down: bool,
     /// The time of the first successful read after the last outage of the store.
     recovered_at: Option<ClockTime>,
+    /// Whether the workers were read before.
+    is_known: bool,
+    /// The changes since they were last taken.
+    transitions: Vec<RosterTransition>,
 }
 
 impl UpstreamRoster {
@@ -135,9 +202,31 @@
                 changed |= self.remove_or_keep(now, &worker);
             }
         }
+        self.is_known = true;
         changed | self.expire(now)
     }
 
+    /// Returns the changes of registrations since the last call, oldest first; of very many, only the
+    /// first ones.
+    pub fn take_transitions(&mut self) -> Vec<RosterTransition> {
+        std::mem::take(&mut self.transitions)
+    }
+
+    fn list_transition(
+        &mut self,
+        worker: &WorkerName,
+        started_ms: Option<u64>,
+        transition: EntryTransition,
+    ) {
+        if self.transitions.len() < MAX_LISTED_TRANSITIONS {
+            self.transitions.push(RosterTransition {
+                worker: worker.clone(),
+                started_ms,
+                transition,
+            });
+        }
+    }
+
     /// Iterates over the workers that are registered, including those that are draining.
     ///
     /// Workers that are kept although their registration is missing are left out. Another host may
@@ -162,6 +251,20 @@
         self.may_get_requests(record).then_some(record)
     }
 
+    /// Returns whether a worker is kept although its registration is missing.
+    #[must_use]
+    pub fn is_missing(&self, worker: &WorkerName) -> bool {
+        let entry = self.entries.get(worker);
+        entry.is_some_and(|entry| entry.missing_since.is_some())
+    }
+
+    /// Returns the start that the registration of a worker names; `None` without a registration.
+    #[must_use]
+    pub fn registered_start(&self, worker: &WorkerName) -> Option<Option<u64>> {
+        let entry = self.entries.get(worker)?;
+        Some(entry.record.started_ms)
+    }
+
     /// Returns whether the worker is registered, in any state.
     #[must_use]
     pub fn contains(&self, worker: &WorkerName) -> bool {
@@ -209,11 +312,20 @@
     fn upsert(&mut self, record: UpstreamRecord) -> bool {
         let entry = self.entries.get_mut(&record.worker);
         if let Some(entry) = entry {
+            let transition = EntryTransition::between(entry, &record);
+            let (worker, started_ms) = (record.worker.clone(), record.started_ms);
             entry.missing_since = None;
             let changed = entry.record != record;
             entry.record = record;
+            if let Some(transition) = transition {
+                self.list_transition(&worker, started_ms, transition);
+            }
             return changed;
         }
+        if self.is_known {
+            let added = EntryTransition::Added;
+            self.list_transition(&record.worker, record.started_ms, added);
+        }
         let missing_since = None;
         self.entries.insert(
             record.worker.clone(),
@@ -231,11 +343,16 @@
         let Some(entry) = self.entries.get_mut(worker) else {
             return false;
         };
+        let started_ms = entry.record.started_ms;
         if in_grace_period && entry.record.state == WorkerState::Active {
-            entry.missing_since.get_or_insert(now);
+            if entry.missing_since.is_none() {
+                entry.missing_since = Some(now);
+                self.list_transition(worker, started_ms, EntryTransition::Missing);
+            }
             return false;
         }
         self.entries.remove(worker);
+        self.list_transition(worker, started_ms, EntryTransition::Removed);
         true
     }
 
@@ -244,10 +361,18 @@
         if self.in_grace_period(now) {
             return false;
         }
-        let before = self.entries.len();
-        self.entries
-            .retain(|_, entry| entry.missing_since.is_none());
-        self.entries.len() != before
+        let expired: Vec<WorkerName> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.missing_since.is_some())
+            .map(|(worker, _)| worker.clone())
+            .collect();
+        for worker in &expired {
+            let started_ms = self.registered_start(worker).flatten();
+            self.entries.remove(worker);
+            self.list_transition(worker, started_ms, EntryTransition::Removed);
+        }
+        !expired.is_empty()
     }
 
     /// Returns whether the store is down or its last outage ended recently.
--- a/src/event.rs
+++ b/src/event.rs
@@ -124,6 +124,7 @@
     609 Warning CrashUnconfirmed "crash-unconfirmed" "An answer was lost and its worker accepts no connection, but no other host confirmed that the worker is at fault; the crash can make parts of prompts suspect, but quarantines none.";
     610 Info CrashesCleared "crashes-cleared" "A complete answer showed that parts of prompts with crashes on record don't crash workers, and their record was removed.";
     611 Info CrashesRestored "crashes-restored" "The crashes under parts of prompts that hosts keep in the store were read, and some of them were new to the host.";
+    612 Info WorkerEntryChanged "worker-entry-changed" "The registration of a worker was added, states another state or start, is missing, is back, or was removed.";
     700 Warning PlatformFailed "platform-failed" "A call to the platform failed or timed out.";
     800 Warning LinesDropped "lines-dropped" "Log lines were dropped by the rate limit.";
 }
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -115,7 +115,8 @@
         }
         if metadata.leaving {
             lease.leaving_named();
-            self.host.mark_leaving(worker);
+            let is_new = self.host.mark_leaving(worker);
+            self.trace.leaving_stated(worker, is_new);
         }
         if let Some(rest) = metadata.rest {
             let now = self.host.clock.now();
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -24,12 +24,15 @@
     }
 
     /// Records that a worker said in an answer that it is leaving; it gets no further requests.
-    pub(super) fn mark_leaving(&self, worker: &WorkerName) {
+    ///
+    /// Returns whether that was not known.
+    pub(super) fn mark_leaving(&self, worker: &WorkerName) -> bool {
         self.pool.close_connections(worker);
-        if self.state.roster.borrow_mut().mark_leaving(worker) {
-            log_event!(self.log, LogEvent::WorkerLeaving, "worker" => worker.as_str());
+        let is_new = self.state.roster.borrow_mut().mark_leaving(worker);
+        if is_new {
             self.update_cells();
         }
+        is_new
     }
 
     /// Applies a change of the worker roster; returns whether a worker was added, changed or
@@ -41,6 +44,7 @@
         self.forget_restarted(&update);
         let changed = self.state.roster.borrow_mut().apply(now, update);
         self.state.workers_known.set(true);
+        self.log_transitions();
         self.streams
             .observe_workers(now, &self.state.roster.borrow());
         if changed {
@@ -51,6 +55,16 @@
         changed
     }
 
+    fn log_transitions(&self) {
+        let transitions = self.state.roster.borrow_mut().take_transitions();
+        for change in transitions {
+            log_event!(self.log, LogEvent::WorkerEntryChanged,
+                "worker" => change.worker.as_str(),
+                "started_ms" => change.started_ms,
+                "change" => change.transition.as_str());
+        }
+    }
+
     /// Forgets what workers said of themselves before they started again under their names; the
     /// brokers of this host see them go and come back.
     fn forget_restarted(&self, update: &RosterUpdate) {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -20,6 +20,7 @@
 use super::worker::ConnectionTunnel;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
+use crate::kernel::name::HostName;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
@@ -48,6 +49,8 @@
 struct LoggedDispatch {
     worker: WorkerName,
     connection: ConnectionNumber,
+    /// The host whose tunnel carries the connection; `None` if it is direct.
+    via: Option<HostName>,
     /// The number of the dispatch, from one.
     number: u32,
     sent_at: ClockTime,
@@ -179,6 +182,7 @@
         *self.last_dispatch.borrow_mut() = Some(LoggedDispatch {
             worker: call.worker.clone(),
             connection: call.connection,
+            via: call.tunnel.map(|tunnel| tunnel.host.clone()),
             number: call.number,
             sent_at: call.dispatched_at,
         });
@@ -186,9 +190,12 @@
             let waited = call.dispatched_at.since(self.arrival);
             self.host.metrics.request_granted(labels, waited);
         }
+        let roster = self.host.state.roster.borrow();
         log_event!(self.host.log, LogEvent::RequestSent,
             "request" => self.attempt_id.clone(),
             "worker" => call.worker.as_str(),
+            "worker_started_ms" => roster.registered_start(call.worker).flatten(),
+            "worker_missing" => roster.is_missing(call.worker),
             "worker_version" => call.version.map(WorkerVersion::as_str),
             "origin" => call.origin.map(OriginEvidence::as_str),
             "resumes" => planned.metadata.resumed_attempt.clone(),
@@ -254,6 +261,20 @@
             "answers" => answer.attempt_id.clone());
     }
 
+    /// Logs that a worker stated in an answer that it is leaving, and what is known of it.
+    pub(super) fn leaving_stated(&self, worker: &WorkerName, is_new: bool) {
+        let roster = self.host.state.roster.borrow();
+        let dispatch = self.last_dispatch.borrow();
+        let via = dispatch.as_ref().and_then(|dispatch| dispatch.via.as_ref());
+        log_event!(self.host.log, LogEvent::WorkerLeaving,
+            "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
+            "connection" => self.connection(),
+            "via" => via.map(HostName::as_str),
+            "registered" => roster.contains(worker),
+            "started_ms" => roster.registered_start(worker).flatten(),
+            "new" => is_new);
+    }
+
     /// Logs that a granted slot was not used.
     pub(super) fn slot_unused(&self, worker: &WorkerName, reason: &dyn std::error::Error) {
         log_event!(self.host.log, LogEvent::SlotUnused,
