End the grace period of a missing worker also while nothing else changes

Cause: after an outage an active worker whose row is missing is kept for 2.2 s. The end of this time was looked at, and the end of the outage noticed, only when a list of workers was applied. A host that polls another one gets no list while nothing changes, so the worker stayed, or the grace period of an outage began minutes later, at the removal itself.

Change: an answer without a list confirms the workers (UpstreamRoster::confirm): it ends the outage and the grace period.

Two kernel tests of the new call; before, nothing was called for such an answer.

--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -174,10 +174,7 @@
     /// Applies the result of a successful read; returns whether a worker was added, changed or
     /// removed.
     pub fn apply(&mut self, now: ClockTime, update: RosterUpdate) -> bool {
-        if self.store_down {
-            self.store_down = false;
-            self.recovered_at = Some(now);
-        }
+        self.end_outage(now);
         let mut changed = false;
         let complete = update.complete;
         let present: Vec<WorkerName> = update
@@ -206,6 +203,20 @@
         changed | self.expire(now)
     }
 
+    /// Records that the store was read and the workers have not changed since the last update; returns
+    /// whether a worker was removed because its registration is still missing.
+    pub fn confirm(&mut self, now: ClockTime) -> bool {
+        self.end_outage(now);
+        self.expire(now)
+    }
+
+    const fn end_outage(&mut self, now: ClockTime) {
+        if self.store_down {
+            self.store_down = false;
+            self.recovered_at = Some(now);
+        }
+    }
+
     /// Returns the changes of registrations since the last call, oldest first; of very many, only the
     /// first ones.
     pub fn take_transitions(&mut self) -> Vec<RosterTransition> {
--- a/kernel/tests/roster.rs
+++ b/kernel/tests/roster.rs
@@ -185,3 +185,30 @@
     assert!(roster.find(&worker).is_some());
     assert!(!roster.is_leaving(&worker));
 }
+
+// Guards against a worker that is kept for good because its registration is missing after an outage and
+// the workers have not changed since.
+#[test]
+fn a_missing_worker_is_removed_by_an_unchanged_read_after_the_grace_period() {
+    let at = ClockTime::from_millis;
+    let mut roster = UpstreamRoster::default();
+    roster.apply(at(0), complete_update(&["a", "b"]));
+    roster.store_unavailable();
+    roster.apply(at(1_000), complete_update(&["a"]));
+    assert!(!roster.confirm(at(2_000)));
+    assert_eq!(usable(&roster), names(&["a", "b"]));
+    assert!(roster.confirm(at(1_000) + REREGISTRATION_TIME));
+    assert_eq!(usable(&roster), names(&["a"]));
+}
+
+// Guards against a grace period that begins long after the outage, at the next change of the workers.
+#[test]
+fn an_unchanged_read_ends_an_outage() {
+    let at = ClockTime::from_millis;
+    let mut roster = UpstreamRoster::default();
+    roster.apply(at(0), complete_update(&["a", "b"]));
+    roster.store_unavailable();
+    roster.confirm(at(1_000));
+    roster.apply(at(60_000), complete_update(&["a"]));
+    assert_eq!(usable(&roster), names(&["a"]));
+}
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -5,6 +5,7 @@
 
 use super::host::GatewayHost;
 use crate::event::LogEvent;
+use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::configuration::DatacenterSpec;
@@ -44,6 +45,22 @@
         self.forget_restarted(&update);
         let changed = self.state.roster.borrow_mut().apply(now, update);
         self.state.workers_known.set(true);
+        self.finish_roster_change(now, changed);
+        changed
+    }
+
+    /// Records that the workers have not changed since the last update, as of a later read of the
+    /// store; returns whether a worker that was kept without a registration was removed.
+    pub fn confirm_workers(&self) -> bool {
+        let now = self.clock.now();
+        let changed = self.state.roster.borrow_mut().confirm(now);
+        if changed {
+            self.finish_roster_change(now, changed);
+        }
+        changed
+    }
+
+    fn finish_roster_change(&self, now: ClockTime, changed: bool) {
         self.log_transitions();
         self.streams
             .observe_workers(now, &self.state.roster.borrow());
@@ -52,7 +69,6 @@
             self.state.roster_revision.set(revision.wrapping_add(1));
             self.update_cells();
         }
-        changed
     }
 
     fn log_transitions(&self) {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -228,15 +228,19 @@
         return;
     };
     host.state.freshness.borrow_mut().record_read(as_of);
-    let newer = as_of > host.sync.roster_as_of.get();
-    if let Some(present) = update.workers.filter(|_| newer) {
+    if as_of > host.sync.roster_as_of.get() {
         host.sync.roster_as_of.set(as_of);
-        change.workers = host.apply_workers(RosterUpdate {
-            complete: true,
-            present,
-            ..RosterUpdate::default()
-        });
-        *host.sync.source.borrow_mut() = Some((from.clone(), update.roster));
+        change.workers = match update.workers {
+            Some(present) => {
+                *host.sync.source.borrow_mut() = Some((from.clone(), update.roster));
+                host.apply_workers(RosterUpdate {
+                    complete: true,
+                    present,
+                    ..RosterUpdate::default()
+                })
+            }
+            None => host.confirm_workers(),
+        };
     }
     answer_polls(host, as_of, change);
 }
