Keep what is known of a leaving worker apart from its registration

What callers and workers saw: a request that was sent after a host had passed on that a worker leaves, or after it had read that the worker drains, reached that worker from that host.

Cause: UpstreamRoster kept both in terms of the registration of the moment. A statement made while there was no readable row was dropped; one made before the row of the start was read counted for the start before; an older row of the same start, or one that names no start, ended what was known.

Ruled out: keeping the statement by name until any new row (the first case of a later start would be used while it leaves); comparing the time of the answer with that of the start (clocks differ by up to skew_ms); reading the sequence of rows (it counts heartbeats; within a start only draining matters, and that is for good).

Change: kernel::departure keeps by name what was learned, and the start for which it is certain: the one of a draining row; the one that the host knew when the connection of the answer was opened. If a row names another start, the worker is unconfirmed: it gets nothing until a health check, sent after the statement, has shown whether the process that serves now leaves (src/gateway/confirm.rs). So a sound new start gets requests after one check; a later start after a draining row needs none.

kernel/tests/roster.rs: the test of a new start required that a later start be used at once, which is the fault of the second case. It is replaced by one that requires that it gets nothing before the check, and requests after it.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod delta;
+pub mod departure;
 pub mod estimate;
 pub mod failure;
 pub mod freshness;
--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -10,6 +10,11 @@
 
 use crate::clock::ClockTime;
 use crate::configuration::WorkerState;
+use crate::departure::DepartureTable;
+use crate::departure::HealthCheck;
+use crate::departure::HealthOutcome;
+use crate::departure::KnownStart;
+use crate::departure::WorkerStanding;
 use crate::name::DatacenterName;
 use crate::name::ServiceName;
 use crate::name::WorkerName;
@@ -18,9 +23,6 @@
 /// The time that workers have to register again after an outage of the store.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2_200);
 
-/// The number of leaving workers from which those that are gone are forgotten at each new one.
-const MAX_LEAVING: usize = 1_024;
-
 /// The maximum number of transitions that are listed between two calls of
 /// [`UpstreamRoster::take_transitions`].
 const MAX_LISTED_TRANSITIONS: usize = 256;
@@ -54,11 +56,18 @@
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct StoreRevision(pub u64);
 
+/// A number that rises each time the store is back from an older copy; 0 if it is not known.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
 /// The result of a read of the registered workers.
 #[derive(Clone, Debug, Default)]
 pub struct RosterUpdate {
     /// The revision up to which the update includes all changes.
     pub revision: StoreRevision,
+    /// The era of the store in which it was read.
+    pub era: StoreEra,
     /// Whether `present` lists all workers, not only changed ones.
     pub complete: bool,
     /// The registered workers; only the added or changed ones if `complete` is false.
@@ -129,11 +138,22 @@
 #[derive(Clone, Debug)]
 struct RosterEntry {
     record: UpstreamRecord,
+    /// The time at which the first registration of the present start was read.
+    known_since: ClockTime,
     /// The time at which the registration was found missing after an outage; `None` while it is
     /// present.
     missing_since: Option<ClockTime>,
 }
 
+impl RosterEntry {
+    const fn known_start(&self) -> KnownStart {
+        KnownStart {
+            started_ms: self.record.started_ms,
+            known_since: self.known_since,
+        }
+    }
+}
+
 /// The registered workers.
 ///
 /// During an outage of the store, the registrations of running workers expire because they can't be
@@ -154,8 +174,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRoster {
     entries: BTreeMap<WorkerName, RosterEntry>,
-    /// The workers that said in an answer that they are leaving, with the start for which that holds.
-    leaving: BTreeMap<WorkerName, Option<u64>>,
+    departures: DepartureTable,
+    /// The era of the store, the latest of all updates.
+    era: StoreEra,
     store_down: bool,
     /// The time of the first successful read after the last outage of the store.
     recovered_at: Option<ClockTime>,
@@ -175,6 +196,7 @@
     /// removed.
     pub fn apply(&mut self, now: ClockTime, update: RosterUpdate) -> bool {
         self.end_outage(now);
+        self.era = self.era.max(update.era);
         let mut changed = false;
         let complete = update.complete;
         let present: Vec<WorkerName> = update
@@ -183,7 +205,7 @@
             .map(|record| record.worker.clone())
             .collect();
         for record in update.present {
-            changed |= self.upsert(record);
+            changed |= self.upsert(now, record);
         }
         for worker in &update.removed {
             changed |= self.remove_or_keep(now, worker);
@@ -251,7 +273,13 @@
     /// Iterates over the workers that may be granted new requests.
     pub fn usable(&self) -> impl Iterator<Item = &UpstreamRecord> {
         let records = self.entries.values().map(|entry| &entry.record);
-        records.filter(|record| self.may_get_requests(record))
+        records.filter(|record| self.standing_of(record) == WorkerStanding::Serving)
+    }
+
+    /// Iterates over the workers that may be granted new requests only after a health check.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        let records = self.entries.values().map(|entry| &entry.record);
+        records.filter(|record| self.standing_of(record) == WorkerStanding::Unconfirmed)
     }
 
     /// Returns the worker with the name; `None` if it is not registered or may not get new
@@ -259,7 +287,18 @@
     #[must_use]
     pub fn find(&self, worker: &WorkerName) -> Option<&UpstreamRecord> {
         let record = &self.entries.get(worker)?.record;
-        self.may_get_requests(record).then_some(record)
+        (self.standing_of(record) == WorkerStanding::Serving).then_some(record)
+    }
+
+    /// Returns whether a worker may get requests; `None` if it is not registered.
+    #[must_use]
+    pub fn standing(&self, worker: &WorkerName) -> Option<WorkerStanding> {
+        let entry = self.entries.get(worker)?;
+        Some(self.standing_of(&entry.record))
+    }
+
+    fn standing_of(&self, record: &UpstreamRecord) -> WorkerStanding {
+        self.departures.standing(record, self.era)
     }
 
     /// Returns whether a worker is kept although its registration is missing.
@@ -284,24 +323,39 @@
 
     /// Records that a worker said in an answer that it is leaving, which holds until it starts again;
     /// returns whether that was not known.
-    pub fn mark_leaving(&mut self, worker: &WorkerName) -> bool {
-        let Some(entry) = self.entries.get(worker) else {
+    ///
+    /// `connected_at` is the time at which the connection of the answer was opened; `None` if another
+    /// host got the answer.
+    pub fn mark_leaving(
+        &mut self,
+        now: ClockTime,
+        worker: &WorkerName,
+        connected_at: Option<ClockTime>,
+    ) -> bool {
+        let start = self.entries.get(worker).map(RosterEntry::known_start);
+        let departures = &mut self.departures;
+        let is_new = departures.record_statement(now, worker, start, connected_at);
+        self.limit_departures();
+        is_new
+    }
+
+    /// Applies the result of a health check of an unconfirmed worker; returns whether the worker may
+    /// get requests now and could not before.
+    ///
+    /// A check of another start than the present one is ignored.
+    pub fn settle(&mut self, now: ClockTime, check: &HealthCheck, outcome: HealthOutcome) -> bool {
+        let worker = &check.worker;
+        let is_current = self.registered_start(worker) == Some(check.started_ms);
+        if !is_current || self.standing(worker) != Some(WorkerStanding::Unconfirmed) {
             return false;
-        };
-        let started = entry.record.started_ms;
-        if self.leaving.len() >= MAX_LEAVING {
-            let entries = &self.entries;
-            self.leaving
-                .retain(|worker, _| entries.contains_key(worker));
         }
-        self.leaving.insert(worker.clone(), started) != Some(started)
+        self.departures.settle(now, check, outcome);
+        self.standing(worker) == Some(WorkerStanding::Serving)
     }
 
-    /// Returns whether a worker said in an answer that it is leaving, and has not started again.
-    #[must_use]
-    pub fn is_leaving(&self, worker: &WorkerName) -> bool {
-        let record = self.entries.get(worker).map(|entry| &entry.record);
-        record.is_some_and(|record| self.leaving.get(worker) == Some(&record.started_ms))
+    fn limit_departures(&mut self) {
+        let entries = &self.entries;
+        self.departures.limit(|worker| entries.contains_key(worker));
     }
 
     /// Returns those of the registered workers that an update shows to have started again.
@@ -315,17 +369,18 @@
         restarted.map(|record| &record.worker).collect()
     }
 
-    fn may_get_requests(&self, record: &UpstreamRecord) -> bool {
-        let is_leaving = self.leaving.get(&record.worker) == Some(&record.started_ms);
-        record.state == WorkerState::Active && !is_leaving
-    }
-
-    fn upsert(&mut self, record: UpstreamRecord) -> bool {
+    fn upsert(&mut self, now: ClockTime, record: UpstreamRecord) -> bool {
+        let removed = self.departures.removed_start(&record.worker);
+        self.departures.record_present(now, &record, self.era);
+        self.limit_departures();
         let entry = self.entries.get_mut(&record.worker);
         if let Some(entry) = entry {
             let transition = EntryTransition::between(entry, &record);
             let (worker, started_ms) = (record.worker.clone(), record.started_ms);
             entry.missing_since = None;
+            if entry.record.started_ms != started_ms {
+                entry.known_since = now;
+            }
             let changed = entry.record != record;
             entry.record = record;
             if let Some(transition) = transition {
@@ -337,12 +392,14 @@
             let added = EntryTransition::Added;
             self.list_transition(&record.worker, record.started_ms, added);
         }
-        let missing_since = None;
+        let same_start = removed.filter(|start| start.started_ms == record.started_ms);
+        let known_since = same_start.map_or(now, |start| start.known_since);
         self.entries.insert(
             record.worker.clone(),
             RosterEntry {
                 record,
-                missing_since,
+                known_since,
+                missing_since: None,
             },
         );
         true
@@ -362,11 +419,20 @@
             }
             return false;
         }
-        self.entries.remove(worker);
-        self.list_transition(worker, started_ms, EntryTransition::Removed);
+        self.remove(now, worker);
         true
     }
 
+    fn remove(&mut self, now: ClockTime, worker: &WorkerName) {
+        let Some(entry) = self.entries.remove(worker) else {
+            return;
+        };
+        let start = entry.known_start();
+        self.departures.record_removal(now, worker, start, self.era);
+        self.limit_departures();
+        self.list_transition(worker, start.started_ms, EntryTransition::Removed);
+    }
+
     /// Removes the workers that have not registered again within the grace period.
     fn expire(&mut self, now: ClockTime) -> bool {
         if self.in_grace_period(now) {
@@ -379,9 +445,7 @@
             .map(|(worker, _)| worker.clone())
             .collect();
         for worker in &expired {
-            let started_ms = self.registered_start(worker).flatten();
-            self.entries.remove(worker);
-            self.list_transition(worker, started_ms, EntryTransition::Removed);
+            self.remove(now, worker);
         }
         !expired.is_empty()
     }
--- a/kernel/tests/roster.rs
+++ b/kernel/tests/roster.rs
@@ -4,6 +4,9 @@
 
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::configuration::WorkerState;
+use borageladder_kernel::departure::HealthCheck;
+use borageladder_kernel::departure::HealthOutcome;
+use borageladder_kernel::departure::WorkerStanding;
 use borageladder_kernel::freshness::FreshnessGate;
 use borageladder_kernel::name::WorkerName;
 use borageladder_kernel::roster::REREGISTRATION_TIME;
@@ -152,7 +155,7 @@
 // Guards against new requests for a worker that said that it leaves while its registration does not,
 // also after an outage of the store, and against one that gets none after it has started again.
 #[test]
-fn a_worker_that_said_that_it_leaves_gets_requests_only_after_a_new_start() {
+fn a_worker_that_said_that_it_leaves_gets_requests_only_after_a_confirmed_new_start() {
     let mut roster = UpstreamRoster::default();
     let started = |started_ms| UpstreamRecord {
         started_ms,
@@ -166,8 +169,8 @@
     let now = ClockTime::ZERO;
     roster.apply(now, present(Some(1)));
     let worker = started(None).worker;
-    assert!(roster.mark_leaving(&worker));
-    assert!(!roster.mark_leaving(&worker));
+    assert!(roster.mark_leaving(now, &worker, Some(now)));
+    assert!(!roster.mark_leaving(now, &worker, Some(now)));
     roster.apply(now, present(Some(1)));
     assert_eq!(roster.usable().count(), 0);
     roster.apply(
@@ -182,8 +185,16 @@
     let restart = present(Some(2));
     assert_eq!(roster.restarted(&restart), [&worker]);
     roster.apply(now, restart);
+    // The answer may have been one of the new start.
+    assert!(roster.find(&worker).is_none());
+    let check = HealthCheck {
+        worker: worker.clone(),
+        started_ms: Some(2),
+        sent_at: now,
+    };
+    assert!(roster.settle(now, &check, HealthOutcome::Sound));
     assert!(roster.find(&worker).is_some());
-    assert!(!roster.is_leaving(&worker));
+    assert_eq!(roster.standing(&worker), Some(WorkerStanding::Serving));
 }
 
 // Guards against a worker that is kept for good because its registration is missing after an outage and
--- a/src/event.rs
+++ b/src/event.rs
@@ -125,6 +125,7 @@
     610 Info CrashesCleared "crashes-cleared" "A complete answer showed that parts of prompts with crashes on record don't crash workers, and their record was removed.";
     611 Info CrashesRestored "crashes-restored" "The crashes under parts of prompts that hosts keep in the store were read, and some of them were new to the host.";
     612 Info WorkerEntryChanged "worker-entry-changed" "The registration of a worker was added, states another state or start, is missing, is back, or was removed.";
+    613 Info WorkerChecked "worker-checked" "A worker that was leaving or removed, and may have started again, was asked whether it is healthy; it gets requests again if it is sound.";
     700 Warning PlatformFailed "platform-failed" "A call to the platform failed or timed out.";
     800 Warning LinesDropped "lines-dropped" "Log lines were dropped by the rate limit.";
 }
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -13,6 +13,7 @@
 
 use super::host::GatewayHost;
 use super::worker::ConnectionNumber;
+use super::worker::ConnectionOpening;
 use super::worker::ConnectionTunnel;
 use super::worker::WorkerConnection;
 use crate::connection::FreshConnection;
@@ -128,8 +129,8 @@
     fn use_direct(&self, worker: &WorkerName, connection: FreshConnection) -> WorkerConnection {
         let mut reachability = self.connector.reachability.borrow_mut();
         reachability.record_opened(worker);
-        let (number, http) = (self.next_connection_number(), self.http.clone());
-        WorkerConnection::new(number, connection.into_stream(), None, http)
+        let (opening, http) = (self.connection_opening(), self.http.clone());
+        WorkerConnection::new(opening, connection.into_stream(), None, http)
     }
 
     fn use_tunnel(
@@ -141,16 +142,19 @@
         let checking = Rc::clone(self);
         let failed = worker.clone();
         actix_rt::spawn(async move { checking.check_path(&failed).await });
-        let opened_at = self.clock.now();
-        let tunnel = ConnectionTunnel { host, opened_at };
-        let (number, http) = (self.next_connection_number(), self.http.clone());
-        WorkerConnection::new(number, stream, Some(tunnel), http)
+        let tunnel = ConnectionTunnel { host };
+        let (opening, http) = (self.connection_opening(), self.http.clone());
+        WorkerConnection::new(opening, stream, Some(tunnel), http)
     }
 
-    fn next_connection_number(&self) -> ConnectionNumber {
+    /// Numbers a connection that was opened now.
+    fn connection_opening(&self) -> ConnectionOpening {
         let opened = &self.connector.opened_connections;
         opened.update(|count| count + 1);
-        ConnectionNumber(opened.get())
+        ConnectionOpening {
+            number: ConnectionNumber(opened.get()),
+            opened_at: self.clock.now(),
+        }
     }
 
     /// Records that no direct connection to a worker was opened in time, and connects to others to
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -96,6 +96,7 @@
         let worker = &evidence.worker;
         let time_left = self.planned.deadline.since(dispatched_at) + ANSWER_GRACE;
         let limit = tokio::time::Instant::now() + time_left;
+        let connected_at = connection.opened_at();
         let answering = self.matching_answer(connection, request);
         let Ok(answer) = tokio::time::timeout_at(limit, answering).await else {
             let error = CallError::TimedOut;
@@ -115,7 +116,7 @@
         }
         if metadata.leaving {
             lease.leaving_named();
-            let is_new = self.host.mark_leaving(worker);
+            let is_new = self.host.mark_leaving(worker, Some(connected_at));
             self.trace.leaving_stated(worker, is_new);
         }
         if let Some(rest) = metadata.rest {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -1,6 +1,7 @@
 //! Interface to the header names and formats used by callers and workers.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -83,6 +84,8 @@
     pub tolerance: Option<RejectionTolerance>,
     /// Time for which the worker keeps the idle connection open, if the worker states it.
     pub keep_alive: Option<Duration>,
+    /// Name of the worker, which answers to health checks state.
+    pub worker: Option<String>,
 }
 
 /// Reads and writes the headers exchanged between callers, the gateway and workers.
@@ -96,6 +99,9 @@
     /// Returns the headers of a request for a worker, derived from those of the caller.
     fn dispatch_headers(&self, caller: &HeaderMap, dispatch: &DispatchMetadata<'_>) -> HeaderMap;
 
+    /// Returns the headers of a health check that only the named worker may answer.
+    fn health_headers(&self, worker: &WorkerName, address: SocketAddr) -> HeaderMap;
+
     /// Reads the status and the headers of a worker's answer.
     fn answer_metadata(&self, status: u16, headers: &HeaderMap) -> AnswerMetadata;
 
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -46,6 +46,9 @@
     pub max_connections: u32,
     /// Largest number of answer tokens in one event of a stream.
     pub event_tokens: u32,
+    /// Path of its workers' health check; `None` if they have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
 }
 
 /// Configuration of a workspace, the customer to which callers belong.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -43,9 +43,10 @@
 /// more.
 const MAX_UNUSED_SLOTS: usize = 6;
 
-/// Time until a request that was twice granted a worker unknown to this host asks again; it doubles
-/// with each further grant, so that the last one comes later than the next poll of the state.
-const MIN_UNKNOWN_WORKER_DELAY: Duration = Duration::from_millis(100);
+/// Time until a request that was twice granted a worker unknown to this host, or unconfirmed, asks
+/// again; it doubles with each further grant, so that the last one comes later than the next poll of
+/// the state.
+const MIN_REPEAT_DELAY: Duration = Duration::from_millis(100);
 
 /// Retry-after time of a request for a stream of unknown origin, which another host may know.
 const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(200);
@@ -199,9 +200,9 @@
                 }
                 Err((error, waiting)) => {
                     self.trace.slot_unused(&worker, &error);
-                    if matches!(error, SlotError::WorkerUnknown) {
+                    if error.may_pass() {
                         actix_rt::time::sleep(unknown_delay).await;
-                        unknown_delay = (unknown_delay * 2).max(MIN_UNKNOWN_WORKER_DELAY);
+                        unknown_delay = (unknown_delay * 2).max(MIN_REPEAT_DELAY);
                     }
                     unused += 1;
                     if unused >= MAX_UNUSED_SLOTS {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -73,6 +73,8 @@
     pub closing: StopSignal,
     /// Wakes the task that logs changes of the host's state.
     pub(super) changed: Notify,
+    /// Wakes the task that checks workers which may be leaving.
+    pub(super) unconfirmed: Notify,
     /// The state exchange with other hosts.
     pub(super) sync: SyncState,
     /// The ways to workers.
@@ -145,6 +147,7 @@
             stopping: StopSignal::default(),
             closing: StopSignal::default(),
             changed: Notify::default(),
+            unconfirmed: Notify::default(),
             sync: SyncState::default(),
             connector: ConnectorState::default(),
             rests: RefCell::default(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod call_error;
 mod caller;
+mod confirm;
 mod connector;
 mod crash;
 mod crash_record;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -76,8 +76,8 @@
     ) {
         let time = idle_time.map_or(DEFAULT_IDLE_TIME, |time| time / IDLE_TIME_DIVISOR);
         let idle_until = now + time;
-        let tunnel = connection.tunnel();
-        let tunnel_until = tunnel.map(|tunnel| tunnel.opened_at + MAX_TUNNEL_AGE);
+        let opened_at = connection.opened_at();
+        let tunnel_until = connection.tunnel().map(|_| opened_at + MAX_TUNNEL_AGE);
         let expires_at = tunnel_until.map_or(idle_until, |until| idle_until.min(until));
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(worker.clone()).or_default();
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -11,6 +11,8 @@
 use crate::kernel::configuration::DatacenterSpec;
 use crate::kernel::configuration::ServiceSpec;
 use crate::kernel::configuration::WorkerSpec;
+use crate::kernel::departure::HealthCheck;
+use crate::kernel::departure::HealthOutcome;
 use crate::kernel::name::WorkerName;
 use crate::kernel::roster::RosterUpdate;
 use crate::kernel::roster::UpstreamRecord;
@@ -26,16 +28,50 @@
 
     /// Records that a worker said in an answer that it is leaving; it gets no further requests.
     ///
-    /// Returns whether that was not known.
-    pub(super) fn mark_leaving(&self, worker: &WorkerName) -> bool {
+    /// `connected_at` is the time at which the connection of the answer was opened; `None` if another
+    /// host got the answer. Returns whether that was not known.
+    pub(super) fn mark_leaving(
+        &self,
+        worker: &WorkerName,
+        connected_at: Option<ClockTime>,
+    ) -> bool {
         self.pool.close_connections(worker);
-        let is_new = self.state.roster.borrow_mut().mark_leaving(worker);
+        let now = self.clock.now();
+        let mut roster = self.state.roster.borrow_mut();
+        let is_new = roster.mark_leaving(now, worker, connected_at);
+        drop(roster);
         if is_new {
             self.update_cells();
+            self.unconfirmed.notify_one();
         }
         is_new
     }
 
+    /// Returns the workers that may get requests only after a health check.
+    pub(super) fn unconfirmed_workers(&self) -> Vec<WorkerName> {
+        let roster = self.state.roster.borrow();
+        let workers = roster.unconfirmed();
+        workers.map(|record| record.worker.clone()).collect()
+    }
+
+    /// Returns a worker if it may get requests only after a health check.
+    pub(super) fn unconfirmed_worker(&self, worker: &WorkerName) -> Option<UpstreamRecord> {
+        let roster = self.state.roster.borrow();
+        let mut workers = roster.unconfirmed();
+        workers.find(|record| record.worker == *worker).cloned()
+    }
+
+    /// Applies the result of a health check of an unconfirmed worker.
+    pub(super) fn settle_worker(&self, check: &HealthCheck, outcome: HealthOutcome) {
+        let now = self.clock.now();
+        let mut roster = self.state.roster.borrow_mut();
+        let is_usable = roster.settle(now, check, outcome);
+        drop(roster);
+        if is_usable {
+            self.update_cells();
+        }
+    }
+
     /// Applies a change of the worker roster; returns whether a worker was added, changed or
     /// removed.
     pub fn apply_workers(&self, update: RosterUpdate) -> bool {
@@ -62,6 +98,7 @@
 
     fn finish_roster_change(&self, now: ClockTime, changed: bool) {
         self.log_transitions();
+        self.unconfirmed.notify_one();
         self.streams
             .observe_workers(now, &self.state.roster.borrow());
         if changed {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use super::confirm;
 use super::crash_record::CrashRecordKeeper;
 use super::dialect::GatewayDialect;
 use super::document::HostRecord;
@@ -324,6 +325,7 @@
     }));
     actix_rt::spawn(Rc::clone(&host.cells).run_ticks());
     actix_rt::spawn(Rc::clone(&host.cells).run_summaries());
+    actix_rt::spawn(confirm::confirm_workers(Rc::clone(host)));
     actix_rt::spawn(close_expired_connections(Rc::clone(host)));
     actix_rt::spawn(report_usage(Rc::clone(host)));
     actix_rt::spawn(stream_log::save_streams(Rc::clone(host)));
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -22,6 +22,7 @@
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::attempt::RepeatError;
 use crate::kernel::clock::ClockTime;
+use crate::kernel::departure::WorkerStanding;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::DispatchedState;
 use crate::kernel::lifecycle::GrantedState;
@@ -54,6 +55,9 @@
     /// The broker knows the worker, but this host does not, or no longer.
     #[error("the worker is not registered")]
     WorkerUnknown,
+    /// The worker was leaving, and a health check has not shown yet whether it has started again.
+    #[error("the worker may be leaving")]
+    WorkerUnconfirmed,
     /// The worker asked this host for rest.
     #[error("the worker wants no requests for {remaining:?}")]
     WorkerResting {
@@ -80,6 +84,14 @@
     Call(#[from] CallError),
 }
 
+impl SlotError {
+    /// Returns whether the reason probably ends soon, so that the request may be granted the same
+    /// worker again.
+    pub(super) const fn may_pass(&self) -> bool {
+        matches!(self, Self::WorkerUnknown | Self::WorkerUnconfirmed)
+    }
+}
+
 impl CallExchange<'_> {
     /// Asks the broker for a slot on a worker and waits for the grant.
     pub(super) async fn wait_for_slot(
@@ -229,15 +241,16 @@
 
     /// Returns the reason why this host does not use a worker that it was granted.
     fn unusable_error(&self, worker: &WorkerName, lease: &SlotLease) -> SlotError {
-        let roster = self.host.state.roster.borrow();
-        if !roster.contains(worker) {
-            return SlotError::WorkerUnknown;
-        }
-        if roster.is_leaving(worker) {
-            // The broker does not know it if it has taken over since.
-            lease.leaving_named();
+        match self.host.state.roster.borrow().standing(worker) {
+            None => SlotError::WorkerUnknown,
+            Some(WorkerStanding::Unconfirmed) => SlotError::WorkerUnconfirmed,
+            Some(WorkerStanding::Leaving) => {
+                // The broker does not know it if it has taken over since.
+                lease.leaving_named();
+                SlotError::WorkerGone
+            }
+            Some(WorkerStanding::Serving) => SlotError::WorkerGone,
         }
-        SlotError::WorkerGone
     }
 
     /// Returns what is left of the rest that the worker asked this host for, if any.
--- a/src/gateway/worker/mod.rs
+++ b/src/gateway/worker/mod.rs
@@ -56,21 +56,28 @@
 pub struct ConnectionTunnel {
     /// The other host.
     pub host: HostName,
-    /// The time at which the connection was opened.
-    pub opened_at: ClockTime,
 }
 
 /// The number of a connection among those that a host has opened to workers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionNumber(pub u64);
 
+/// The number of a connection and the time at which it was opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionOpening {
+    /// The number of the connection.
+    pub number: ConnectionNumber,
+    /// The time at which it was opened.
+    pub opened_at: ClockTime,
+}
+
 /// An open connection to a worker.
 ///
 /// If it is dropped between a request and the end of the answer, the connection is reset. A plain
 /// close would still deliver what the kernel has not sent yet, and the worker would run it.
 #[derive(Debug)]
 pub struct WorkerConnection {
-    number: ConnectionNumber,
+    opening: ConnectionOpening,
     stream: TcpStream,
     /// The tunnel that carries the connection; `None` if it is direct.
     tunnel: Option<ConnectionTunnel>,
@@ -96,13 +103,13 @@
     /// Wraps a connection on which nothing has been sent yet.
     #[must_use]
     pub fn new(
-        number: ConnectionNumber,
+        opening: ConnectionOpening,
         stream: TcpStream,
         tunnel: Option<ConnectionTunnel>,
         config: ServiceConfig,
     ) -> Self {
         Self {
-            number,
+            opening,
             stream,
             tunnel,
             config,
@@ -116,7 +123,13 @@
     /// Returns the number of the connection.
     #[must_use]
     pub const fn number(&self) -> ConnectionNumber {
-        self.number
+        self.opening.number
+    }
+
+    /// Returns the time at which the connection was opened.
+    #[must_use]
+    pub const fn opened_at(&self) -> ClockTime {
+        self.opening.opened_at
     }
 
     /// Returns the tunnel that carries the connection; `None` if it is direct.
