--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -64,6 +64,7 @@
     StreamWanted "stream-wanted";
     BegunStreams "begun-streams";
     StreamRecords "stream-records";
+    WorkerLeaving "worker-leaving";
     Query "query";
     QueryAnswer "query-answer";
 }
