--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -24,7 +24,6 @@
 use crate::kernel::attempt::RunStatement;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
-use crate::wire::LinkMessage;
 
 /// Time past the deadline for which the worker's answer is still awaited.
 const ANSWER_GRACE: Duration = Duration::from_millis(150);
@@ -98,7 +97,6 @@
         let time_left = self.planned.deadline.since(dispatched_at) + ANSWER_GRACE;
         let limit = tokio::time::Instant::now() + time_left;
         let connected_at = connection.opened_at();
-        let tunnel = connection.tunnel().cloned();
         let answering = self.matching_answer(connection, request);
         let Ok(answer) = tokio::time::timeout_at(limit, answering).await else {
             let error = CallError::TimedOut;
@@ -117,12 +115,6 @@
             self.trace.rate_changed(worker, metadata.rate);
         }
         if metadata.leaving {
-            // The host between sends requests of its own too.
-            if let Some(tunnel) = &tunnel {
-                let notice = LinkMessage::WorkerLeaving(worker.clone());
-                // Without a link it learns of it by an answer of its own.
-                let _ = self.host.links.send(&tunnel.host, notice);
-            }
             lease.leaving_named();
             let is_new = self.host.mark_leaving(worker, Some(connected_at));
             self.trace.leaving_stated(worker, is_new);
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -35,7 +35,6 @@
         LinkMessage::StreamRecords(batch) => {
             host.streams.log.receive(StreamStage::Dispatched, &batch);
         }
-        LinkMessage::WorkerLeaving(worker) => host.receive_leaving(from, &worker),
         LinkMessage::StreamWanted(stream) => streams::answer_lookup(host, from, stream),
         other => host.cells.receive(from, other),
     }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -13,7 +13,6 @@
 use crate::kernel::configuration::WorkerSpec;
 use crate::kernel::departure::HealthCheck;
 use crate::kernel::departure::HealthOutcome;
-use crate::kernel::name::HostName;
 use crate::kernel::name::WorkerName;
 use crate::kernel::roster::RosterUpdate;
 use crate::kernel::roster::UpstreamRecord;
@@ -48,13 +47,6 @@
         is_new
     }
 
-    /// Records that a worker said that it is leaving in an answer that this host passed on to another.
-    pub(super) fn receive_leaving(&self, from: &HostName, worker: &WorkerName) {
-        let is_new = self.mark_leaving(worker, None);
-        log_event!(self.log, LogEvent::WorkerLeaving,
-            "worker" => worker.as_str(), "peer" => from.as_str(), "new" => is_new);
-    }
-
     /// Returns the workers that may get requests only after a health check.
     pub(super) fn unconfirmed_workers(&self) -> Vec<WorkerName> {
         let roster = self.state.roster.borrow();
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -70,7 +70,6 @@
 const STREAM_RECORDS: u8 = 44;
 const STREAM_BEGUN: u8 = 45;
 const BEGUN_STREAMS: u8 = 46;
-const WORKER_LEAVING: u8 = 47;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -190,7 +189,6 @@
             LinkMessage::SoundParts(parts) => write(frame, SOUND_PARTS, parts),
             LinkMessage::BegunStreams(batch) => write(frame, BEGUN_STREAMS, batch),
             LinkMessage::StreamRecords(batch) => write(frame, STREAM_RECORDS, batch),
-            LinkMessage::WorkerLeaving(worker) => write(frame, WORKER_LEAVING, worker),
             LinkMessage::StreamBegun { stream, version } => {
                 write(frame, STREAM_BEGUN, &(stream, version))
             }
@@ -334,7 +332,6 @@
             }
             STATE_WANTED => LinkMessage::StateWanted(read(rest, limit)?),
             STATE => LinkMessage::State(read(rest, MAX_FRAME_BYTES)?),
-            WORKER_LEAVING => LinkMessage::WorkerLeaving(read(rest, limit)?),
             STREAM_BEGUN => {
                 let (stream, version) = read(rest, limit)?;
                 LinkMessage::StreamBegun { stream, version }
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -64,7 +64,6 @@
     StreamWanted "stream-wanted";
     BegunStreams "begun-streams";
     StreamRecords "stream-records";
-    WorkerLeaving "worker-leaving";
     Query "query";
     QueryAnswer "query-answer";
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -35,7 +35,6 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
-use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::pace::NamedRate;
@@ -154,8 +153,6 @@
     BegunStreams(StreamBatch),
     /// Streams that hosts which don't know [`Self::BegunStreams`] dispatched, for the same log.
     StreamRecords(StreamBatch),
-    /// A worker said that it leaves in an answer that the receiver passed on to the sender.
-    WorkerLeaving(WorkerName),
     /// The sender queries the version of the worker that began a stream.
     StreamWanted(StreamKey),
     /// The sender polls the receiver for the state of the platform's store.
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -53,10 +53,7 @@
     pub const UNSTATED: Self = Self(2);
 
     /// The revision of this build; hosts state their revisions and skip messages of unknown kinds.
-    pub const CURRENT: Self = Self(6);
-
-    /// The revision from which on hosts are told that a worker leaves whose answer they passed on.
-    pub const LEAVING_WORKERS: Self = Self(6);
+    pub const CURRENT: Self = Self(5);
 
     /// The revision from which on hosts tell streams that have begun from dispatched ones.
     pub const BEGUN_STREAMS: Self = Self(5);
@@ -87,7 +84,6 @@
     pub const fn revision(&self) -> WireRevision {
         match self {
             Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
-            Self::WorkerLeaving(_) => WireRevision::LEAVING_WORKERS,
             Self::BegunStreams(_) | Self::StreamBegun { .. } => WireRevision::BEGUN_STREAMS,
             Self::SoundAnswer { .. } => WireRevision::SOUND_ANSWERS,
             Self::StreamRecords(_) => WireRevision::STREAM_RECORDS,
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -237,7 +237,6 @@
             name("v1"),
             vec![StreamKey(0), StreamKey(u64::MAX)],
         )]))),
-        LinkMessage::WorkerLeaving(name("i-7f3a91c2")),
     ]
 }
 
