Let the host between learn that a worker leaves

What workers saw: a request from a host that had passed the bytes of an answer on for another host, whose worker stated in it that it leaves.

Cause: tunnels pass bytes on unread, so only the host that asked for the tunnel learned of it.

Change: the host between looks for the header in the bytes that it passes on (src/gateway/watched.rs). It doesn't follow the framing, so a line of a body that looks like the header counts too; both make the worker unconfirmed, and the health check decides.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -99,6 +99,9 @@
     /// Returns the headers of a request for a worker, derived from those of the caller.
     fn dispatch_headers(&self, caller: &HeaderMap, dispatch: &DispatchMetadata<'_>) -> HeaderMap;
 
+    /// Returns the name of the header by which a worker states that it is leaving.
+    fn leaving_header(&self) -> &str;
+
     /// Returns the headers of a health check that only the named worker may answer.
     fn health_headers(&self, worker: &WorkerName, address: SocketAddr) -> HeaderMap;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod trace;
 mod tunnel;
 mod usage;
+mod watched;
 mod worker;
 
 pub use self::dialect::AnswerMetadata;
@@ -65,3 +66,4 @@
 pub use self::store::LogEntry;
 pub use self::store::StoreError;
 pub use self::store::StoredValue;
+pub use self::watched::HeaderScanner;
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -47,6 +47,14 @@
         is_new
     }
 
+    /// Records that an answer which this host passes on for another one probably states that its worker
+    /// is leaving.
+    pub(super) fn observe_leaving(&self, worker: &WorkerName) {
+        let is_new = self.mark_leaving(worker, None);
+        log_event!(self.log, LogEvent::WorkerLeaving,
+            "worker" => worker.as_str(), "passed_on" => true, "new" => is_new);
+    }
+
     /// Returns the workers that may get requests only after a health check.
     pub(super) fn unconfirmed_workers(&self) -> Vec<WorkerName> {
         let roster = self.state.roster.borrow();
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -2,6 +2,9 @@
 //!
 //! An orderly close and a reset are passed on as such. If this host ends, both connections are
 //! reset, so that no truncated answer looks complete and no request runs for nobody.
+//!
+//! This host sends requests of its own to the same workers, so it watches the answers for one that
+//! states that its worker leaves.
 
 use std::io;
 use std::rc::Rc;
@@ -12,6 +15,8 @@
 
 use super::connector::DIRECT_TIMEOUT;
 use super::host::GatewayHost;
+use super::watched::HeaderScanner;
+use super::watched::WatchedStream;
 use crate::connection::FreshConnection;
 use crate::link::TunnelDenial;
 use crate::link::TunnelRequest;
@@ -62,6 +67,10 @@
     };
     match connect(&host, &request).await {
         Ok(worker) => {
+            let scanner = HeaderScanner::new(host.dialect.leaving_header());
+            let (observing, name) = (Rc::clone(&host), request.worker.clone());
+            let on_leaving = || observing.observe_leaving(&name);
+            let worker = WatchedStream::new(worker, scanner, on_leaving);
             if let Ok(peer) = request.accept().await {
                 // Errors are passed on as resets of the other connection.
                 let _ = pass_on(peer, worker).await;
@@ -92,13 +101,16 @@
 }
 
 /// Passes bytes on in both directions until both connections are closed or one fails.
-async fn pass_on(mut peer: TcpStream, mut worker: TcpStream) -> io::Result<()> {
-    let streams = [&peer, &worker];
+async fn pass_on(
+    mut peer: TcpStream,
+    mut worker: WatchedStream<impl FnMut() + Unpin>,
+) -> io::Result<()> {
+    let streams = [&peer, worker.stream()];
     for stream in streams {
         SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
     }
     tokio::io::copy_bidirectional(&mut peer, &mut worker).await?;
-    for stream in [&peer, &worker] {
+    for stream in [&peer, worker.stream()] {
         SockRef::from(stream).set_linger(None)?;
     }
     Ok(())
