Read everything again in another era of the store

What workers saw: a request to a removed worker that is registered in the older copy from which the store is back; and, by the second test, a draining row that a host never read.

Cause: the host knew nothing of the store's eras. A row of the copy looked like a worker that had registered again, and a read from a revision that the store had given out again left out what was written before.

A read that continued from a position of another era counts as history that is gone, so that everything is read again, of the configuration too.

Ruled out: checking each worker that is back after a removal (after an outage of the store with lapses, 240 workers x 295 hosts).

--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -61,6 +61,14 @@
 #[serde(transparent)]
 pub struct StoreEra(pub u64);
 
+impl StoreEra {
+    /// Returns whether the era is not known.
+    #[must_use]
+    pub const fn is_unknown(&self) -> bool {
+        self.0 == 0
+    }
+}
+
 /// The result of a read of the registered workers.
 #[derive(Clone, Debug, Default)]
 pub struct RosterUpdate {
@@ -239,6 +247,12 @@
         }
     }
 
+    /// Returns the era of the store, the latest of all updates.
+    #[must_use]
+    pub const fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Returns the changes of registrations since the last call, oldest first; of very many, only the
     /// first ones.
     pub fn take_transitions(&mut self) -> Vec<RosterTransition> {
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -16,6 +16,7 @@
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::quota::QuotaBounds;
+use crate::kernel::roster::StoreEra;
 use crate::kernel::roster::StoreRevision;
 use crate::kernel::route::RouteTable;
 
@@ -249,6 +250,8 @@
 pub struct ConfigurationReading {
     /// Store revision up to which the read is complete.
     pub revision: StoreRevision,
+    /// Era of the store in which it was read.
+    pub era: StoreEra,
     /// Newest version; `None` if the configuration has not changed since the previous read.
     pub configuration: Option<ServingConfiguration>,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::quota::QuotaBucket;
 use crate::kernel::retry::RetryBudget;
+use crate::kernel::roster::StoreEra;
 use crate::kernel::roster::UpstreamRecord;
 use crate::kernel::roster::UpstreamRoster;
 
@@ -58,6 +59,12 @@
         self.roster_revision.get()
     }
 
+    /// Returns the era of the store in which the workers are known.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        self.roster.borrow().era()
+    }
+
     /// Returns all registered workers, including those that are draining.
     #[must_use]
     pub fn registered_workers(&self) -> Vec<UpstreamRecord> {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -9,6 +9,7 @@
 
 use tokio::sync::Notify;
 
+use super::document::ConfigurationReading;
 use super::host::GatewayHost;
 use super::store::FleetStore;
 use super::store::StoreError;
@@ -18,6 +19,7 @@
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::roster::RosterUpdate;
+use crate::kernel::roster::StoreEra;
 use crate::kernel::roster::StoreRevision;
 use crate::kernel::share::AnswerTracker;
 use crate::kernel::share::DIRECT_HOSTS;
@@ -66,14 +68,37 @@
     update_received: Notify,
 }
 
+/// The end of a read, from which the next one continues.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct StorePosition {
+    revision: StoreRevision,
+    era: StoreEra,
+}
+
+impl StorePosition {
+    /// Checks that a read which continued from the position was made in its era: in another one, the
+    /// store may have given its revisions out again.
+    fn check<T>(
+        before: Option<Self>,
+        reading: T,
+        position: impl Fn(&T) -> Self,
+    ) -> Result<T, StoreError> {
+        let era = position(&reading).era;
+        match before {
+            Some(before) if before.era != era => Err(StoreError::HistoryGone),
+            _ => Ok(reading),
+        }
+    }
+}
+
 /// Reads the store for a host.
 struct StoreReader {
     host: Rc<GatewayHost>,
     store: Rc<dyn FleetStore>,
-    /// The revision of the last read of the configuration; `None` if all of it must be read.
-    configuration: Option<StoreRevision>,
-    /// The revision of the last read of the workers; `None` if all of them must be read.
-    workers: Option<StoreRevision>,
+    /// Where the last read of the configuration ended; `None` if all of it must be read.
+    configuration: Option<StorePosition>,
+    /// Where the last read of the workers ended; `None` if all of them must be read.
+    workers: Option<StorePosition>,
     /// The time of the last read of the workers; `None` before the first.
     workers_read: Option<ClockTime>,
     /// The current back-off.
@@ -234,6 +259,7 @@
             Some(present) => {
                 *host.sync.source.borrow_mut() = Some((from.clone(), update.roster));
                 host.apply_workers(RosterUpdate {
+                    era: update.era,
                     complete: true,
                     present,
                     ..RosterUpdate::default()
@@ -264,6 +290,7 @@
             configuration: newest.filter(|newest| newest.version > poll.version),
             workers: (poll.roster != roster).then(|| host.state.registered_workers()),
             roster,
+            era: host.state.era(),
         };
         // A host that misses the answer polls again.
         let _ = host.links.send(&name, LinkMessage::State(Box::new(update)));
@@ -282,6 +309,7 @@
         configuration: host.latest_configuration().filter(|_| change.configuration),
         workers: None,
         roster: host.state.roster_revision(),
+        era: host.state.era(),
     };
     let mut polls = host.sync.polls.borrow_mut();
     for name in polls.subscribers(host.clock.now()) {
@@ -354,12 +382,19 @@
         begin: ClockTime,
         wait: Duration,
     ) -> Result<bool, StoreError> {
-        let read = self.store.configuration(self.configuration, wait).await;
+        let before = self.configuration;
+        let since = before.map(|before| before.revision);
+        let read = self.store.configuration(since, wait).await;
         self.count_call("configuration", read.is_ok());
         if read.as_ref().is_err_and(StoreError::is_outage) {
             self.host.state.roster.borrow_mut().store_unavailable();
         }
-        self.configuration = next_revision(&read, |reading| reading.revision, self.configuration);
+        let position = |reading: &ConfigurationReading| StorePosition {
+            revision: reading.revision,
+            era: reading.era,
+        };
+        let read = read.and_then(|reading| StorePosition::check(before, reading, position));
+        self.configuration = next_position(&read, position, before);
         let configuration = read?.configuration;
         let changed =
             configuration.is_some_and(|newer| self.host.apply_configuration(Arc::new(newer)));
@@ -369,9 +404,18 @@
 
     async fn read_workers(&mut self) -> Result<bool, StoreError> {
         let begin = self.host.clock.now();
-        let read = self.store.workers(self.workers).await;
+        let before = self.workers;
+        let read = self
+            .store
+            .workers(before.map(|before| before.revision))
+            .await;
         self.count_call("workers", read.is_ok());
-        self.workers = next_revision(&read, |reading| reading.revision, self.workers);
+        let position = |reading: &RosterUpdate| StorePosition {
+            revision: reading.revision,
+            era: reading.era,
+        };
+        let read = read.and_then(|reading| StorePosition::check(before, reading, position));
+        self.workers = next_position(&read, position, before);
         match read {
             Ok(reading) => {
                 self.host.sync.roster_as_of.set(begin);
@@ -389,15 +433,15 @@
     }
 }
 
-/// Returns the revision from which the next read continues; `None` if the store no longer holds the
+/// Returns the position from which the next read continues; `None` if the store no longer holds the
 /// changes, so that everything must be read again.
-fn next_revision<T>(
+fn next_position<T>(
     read: &Result<T, StoreError>,
-    revision: impl Fn(&T) -> StoreRevision,
-    before: Option<StoreRevision>,
-) -> Option<StoreRevision> {
+    position: impl Fn(&T) -> StorePosition,
+    before: Option<StorePosition>,
+) -> Option<StorePosition> {
     match read {
-        Ok(reading) => Some(revision(reading)),
+        Ok(reading) => Some(position(reading)),
         Err(StoreError::HistoryGone) => None,
         Err(_) => before,
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -41,6 +41,7 @@
 use crate::kernel::poison::PartReport;
 use crate::kernel::prompt::PartDigest;
 use crate::kernel::quarantine::CrashCount;
+use crate::kernel::roster::StoreEra;
 use crate::kernel::roster::UpstreamRecord;
 use crate::kernel::stream::StreamKey;
 use crate::kernel::stream_log::StreamBatch;
@@ -234,6 +235,9 @@
     /// The roster revision of the sending host, a number that changes with each change of its
     /// roster.
     pub roster: u64,
+    /// The era of the store in which the sender knows its workers; unknown to earlier builds.
+    #[serde(default, skip_serializing_if = "StoreEra::is_unknown")]
+    pub era: StoreEra,
 }
 
 /// The units that a host has charged to the quotas of workspaces.
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -31,6 +31,7 @@
 use borageladder::kernel::prompt::PartDigest;
 use borageladder::kernel::pushback::RejectionTolerance;
 use borageladder::kernel::quarantine::CrashCount;
+use borageladder::kernel::roster::StoreEra;
 use borageladder::kernel::stream::StreamKey;
 use borageladder::kernel::stream_log::StreamBatch;
 use borageladder::wire::CellSummary;
@@ -335,6 +336,7 @@
             configuration: None,
             workers: Some(Vec::new()),
             roster: 3,
+            era: StoreEra(2),
         })),
         LinkMessage::Query {
             number: 1,
