Send requests only to the process of the present start of a worker

What a worker saw: the process of an earlier start, which leaves, got further requests (every second of 60) on a connection that was in use when the worker started again under its name at another address.

Cause: idle connections are kept by the name of the worker. Those that were idle at a restart are closed; one that was in use came back to the pool afterwards. A connection that was being opened at a restart was used as well.

Change: a connection knows the process that it leads to (address and start of the registration by which it was opened). It is kept, and carries a request, only if that is the present one.

--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -15,6 +15,7 @@
 
 use super::dialect::AnswerMetadata;
 use super::host::GatewayHost;
+use super::worker::WorkerEndpoint;
 use super::worker::WorkerRequest;
 use crate::event::LogEvent;
 use crate::kernel::departure::HealthCheck;
@@ -79,7 +80,10 @@
         return HealthOutcome::Sound;
     };
     let worker = &record.worker;
-    let Ok(connection) = host.connect_worker(worker, record.address).await else {
+    let Ok(connection) = host
+        .connect_worker(worker, WorkerEndpoint::from(record))
+        .await
+    else {
         return HealthOutcome::Undecided;
     };
     let request = WorkerRequest {
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -16,6 +16,7 @@
 use super::worker::ConnectionOpening;
 use super::worker::ConnectionTunnel;
 use super::worker::WorkerConnection;
+use super::worker::WorkerEndpoint;
 use crate::connection::FreshConnection;
 use crate::connection::OpenError;
 use crate::kernel::location::NetworkLocation;
@@ -85,8 +86,9 @@
     pub(super) async fn connect_worker(
         self: &Rc<Self>,
         worker: &WorkerName,
-        address: SocketAddr,
+        endpoint: WorkerEndpoint,
     ) -> Result<WorkerConnection, ConnectError> {
+        let address = endpoint.address;
         let mut direct = Box::pin(FreshConnection::open(address));
         let delay = self
             .connector
@@ -94,7 +96,7 @@
             .borrow()
             .tunnel_delay(self.clock.now(), worker);
         let mut refused = match tokio::time::timeout(delay, &mut direct).await {
-            Ok(Ok(connection)) => return Ok(self.use_direct(worker, connection)),
+            Ok(Ok(connection)) => return Ok(self.use_direct(worker, endpoint, connection)),
             Ok(Err(error)) => Some(error),
             Err(_elapsed) => None,
         };
@@ -104,11 +106,13 @@
             tokio::select! {
                 biased;
                 opened = &mut direct, if refused.is_none() => match opened {
-                    Ok(connection) => return Ok(self.use_direct(worker, connection)),
+                    Ok(connection) => return Ok(self.use_direct(worker, endpoint, connection)),
                     Err(error) => refused = Some(error),
                 },
                 opened = &mut tunnel, if failure.is_none() => match opened {
-                    Ok((stream, host)) => return Ok(self.use_tunnel(worker, stream, host)),
+                    Ok((stream, host)) => {
+                        return Ok(self.use_tunnel(worker, endpoint, stream, host));
+                    }
                     Err(failed) => failure = Some(failed),
                 },
             }
@@ -126,16 +130,22 @@
         }
     }
 
-    fn use_direct(&self, worker: &WorkerName, connection: FreshConnection) -> WorkerConnection {
+    fn use_direct(
+        &self,
+        worker: &WorkerName,
+        endpoint: WorkerEndpoint,
+        connection: FreshConnection,
+    ) -> WorkerConnection {
         let mut reachability = self.connector.reachability.borrow_mut();
         reachability.record_opened(worker);
-        let (opening, http) = (self.connection_opening(), self.http.clone());
+        let (opening, http) = (self.connection_opening(endpoint), self.http.clone());
         WorkerConnection::new(opening, connection.into_stream(), None, http)
     }
 
     fn use_tunnel(
         self: &Rc<Self>,
         worker: &WorkerName,
+        endpoint: WorkerEndpoint,
         stream: TcpStream,
         host: HostName,
     ) -> WorkerConnection {
@@ -143,20 +153,38 @@
         let failed = worker.clone();
         actix_rt::spawn(async move { checking.check_path(&failed).await });
         let tunnel = ConnectionTunnel { host };
-        let (opening, http) = (self.connection_opening(), self.http.clone());
+        let (opening, http) = (self.connection_opening(endpoint), self.http.clone());
         WorkerConnection::new(opening, stream, Some(tunnel), http)
     }
 
     /// Numbers a connection that was opened now.
-    fn connection_opening(&self) -> ConnectionOpening {
+    fn connection_opening(&self, endpoint: WorkerEndpoint) -> ConnectionOpening {
         let opened = &self.connector.opened_connections;
         opened.update(|count| count + 1);
         ConnectionOpening {
             number: ConnectionNumber(opened.get()),
+            endpoint,
             opened_at: self.clock.now(),
         }
     }
 
+    /// Keeps an idle connection for further requests if it leads to the present start of its worker.
+    ///
+    /// `idle_time` is the time for which the worker keeps it open, if the worker stated one.
+    pub(super) fn keep_connection(
+        &self,
+        worker: &WorkerName,
+        connection: WorkerConnection,
+        idle_time: Option<Duration>,
+    ) {
+        let record = self.worker(worker);
+        let present = record.as_ref().map(WorkerEndpoint::from);
+        if present == Some(connection.endpoint()) {
+            let now = self.clock.now();
+            self.pool.put(now, worker, connection, idle_time);
+        }
+    }
+
     /// Records that no direct connection to a worker was opened in time, and connects to others to
     /// find out whether this host has lost its path.
     pub(super) async fn check_path(&self, worker: &WorkerName) {
@@ -179,9 +207,9 @@
         let opening = FreshConnection::open(record.address);
         let opened = tokio::time::timeout(DIRECT_TIMEOUT, opening).await;
         if let Ok(Ok(connection)) = opened {
-            let connection = self.use_direct(&record.worker, connection);
-            let now = self.clock.now();
-            self.pool.put(now, &record.worker, connection, None);
+            let endpoint = WorkerEndpoint::from(record);
+            let connection = self.use_direct(&record.worker, endpoint, connection);
+            self.keep_connection(&record.worker, connection, None);
         } else {
             self.record_direct_failure(&record.worker);
         }
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,7 +1,6 @@
 //! Crashes of workers: attribution to the requests that were running, what clears a request, and
 //! the quarantine.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +17,7 @@
 use super::trace;
 use super::worker::AnswerFraming;
 use super::worker::WorkerConnection;
+use super::worker::WorkerEndpoint;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::poison::CrashedRequest;
@@ -30,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct DispatchEvidence {
     pub(super) worker: WorkerName,
-    pub(super) address: SocketAddr,
+    pub(super) endpoint: WorkerEndpoint,
     /// The crash candidates that had a crash on record when the request was sent.
     pub(super) suspected: Vec<PartDigest>,
 }
@@ -97,8 +97,7 @@
                 let candidates = &planned.crash_candidates;
                 record_answer(&host, &planned.attempt_id, candidates, began_at);
             }
-            let now = host.clock.now();
-            host.pool.put(now, &evidence.worker, connection, None);
+            host.keep_connection(&evidence.worker, connection, None);
         }
         WorkerCheck::Ended(error) if is_candidate => {
             record_crash(&host, &planned, &evidence, error.blames_worker);
@@ -112,8 +111,7 @@
 pub(super) async fn has_ended(host: &Rc<GatewayHost>, evidence: &DispatchEvidence) -> bool {
     match check_worker(host, evidence).await {
         WorkerCheck::Alive(connection) => {
-            let now = host.clock.now();
-            host.pool.put(now, &evidence.worker, connection, None);
+            host.keep_connection(&evidence.worker, connection, None);
             false
         }
         WorkerCheck::Ended(_) => true,
@@ -136,7 +134,7 @@
 ///
 /// A worker that ends may still accept a connection, which it then closes.
 async fn check_worker(host: &Rc<GatewayHost>, evidence: &DispatchEvidence) -> WorkerCheck {
-    let connect = || host.connect_worker(&evidence.worker, evidence.address);
+    let connect = || host.connect_worker(&evidence.worker, evidence.endpoint);
     match connect().await {
         Ok(connection) => {
             actix_rt::time::sleep(SETTLE_TIME).await;
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -238,10 +238,8 @@
             return;
         }
         if let Some(connection) = answer.into_connection() {
-            let now = self.host.clock.now();
             self.host
-                .pool
-                .put(now, worker, connection, metadata.keep_alive);
+                .keep_connection(worker, connection, metadata.keep_alive);
         }
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -234,14 +234,14 @@
             life,
             mut lease,
             worker,
-            address,
+            endpoint,
             suspected,
             version,
             dispatched_at,
         } = dispatched;
         let evidence = DispatchEvidence {
             worker: worker.clone(),
-            address,
+            endpoint,
             suspected,
         };
         let is_direct = connection.tunnel().is_none();
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -1,6 +1,5 @@
 //! The slot for one dispatch of a request: the wait for its grant, and its use.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use super::plan;
 use super::trace::SentCall;
 use super::worker::WorkerConnection;
+use super::worker::WorkerEndpoint;
 use crate::cell::SlotAnswer;
 use crate::cell::SlotLease;
 use crate::kernel::ask::Refusal;
@@ -37,8 +37,8 @@
     pub(super) life: RequestLife<DispatchedState>,
     pub(super) lease: SlotLease,
     pub(super) worker: WorkerName,
-    /// The address of the worker.
-    pub(super) address: SocketAddr,
+    /// The process to which the request was sent.
+    pub(super) endpoint: WorkerEndpoint,
     /// The crash candidates that had a crash on record.
     pub(super) suspected: Vec<PartDigest>,
     /// The version of the worker's software, if it states one.
@@ -162,7 +162,11 @@
         let connection = if let Some(connection) = idle {
             connection
         } else {
-            match self.host.connect_worker(&worker, record.address).await {
+            match self
+                .host
+                .connect_worker(&worker, WorkerEndpoint::from(&record))
+                .await
+            {
                 Ok(connection) => connection,
                 Err(error) => {
                     self.host.pool.close_connections(&worker);
@@ -192,6 +196,10 @@
         let Some(record) = self.host.worker(&worker) else {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         };
+        // The worker may have started again while the connection was opened.
+        if connection.endpoint() != WorkerEndpoint::from(&record) {
+            return Err((SlotError::WorkerGone, granted.release_grant()));
+        }
         if self.required_version.is_some() && record.version != self.required_version {
             return Err((SlotError::WorkerGone, granted.release_grant()));
         }
@@ -231,7 +239,7 @@
             life,
             lease,
             worker,
-            address: record.address,
+            endpoint: connection.endpoint(),
             version: record.version,
             suspected: self.host.crashes.suspected(&self.planned.crash_candidates),
             dispatched_at: now,
--- a/src/gateway/worker/mod.rs
+++ b/src/gateway/worker/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 
 use std::io;
+use std::net::SocketAddr;
 
 use actix_codec::Decoder;
 use actix_codec::Encoder;
@@ -30,6 +31,7 @@
 pub use self::answer::WorkerAnswer;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::HostName;
+use crate::kernel::roster::UpstreamRecord;
 use crate::probe::ReceiveState;
 
 /// Free space reserved in the receive buffer before each read, in bytes.
@@ -62,11 +64,31 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionNumber(pub u64);
 
-/// The number of a connection and the time at which it was opened.
+/// The process of one start of a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WorkerEndpoint {
+    /// The address of the worker.
+    pub address: SocketAddr,
+    /// The time of its start, in Unix milliseconds; `None` if the registration states none.
+    pub started_ms: Option<u64>,
+}
+
+impl From<&UpstreamRecord> for WorkerEndpoint {
+    fn from(record: &UpstreamRecord) -> Self {
+        Self {
+            address: record.address,
+            started_ms: record.started_ms,
+        }
+    }
+}
+
+/// What is known of a connection when it is opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionOpening {
     /// The number of the connection.
     pub number: ConnectionNumber,
+    /// The process that it leads to.
+    pub endpoint: WorkerEndpoint,
     /// The time at which it was opened.
     pub opened_at: ClockTime,
 }
@@ -126,6 +148,12 @@
         self.opening.number
     }
 
+    /// Returns the process that the connection leads to.
+    #[must_use]
+    pub const fn endpoint(&self) -> WorkerEndpoint {
+        self.opening.endpoint
+    }
+
     /// Returns the time at which the connection was opened.
     #[must_use]
     pub const fn opened_at(&self) -> ClockTime {
