Bound the time for which a broker grants nothing to a worker reported as leaving

What callers would see: a sound worker that started again gets nothing for good, from any host.

Cause: a report that a worker leaves names no start. If it reaches a broker after the worker has registered its next start, the broker kept it until the one after.

Change: such a report holds for 10 s. Hosts that know that the worker leaves return its slots and report it again; load reports, which daemons poll, hold as before.

Evidence: a_worker_that_starts_again_gets_requests_although_its_earlier_start_is_ reported_as_leaving failed before (no grant after 10 s) and passes; the kernel's tests pass.

--- a/kernel/src/broker/health.rs
+++ b/kernel/src/broker/health.rs
@@ -23,6 +23,9 @@
 /// The time until a worker gets a request as a probe after its first failure.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 
+/// The time for which a worker that a host reported as leaving gets nothing.
+const LEAVING_TIME: Duration = Duration::from_secs(10);
+
 /// The maximum number of times that consecutive failures double the back-off.
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
 
@@ -180,19 +183,27 @@
         let record = &mut self.workers.records[position];
         record.load = Some(load);
         record.limit.observe_load(now, load);
-        if load.leaving {
-            self.on_leaving_named(now, position);
-        } else {
-            record.leaving = false;
-            self.workers.refresh(now, position);
-        }
+        let was_eligible = record.eligible();
+        record.leaving = load.leaving;
+        self.update_eligibility(now, position, was_eligible);
     }
 
-    /// Grants no further requests to a worker that said that it is leaving.
+    /// Grants no further requests for a while to a worker that said to a host that it is leaving.
+    ///
+    /// The report doesn't name the start of the worker, which may have started again since. Hosts that
+    /// know that the worker leaves return its slots and report it again.
     pub(super) fn on_leaving_named(&mut self, now: ClockTime, worker: usize) {
-        let was_leaving = std::mem::replace(&mut self.workers.records[worker].leaving, true);
+        let record = &mut self.workers.records[worker];
+        let was_eligible = record.eligible();
+        let until = now + LEAVING_TIME;
+        record.leaving_until = Some(until);
+        self.set_timer(until, BrokerTimer::Worker(worker));
+        self.update_eligibility(now, worker, was_eligible);
+    }
+
+    fn update_eligibility(&mut self, now: ClockTime, worker: usize, was_eligible: bool) {
         self.workers.refresh(now, worker);
-        if !was_leaving {
+        if was_eligible && !self.workers.records[worker].eligible() {
             self.wake_waiters(now, worker);
         }
     }
--- a/kernel/src/broker/records.rs
+++ b/kernel/src/broker/records.rs
@@ -56,8 +56,11 @@
     pub lanes: Vec<usize>,
     /// Whether the worker is in the latest list of workers that may get new requests.
     pub serving: bool,
-    /// Whether the worker reported that it is shutting down.
+    /// Whether the last load report of the worker stated that it is shutting down.
     pub leaving: bool,
+    /// The time until which the worker gets nothing, since a host reported that it is leaving; `None` if
+    /// none did.
+    pub leaving_until: Option<ClockTime>,
     /// Whether the worker had a free slot at the last refresh and neither ran a suspect nor was
     /// reserved for one.
     pub available: bool,
@@ -98,6 +101,7 @@
             lanes: Vec::new(),
             serving: true,
             leaving: false,
+            leaving_until: None,
             available: false,
             health: WorkerHealth::Healthy,
             limit: WorkerLimit::new(mode, worker.max_running),
@@ -121,12 +125,18 @@
     /// rate ends by an answer that names none.
     pub(super) fn forget_statements(&mut self) {
         self.leaving = false;
+        self.leaving_until = None;
         self.pushback = WorkerPushback::default();
     }
 
+    /// Forgets at `now` that a host reported the worker as leaving, once that no longer holds.
+    pub(super) fn expire_departure(&mut self, now: ClockTime) {
+        self.leaving_until = self.leaving_until.filter(|until| now < *until);
+    }
+
     /// Returns whether the worker may get new requests, regardless of its health and load.
     pub(super) const fn eligible(&self) -> bool {
-        self.serving && !self.leaving
+        self.serving && !self.leaving && self.leaving_until.is_none()
     }
 
     /// Returns the number of slots at `now`, used or free.
--- a/kernel/src/broker/workers.rs
+++ b/kernel/src/broker/workers.rs
@@ -157,6 +157,7 @@
     /// be sent, and it is neither running a suspect nor reserved for one.
     pub(super) fn refresh(&mut self, now: ClockTime, position: usize) {
         let record = &mut self.records[position];
+        record.expire_departure(now);
         let available = record.exclusive_request.is_none()
             && record.used < record.slots(now)
             && record.takes_requests(now);
--- a/kernel/tests/broker/rejections.rs
+++ b/kernel/tests/broker/rejections.rs
@@ -151,3 +151,18 @@
     harness.set_workers(&[("b", 4)]);
     assert_eq!(harness.set_workers(&[("a", 4), ("b", 4)]).len(), 1);
 }
+
+// Guards against a sound worker that no broker grants any more, because a host reported late what an
+// earlier start had said.
+#[test]
+fn a_worker_that_starts_again_gets_requests_although_its_earlier_start_is_reported_as_leaving() {
+    let mut harness = BrokerHarness::with_workers(&[("a", 1)]);
+    let grant = only_grant(&harness.submit(0, 60));
+    harness.set_workers(&[]);
+    harness.set_workers(&[("a", 1)]);
+    harness.report(&grant, WorkProgress::LeavingNamed);
+    harness.finish(&grant, 20);
+    assert_eq!(grants(&harness.submit(0, 60)), []);
+    harness.advance(Duration::from_secs(10));
+    assert_eq!(only_grant(&harness.submit(0, 60)).worker.as_str(), "a");
+}
