Keep the rest of a worker whose next registration is read after it

What a worker saw: a request from a host that it had asked for a rest, right after the host read the row of the start that had asked.

Cause: the same as of the leaving workers: a rest was forgotten as soon as a row named another start, also if that start was the one that had asked for it.

Change: the rest is in doubt then, and holds until it ends or a health check of the present start is answered as sound; a check that is turned away with a rest renews it.

Evidence: rejections::a_rest_holds_when_the_row_of_its_start_is_read_later failed before (one request) and passes; a sound start after a rest still gets requests (..._a_worker_that_starts_again_after_it_asked_for_rest_gets_requests passes before and after).

--- a/kernel/src/pushback.rs
+++ b/kernel/src/pushback.rs
@@ -148,29 +148,64 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct RestTable {
-    /// The end of the rest of each worker.
-    ends: BTreeMap<WorkerName, ClockTime>,
+    rests: BTreeMap<WorkerName, WorkerRest>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkerRest {
+    ends_at: ClockTime,
+    recorded_at: ClockTime,
+    /// Whether the worker may have started again since it asked for the rest.
+    is_unconfirmed: bool,
 }
 
 impl RestTable {
     /// Records a rest; of several wishes, the one that ends last holds.
     pub fn record(&mut self, now: ClockTime, worker: &WorkerName, rest: Duration) {
-        if self.ends.len() >= MAX_CURRENT_RESTS {
-            self.ends.retain(|_, end| now < *end);
+        if self.rests.len() >= MAX_CURRENT_RESTS {
+            self.rests.retain(|_, rest| now < rest.ends_at);
         }
-        let end = self.ends.entry(worker.clone()).or_default();
-        *end = (*end).max(now + rest.min(MAX_REST));
+        let known = self.rests.entry(worker.clone()).or_default();
+        *known = WorkerRest {
+            ends_at: known.ends_at.max(now + rest.min(MAX_REST)),
+            recorded_at: now,
+            is_unconfirmed: false,
+        };
     }
 
     /// Returns the time until the end of a worker's rest; zero if it asked for none.
     #[must_use]
     pub fn remaining(&self, now: ClockTime, worker: &WorkerName) -> Duration {
-        let end = self.ends.get(worker);
-        end.map_or(Duration::ZERO, |end| end.since(now))
+        let rest = self.rests.get(worker);
+        rest.map_or(Duration::ZERO, |rest| rest.ends_at.since(now))
+    }
+
+    /// Records that a worker registered another start. Its rest holds until a health check shows that
+    /// this start takes requests, since it may be the one that asked for it.
+    pub fn doubt(&mut self, worker: &WorkerName) {
+        if let Some(rest) = self.rests.get_mut(worker) {
+            rest.is_unconfirmed = true;
+        }
     }
 
-    /// Forgets the rest of a worker that has started again.
-    pub fn forget(&mut self, worker: &WorkerName) {
-        self.ends.remove(worker);
+    /// Returns whether a worker rests, and a health check would show whether it still does.
+    #[must_use]
+    pub fn is_unconfirmed(&self, now: ClockTime, worker: &WorkerName) -> bool {
+        let rest = self.rests.get(worker);
+        rest.is_some_and(|rest| rest.is_unconfirmed && now < rest.ends_at)
+    }
+
+    /// Returns the workers whose rest is unconfirmed.
+    pub fn unconfirmed(&self, now: ClockTime) -> impl Iterator<Item = &WorkerName> {
+        let workers = self.rests.keys();
+        workers.filter(move |worker| self.is_unconfirmed(now, worker))
+    }
+
+    /// Forgets the rest of a worker that answered a health check sent at `checked_at` as sound.
+    pub fn settle(&mut self, worker: &WorkerName, checked_at: ClockTime) {
+        let rest = self.rests.get(worker);
+        if rest.is_some_and(|rest| rest.recorded_at <= checked_at) {
+            self.rests.remove(worker);
+        }
     }
 }
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -1,7 +1,7 @@
-//! Health checks of workers that were leaving or removed and may have started again.
+//! Health checks of workers that were leaving, removed or at rest and may have started again.
 //!
 //! The kernel says which workers are unconfirmed; they get no requests until a check has shown whether
-//! they leave.
+//! they leave or rest.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -99,6 +99,10 @@
     let metadata = host
         .dialect
         .answer_metadata(status.as_u16(), answer.head().headers());
+    if let Some(rest) = metadata.rest {
+        let now = host.clock.now();
+        host.rests.borrow_mut().record(now, worker, rest);
+    }
     // An answer that is read to its end lets the connection close in an orderly way.
     while let Ok(Some(_)) = answer.next_chunk().await {}
     outcome_of(worker, status, &metadata)
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -55,23 +55,34 @@
             "worker" => worker.as_str(), "passed_on" => true, "new" => is_new);
     }
 
-    /// Returns the workers that may get requests only after a health check.
+    /// Returns the workers that may be leaving or at rest, which a health check would show.
     pub(super) fn unconfirmed_workers(&self) -> Vec<WorkerName> {
         let roster = self.state.roster.borrow();
-        let workers = roster.unconfirmed();
-        workers.map(|record| record.worker.clone()).collect()
+        let departures = roster.unconfirmed().map(|record| record.worker.clone());
+        let mut workers: Vec<WorkerName> = departures.collect();
+        let rests = self.rests.borrow();
+        workers.extend(rests.unconfirmed(self.clock.now()).cloned());
+        workers
     }
 
-    /// Returns a worker if it may get requests only after a health check.
+    /// Returns the registration of a worker that may be leaving or at rest.
     pub(super) fn unconfirmed_worker(&self, worker: &WorkerName) -> Option<UpstreamRecord> {
         let roster = self.state.roster.borrow();
-        let mut workers = roster.unconfirmed();
-        workers.find(|record| record.worker == *worker).cloned()
+        let mut departures = roster.unconfirmed();
+        let departure = departures.find(|record| record.worker == *worker);
+        let now = self.clock.now();
+        let may_rest = self.rests.borrow().is_unconfirmed(now, worker);
+        let resting = roster.find(worker).filter(|_| may_rest);
+        departure.or(resting).cloned()
     }
 
-    /// Applies the result of a health check of an unconfirmed worker.
+    /// Applies the result of a health check of a worker that may be leaving or at rest.
     pub(super) fn settle_worker(&self, check: &HealthCheck, outcome: HealthOutcome) {
         let now = self.clock.now();
+        if outcome == HealthOutcome::Sound {
+            let mut rests = self.rests.borrow_mut();
+            rests.settle(&check.worker, check.sent_at);
+        }
         let mut roster = self.state.roster.borrow_mut();
         let is_usable = roster.settle(now, check, outcome);
         drop(roster);
@@ -126,8 +137,8 @@
         }
     }
 
-    /// Forgets what workers said of themselves before they started again under their names; the
-    /// brokers of this host see them go and come back.
+    /// Forgets what workers said of themselves before they started again under their names, or doubts
+    /// it; the brokers of this host see them go and come back.
     fn forget_restarted(&self, update: &RosterUpdate) {
         let roster = self.state.roster.borrow();
         let restarted: BTreeSet<WorkerName> =
@@ -137,7 +148,7 @@
             return;
         }
         for worker in &restarted {
-            self.rests.borrow_mut().forget(worker);
+            self.rests.borrow_mut().doubt(worker);
             self.pool.close_connections(worker);
         }
         self.update_cells_without(&restarted);
