Doubt what a removed worker said of itself when its next start registers

What a caller would see: a sound worker that a host doesn't use until the end of a rest that its earlier start asked for, up to an hour, because its row was removed between the two starts.

Cause: a restart was recognised only against the row of the moment, as with the leaving workers.

Change: it is recognised against the last known start as well.

Evidence: a_start_after_a_removal_counts_as_a_restart failed without the change (no restart) and passes.

--- a/kernel/src/departure.rs
+++ b/kernel/src/departure.rs
@@ -64,6 +64,10 @@
     pub sent_at: ClockTime,
 }
 
+/// The time of a worker's start in Unix milliseconds; `None` if its registration states none.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WorkerStart(pub Option<u64>);
+
 /// A start of a worker as the host has read of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct KnownStart {
@@ -220,6 +224,17 @@
         }
     }
 
+    /// Returns the last known start of a worker that has no registration; `None` if none is known.
+    pub(crate) fn last_start(&self, worker: &WorkerName) -> Option<WorkerStart> {
+        match self.records.get(worker)?.state {
+            DepartureState::Draining { started_ms } | DepartureState::Stated { started_ms } => {
+                Some(WorkerStart(started_ms))
+            }
+            DepartureState::Removed { start, .. } => Some(WorkerStart(start.started_ms)),
+            DepartureState::Unattributed => None,
+        }
+    }
+
     /// Applies the result of a health check of a worker whose registration is still that of the check.
     pub(crate) fn settle(&mut self, now: ClockTime, check: &HealthCheck, outcome: HealthOutcome) {
         let started_ms = check.started_ms;
--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -15,6 +15,7 @@
 use crate::departure::HealthOutcome;
 use crate::departure::KnownStart;
 use crate::departure::WorkerStanding;
+use crate::departure::WorkerStart;
 use crate::name::DatacenterName;
 use crate::name::ServiceName;
 use crate::name::WorkerName;
@@ -324,9 +325,9 @@
 
     /// Returns the start that the registration of a worker names; `None` without a registration.
     #[must_use]
-    pub fn registered_start(&self, worker: &WorkerName) -> Option<Option<u64>> {
+    pub fn registered_start(&self, worker: &WorkerName) -> Option<WorkerStart> {
         let entry = self.entries.get(worker)?;
-        Some(entry.record.started_ms)
+        Some(WorkerStart(entry.record.started_ms))
     }
 
     /// Returns whether the worker is registered, in any state.
@@ -359,7 +360,7 @@
     /// A check of another start than the present one is ignored.
     pub fn settle(&mut self, now: ClockTime, check: &HealthCheck, outcome: HealthOutcome) -> bool {
         let worker = &check.worker;
-        let is_current = self.registered_start(worker) == Some(check.started_ms);
+        let is_current = self.registered_start(worker) == Some(WorkerStart(check.started_ms));
         if !is_current || self.standing(worker) != Some(WorkerStanding::Unconfirmed) {
             return false;
         }
@@ -372,12 +373,15 @@
         self.departures.limit(|worker| entries.contains_key(worker));
     }
 
-    /// Returns those of the registered workers that an update shows to have started again.
+    /// Returns those of the workers that are or were registered which an update shows to have started
+    /// again.
     #[must_use]
     pub fn restarted<'a>(&self, update: &'a RosterUpdate) -> Vec<&'a WorkerName> {
         let has_restarted = |record: &&UpstreamRecord| {
-            let known = self.entries.get(&record.worker);
-            known.is_some_and(|entry| entry.record.started_ms != record.started_ms)
+            let worker = &record.worker;
+            let registered = self.registered_start(worker);
+            let known = registered.or_else(|| self.departures.last_start(worker));
+            known.is_some_and(|start| start != WorkerStart(record.started_ms))
         };
         let restarted = update.present.iter().filter(has_restarted);
         restarted.map(|record| &record.worker).collect()
--- a/kernel/tests/departures.rs
+++ b/kernel/tests/departures.rs
@@ -211,3 +211,18 @@
     assert!(roster.mark_leaving(at(20_000), &other(0), None));
     assert!(!roster.mark_leaving(at(20_000), &other(2), None));
 }
+
+// Guards against what a worker said of itself, such as a rest, that stays in force for its next start
+// because its registration was removed in between.
+#[test]
+fn a_start_after_a_removal_counts_as_a_restart() {
+    let mut roster = roster();
+    let now = ClockTime::ZERO;
+    roster.apply(now, removal());
+    assert_eq!(
+        roster.restarted(&update(WorkerState::Active, START)),
+        Vec::<&WorkerName>::new()
+    );
+    let next = update(WorkerState::Active, NEXT_START);
+    assert_eq!(roster.restarted(&next), [&worker()]);
+}
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -31,6 +31,7 @@
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::prompt::PartDigest;
+use crate::kernel::roster::UpstreamRecord;
 
 /// A request that counts as dispatched to a worker.
 pub(super) struct DispatchedCall {
@@ -193,21 +194,15 @@
         if !self.is_suspect && crash::is_suspect(self.host, &self.planned) {
             return Err((SlotError::Suspect, granted.release_grant()));
         }
-        let Some(record) = self.host.worker(&worker) else {
-            return Err((SlotError::WorkerGone, granted.release_grant()));
+        let record = match self.check_worker(&worker, connection.endpoint()) {
+            Ok(record) => record,
+            Err(error) => {
+                if let SlotError::WorkerResting { remaining } = error {
+                    lease.rejected(remaining);
+                }
+                return Err((error, granted.release_grant()));
+            }
         };
-        // The worker may have started again while the connection was opened.
-        if connection.endpoint() != WorkerEndpoint::from(&record) {
-            return Err((SlotError::WorkerGone, granted.release_grant()));
-        }
-        if self.required_version.is_some() && record.version != self.required_version {
-            return Err((SlotError::WorkerGone, granted.release_grant()));
-        }
-        if let Some(remaining) = self.remaining_rest(&worker) {
-            lease.rejected(remaining);
-            let error = SlotError::WorkerResting { remaining };
-            return Err((error, granted.release_grant()));
-        }
         if caller.has_disconnected() {
             return Err((SlotError::CallerLeft, granted.release_grant()));
         }
@@ -247,6 +242,26 @@
         Ok((dispatched, connection))
     }
 
+    /// Returns the registration of a granted worker if the request may be sent to it on a connection to
+    /// the process.
+    fn check_worker(
+        &self,
+        worker: &WorkerName,
+        endpoint: WorkerEndpoint,
+    ) -> Result<UpstreamRecord, SlotError> {
+        let record = self.host.worker(worker).ok_or(SlotError::WorkerGone)?;
+        // The worker may have started again while the connection was opened.
+        let is_present = endpoint == WorkerEndpoint::from(&record);
+        let may_run = self.required_version.is_none() || record.version == self.required_version;
+        if !is_present || !may_run {
+            return Err(SlotError::WorkerGone);
+        }
+        match self.remaining_rest(worker) {
+            Some(remaining) => Err(SlotError::WorkerResting { remaining }),
+            None => Ok(record),
+        }
+    }
+
     /// Returns the reason why this host does not use a worker that it was granted.
     fn unusable_error(&self, worker: &WorkerName, lease: &SlotLease) -> SlotError {
         match self.host.state.roster.borrow().standing(worker) {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -194,7 +194,7 @@
         log_event!(self.host.log, LogEvent::RequestSent,
             "request" => self.attempt_id.clone(),
             "worker" => call.worker.as_str(),
-            "worker_started_ms" => roster.registered_start(call.worker).flatten(),
+            "worker_started_ms" => roster.registered_start(call.worker).and_then(|start| start.0),
             "worker_missing" => roster.is_missing(call.worker),
             "worker_version" => call.version.map(WorkerVersion::as_str),
             "origin" => call.origin.map(OriginEvidence::as_str),
@@ -271,7 +271,7 @@
             "connection" => self.connection(),
             "via" => via.map(HostName::as_str),
             "registered" => roster.contains(worker),
-            "started_ms" => roster.registered_start(worker).flatten(),
+            "started_ms" => roster.registered_start(worker).and_then(|start| start.0),
             "new" => is_new);
     }
 
--- a/src/gateway/watched.rs
+++ b/src/gateway/watched.rs
@@ -85,13 +85,13 @@
 impl<F: FnMut() + Unpin> AsyncRead for WatchedStream<F> {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
-        if this.scanner.scan(&buffer.filled()[before..]) {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        if this.scanner.scan(&buf.filled()[before..]) {
             (this.on_found)();
         }
         polled
@@ -101,17 +101,17 @@
 impl<F: Unpin> AsyncWrite for WatchedStream<F> {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -241,6 +241,16 @@
     ]
 }
 
+fn state_update() -> StateUpdate {
+    StateUpdate {
+        number: None,
+        configuration: None,
+        workers: Some(Vec::new()),
+        roster: 3,
+        era: StoreEra(2),
+    }
+}
+
 fn crash_messages() -> Vec<LinkMessage> {
     vec![
         LinkMessage::Crash(CrashCount {
@@ -331,13 +341,7 @@
             version: 21,
             roster: u64::MAX,
         }),
-        LinkMessage::State(Box::new(StateUpdate {
-            number: None,
-            configuration: None,
-            workers: Some(Vec::new()),
-            roster: 3,
-            era: StoreEra(2),
-        })),
+        LinkMessage::State(Box::new(state_update())),
         LinkMessage::Query {
             number: 1,
             text: "show waiting".to_owned(),
