Let a health check that states the leaving count whatever it was sent for

Found on reading the change (each with a kernel test that failed before): - a worker that was checked because of a rest, and answers that it leaves, was asked again without a pause, and went on getting requests after its rest (a_health_check_that_states_the_leaving_counts_for_a_worker_in_service: Serving in place of Leaving); each repeated check waits now; - a rest of the present start was prolonged to the end of one of the start before (a_rest_of_the_present_start_replaces_an_unconfirmed_one: 59.9 s in place of 2 s); - a sound start whose health check fails for another reason, or is turned away, got nothing for as long as that lasted. A worker that states in answers that it leaves states it in all of them, so an answer of its own without the statement ends the doubt if it came from an answer; one from rows still needs a healthy answer (an_unhealthy_worker_that_does_not_say_that_it_leaves_..., a new outcome).

--- a/kernel/src/departure.rs
+++ b/kernel/src/departure.rs
@@ -37,6 +37,8 @@
     Sound,
     /// The worker said that it leaves.
     Leaving,
+    /// The worker answered that it is not healthy, and did not say that it leaves.
+    Unhealthy,
     /// There was no answer, or none that decides.
     Undecided,
 }
@@ -48,6 +50,7 @@
         match self {
             Self::Sound => "sound",
             Self::Leaving => "leaving",
+            Self::Unhealthy => "unhealthy",
             Self::Undecided => "undecided",
         }
     }
@@ -90,6 +93,12 @@
     Removed { start: KnownStart, era: StoreEra },
 }
 
+impl DepartureState {
+    const fn comes_from_answers(&self) -> bool {
+        matches!(self, Self::Stated { .. } | Self::Unattributed)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct DepartureRecord {
     state: DepartureState,
@@ -243,12 +252,20 @@
             HealthOutcome::Leaving => {
                 self.insert(now, &check.worker, DepartureState::Stated { started_ms });
             }
-            HealthOutcome::Sound => {
-                let record = self.records.get(&check.worker);
-                if record.is_some_and(|record| record.recorded_at <= check.sent_at) {
-                    self.records.remove(&check.worker);
-                }
-            }
+            HealthOutcome::Sound => self.forget(check, |_| true),
+            // A worker that states in answers that it leaves does so in all of them.
+            HealthOutcome::Unhealthy => self.forget(check, DepartureState::comes_from_answers),
+        }
+    }
+
+    /// Forgets what was known before a check was sent, if it satisfies `is_settled`.
+    fn forget(&mut self, check: &HealthCheck, is_settled: impl Fn(&DepartureState) -> bool) {
+        let record = self.records.get(&check.worker);
+        let is_settled = |record: &DepartureRecord| {
+            record.recorded_at <= check.sent_at && is_settled(&record.state)
+        };
+        if record.is_some_and(is_settled) {
+            self.records.remove(&check.worker);
         }
     }
 
--- a/kernel/src/pushback.rs
+++ b/kernel/src/pushback.rs
@@ -160,14 +160,20 @@
 }
 
 impl RestTable {
-    /// Records a rest; of several wishes, the one that ends last holds.
+    /// Records a rest; of several wishes, the one that ends last holds, unless the earlier one is
+    /// unconfirmed.
     pub fn record(&mut self, now: ClockTime, worker: &WorkerName, rest: Duration) {
         if self.rests.len() >= MAX_CURRENT_RESTS {
             self.rests.retain(|_, rest| now < rest.ends_at);
         }
         let known = self.rests.entry(worker.clone()).or_default();
+        let ends_at = now + rest.min(MAX_REST);
         *known = WorkerRest {
-            ends_at: known.ends_at.max(now + rest.min(MAX_REST)),
+            ends_at: if known.is_unconfirmed {
+                ends_at
+            } else {
+                known.ends_at.max(ends_at)
+            },
             recorded_at: now,
             is_unconfirmed: false,
         };
--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -354,18 +354,19 @@
         is_new
     }
 
-    /// Applies the result of a health check of an unconfirmed worker; returns whether the worker may
-    /// get requests now and could not before.
+    /// Applies the result of a health check; returns whether the worker may get requests now and could
+    /// not before.
     ///
-    /// A check of another start than the present one is ignored.
+    /// A check of another start than the present one is ignored, as is a sound answer of a worker that is
+    /// not unconfirmed.
     pub fn settle(&mut self, now: ClockTime, check: &HealthCheck, outcome: HealthOutcome) -> bool {
         let worker = &check.worker;
         let is_current = self.registered_start(worker) == Some(WorkerStart(check.started_ms));
-        if !is_current || self.standing(worker) != Some(WorkerStanding::Unconfirmed) {
-            return false;
+        let is_unconfirmed = self.standing(worker) == Some(WorkerStanding::Unconfirmed);
+        if is_current && (is_unconfirmed || outcome == HealthOutcome::Leaving) {
+            self.departures.settle(now, check, outcome);
         }
-        self.departures.settle(now, check, outcome);
-        self.standing(worker) == Some(WorkerStanding::Serving)
+        is_unconfirmed && self.standing(worker) == Some(WorkerStanding::Serving)
     }
 
     fn limit_departures(&mut self) {
--- a/kernel/tests/departures.rs
+++ b/kernel/tests/departures.rs
@@ -1,5 +1,7 @@
 //! Tests of what a host remembers of workers that leave, beside late, missing and older registrations.
 
+use std::time::Duration;
+
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::configuration::WorkerState;
 use borageladder_kernel::departure::HealthCheck;
@@ -7,7 +9,9 @@
 use borageladder_kernel::departure::MAX_RECORDS;
 use borageladder_kernel::departure::WorkerStanding;
 use borageladder_kernel::name::WorkerName;
+use borageladder_kernel::pushback::RestTable;
 use borageladder_kernel::roster::RosterUpdate;
+use borageladder_kernel::roster::StoreEra;
 use borageladder_kernel::roster::UpstreamRecord;
 use borageladder_kernel::roster::UpstreamRoster;
 
@@ -226,3 +230,51 @@
     let next = update(WorkerState::Active, NEXT_START);
     assert_eq!(roster.restarted(&next), [&worker()]);
 }
+
+// Guards against a worker that says in a health check that it leaves, and is asked again and again, because
+// it was checked for another reason.
+#[test]
+fn a_health_check_that_states_the_leaving_counts_for_a_worker_in_service() {
+    let mut roster = roster();
+    let now = ClockTime::from_millis(10);
+    assert!(!roster.settle(now, &check(START, 5), HealthOutcome::Leaving));
+    assert_eq!(roster.standing(&worker()), Some(WorkerStanding::Leaving));
+    assert!(!roster.settle(now, &check(START, 9), HealthOutcome::Sound));
+    assert_eq!(roster.standing(&worker()), Some(WorkerStanding::Leaving));
+}
+
+// Guards against a short rest of a start that is prolonged by a long one of the start before.
+#[test]
+fn a_rest_of_the_present_start_replaces_an_unconfirmed_one() {
+    let at = ClockTime::from_millis;
+    let mut rests = RestTable::default();
+    rests.record(at(0), &worker(), Duration::from_mins(1));
+    rests.doubt(&worker());
+    rests.record(at(100), &worker(), Duration::from_secs(2));
+    assert_eq!(rests.remaining(at(100), &worker()), Duration::from_secs(2));
+    assert!(!rests.is_unconfirmed(at(100), &worker()));
+    rests.record(at(200), &worker(), Duration::from_secs(1));
+    assert_eq!(
+        rests.remaining(at(200), &worker()),
+        Duration::from_millis(1_900)
+    );
+}
+
+// Guards against a sound start that gets nothing for as long as its health check fails for another reason.
+#[test]
+fn an_unhealthy_worker_that_does_not_say_that_it_leaves_is_no_longer_taken_for_leaving() {
+    let now = ClockTime::from_millis(10);
+    let mut stated = roster_after_restart();
+    assert!(stated.settle(now, &check(NEXT_START, 5), HealthOutcome::Unhealthy));
+
+    let mut removed = roster();
+    removed.apply(ClockTime::ZERO, removal());
+    let copied = RosterUpdate {
+        era: StoreEra(1),
+        ..update(WorkerState::Active, START)
+    };
+    removed.apply(ClockTime::ZERO, copied);
+    assert!(!removed.settle(now, &check(START, 5), HealthOutcome::Unhealthy));
+    assert_eq!(removed.unconfirmed().count(), 1);
+    assert!(removed.settle(now, &check(START, 5), HealthOutcome::Sound));
+}
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -67,7 +67,7 @@
             "started_ms" => record.started_ms,
             "outcome" => outcome.as_str());
         host.settle_worker(&check, outcome);
-        if outcome == HealthOutcome::Undecided {
+        if host.unconfirmed_worker(worker).is_some() {
             actix_rt::time::sleep(delay.mul_f64(rand::random_range(0.5..=1.0))).await;
             delay = (delay * 2).min(MAX_CHECK_DELAY);
         }
@@ -115,13 +115,15 @@
 }
 
 fn outcome_of(worker: &WorkerName, status: StatusCode, answer: &AnswerMetadata) -> HealthOutcome {
-    let is_other = |name: &String| name != worker.as_str();
-    if answer.worker.as_ref().is_some_and(is_other) {
+    let is_named = answer.worker.as_deref() == Some(worker.as_str());
+    if answer.worker.is_some() && !is_named {
         HealthOutcome::Undecided
     } else if answer.leaving {
         HealthOutcome::Leaving
     } else if status == StatusCode::OK {
         HealthOutcome::Sound
+    } else if is_named {
+        HealthOutcome::Unhealthy
     } else {
         HealthOutcome::Undecided
     }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -86,7 +86,7 @@
         let mut roster = self.state.roster.borrow_mut();
         let is_usable = roster.settle(now, check, outcome);
         drop(roster);
-        if is_usable {
+        if is_usable || outcome == HealthOutcome::Leaving {
             self.update_cells();
         }
     }
