Name the calls of unchanged reads and unconfirmed rests for what they do

UpstreamRoster::confirm and GatewayHost::confirm_workers had a name that health checks have too: record_unchanged and record_unchanged_workers.

--- a/kernel/src/pushback.rs
+++ b/kernel/src/pushback.rs
@@ -186,9 +186,9 @@
         rest.map_or(Duration::ZERO, |rest| rest.ends_at.since(now))
     }
 
-    /// Records that a worker registered another start. Its rest holds until a health check shows that
+    /// Records that a worker has registered another start. Its rest holds until a health check shows that
     /// this start takes requests, since it may be the one that asked for it.
-    pub fn doubt(&mut self, worker: &WorkerName) {
+    pub fn mark_unconfirmed(&mut self, worker: &WorkerName) {
         if let Some(rest) = self.rests.get_mut(worker) {
             rest.is_unconfirmed = true;
         }
--- a/kernel/src/roster.rs
+++ b/kernel/src/roster.rs
@@ -236,7 +236,7 @@
 
     /// Records that the store was read and the workers have not changed since the last update; returns
     /// whether a worker was removed because its registration is still missing.
-    pub fn confirm(&mut self, now: ClockTime) -> bool {
+    pub fn record_unchanged(&mut self, now: ClockTime) -> bool {
         self.end_outage(now);
         self.expire(now)
     }
--- a/kernel/tests/departures.rs
+++ b/kernel/tests/departures.rs
@@ -249,7 +249,7 @@
     let at = ClockTime::from_millis;
     let mut rests = RestTable::default();
     rests.record(at(0), &worker(), Duration::from_mins(1));
-    rests.doubt(&worker());
+    rests.mark_unconfirmed(&worker());
     rests.record(at(100), &worker(), Duration::from_secs(2));
     assert_eq!(rests.remaining(at(100), &worker()), Duration::from_secs(2));
     assert!(!rests.is_unconfirmed(at(100), &worker()));
--- a/kernel/tests/roster.rs
+++ b/kernel/tests/roster.rs
@@ -206,9 +206,9 @@
     roster.apply(at(0), complete_update(&["a", "b"]));
     roster.store_unavailable();
     roster.apply(at(1_000), complete_update(&["a"]));
-    assert!(!roster.confirm(at(2_000)));
+    assert!(!roster.record_unchanged(at(2_000)));
     assert_eq!(usable(&roster), names(&["a", "b"]));
-    assert!(roster.confirm(at(1_000) + REREGISTRATION_TIME));
+    assert!(roster.record_unchanged(at(1_000) + REREGISTRATION_TIME));
     assert_eq!(usable(&roster), names(&["a"]));
 }
 
@@ -219,7 +219,7 @@
     let mut roster = UpstreamRoster::default();
     roster.apply(at(0), complete_update(&["a", "b"]));
     roster.store_unavailable();
-    roster.confirm(at(1_000));
+    roster.record_unchanged(at(1_000));
     roster.apply(at(60_000), complete_update(&["a"]));
     assert_eq!(usable(&roster), names(&["a"]));
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -106,9 +106,9 @@
 
     /// Records that the workers have not changed since the last update, as of a later read of the
     /// store; returns whether a worker that was kept without a registration was removed.
-    pub fn confirm_workers(&self) -> bool {
+    pub fn record_unchanged_workers(&self) -> bool {
         let now = self.clock.now();
-        let changed = self.state.roster.borrow_mut().confirm(now);
+        let changed = self.state.roster.borrow_mut().record_unchanged(now);
         if changed {
             self.finish_roster_change(now, changed);
         }
@@ -148,7 +148,7 @@
             return;
         }
         for worker in &restarted {
-            self.rests.borrow_mut().doubt(worker);
+            self.rests.borrow_mut().mark_unconfirmed(worker);
             self.pool.close_connections(worker);
         }
         self.update_cells_without(&restarted);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -265,7 +265,7 @@
                     ..RosterUpdate::default()
                 })
             }
-            None => host.confirm_workers(),
+            None => host.record_unchanged_workers(),
         };
     }
     answer_polls(host, as_of, change);
