--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -73,7 +73,7 @@
     pub closing: StopSignal,
     /// Wakes the task that logs changes of the host's state.
     pub(super) changed: Notify,
-    /// Wakes the task that checks workers which may be leaving.
+    /// Wakes the task that checks workers which may be leaving or at rest.
     pub(super) unconfirmed: Notify,
     /// The state exchange with other hosts.
     pub(super) sync: SyncState,
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -137,8 +137,8 @@
         }
     }
 
-    /// Forgets what workers said of themselves before they started again under their names, or doubts
-    /// it; the brokers of this host see them go and come back.
+    /// Forgets what workers said of themselves before they started again under their names, or marks it
+    /// as unconfirmed; the brokers of this host see them go and come back.
     fn forget_restarted(&self, update: &RosterUpdate) {
         let roster = self.state.roster.borrow();
         let restarted: BTreeSet<WorkerName> =
