Ignore a rest that another worker asks for in a health check

Callers saw: refusals of up to a minute for a service whose worker had started again and was sound. Cause: check_health recorded the rest of an answer before it looked which worker had answered. After a worker has ended, its address can belong to another one; that one's rest was recorded as a certain one of the checked worker, which ended the checks. Evidence: rejections::a_rest_that_another_worker_asks_for_in_a_health_check_does_not_hold, on the code before: the log has one check, "undecided", and no further one; the test gave up after 33 s. Ruled out: answers to requests. They carry the worker that the request expects, and a process that is another one answers 421, which names no rest. Change: names_other decides both whether the rest counts and whether the answer decides. After: the 21 tests of rejections:: and leaving_workers:: pass.

--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -99,7 +99,7 @@
     let metadata = host
         .dialect
         .answer_metadata(status.as_u16(), answer.head().headers());
-    if let Some(rest) = metadata.rest {
+    if let Some(rest) = metadata.rest.filter(|_| !names_other(worker, &metadata)) {
         let now = host.clock.now();
         host.rests.borrow_mut().record(now, worker, rest);
     }
@@ -115,16 +115,21 @@
 }
 
 fn outcome_of(worker: &WorkerName, status: StatusCode, answer: &AnswerMetadata) -> HealthOutcome {
-    let is_named = answer.worker.as_deref() == Some(worker.as_str());
-    if answer.worker.is_some() && !is_named {
+    if names_other(worker, answer) {
         HealthOutcome::Undecided
     } else if answer.leaving {
         HealthOutcome::Leaving
     } else if status == StatusCode::OK {
         HealthOutcome::Sound
-    } else if is_named {
+    } else if answer.worker.is_some() {
         HealthOutcome::Unhealthy
     } else {
         HealthOutcome::Undecided
     }
 }
+
+/// Returns whether another worker answered, which has the address now.
+fn names_other(worker: &WorkerName, answer: &AnswerMetadata) -> bool {
+    let named = answer.worker.as_deref();
+    named.is_some_and(|named| named != worker.as_str())
+}
