Let a silent host be assumed to charge no more than the level that it knew

Cause: a silent host was assumed to go on at its last rate for ten seconds, which can be the whole quota. A host that is cut off can't: it leaves each host that it hears nothing of its part, so beyond its own part it can only charge the level that it knew, and what the rate adds until it takes the others for silent. Ruled out: taking a refused connection for the end of a process. A cut that refuses connections looks the same, and a host behind it goes on charging. Change: PeerUse::headroom, set at each report and heartbeat (QuotaBucket::peer_headroom), bounds what is assumed beyond the part; unbounded for a host younger than ten seconds, whose level starts on its own. Sums of data centres are as before.

--- a/kernel/src/quota/bucket.rs
+++ b/kernel/src/quota/bucket.rs
@@ -11,6 +11,7 @@
 use super::peer::DatacenterUse;
 use super::peer::LAST_RATE_TIME;
 use super::peer::PeerUse;
+use super::peer::REPORT_TIMEOUT;
 use super::peer::SumUse;
 use super::peer::UseAverage;
 use crate::clock::ClockTime;
@@ -113,9 +114,11 @@
     ///
     /// Ignored for a host whose total has not been reported yet.
     pub fn record_liveness(&mut self, now: ClockTime, host: &HostName) {
+        let headroom = self.peer_headroom(now);
         if let Some(peer) = self.peers.get_mut(host) {
             peer.last_seen = now;
             peer.assumed_until = now;
+            peer.headroom = headroom;
         }
     }
 
@@ -147,6 +150,13 @@
             let used = peer.record(now, scope, total, age);
             self.level -= used;
             self.peer_use.record(now, used.max(0.0));
+            // A bucket that was created lately starts with a level of its own.
+            if age >= LAST_RATE_TIME {
+                let headroom = self.peer_headroom(now);
+                if let Some(peer) = self.peers.get_mut(host) {
+                    peer.headroom = headroom;
+                }
+            }
             return;
         }
         let mut peer = PeerUse::new(now, scope, total, age);
@@ -240,6 +250,21 @@
         self.total + self.gone_use + used
     }
 
+    /// Returns the units that a host which has just reported can charge beyond its part of the rate if
+    /// it hears of no use from now on: the level that it knows, and what the rate adds until it assumes
+    /// the use of others.
+    fn peer_headroom(&self, now: ClockTime) -> f64 {
+        let assumed = self.peers.values().map(|peer| peer.assumed);
+        let sums = self.sums.values().map(|sum| sum.known.assumed);
+        // The host may not have heard of these.
+        let unknown: f64 = assumed.chain(sums).sum();
+        let unreported = self.total - self.last_reported;
+        let recent = (self.own_use.rate(now) + self.peer_use.rate(now)) * REPORT_LAG.as_secs_f64();
+        let level = self.level_at(now) + unknown + unreported + recent;
+        let added = self.bounds.rate * REPORT_TIMEOUT.as_secs_f64();
+        level.clamp(0.0, self.bounds.burst) + added
+    }
+
     fn remove_peer(&mut self, host: &HostName) {
         if let Some(peer) = self.peers.remove(host)
             && peer.scope == ReportScope::Datacenter
--- a/kernel/src/quota/peer.rs
+++ b/kernel/src/quota/peer.rs
@@ -9,11 +9,12 @@
 
 /// The time without a report or heartbeat after which the use of a host is assumed. The assumed use
 /// is counted from the last report or heartbeat on.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The time without a report or heartbeat for which a host is assumed to continue at its last rate. It
-/// is longer than the window of 8 s over which the use of a quota is measured, so that all units
-/// that the host may have charged before its silence have left the window.
+/// The time without a report or heartbeat for which a host is assumed to continue at its last rate, as
+/// far as the level that it knew allows. It is longer than the window of 8 s over which the use of a
+/// quota is measured, so that all units that the host may have charged before its silence have left
+/// the window.
 pub const LAST_RATE_TIME: Duration = Duration::from_secs(10);
 
 /// Who receives the reports that a host makes of its use of quotas.
@@ -117,6 +118,9 @@
     pub assumed: f64,
     /// The time up to which assumed units have been deducted.
     pub assumed_until: ClockTime,
+    /// The units that the host can still charge beyond its part of the rate. A host that hears of no
+    /// other one leaves each of them its part.
+    pub headroom: f64,
 }
 
 impl PeerUse {
@@ -131,6 +135,7 @@
             last_seen: now,
             assumed: 0.0,
             assumed_until: now,
+            headroom: f64::INFINITY,
         }
     }
 
@@ -166,12 +171,15 @@
     /// Assumes use since the last report, or since the last call; `part` is the use in units per
     /// second that is assumed at least. Returns the assumed units.
     pub(super) fn assume(&mut self, now: ClockTime, part: f64) -> f64 {
-        let rate = if now.since(self.last_seen) < LAST_RATE_TIME {
-            self.recent.last_rate().max(part)
+        let beyond = if now.since(self.last_seen) < LAST_RATE_TIME {
+            (self.recent.last_rate() - part).max(0.0)
         } else {
-            part
+            0.0
         };
-        let used = rate * now.since(self.assumed_until).as_secs_f64();
+        let elapsed = now.since(self.assumed_until).as_secs_f64();
+        let beyond = (beyond * elapsed).min(self.headroom);
+        self.headroom -= beyond;
+        let used = part.mul_add(elapsed, beyond);
         self.assumed += used;
         self.assumed_until = now;
         used
--- a/kernel/tests/quotas.rs
+++ b/kernel/tests/quotas.rs
@@ -7,6 +7,7 @@
 use borageladder_kernel::quota::QuotaBounds;
 use borageladder_kernel::quota::QuotaBucket;
 use borageladder_kernel::quota::QuotaTolerance;
+use yare::parameterized;
 
 /// The rate in units per second, and the burst in units.
 const RATE: u64 = 300_000;
@@ -41,6 +42,8 @@
     demanded: u64,
     /// The host that makes the next request.
     turn: usize,
+    /// The only host that gets requests, if there is one.
+    only: Option<usize>,
 }
 
 impl Fleet {
@@ -52,6 +55,7 @@
             now: 0,
             demanded: 0,
             turn: 0,
+            only: None,
         }
     }
 
@@ -71,7 +75,7 @@
             self.demanded += times * RATE * STEP_MS / 1_000;
             while self.demanded >= REQUEST_UNITS {
                 self.demanded -= REQUEST_UNITS;
-                self.turn = (self.turn + 1) % hosts;
+                self.turn = self.only.unwrap_or((self.turn + 1) % hosts);
                 let bucket = &mut self.buckets[self.turn];
                 if bucket.charge(now, REQUEST_UNITS, hosts).is_ok() {
                     self.charged.push((now, REQUEST_UNITS));
@@ -176,6 +180,50 @@
     assert!(charged >= 8 * RATE * 7 / 10, "only {charged} units charged");
 }
 
+// Guards against a workspace that gets nothing for ten seconds after the end of the host that served all
+// of its requests.
+#[test]
+fn the_last_rate_of_a_killed_host_does_not_withhold_the_whole_quota() {
+    let mut fleet = Fleet::new(8);
+    fleet.advance(12_000, 1, |_, _| true);
+    fleet.only = Some(0);
+    fleet.advance(5_000, OVERLOAD_FACTOR, |_, _| true);
+    fleet.charged.clear();
+    fleet.only = Some(1);
+    fleet.advance(8_000, 1, |to, from| from != 0 && to != 0);
+    let charged: u64 = fleet.charged.iter().map(|(_, units)| units).sum();
+    // The part of the killed host stays withheld, and what it may have charged without a report.
+    let expected = 8 * RATE * 7 / 8 - RATE * 2;
+    assert!(charged >= expected, "only {charged} of {expected} units");
+}
+
+// Guards against a host that is cut off while it serves most of a workspace's requests, and charges more
+// than the others leave to it.
+#[parameterized(
+    half_the_rate = { 1, 2 },
+    the_rate = { 1, 1 },
+    thrice_the_rate = { 3, 1 },
+    overload = { OVERLOAD_FACTOR, 1 },
+)]
+fn a_host_cut_off_with_most_of_the_demand_stays_within_the_quota(times: u64, pauses: u64) {
+    for cut_ms in [0, 40, 80, 120, 160, 200, 240] {
+        let mut fleet = Fleet::new(8);
+        fleet.advance(12_000, 1, |_, _| true);
+        fleet.only = Some(0);
+        for _ in 0..5 {
+            fleet.advance(1_000 / pauses, times, |_, _| true);
+            fleet.advance(1_000 - 1_000 / pauses, 0, |_, _| true);
+        }
+        fleet.advance(cut_ms, times, |_, _| true);
+        fleet.only = None;
+        let is_cut = |to: usize, from: usize| (to == 0) != (from == 0);
+        fleet.advance(12_000, HEAVY_OVERLOAD_FACTOR, |to, from| !is_cut(to, from));
+        let most = fleet.max_in_window(Duration::from_secs(8));
+
+        assert!(most <= MAX_ALLOWED, "{most} units charged, {cut_ms} ms");
+    }
+}
+
 #[test]
 fn a_report_after_silence_replaces_the_assumed_use() {
     let mut bucket = QuotaBucket::new(BOUNDS, QuotaTolerance::default(), ClockTime::ZERO);
