Bound the bytes of request bodies that a host holds

Cause: nothing bounded the bodies that a host holds; a body in chunks was read into a buffer that grows by doubling. Ruled out: other holders. An answer is buffered up to 256 KiB, an event up to 256 KiB, a slow caller holds one chunk, links and tunnels have queues with bounds (docs/CAPACITY.md lists each). Change: kernel::memory, the claims of bodies: a budget of 60 % of the memory in the settings (memory_megabytes, optional, from the platform's limits), three quarters of it for long bodies; a claim waits by tier, then for the workspace that holds least. src/gateway/bodies.rs keeps the waiting requests; one that waits for more than 0.8 s is refused as not run, with a Retry-After that differs from answer to answer. Event 516, two metrics. Passing before and now: callers_that_leave_give_their_memory_back, long_bodies_are_held_once (which now states a larger memory, so that the host still holds all 16 bodies at once, and requires that all are served). kernel/tests/memory.rs: 200 random sequences. Open: one account over all holders; passing a body on while it is read.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod load;
 pub mod location;
 pub mod membership;
+pub mod memory;
 pub mod name;
 pub mod pace;
 pub mod pause;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -192,13 +192,20 @@
         self.write_body(Bytes::from(body)).await
     }
 
-    /// Answers a request that could not be read; the answer closes the connection.
+    /// Answers a request that was not read; the answer closes the connection.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller's connection failed.
-    pub async fn reject(&mut self, status: StatusCode) -> io::Result<()> {
+    pub async fn reject(
+        &mut self,
+        status: StatusCode,
+        retry_after: Option<&str>,
+    ) -> io::Result<()> {
         let mut response = Response::with_body(status, ());
+        if let Some(Ok(value)) = retry_after.map(HeaderValue::from_str) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -28,11 +28,18 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::bodies::BodyError;
+use super::bodies::BodyReservation;
 use super::caller::CallerWriter;
 use super::caller::ConnectionUse;
+use super::document::CallerLimits;
 use super::exchange;
 use super::host::GatewayHost;
+use super::plan;
 use crate::event::LogEvent;
+use crate::kernel::memory::BodyClaim;
+use crate::kernel::memory::MAX_SHORT_BODY;
+use crate::kernel::name::TierRank;
 use crate::listener::accept_connections;
 use crate::log_event;
 
@@ -45,6 +52,19 @@
 /// Interval between two checks for a close while reading pauses.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The longest time for which a request waits for memory before its body is read. A caller gives an
+/// attempt up if the host does not read its request within a second, or a third of its own time.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(800);
+
+/// The divisor of the time that the caller waits which limits that time as well.
+const MEMORY_WAIT_DIVISOR: u32 = 4;
+
+/// The mean Retry-after time of a request for whose body there was no memory.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+
+/// The time limit for reading a long body of a caller that does not say how long it waits.
+const MAX_BODY_TIME: Duration = Duration::from_mins(1);
+
 /// Time for which the host keeps reading after it has shut down its side of a connection.
 ///
 /// Closing a socket with unread data resets the connection, which can discard an answer that the
@@ -75,6 +95,9 @@
     /// The body exceeds the size limit.
     #[error("the request body is too large")]
     BodyTooLarge,
+    /// The host has no memory for the body.
+    #[error(transparent)]
+    Memory(#[from] BodyError),
     /// The head exceeds the size limit.
     #[error("the request head is too large")]
     HeadTooLarge,
@@ -95,11 +118,21 @@
         match self {
             Self::Closed | Self::Idle => None,
             Self::TimedOut => Some(StatusCode::REQUEST_TIMEOUT),
-            Self::BodyTooLarge => Some(StatusCode::PAYLOAD_TOO_LARGE),
+            Self::BodyTooLarge | Self::Memory(BodyError::TooLong { .. }) => {
+                Some(StatusCode::PAYLOAD_TOO_LARGE)
+            }
+            Self::Memory(BodyError::NoMemory { .. }) => Some(StatusCode::SERVICE_UNAVAILABLE),
             Self::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
             Self::Malformed(_) => Some(StatusCode::BAD_REQUEST),
         }
     }
+
+    /// Returns the time after which the caller should retry, or `None` if the answer states none. It
+    /// differs from answer to answer, so that callers do not return together.
+    fn retry_after(&self) -> Option<Duration> {
+        let has_no_memory = matches!(self, Self::Memory(BodyError::NoMemory { .. }));
+        has_no_memory.then(|| MEMORY_RETRY.mul_f64(rand::random_range(0.5..=1.5)))
+    }
 }
 
 /// Accepts and serves caller connections until the host stops accepting requests.
@@ -133,8 +166,8 @@
 impl CallerConnection {
     async fn run(&mut self) {
         loop {
-            let request = match self.read_next_request().await {
-                Ok(request) => request,
+            let (request, _reservation) = match self.read_next_request().await {
+                Ok(read) => read,
                 // A request that arrives during the close stays unread, so the connection is reset
                 // without an answer and the caller can conclude that the request did not run.
                 Err(ReadError::Closed | ReadError::Idle) => return,
@@ -153,12 +186,14 @@
         self.linger().await;
     }
 
-    /// Reads the next request.
+    /// Reads the next request; also returns the memory reserved for its body, if it has one.
     ///
     /// The head must be complete within a fixed time after its first bytes, or after this call if
     /// they were received before it. The body only has to keep arriving: its time limit applies to
     /// each read.
-    async fn read_next_request(&mut self) -> Result<CallerRequest, ReadError> {
+    async fn read_next_request(
+        &mut self,
+    ) -> Result<(CallerRequest, Option<BodyReservation>), ReadError> {
         let limits = self.host.limits();
         if self.received.is_empty() {
             let closing = self.host.closing.clone();
@@ -172,15 +207,88 @@
         }
         let head = timeout(limits.head_time, self.read_head(limits.head_bytes)).await;
         let head = head.map_err(|_elapsed| ReadError::TimedOut)??;
-        let body = match self.codec.message_type() {
-            MessageType::None => Bytes::new(),
+        let (body, reservation) = match self.codec.message_type() {
+            MessageType::None => (Bytes::new(), None),
             MessageType::Payload | MessageType::Stream => {
-                let length = stated_length(&head).unwrap_or_default();
-                self.read_body(length, limits.body_bytes, limits.idle_time)
-                    .await?
+                let reading = self.read_reserved_body(&head, &limits);
+                let (body, reservation) = reading.await?;
+                (body, Some(reservation))
             }
         };
-        Ok(CallerRequest { head, body })
+        Ok((CallerRequest { head, body }, reservation))
+    }
+
+    /// Reserves memory for a body and reads it.
+    ///
+    /// A body of unknown length is read as a short one at first. A long body has to arrive within the
+    /// time that the caller waits for its answer.
+    async fn read_reserved_body(
+        &mut self,
+        head: &Request,
+        limits: &CallerLimits,
+    ) -> Result<(Bytes, BodyReservation), ReadError> {
+        let stated = stated_length(head);
+        if stated.is_some_and(|length| length > limits.body_bytes) {
+            return Err(ReadError::BodyTooLarge);
+        }
+        let short = usize::try_from(MAX_SHORT_BODY).unwrap_or(usize::MAX);
+        let capacity = stated.unwrap_or(short).min(limits.body_bytes);
+        let mut reservation = self.reserve(head, capacity).await?;
+        let mut body = BytesMut::with_capacity(stated.map_or(0, |_| capacity));
+        let time = if capacity > short {
+            self.caller_timeout(head)
+        } else {
+            Duration::MAX
+        };
+        let reading = self.read_body(&mut body, capacity, limits.idle_time);
+        let read = timeout(time, reading).await;
+        let mut is_complete = read.map_err(|_elapsed| ReadError::TimedOut)??;
+        if !is_complete && capacity < limits.body_bytes {
+            // What has been read stays reserved until the rest is.
+            reservation = self.reserve(head, limits.body_bytes).await?;
+            body.reserve(limits.body_bytes.saturating_sub(body.len()));
+            let time = self.caller_timeout(head);
+            let reading = self.read_body(&mut body, limits.body_bytes, limits.idle_time);
+            let read = timeout(time, reading).await;
+            is_complete = read.map_err(|_elapsed| ReadError::TimedOut)??;
+        }
+        if !is_complete {
+            return Err(ReadError::BodyTooLarge);
+        }
+        reservation.shrink(body.len() as u64);
+        Ok((body.freeze(), reservation))
+    }
+
+    /// Reserves memory for a body of a request.
+    async fn reserve(&self, head: &Request, bytes: usize) -> Result<BodyReservation, ReadError> {
+        let bytes = bytes as u64;
+        let (workspace, tier) = if bytes > MAX_SHORT_BODY {
+            plan::request_owner(&self.host, head)
+        } else {
+            (None, TierRank::default())
+        };
+        let claim = BodyClaim {
+            workspace,
+            tier,
+            bytes,
+        };
+        let limit = MAX_MEMORY_WAIT.min(self.caller_timeout(head) / MEMORY_WAIT_DIVISOR);
+        let reserved = self.host.bodies.reserve(claim, limit).await;
+        if let Err(error) = &reserved {
+            self.host.metrics.body_refused();
+            let metadata = self.host.dialect.call_metadata(head.headers());
+            log_event!(self.host.log, LogEvent::BodyRefused,
+                "id" => metadata.attempt_id,
+                "bytes" => bytes,
+                "reason" => error.to_string());
+        }
+        Ok(reserved?)
+    }
+
+    /// Returns the time that the caller waits for its answer.
+    fn caller_timeout(&self, head: &Request) -> Duration {
+        let metadata = self.host.dialect.call_metadata(head.headers());
+        metadata.timeout.unwrap_or(MAX_BODY_TIME)
     }
 
     async fn read_head(&mut self, limit: usize) -> Result<Request, ReadError> {
@@ -200,19 +308,17 @@
         }
     }
 
-    /// Reads a body of the stated length, 0 if none is stated.
+    /// Reads a body to its end, or until it is longer than the limit; returns whether it is complete.
     async fn read_body(
         &mut self,
-        length: usize,
+        body: &mut BytesMut,
         limit: usize,
         idle: Duration,
-    ) -> Result<Bytes, ReadError> {
-        // A growing buffer would take up to twice the length; reserved memory is used only when written.
-        let mut body = BytesMut::with_capacity(length.min(limit));
+    ) -> Result<bool, ReadError> {
         loop {
             match self.codec.decode(&mut self.received) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => body.extend_from_slice(&bytes),
-                Ok(Some(Message::Chunk(None) | Message::Item(_))) => return Ok(body.freeze()),
+                Ok(Some(Message::Chunk(None) | Message::Item(_))) => return Ok(true),
                 Ok(None) => {
                     let read = timeout(idle, self.read_more()).await;
                     read.map_err(|_elapsed| ReadError::TimedOut)??;
@@ -220,7 +326,7 @@
                 Err(error) => return Err(ReadError::Malformed(error)),
             }
             if body.len() > limit {
-                return Err(ReadError::BodyTooLarge);
+                return Ok(false);
             }
         }
     }
@@ -254,8 +360,10 @@
         let Some(status) = error.status() else { return };
         let (_, writer) = self.stream.split();
         let mut caller = CallerWriter::new(writer, &mut self.codec, &self.host.stopping);
+        let retry_after = error.retry_after();
+        let retry_after = retry_after.map(|time| self.host.dialect.retry_after(time));
         // The connection is closed next, so a failed write needs no handling.
-        let _ = caller.reject(status).await;
+        let _ = caller.reject(status, retry_after.as_deref()).await;
     }
 
     /// Shuts down the sending side and discards further input for up to [`LINGER_TIME`].
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -11,6 +11,7 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use super::bodies::BodyMemory;
 use super::connector::ConnectorState;
 use super::dialect::GatewayDialect;
 use super::document::CallerLimits;
@@ -65,6 +66,8 @@
     /// The worker crashes by the content and the prompt parts of requests, shared with the other
     /// hosts.
     pub crashes: Rc<SharedPartRegister>,
+    /// The memory for the bodies of requests.
+    pub bodies: Rc<BodyMemory>,
     /// The idle connections to workers.
     pub pool: ConnectionPool,
     /// Set when the host is asked to stop; answers then close their connections.
@@ -132,6 +135,7 @@
 impl From<GatewayParts> for GatewayHost {
     fn from(parts: GatewayParts) -> Self {
         Self {
+            bodies: Rc::new(BodyMemory::new(parts.settings.body_budget())),
             settings: parts.settings,
             crashes: SharedPartRegister::start(&parts.links, parts.clock),
             clock: parts.clock,
--- a/src/gateway/metering.rs
+++ b/src/gateway/metering.rs
@@ -100,6 +100,7 @@
     for (workspace, bucket) in host.state.quotas.borrow().iter() {
         metrics.set_quota(workspace, &bucket.view(now));
     }
+    metrics.set_body_bytes(host.bodies.held(), host.bodies.total());
     metering::set_slots(metrics, &host.cells);
     metrics.render()
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! registered workers, and of [`GatewayDialect`], which reads and writes the headers of callers and
 //! workers. Scheduling decisions are made by the kernel crate.
 
+mod bodies;
 mod call_error;
 mod caller;
 mod confirm;
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use actix_http::HttpMessage;
+use actix_http::Request;
 use actix_http::header;
 
 use super::call_error::CallError;
@@ -146,6 +147,30 @@
     }
 }
 
+/// Returns the workspace and the tier of a request whose body has not been read; no workspace and the
+/// lowest tier if they are not known.
+pub(super) fn request_owner(
+    host: &GatewayHost,
+    head: &Request,
+) -> (Option<WorkspaceName>, TierRank) {
+    const UNKNOWN: (Option<WorkspaceName>, TierRank) = (None, TierRank(u8::MAX));
+    let Some(serving) = host.latest_configuration() else {
+        return UNKNOWN;
+    };
+    let hostname = hostname(head);
+    let route = hostname.and_then(|hostname| serving.routes.find(&hostname, head.path()));
+    let Some(route) = route else {
+        return UNKNOWN;
+    };
+    let metadata = host.dialect.call_metadata(head.headers());
+    let workspaces = serving.workspaces.as_ref().filter(|_| !route.open);
+    let owner = workspaces.zip(metadata.key).and_then(|(workspaces, key)| {
+        let (name, workspace) = workspaces.find_by_key(&key)?;
+        Some((Some(name.clone()), workspace.tier_for(route.tier)))
+    });
+    owner.unwrap_or((None, route.tier))
+}
+
 /// Plans a request by the configuration in force, charges it to the quota of its workspace and
 /// counts it in the retry budget of its service.
 ///
@@ -209,7 +234,7 @@
     id: RequestId,
     arrival: ClockTime,
 ) -> Result<PlannedCall, CallError> {
-    let hostname = hostname(request).ok_or(CallError::NoRoute)?;
+    let hostname = hostname(&request.head).ok_or(CallError::NoRoute)?;
     let route = serving.routes.find(&hostname, request.head.path());
     let route = route.ok_or(CallError::NoRoute)?.clone();
     let owner = match &serving.workspaces {
@@ -297,8 +322,8 @@
 }
 
 /// Returns the host name of a request in lower case, without the port.
-fn hostname(request: &CallerRequest) -> Option<String> {
-    let value = request.head.headers().get(header::HOST)?.to_str().ok()?;
+fn hostname(head: &Request) -> Option<String> {
+    let value = head.headers().get(header::HOST)?.to_str().ok()?;
     let is_port = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
     // The last colon of an IPv6 literal without a port stands before its closing bracket.
     let name = match value.rsplit_once(':') {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -12,12 +12,17 @@
 
 use crate::kernel::location::CellSpan;
 use crate::kernel::membership::HostClass;
+use crate::kernel::memory::BodyBudget;
+use crate::kernel::memory::MAX_SHORT_BODY;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RegionName;
 use crate::kernel::quota::QuotaTolerance;
 use crate::kernel::retry::RetryBounds;
 
+/// The bytes in a megabyte of [`GatewaySettings::memory_megabytes`].
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// The checked settings of a gateway host.
 ///
 /// # Examples
@@ -73,6 +78,10 @@
     /// The bandwidth of the host's network link, in megabits per second.
     #[serde(default = "default_link_megabits")]
     pub link_megabits: f64,
+    /// The memory of the process, in megabytes of a million bytes; the platform ends a process that
+    /// takes more.
+    #[serde(default = "default_memory_megabytes")]
+    pub memory_megabytes: u64,
     /// The number of live hosts up to which each of them reports its use of quotas to all others;
     /// above it, the sum of each data centre is reported to the others.
     #[serde(default = "default_direct_hosts")]
@@ -111,6 +120,11 @@
     1.0
 }
 
+/// The memory of the smallest host in use.
+const fn default_memory_megabytes() -> u64 {
+    88
+}
+
 const fn default_direct_hosts() -> usize {
     100
 }
@@ -125,6 +139,12 @@
     pub fn host_class(&self) -> HostClass {
         HostClass::of(self.processor_cores, self.link_megabits)
     }
+
+    /// Returns the bytes of request bodies that the host holds at most.
+    #[must_use]
+    pub const fn body_budget(&self) -> BodyBudget {
+        BodyBudget::of_memory(self.memory_megabytes.saturating_mul(BYTES_PER_MEGABYTE))
+    }
 }
 
 impl GatewayBounds {
@@ -180,6 +200,9 @@
     /// The data centre of the host is not listed under `datacenters`.
     #[error("data centre {0} of the host is not listed under datacenters")]
     Datacenter(DatacenterName),
+    /// The memory of the process is too small to hold bodies of requests.
+    #[error("memory_megabytes is {0}, which leaves no room for the bodies of requests")]
+    Memory(u64),
     /// A limit is negative or not finite.
     #[error("bounds.{name} must be finite and not negative, but is {value}")]
     Bound {
@@ -198,6 +221,9 @@
         if !settings.datacenters.contains_key(&settings.datacenter) {
             return Err(SettingsError::Datacenter(settings.datacenter));
         }
+        if settings.body_budget().long < MAX_SHORT_BODY {
+            return Err(SettingsError::Memory(settings.memory_megabytes));
+        }
         let bounds = &settings.bounds;
         let numbers = [
             ("stop_s", bounds.stop_s),
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -67,6 +67,10 @@
 catalogue! {
     ANSWER_TOKENS Counter "borageladder_answer_tokens" ["outcome" "service" "tier"]
         "Tokens that workers generated, by the outcome of their request.";
+    BODY_BYTES Gauge "borageladder_body_bytes" ["state"]
+        "Bytes of the request bodies that the host holds (held) and may hold (limit).";
+    BODY_REFUSALS Counter "borageladder_body_refusals" []
+        "Requests refused before their bodies were read, for want of memory.";
     CLAIMS Counter "borageladder_claims" ["outcome"]
         "Attempts to claim an idempotency key, by outcome.";
     CONFIGURATION_VERSION Gauge "borageladder_configuration_version" ["state"]
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -60,6 +60,8 @@
     registry: Registry,
     provider: SdkMeterProvider,
     answer_tokens: Counter<u64>,
+    body_bytes: Gauge<u64>,
+    body_refusals: Counter<u64>,
     claims: Counter<u64>,
     configuration_version: Gauge<u64>,
     first_token: Histogram<f64>,
@@ -149,6 +151,8 @@
             registry,
             provider,
             answer_tokens: counter(&meter, &catalogue::ANSWER_TOKENS),
+            body_bytes: gauge(&meter, &catalogue::BODY_BYTES),
+            body_refusals: counter(&meter, &catalogue::BODY_REFUSALS),
             claims: counter(&meter, &catalogue::CLAIMS),
             configuration_version: gauge(&meter, &catalogue::CONFIGURATION_VERSION),
             first_token: histogram(&meter, &catalogue::FIRST_TOKEN),
@@ -246,6 +250,19 @@
         self.waiting_bytes.record(bytes, &[]);
     }
 
+    /// Sets the bytes of the request bodies that the host holds, and the most that it may hold.
+    pub fn set_body_bytes(&self, held: u64, limit: u64) {
+        for (state, bytes) in [("held", held), ("limit", limit)] {
+            let state = KeyValue::new("state", state);
+            self.body_bytes.record(bytes, &[state]);
+        }
+    }
+
+    /// Counts a request that was refused because the host had no memory for its body.
+    pub fn body_refused(&self) {
+        self.body_refusals.add(1, &[]);
+    }
+
     /// Sets the number of requests of the host that are running on workers.
     pub fn set_running(&self, labels: &RequestLabels, count: u64) {
         self.running.record(count, &labels.attributes());
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -49,6 +49,8 @@
     metrics.stream_resumed(&labels);
     metrics.set_waiting(&labels, 3);
     metrics.set_waiting_bytes(4_096);
+    metrics.set_body_bytes(4_096, 8_192);
+    metrics.body_refused();
     metrics.set_running(&labels, 4);
     metrics.set_slots(&service, 16, 4);
     metrics.claim_attempted(ClaimAttemptLabel::Won);
