Leave more of a small host's memory to the process, and look up the wait only when needed

The part of the process doesn't grow with the host, so it is taken off first: 24 MB, then three quarters of the rest (48 MB of 88, 65 of 110). Beside it: the time that a caller waits was read from the headers of each request with a body, also where nothing waits.

--- a/kernel/src/memory.rs
+++ b/kernel/src/memory.rs
@@ -13,9 +13,11 @@
 /// The length up to which a body counts as short, in bytes.
 pub const MAX_SHORT_BODY: u64 = 128 << 10;
 
-/// The part of a host's memory that bodies may take, in percent. The rest is for the process, its
-/// connections and what the allocator keeps.
-const BODY_PERCENT: u64 = 60;
+/// The memory of a host that holds no bodies, in bytes.
+const BASE_BYTES: u64 = 24_000_000;
+
+/// The part of the rest that bodies may take, in percent; the allocator keeps some of what was freed.
+const BODY_PERCENT: u64 = 75;
 
 /// The part of those bytes that long bodies may take, in percent.
 const LONG_PERCENT: u64 = 75;
@@ -37,12 +39,12 @@
     /// ```
     /// use borageladder_kernel::memory::BodyBudget;
     ///
-    /// let budget = BodyBudget::of_memory(80_000_000);
-    /// assert_eq!((budget.total, budget.long), (48_000_000, 36_000_000));
+    /// let budget = BodyBudget::of_memory(104_000_000);
+    /// assert_eq!((budget.total, budget.long), (60_000_000, 45_000_000));
     /// ```
     #[must_use]
     pub const fn of_memory(memory: u64) -> Self {
-        let total = memory / 100 * BODY_PERCENT;
+        let total = memory.saturating_sub(BASE_BYTES) / 100 * BODY_PERCENT;
         Self {
             total,
             long: total / 100 * LONG_PERCENT,
--- a/src/gateway/bodies.rs
+++ b/src/gateway/bodies.rs
@@ -71,7 +71,7 @@
         self.ledger.borrow().waiting()
     }
 
-    /// Reserves memory for a body, and waits for it up to the time limit.
+    /// Reserves memory for a body, and waits for it up to the time that `limit` returns.
     ///
     /// # Errors
     ///
@@ -79,7 +79,7 @@
     pub async fn reserve(
         self: &Rc<Self>,
         claim: BodyClaim,
-        limit: Duration,
+        limit: impl FnOnce() -> Duration,
     ) -> Result<BodyReservation, BodyError> {
         let answer = self.ledger.borrow_mut().claim(&claim);
         let number = match answer {
@@ -96,7 +96,7 @@
             memory: self,
             claim: Some((number, claim)),
         };
-        let granted = tokio::time::timeout(limit, receiver).await;
+        let granted = tokio::time::timeout(limit(), receiver).await;
         if granted.is_ok()
             && let Some((_, claim)) = pending.claim.take()
         {
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -272,7 +272,7 @@
             tier,
             bytes,
         };
-        let limit = MAX_MEMORY_WAIT.min(self.caller_timeout(head) / MEMORY_WAIT_DIVISOR);
+        let limit = || MAX_MEMORY_WAIT.min(self.caller_timeout(head) / MEMORY_WAIT_DIVISOR);
         let reserved = self.host.bodies.reserve(claim, limit).await;
         if let Err(error) = &reserved {
             self.host.metrics.body_refused();
