Split the roster and the state exchange by job

EntryTransition::between takes the registrations in place of an entry of the roster; nothing else changes. exchange.rs: the delay between two asks is named for what it is, as it also serves unconfirmed workers.

--- a/kernel/src/roster.rs
+++ b/kernel/src/roster/mod.rs
@@ -1,13 +1,11 @@
 //! The registered workers, as read from the store, and their grace period after a store outage.
 
+mod record;
+mod transition;
+
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::clock::ClockTime;
 use crate::configuration::WorkerState;
 use crate::departure::DepartureTable;
@@ -16,10 +14,14 @@
 use crate::departure::KnownStart;
 use crate::departure::WorkerStanding;
 use crate::departure::WorkerStart;
-use crate::name::DatacenterName;
-use crate::name::ServiceName;
 use crate::name::WorkerName;
-use crate::name::WorkerVersion;
+
+pub use self::record::RosterUpdate;
+pub use self::record::StoreEra;
+pub use self::record::StoreRevision;
+pub use self::record::UpstreamRecord;
+pub use self::transition::EntryTransition;
+pub use self::transition::RosterTransition;
 
 /// The time that workers have to register again after an outage of the store.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2_200);
@@ -28,122 +30,6 @@
 /// [`UpstreamRoster::take_transitions`].
 const MAX_LISTED_TRANSITIONS: usize = 256;
 
-/// The registration of a worker.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct UpstreamRecord {
-    /// The name of the worker, which is new with each of its starts.
-    pub worker: WorkerName,
-    /// The service that the worker provides.
-    pub service: ServiceName,
-    /// The data centre in which the worker runs.
-    pub datacenter: DatacenterName,
-    /// The address at which the worker accepts requests.
-    pub address: SocketAddr,
-    /// The version of the worker's software; `None` if the registration states none.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub version: Option<WorkerVersion>,
-    /// The maximum number of requests that the worker runs at once.
-    pub slots: u32,
-    /// Whether the worker may be granted new requests.
-    pub state: WorkerState,
-    /// The time of the worker's start, in Unix milliseconds; `None` if the registration states none.
-    ///
-    /// A worker that starts again under its name knows nothing of what it said before.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub started_ms: Option<u64>,
-}
-
-/// A revision of the store's rows.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct StoreRevision(pub u64);
-
-/// A number that rises each time the store is back from an older copy; 0 if it is not known.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
-pub struct StoreEra(pub u64);
-
-impl StoreEra {
-    /// Returns whether the era is not known.
-    #[must_use]
-    pub const fn is_unknown(&self) -> bool {
-        self.0 == 0
-    }
-}
-
-/// The result of a read of the registered workers.
-#[derive(Clone, Debug, Default)]
-pub struct RosterUpdate {
-    /// The revision up to which the update includes all changes.
-    pub revision: StoreRevision,
-    /// The era of the store in which it was read.
-    pub era: StoreEra,
-    /// Whether `present` lists all workers, not only changed ones.
-    pub complete: bool,
-    /// The registered workers; only the added or changed ones if `complete` is false.
-    pub present: Vec<UpstreamRecord>,
-    /// The workers whose registration was removed or is invalid.
-    pub removed: BTreeSet<WorkerName>,
-}
-
-/// How the registration of a worker changed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EntryTransition {
-    /// It was added after the first read of the workers.
-    Added,
-    /// It was active and states that the worker is draining.
-    Draining,
-    /// It stated that the worker is draining and is active, for the same start.
-    Reactivated,
-    /// It names another start.
-    Restarted,
-    /// It is missing after an outage of the store, and the worker is kept for a while.
-    Missing,
-    /// It was missing and is present again.
-    Returned,
-    /// It was removed, or can't be read.
-    Removed,
-}
-
-impl EntryTransition {
-    /// Returns the name in log lines.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Added => "added",
-            Self::Draining => "draining",
-            Self::Reactivated => "reactivated",
-            Self::Restarted => "restarted",
-            Self::Missing => "missing",
-            Self::Returned => "returned",
-            Self::Removed => "removed",
-        }
-    }
-
-    /// Returns how a registration that is present changed, if in a way that is listed.
-    fn between(old: &RosterEntry, new: &UpstreamRecord) -> Option<Self> {
-        let record = &old.record;
-        if record.started_ms != new.started_ms {
-            return Some(Self::Restarted);
-        }
-        match (record.state, new.state) {
-            (WorkerState::Active, WorkerState::Draining) => Some(Self::Draining),
-            (WorkerState::Draining, WorkerState::Active) => Some(Self::Reactivated),
-            _ => old.missing_since.map(|_| Self::Returned),
-        }
-    }
-}
-
-/// A change of the registration of one worker.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RosterTransition {
-    /// The worker.
-    pub worker: WorkerName,
-    /// The start that the registration names, or named last.
-    pub started_ms: Option<u64>,
-    /// What changed.
-    pub transition: EntryTransition,
-}
-
 #[derive(Clone, Debug)]
 struct RosterEntry {
     record: UpstreamRecord,
@@ -394,7 +280,8 @@
         self.limit_departures();
         let entry = self.entries.get_mut(&record.worker);
         if let Some(entry) = entry {
-            let transition = EntryTransition::between(entry, &record);
+            let is_missing = entry.missing_since.is_some();
+            let transition = EntryTransition::between(&entry.record, is_missing, &record);
             let (worker, started_ms) = (record.worker.clone(), record.started_ms);
             entry.missing_since = None;
             if entry.record.started_ms != started_ms {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -177,7 +177,7 @@
         let mut life = RequestLife::waiting(planned.id, planned.tier, planned.deadline);
         let mut unused = 0;
         // The first of several grants may come from a broker that is just behind.
-        let mut unknown_delay = Duration::ZERO;
+        let mut repeat_delay = Duration::ZERO;
         loop {
             let (granted, lease) = self.wait_for_slot(life).await?;
             let worker = granted.grant().worker.clone();
@@ -201,8 +201,8 @@
                 Err((error, waiting)) => {
                     self.trace.slot_unused(&worker, &error);
                     if error.may_pass() {
-                        actix_rt::time::sleep(unknown_delay).await;
-                        unknown_delay = (unknown_delay * 2).max(MIN_REPEAT_DELAY);
+                        actix_rt::time::sleep(repeat_delay).await;
+                        repeat_delay = (repeat_delay * 2).max(MIN_REPEAT_DELAY);
                     }
                     unused += 1;
                     if unused >= MAX_UNUSED_SLOTS {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod snapshot;
 mod state;
 mod store;
+mod store_reader;
 mod stream_log;
 mod streams;
 mod sync;
