Move the errors of reading a request to a file of their own

ReadError, and the Retry-after time that belongs to it, stand in read_error.rs; a method of BodyMemory that nothing used is removed. No logic changes. After: the tests of memory::, framing::, answers:: and connections:: pass.

--- a/src/gateway/bodies.rs
+++ b/src/gateway/bodies.rs
@@ -73,12 +73,6 @@
         limit.min(usize::try_from(long).unwrap_or(usize::MAX))
     }
 
-    /// Returns the number of requests that wait for memory.
-    #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.ledger.borrow().waiting()
-    }
-
     /// Reserves memory for a body, and waits for it up to the time that `limit` returns.
     ///
     /// # Errors
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -3,14 +3,12 @@
 //! A request is read completely before it is planned. If the caller disconnects while its request is
 //! served, the request is cancelled.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_codec::Decoder;
 use actix_http::HttpMessage;
 use actix_http::Request;
-use actix_http::StatusCode;
 use actix_http::error::ParseError;
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
@@ -18,7 +16,6 @@
 use actix_http::header;
 use bytes::Bytes;
 use bytes::BytesMut;
-use thiserror::Error;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::io::Interest;
@@ -28,7 +25,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use super::bodies::BodyError;
 use super::bodies::BodyReservation;
 use super::caller::CallerWriter;
 use super::caller::ConnectionUse;
@@ -36,6 +32,7 @@
 use super::exchange;
 use super::host::GatewayHost;
 use super::plan;
+use super::read_error::ReadError;
 use crate::event::LogEvent;
 use crate::kernel::memory::BodyClaim;
 use crate::kernel::memory::MAX_SHORT_BODY;
@@ -62,9 +59,6 @@
 /// The divisor of the time that the caller waits which limits that time as well.
 const MEMORY_WAIT_DIVISOR: u32 = 4;
 
-/// The mean Retry-after time of a request for whose body there was no memory.
-const MEMORY_RETRY: Duration = Duration::from_secs(1);
-
 /// The time limit for reading a long body of a caller that does not say how long it waits.
 const MAX_BODY_TIME: Duration = Duration::from_mins(1);
 
@@ -83,61 +77,6 @@
     pub body: Bytes,
 }
 
-/// Reason why the next request of a connection could not be read.
-#[derive(Debug, Error)]
-enum ReadError {
-    /// The caller closed the connection, or reading from it failed.
-    #[error("the connection was closed")]
-    Closed,
-    /// The connection was idle for too long, or the host stopped accepting requests.
-    #[error("the connection was idle")]
-    Idle,
-    /// The request was not received within the time limits.
-    #[error("the request timed out")]
-    TimedOut,
-    /// The body exceeds the size limit.
-    #[error("the request body is too large")]
-    BodyTooLarge,
-    /// The host has no memory for the body.
-    #[error(transparent)]
-    Memory(#[from] BodyError),
-    /// The head exceeds the size limit.
-    #[error("the request head is too large")]
-    HeadTooLarge,
-    /// The received bytes are not a valid HTTP request.
-    #[error("malformed HTTP request: {0}")]
-    Malformed(ParseError),
-}
-
-impl From<io::Error> for ReadError {
-    fn from(_: io::Error) -> Self {
-        Self::Closed
-    }
-}
-
-impl ReadError {
-    /// Returns the status to answer with, or `None` if the connection is closed without an answer.
-    const fn status(&self) -> Option<StatusCode> {
-        match self {
-            Self::Closed | Self::Idle => None,
-            Self::TimedOut => Some(StatusCode::REQUEST_TIMEOUT),
-            Self::BodyTooLarge | Self::Memory(BodyError::TooLong { .. }) => {
-                Some(StatusCode::PAYLOAD_TOO_LARGE)
-            }
-            Self::Memory(BodyError::NoMemory { .. }) => Some(StatusCode::SERVICE_UNAVAILABLE),
-            Self::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
-            Self::Malformed(_) => Some(StatusCode::BAD_REQUEST),
-        }
-    }
-
-    /// Returns the time after which the caller should retry, or `None` if the answer states none. It
-    /// differs from answer to answer, so that callers do not return together.
-    fn retry_after(&self) -> Option<Duration> {
-        let has_no_memory = matches!(self, Self::Memory(BodyError::NoMemory { .. }));
-        has_no_memory.then(|| MEMORY_RETRY.mul_f64(rand::random_range(0.5..=1.5)))
-    }
-}
-
 /// Accepts and serves caller connections until the host stops accepting requests.
 pub async fn accept_callers(host: Rc<GatewayHost>, listener: TcpListener) {
     let closing = host.closing.clone();
@@ -223,8 +162,8 @@
 
     /// Reserves memory for a body and reads it.
     ///
-    /// A body of unknown length is read as a short one at first, and claims more as it goes on. A long body has to arrive within the
-    /// time that the caller waits for its answer.
+    /// A body of unknown length is read as a short one at first, and claims more as it goes on. A long
+    /// body has to arrive within the time that the caller waits for its answer.
     async fn read_reserved_body(
         &mut self,
         head: &Request,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod metering;
 mod plan;
 mod pool;
+mod read_error;
 mod readiness;
 mod relay;
 mod roster;
