Revert "Begin with empty quotas at the start of a host"

Cause: the tests are right. With an empty bucket a workspace with a small quota gets nothing at a host that has just started until the rate has brought the units of one request, which takes seconds where the rate is low, at each host of a rolling restart. Change: reverted. What a fix needs: a way to know what was charged before a kill of all hosts, such as sums kept in the store, or a level that depends on whether any other host was running before.

--- a/kernel/src/quota/bucket.rs
+++ b/kernel/src/quota/bucket.rs
@@ -36,8 +36,8 @@
 /// That part where sums of data centres are reported, which are later than the reports of hosts.
 const COVERED_PART_OF_SUMS: f64 = 0.2;
 
-/// The divisor of the burst that gives the initial level of a host's bucket for a quota that is applied
-/// while the host runs. It starts partly filled because the units charged before are unknown.
+/// The divisor of the burst that gives the initial level of a host's bucket. The bucket starts
+/// partly filled because the units charged before its creation are unknown.
 const INITIAL_LEVEL_DIVISOR: f64 = 2.0;
 
 /// The bucket of one workspace on one host.
@@ -88,41 +88,10 @@
     /// Creates a bucket that holds a part of the burst, when a quota is first applied on this host.
     #[must_use]
     pub fn new(bounds: QuotaBounds, tolerance: QuotaTolerance, now: ClockTime) -> Self {
-        let level = bounds.burst / INITIAL_LEVEL_DIVISOR;
-        Self::with_level(bounds, tolerance, now, level)
-    }
-
-    /// Creates an empty bucket, when the host starts: all hosts may have been killed, perhaps
-    /// repeatedly, and what they charged is not known.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use borageladder_kernel::clock::ClockTime;
-    /// use borageladder_kernel::quota::QuotaBounds;
-    /// use borageladder_kernel::quota::QuotaBucket;
-    /// use borageladder_kernel::quota::QuotaTolerance;
-    ///
-    /// let bounds = QuotaBounds { rate: 100.0, burst: 100.0 };
-    /// let mut bucket = QuotaBucket::empty(bounds, QuotaTolerance::default(), ClockTime::ZERO);
-    /// assert!(bucket.charge(ClockTime::ZERO, 10, 1).is_err());
-    /// assert!(bucket.charge(ClockTime::from_millis(100), 10, 1).is_ok());
-    /// ```
-    #[must_use]
-    pub fn empty(bounds: QuotaBounds, tolerance: QuotaTolerance, now: ClockTime) -> Self {
-        Self::with_level(bounds, tolerance, now, 0.0)
-    }
-
-    fn with_level(
-        bounds: QuotaBounds,
-        tolerance: QuotaTolerance,
-        now: ClockTime,
-        level: f64,
-    ) -> Self {
         Self {
             bounds,
             tolerance,
-            level,
+            level: bounds.burst / INITIAL_LEVEL_DIVISOR,
             filled_at: now,
             total: 0.0,
             last_reported: 0.0,
--- a/kernel/tests/quota_model.rs
+++ b/kernel/tests/quota_model.rs
@@ -332,7 +332,7 @@
 
     fn restart(&mut self, at: u64, host: usize) {
         self.hosts[host] = SimulatedHost {
-            bucket: QuotaBucket::empty(BOUNDS, TOLERANCE, ClockTime::ZERO),
+            bucket: QuotaBucket::new(BOUNDS, TOLERANCE, ClockTime::ZERO),
             started_us: at,
         };
     }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -305,15 +305,14 @@
             return false;
         }
         let now = self.clock.now();
-        self.apply_quotas(now, &configuration, current.is_none());
+        self.apply_quotas(now, &configuration);
         *self.state.serving.borrow_mut() = Some(configuration);
         log_event!(self.log, LogEvent::ConfigurationApplied, "version" => version);
         self.update_cells();
         true
     }
 
-    /// Sets the bounds of all quotas; `is_first` says whether the host has just started.
-    fn apply_quotas(&self, now: ClockTime, configuration: &ServingConfiguration, is_first: bool) {
+    fn apply_quotas(&self, now: ClockTime, configuration: &ServingConfiguration) {
         let mut quotas = self.state.quotas.borrow_mut();
         let mut limited = BTreeSet::new();
         let workspaces = configuration.workspaces.iter();
@@ -327,11 +326,7 @@
                 quota.set_bounds(bounds);
             } else {
                 let tolerance = self.settings.bounds.quota_tolerance();
-                let quota = if is_first {
-                    QuotaBucket::empty(bounds, tolerance, now)
-                } else {
-                    QuotaBucket::new(bounds, tolerance, now)
-                };
+                let quota = QuotaBucket::new(bounds, tolerance, now);
                 quotas.insert(name.clone(), quota);
             }
         }
