Let a health check answered 503 decide nothing about a worker that leaves

Callers' requests could reach a worker from a host that had passed on that it leaves (DRAIN): where the start of the worker is in doubt, or another host's answer was passed on, a health check decides. Answered 503 with the worker's name and without the header, it ended what the answer had stated. A worker that drains answers health checks 503, and whether these repeat the header is not said for certain (docs/QUESTIONS.md). Evidence: leaving_workers::a_statement_holds_while_the_health_check_is_answered_as_by_a_draining_worker, on the code before: 2 requests reach the worker in place of 1. Ruled out: dropping the outcome "unhealthy" altogether. Any other failure without the header is no answer of a leaving worker, and the kernel's test of it stays as it is. Change: outcome_of takes 503 for undecided; the worker is asked again, and gets nothing meanwhile. Open: a sound start in doubt whose health check is answered 503 for another reason gets nothing for as long as that lasts.

--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -114,6 +114,8 @@
     service.health_path.as_ref()?.parse().ok()
 }
 
+/// Returns what an answer to a health check shows. A worker that leaves may answer 503 as any other one
+/// without room.
 fn outcome_of(worker: &WorkerName, status: StatusCode, answer: &AnswerMetadata) -> HealthOutcome {
     if names_other(worker, answer) {
         HealthOutcome::Undecided
@@ -121,7 +123,7 @@
         HealthOutcome::Leaving
     } else if status == StatusCode::OK {
         HealthOutcome::Sound
-    } else if answer.worker.is_some() {
+    } else if answer.worker.is_some() && status != StatusCode::SERVICE_UNAVAILABLE {
         HealthOutcome::Unhealthy
     } else {
         HealthOutcome::Undecided
