--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -114,8 +114,8 @@
     service.health_path.as_ref()?.parse().ok()
 }
 
-/// Returns what an answer to a health check shows. A worker that leaves may answer 503 as any other one
-/// without room.
+/// Returns what an answer to a health check shows; 503 is that of a worker that drains, has no room or
+/// fails, so it shows nothing.
 fn outcome_of(worker: &WorkerName, status: StatusCode, answer: &AnswerMetadata) -> HealthOutcome {
     if names_other(worker, answer) {
         HealthOutcome::Undecided
