--- a/kernel/src/memory.rs
+++ b/kernel/src/memory.rs
@@ -1,8 +1,8 @@
 //! The bytes of request bodies that one host holds, and which body is read next.
 //!
-//! A body is claimed before it is read, with its whole length, so that bodies that are being read
-//! never wait for each other. Long bodies leave a part of the memory to short ones. Waiting claims
-//! are granted by tier, then to the workspace that holds the fewest bytes.
+//! A body is claimed before it is read, with its whole length if that is stated, so that such bodies
+//! never wait for each other once they are being read. Long bodies leave a part of the memory to
+//! short ones. Waiting claims are granted by tier, then to the workspace that holds the fewest bytes.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/kernel/src/quota/peer.rs
+++ b/kernel/src/quota/peer.rs
@@ -118,8 +118,8 @@
     pub assumed: f64,
     /// The time up to which assumed units have been deducted.
     pub assumed_until: ClockTime,
-    /// The units that the host can still charge beyond its part of the rate. A host that hears of no
-    /// other one leaves each of them its part.
+    /// The units that the host can still charge beyond its part of the rate. A host that hears
+    /// nothing of the others leaves each of them its part.
     pub headroom: f64,
 }
 
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -70,7 +70,7 @@
     BODY_BYTES Gauge "borageladder_body_bytes" ["state"]
         "Bytes of the request bodies that the host holds (held) and may hold (limit).";
     BODY_REFUSALS Counter "borageladder_body_refusals" []
-        "Requests refused before their bodies were read, for want of memory.";
+        "Requests refused before their bodies were read to the end, for want of memory.";
     CLAIMS Counter "borageladder_claims" ["outcome"]
         "Attempts to claim an idempotency key, by outcome.";
     CONFIGURATION_VERSION Gauge "borageladder_configuration_version" ["state"]
