--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod bodies;
 mod call_error;
+mod call_facts;
 mod caller;
 mod confirm;
 mod connections;
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 
 use super::call_error::CallError;
+use super::call_facts::SentCall;
 use super::caller::CallerWriter;
 use super::connector::ConnectError;
 use super::crash;
@@ -13,7 +14,6 @@
 use super::exchange::DEFAULT_RETRY_AFTER;
 use super::exchange::refusal_error;
 use super::plan;
-use super::trace::SentCall;
 use super::worker::WorkerConnection;
 use super::worker::WorkerEndpoint;
 use crate::cell::SlotAnswer;
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -7,6 +7,8 @@
 use actix_http::StatusCode;
 
 use super::call_error::CallError;
+use super::call_facts::CallFacts;
+use super::call_facts::SentCall;
 use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
 use super::host::GatewayHost;
@@ -17,7 +19,6 @@
 use super::worker::AnswerError;
 use super::worker::AnswerFraming;
 use super::worker::ConnectionNumber;
-use super::worker::ConnectionTunnel;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::HostName;
@@ -39,6 +40,7 @@
     attempt_id: String,
     arrival: ClockTime,
     labels: OnceCell<RequestLabels>,
+    facts: OnceCell<CallFacts>,
     /// The last dispatch; `None` before the first.
     last_dispatch: RefCell<Option<LoggedDispatch>>,
     ended: bool,
@@ -56,29 +58,6 @@
     sent_at: ClockTime,
 }
 
-/// A dispatch to a worker.
-#[derive(Debug)]
-pub(super) struct SentCall<'a> {
-    pub worker: &'a WorkerName,
-    /// The version of the worker's software.
-    pub version: Option<&'a WorkerVersion>,
-    /// What shows the version of the stream that the caller resumes; `None` if it resumes none.
-    pub origin: Option<OriginEvidence>,
-    /// The number of the dispatch, from one.
-    pub number: u32,
-    /// The broker's reason for the choice of the worker.
-    pub choice: &'a str,
-    /// Identifier of the last event that was relayed to the caller before the dispatch.
-    pub resume_after: Option<u64>,
-    /// The connection that carries the dispatch.
-    pub connection: ConnectionNumber,
-    /// Whether the connection was taken from the pool.
-    pub reused: bool,
-    /// The tunnel that carries the connection; `None` if it is direct.
-    pub tunnel: Option<&'a ConnectionTunnel>,
-    pub dispatched_at: ClockTime,
-}
-
 impl<'a> CallTrace<'a> {
     pub(super) const fn new(host: &'a GatewayHost, attempt_id: String, arrival: ClockTime) -> Self {
         Self {
@@ -86,13 +65,15 @@
             attempt_id,
             arrival,
             labels: OnceCell::new(),
+            facts: OnceCell::new(),
             last_dispatch: RefCell::new(None),
             ended: false,
         }
     }
 
-    /// Sets the service and tier under which the request is counted.
+    /// Sets the service and tier under which the request is counted, and what log lines state of it.
     pub(super) fn set_labels(&self, planned: &PlannedCall) {
+        let _ = self.facts.set(CallFacts::from(planned));
         if let Some(labels) = metering::request_labels(planned) {
             let _ = self.labels.set(labels);
         }
@@ -117,6 +98,7 @@
             _ => RequestOutcome::Refused,
         };
         self.count(outcome, 0);
+        let facts = self.facts.get();
         // `log_event!` requires a constant event.
         macro_rules! log_refusal {
             ($event:expr) => {
@@ -125,6 +107,12 @@
                     "status" => error.status().as_u16(),
                     "reason" => error.to_string(),
                     "retry_after_ms" => error.retry_after().map(millis),
+                    "service" => facts.map(|facts| facts.service.clone()),
+                    "workspace" => facts.and_then(|facts| facts.workspace.clone()),
+                    "route" => facts.map(|facts| facts.prefix.clone()),
+                    "tier" => facts.map(|facts| facts.tier),
+                    "prompt_tokens" => facts.and_then(|facts| facts.prompt_tokens),
+                    "asked_ms" => facts.map(|facts| millis(facts.time)),
                     "attempts" => self.dispatch_count(),
                     "total_us" => micros(self.host.clock.now().since(self.arrival)),
                     "version" => self.host.latest_configuration().map(|newest| newest.version),
