Types of the decisions on releases

The gateway side of releases is built at the same time and needs the types and signatures: order, state, evidence, events and actions of the driver. StoreRevision can be serialized, since the state names the revision of its order.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod queue;
 pub mod quota;
 pub mod reachability;
+pub mod release;
 pub mod retry;
 pub mod retry_after;
 pub mod rollout;
--- /dev/null
+++ b/kernel/src/release/evidence.rs
@@ -0,0 +1,167 @@
+//! The counts by which a target is judged, of one host and of all hosts.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::order::ReleaseOrder;
+use super::split::VersionSide;
+use super::state::ReleaseCounts;
+use super::tally::VersionTally;
+use crate::name::HostName;
+use crate::name::WorkerName;
+
+/// What a tally counts.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TallyKey {
+    /// The route of the requests: its host name and path prefix.
+    pub route: String,
+    /// The side that the requests were sent to.
+    pub side: VersionSide,
+    /// The worker that they were sent to; `None` if the workers of the side are counted together, which
+    /// is enough for the baseline.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub worker: Option<WorkerName>,
+}
+
+/// A tally with what it counts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TallyEntry {
+    /// What is counted.
+    pub key: TallyKey,
+    /// The counts.
+    pub tally: VersionTally,
+}
+
+/// The counts of one run of a host's process for one order, cumulative since the host learned of the
+/// order.
+///
+/// A report may leave out entries that have not changed since the last one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReleaseEvidence {
+    /// The order. Counts of different orders are never added.
+    pub order: ReleaseOrder,
+    #[serde(with = "entries")]
+    tallies: BTreeMap<TallyKey, VersionTally>,
+}
+
+/// Writes the tallies as a list, since not all formats have maps with such keys.
+mod entries {
+    use std::collections::BTreeMap;
+
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    use super::TallyEntry;
+    use super::TallyKey;
+    use super::VersionTally;
+
+    pub(super) fn serialize<S: Serializer>(
+        tallies: &BTreeMap<TallyKey, VersionTally>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(tallies.iter().map(|(key, tally)| TallyEntry {
+            key: key.clone(),
+            tally: tally.clone(),
+        }))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<TallyKey, VersionTally>, D::Error> {
+        let entries = Vec::<TallyEntry>::deserialize(deserializer)?;
+        let pairs = entries.into_iter().map(|entry| (entry.key, entry.tally));
+        Ok(pairs.collect())
+    }
+}
+
+impl ReleaseEvidence {
+    /// Creates the evidence of an order without counts.
+    #[must_use]
+    pub const fn new(order: ReleaseOrder) -> Self {
+        Self {
+            order,
+            tallies: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the tally under a key, to count in it.
+    pub fn tally(&mut self, key: TallyKey) -> &mut VersionTally {
+        self.tallies.entry(key).or_default()
+    }
+
+    /// Iterates over the tallies.
+    pub fn iter(&self) -> impl Iterator<Item = (&TallyKey, &VersionTally)> {
+        self.tallies.iter()
+    }
+
+    /// Takes over what a newer or older report of the same run for the same order has counted.
+    pub fn keep_newest(&mut self, other: &Self) {
+        for (key, tally) in &other.tallies {
+            let own = self.tallies.entry(key.clone()).or_default();
+            own.keep_newest(tally);
+        }
+    }
+
+    /// Returns the requests that were counted.
+    #[must_use]
+    pub fn counts(&self) -> ReleaseCounts {
+        let mut counts = ReleaseCounts::default();
+        for (key, tally) in &self.tallies {
+            counts.requests += tally.requests;
+            if key.side == VersionSide::Target {
+                counts.target_requests += tally.requests;
+            }
+        }
+        counts
+    }
+}
+
+/// The newest reports of all hosts for one order, by the runs of their processes.
+///
+/// Lost, repeated and reordered reports do no harm. The counts of a run that has ended stay.
+#[derive(Clone, Debug)]
+pub struct EvidenceTable {
+    order: ReleaseOrder,
+    reports: BTreeMap<(HostName, u64), ReleaseEvidence>,
+}
+
+impl EvidenceTable {
+    /// Creates a table without reports.
+    #[must_use]
+    pub const fn new(order: ReleaseOrder) -> Self {
+        Self {
+            order,
+            reports: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the order.
+    #[must_use]
+    pub const fn order(&self) -> &ReleaseOrder {
+        &self.order
+    }
+
+    /// Records a report of a run of a host's process. Reports for another order are ignored.
+    pub fn record(&mut self, host: &HostName, incarnation: u64, report: &ReleaseEvidence) {
+        if report.order != self.order {
+            return;
+        }
+        let run = (host.clone(), incarnation);
+        let known = self.reports.entry(run);
+        let known = known.or_insert_with(|| ReleaseEvidence::new(self.order.clone()));
+        known.keep_newest(report);
+    }
+
+    /// Returns the sum of all reports.
+    #[must_use]
+    pub fn total(&self) -> ReleaseEvidence {
+        let mut total = ReleaseEvidence::new(self.order.clone());
+        for (key, tally) in self.reports.values().flat_map(ReleaseEvidence::iter) {
+            total.tally(key.clone()).add(tally);
+        }
+        total
+    }
+}
--- a/kernel/src/roster/record.rs
+++ b/kernel/src/roster/record.rs
@@ -38,7 +38,8 @@
 }
 
 /// A revision of the store's rows.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
 pub struct StoreRevision(pub u64);
 
 /// A number that rises each time the store is back from an older copy; 0 if it is not known.
