--- a/kernel/src/release/driver.rs
+++ b/kernel/src/release/driver/event.rs
@@ -1,17 +1,18 @@
-//! The decisions of the host that drives a release.
+//! The events that a driver processes, and the actions that it requests.
 
 use std::time::Duration;
 
-use super::evidence::ReleaseEvidence;
-use super::order::ReleaseOrder;
-use super::schedule::ReleaseBounds;
-use super::state::ReleaseState;
 use crate::clock::ClockTime;
 use crate::name::HostName;
-use crate::name::ServiceName;
+use crate::release::evidence::ReleaseEvidence;
+use crate::release::order::ReleaseOrder;
+use crate::release::state::ReleaseState;
 use crate::roster::StoreEra;
 use crate::roster::StoreRevision;
 
+/// The interval at which a driver must get [`ReleaseEvent::Tick`] while an order exists.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A state in the store, with the revision of its row.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoredRelease {
@@ -51,6 +52,15 @@
     Unknown,
 }
 
+/// What a release needs of the workers and hosts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FleetReadiness {
+    /// Whether the target has a ready worker.
+    pub target: bool,
+    /// Whether all live hosts know releases.
+    pub hosts: bool,
+}
+
 /// An event that a driver processes.
 #[derive(Clone, Debug)]
 pub enum ReleaseEvent {
@@ -82,20 +92,15 @@
         evidence: Box<ReleaseEvidence>,
     },
     /// The workers or the live hosts have changed, or the driver is created.
-    FleetChanged {
-        /// Whether the target has a ready worker.
-        target_ready: bool,
-        /// Whether all live hosts know releases.
-        hosts_ready: bool,
-    },
-    /// Time has passed; due every [`ReleaseDriver::TICK_INTERVAL`].
+    FleetChanged(FleetReadiness),
+    /// Time has passed; due every [`TICK_INTERVAL`].
     Tick,
 }
 
 /// A write of a state, and of the status that belongs to it, on two conditions.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StateWrite {
-    /// The state; [`ReleasePhase::status`](super::ReleasePhase::status) gives the status.
+    /// The state; [`ReleasePhase::status`](crate::release::ReleasePhase::status) gives the status.
     pub state: ReleaseState,
     /// The revision that the order's row must have; zero if there must be none.
     pub order_revision: StoreRevision,
@@ -103,7 +108,7 @@
     pub state_revision: StoreRevision,
 }
 
-/// An action that the owner of a [`ReleaseDriver`] must carry out.
+/// An action that the owner of a [`ReleaseDriver`](crate::release::ReleaseDriver) must carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ReleaseAction {
     /// Read the rows of the order and the state.
@@ -113,30 +118,3 @@
     /// Send a state, whose target is bad, to all hosts at once.
     Announce(Box<ReleaseState>),
 }
-
-/// The decisions for the release of one service at one host.
-///
-/// Each host has one for each service with an order. It decides only while the host is the driver.
-#[derive(Clone, Debug)]
-pub struct ReleaseDriver {
-    service: ServiceName,
-    bounds: ReleaseBounds,
-}
-
-impl ReleaseDriver {
-    /// The interval at which a driver must get [`ReleaseEvent::Tick`] while an order exists.
-    pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
-
-    /// Creates a driver that knows nothing and is not leading.
-    #[must_use]
-    pub const fn new(service: ServiceName, bounds: ReleaseBounds) -> Self {
-        Self { service, bounds }
-    }
-
-    /// Processes an event and returns the actions to perform, in their order.
-    #[must_use]
-    pub fn handle(&mut self, now: ClockTime, event: ReleaseEvent) -> Vec<ReleaseAction> {
-        let _ = (now, event, &self.service, self.bounds);
-        Vec::new()
-    }
-}
--- a/kernel/src/release/evidence.rs
+++ b/kernel/src/release/evidence.rs
@@ -97,12 +97,24 @@
         self.tallies.iter()
     }
 
-    /// Takes over what a newer or older report of the same run for the same order has counted.
-    pub fn keep_newest(&mut self, other: &Self) {
-        for (key, tally) in &other.tallies {
-            let own = self.tallies.entry(key.clone()).or_default();
-            own.keep_newest(tally);
+    /// Returns what was counted since an earlier state of the same counts.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut recent = self.clone();
+        for (key, tally) in &earlier.tallies {
+            if let Some(own) = recent.tallies.get_mut(key) {
+                own.subtract(tally);
+            }
         }
+        recent
+    }
+
+    /// Returns the number of the target's answers.
+    #[must_use]
+    pub fn target_answers(&self) -> u64 {
+        let target = self.tallies.iter();
+        let target = target.filter(|(key, _)| key.side == VersionSide::Target);
+        target.map(|(_, tally)| tally.answers).sum()
     }
 
     /// Returns the requests that were counted.
@@ -124,44 +136,48 @@
 /// Lost, repeated and reordered reports do no harm. The counts of a run that has ended stay.
 #[derive(Clone, Debug)]
 pub struct EvidenceTable {
-    order: ReleaseOrder,
     reports: BTreeMap<(HostName, u64), ReleaseEvidence>,
+    /// The sum of the reports.
+    total: ReleaseEvidence,
 }
 
 impl EvidenceTable {
     /// Creates a table without reports.
     #[must_use]
-    pub const fn new(order: ReleaseOrder) -> Self {
+    pub fn new(order: ReleaseOrder) -> Self {
         Self {
-            order,
             reports: BTreeMap::new(),
+            total: ReleaseEvidence::new(order),
         }
     }
 
     /// Returns the order.
     #[must_use]
     pub const fn order(&self) -> &ReleaseOrder {
-        &self.order
+        &self.total.order
     }
 
     /// Records a report of a run of a host's process. Reports for another order are ignored.
     pub fn record(&mut self, host: &HostName, incarnation: u64, report: &ReleaseEvidence) {
-        if report.order != self.order {
+        if report.order != self.total.order {
             return;
         }
         let run = (host.clone(), incarnation);
         let known = self.reports.entry(run);
-        let known = known.or_insert_with(|| ReleaseEvidence::new(self.order.clone()));
-        known.keep_newest(report);
+        let known = known.or_insert_with(|| ReleaseEvidence::new(report.order.clone()));
+        for (key, tally) in report.iter() {
+            let own = known.tally(key.clone());
+            let before = own.clone();
+            own.keep_newest(tally);
+            let mut added = own.clone();
+            added.subtract(&before);
+            self.total.tally(key.clone()).add(&added);
+        }
     }
 
     /// Returns the sum of all reports.
     #[must_use]
-    pub fn total(&self) -> ReleaseEvidence {
-        let mut total = ReleaseEvidence::new(self.order.clone());
-        for (key, tally) in self.reports.values().flat_map(ReleaseEvidence::iter) {
-            total.tally(key.clone()).add(tally);
-        }
-        total
+    pub const fn total(&self) -> &ReleaseEvidence {
+        &self.total
     }
 }
--- a/kernel/src/release/mod.rs
+++ b/kernel/src/release/mod.rs
@@ -20,12 +20,14 @@
 mod tally;
 mod verdict;
 
+pub use driver::FleetReadiness;
 pub use driver::ReleaseAction;
 pub use driver::ReleaseDriver;
 pub use driver::ReleaseEvent;
 pub use driver::ReleaseReading;
 pub use driver::StateWrite;
 pub use driver::StoredRelease;
+pub use driver::TICK_INTERVAL;
 pub use driver::WriteOutcome;
 pub use evidence::EvidenceTable;
 pub use evidence::ReleaseEvidence;
--- a/kernel/src/release/tally.rs
+++ b/kernel/src/release/tally.rs
@@ -37,17 +37,19 @@
         self.buckets.values().sum()
     }
 
-    /// Returns the bucket that holds a quantile, given in hundredths; `None` without times.
+    /// Returns the bucket that begins nearest to a quantile, given in hundredths; `None` without times.
     #[must_use]
     pub fn quantile_bucket(&self, hundredths: u64) -> Option<u8> {
         let needed = (self.count() * hundredths).div_ceil(100);
-        let mut seen = 0;
-        let mut buckets = self.buckets.iter();
-        let found = buckets.find(|(_, count)| {
-            seen += **count;
-            seen >= needed
-        });
-        found.map(|(bucket, _)| *bucket)
+        let mut below = 0;
+        for (bucket, count) in &self.buckets {
+            if below + count >= needed {
+                let is_upper_half = 2 * (needed - below) > *count;
+                return Some(bucket + u8::from(is_upper_half));
+            }
+            below += count;
+        }
+        None
     }
 
     /// Returns the number of times in a bucket and all above it.
