Read orders of releases and write their states through the store

The release design needs the operators' orders at the hosts and one transaction for state and status. State and status are written together on the revisions of the order and the state. The three bounds exposure_share, exposure_headroom and rollback_ms enable releases; without one of them the reads are as before.

--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -16,6 +16,7 @@
 use crate::kernel::name::TierRank;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::quota::QuotaBounds;
+use crate::kernel::release::ReleaseOrder;
 use crate::kernel::roster::StoreEra;
 use crate::kernel::roster::StoreRevision;
 use crate::kernel::route::RouteTable;
@@ -254,6 +255,19 @@
     pub era: StoreEra,
     /// Newest version; `None` if the configuration has not changed since the previous read.
     pub configuration: Option<ServingConfiguration>,
+    /// Changes of the orders of releases since the previous read.
+    pub orders: OrderChanges,
+}
+
+/// Orders of releases that a read of the store shows.
+#[derive(Clone, Debug, Default)]
+pub struct OrderChanges {
+    /// Whether `present` holds all orders.
+    pub complete: bool,
+    /// Orders that were added or changed.
+    pub present: Vec<ReleaseOrder>,
+    /// Services whose orders were removed.
+    pub removed: Vec<ServiceName>,
 }
 
 /// Registration of a host in the store, by which other hosts find it.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -20,6 +20,7 @@
 use crate::kernel::name::HostName;
 use crate::kernel::name::RegionName;
 use crate::kernel::quota::QuotaTolerance;
+use crate::kernel::release::ReleaseBounds;
 use crate::kernel::retry::RetryBounds;
 
 /// The bytes in a megabyte of [`GatewaySettings::memory_megabytes`].
@@ -121,6 +122,16 @@
     /// The window over which the use of a quota is counted, in seconds; 0 by default.
     #[serde(default)]
     pub quota_window_s: f64,
+    /// The part of the requests to a service, from the order of a release to its deadline, that a bad
+    /// target may get; without it and the next two bounds there are no releases.
+    #[serde(default)]
+    pub exposure_share: Option<f64>,
+    /// The requests that a bad target may get beyond that part.
+    #[serde(default)]
+    pub exposure_headroom: Option<f64>,
+    /// The time after the 50th bad answer of a target after which it gets no requests, in milliseconds.
+    #[serde(default)]
+    pub rollback_ms: Option<f64>,
 }
 
 /// Reads a number that may be written as a fraction, such as `160.0`; what follows the point is ignored.
@@ -206,6 +217,16 @@
             window: Duration::try_from_secs_f64(self.quota_window_s).unwrap_or_default(),
         }
     }
+
+    /// Returns the bounds of releases; `None` if there are no releases.
+    #[must_use]
+    pub fn release_bounds(&self) -> Option<ReleaseBounds> {
+        self.rollback_ms?;
+        Some(ReleaseBounds {
+            exposure_share: self.exposure_share?,
+            exposure_headroom: self.exposure_headroom?,
+        })
+    }
 }
 
 /// The reason why settings are invalid.
@@ -252,6 +273,12 @@
             ("quota_ratio", bounds.quota_ratio),
             ("quota_headroom", bounds.quota_headroom),
             ("quota_window_s", bounds.quota_window_s),
+            ("exposure_share", bounds.exposure_share.unwrap_or_default()),
+            (
+                "exposure_headroom",
+                bounds.exposure_headroom.unwrap_or_default(),
+            ),
+            ("rollback_ms", bounds.rollback_ms.unwrap_or_default()),
         ];
         for (name, value) in numbers {
             if !value.is_finite() || value < 0.0 {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -8,7 +8,10 @@
 use super::document::ConfigurationReading;
 use super::document::HostRecord;
 use super::document::RegistrationOutcome;
+use crate::kernel::name::ServiceName;
+use crate::kernel::release::ReleaseState;
 use crate::kernel::roster::RosterUpdate;
+use crate::kernel::roster::StoreEra;
 use crate::kernel::roster::StoreRevision;
 
 /// The reason why a call to the store failed.
@@ -63,6 +66,21 @@
     pub revision: StoreRevision,
     /// The time of the read on the store's steady clock; zero if it has none.
     pub read_at: Duration,
+    /// The era of the store in which it was read.
+    pub era: StoreEra,
+}
+
+/// A write of the state of a release, which also sets the status that the operators read.
+#[derive(Clone, Debug)]
+pub struct ReleaseChange {
+    /// The state.
+    pub state: ReleaseState,
+    /// The state as it is stored, at most 64 KiB.
+    pub value: Vec<u8>,
+    /// The revision that the row of the order must have; 0 if there must be none.
+    pub order_revision: StoreRevision,
+    /// The revision that the row of the state must have; 0 if there must be none.
+    pub state_revision: StoreRevision,
 }
 
 /// The calls to the platform's store that a gateway host makes.
@@ -111,4 +129,17 @@
         value: Vec<u8>,
         revision: StoreRevision,
     ) -> LocalBoxFuture<'_, Result<bool, StoreError>>;
+
+    /// Reads the state of the release of a service.
+    fn release_state<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> LocalBoxFuture<'a, Result<StoredValue, StoreError>>;
+
+    /// Replaces the state of a release and its status together, on the conditions that the change
+    /// names; returns whether these hold.
+    fn replace_release_state(
+        &self,
+        change: ReleaseChange,
+    ) -> LocalBoxFuture<'_, Result<bool, StoreError>>;
 }
