--- a/src/event.rs
+++ b/src/event.rs
@@ -99,6 +99,11 @@
     405 Error ConfigurationInvalid "configuration-invalid" "The configuration in the platform's table, or the answer to its read, is not valid.";
     406 Error ConfigurationEntryUnusable "configuration-entry-unusable" "An entry of the operators' configuration can't be read; a route or workspace is refused, a service counts as plain, limits are the defaults, and all other entries are in force.";
     410 Warning OperatorRejected "operator-rejected" "A command had no valid operator token.";
+    420 Warning ReleaseOrderUnusable "release-order-unusable" "The row of an order of a release can't be read; it counts as removed.";
+    421 Info ReleaseOrdered "release-ordered" "The order of a release was read or received, or was removed.";
+    422 Info ReleaseChanged "release-changed" "The state of a release changed: its phase, its share or its verdict.";
+    423 Info ReleaseDriverChanged "release-driver-changed" "The host began or ceased to drive the releases.";
+    424 Info ReleaseWritten "release-written" "The host wrote the state of a release to the store, or another host was faster, or the answer was lost.";
     500 Debug RequestPlaced "request-placed" "A request was read and placed in a tier.";
     501 Debug RequestGranted "request-granted" "A request was granted a slot on a worker.";
     502 Debug RequestDispatched "request-dispatched" "The first byte of a request was written to a worker.";
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -117,6 +117,12 @@
         "Whether the host accepts new requests (1) or not (0).";
     REFUSED Counter "borageladder_refused_requests" ["reason" "service" "tier"]
         "Requests that were refused without running.";
+    RELEASE_ANSWERS Counter "borageladder_release_answers" ["outcome" "service" "side"]
+        "Answers to requests sent during a release, by side and outcome.";
+    RELEASE_REQUESTS Counter "borageladder_release_requests" ["service" "side"]
+        "Requests sent to workers during a release, by side.";
+    RELEASE_SHARE Gauge "borageladder_release_share" ["service"]
+        "Share of the requests to a service that goes to the target of its last release.";
     REQUESTS Counter "borageladder_requests" ["outcome" "service" "tier"]
         "Requests that ended, by outcome.";
     RESUMED Counter "borageladder_resumed_streams" ["service" "tier"]
--- a/src/metrics/label.rs
+++ b/src/metrics/label.rs
@@ -117,6 +117,24 @@
         BetweenRegions "between-regions",
     }
 
+    /// The side of a release that a request was sent to.
+    ReleaseSide {
+        /// The version that the order names.
+        Target "target",
+        /// The other versions.
+        Baseline "baseline",
+    }
+
+    /// What became of the answer to a request that was sent during a release.
+    ReleaseOutcome {
+        /// It began or was complete, and is no failure.
+        Answered "answered",
+        /// It is a failure that the worker signed.
+        Failed "failed",
+        /// It did not come, or ended early.
+        Lost "lost",
+    }
+
     /// The outcome of a call to the platform.
     CallOutcome {
         /// The platform answered.
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -25,6 +25,7 @@
 pub mod catalogue;
 mod instrument;
 mod label;
+mod release;
 
 use instrument::counter;
 use instrument::gauge;
@@ -33,6 +34,8 @@
 pub use label::CallOutcome;
 pub use label::ClaimAttemptLabel;
 pub use label::HandshakeLabel;
+pub use label::ReleaseOutcome;
+pub use label::ReleaseSide;
 pub use label::RequestLabels;
 pub use label::RequestOutcome;
 pub use label::TrafficCarrier;
@@ -82,6 +85,9 @@
     quota_use: Gauge<f64>,
     ready: Gauge<u64>,
     refused: Counter<u64>,
+    release_answers: Counter<u64>,
+    release_requests: Counter<u64>,
+    release_share: Gauge<f64>,
     requests: Counter<u64>,
     resumed: Counter<u64>,
     running: Gauge<u64>,
@@ -155,6 +161,9 @@
             quota_use: real_gauge(&meter, &catalogue::QUOTA_USE),
             ready: gauge(&meter, &catalogue::READY),
             refused: counter(&meter, &catalogue::REFUSED),
+            release_answers: counter(&meter, &catalogue::RELEASE_ANSWERS),
+            release_requests: counter(&meter, &catalogue::RELEASE_REQUESTS),
+            release_share: real_gauge(&meter, &catalogue::RELEASE_SHARE),
             requests: counter(&meter, &catalogue::REQUESTS),
             resumed: counter(&meter, &catalogue::RESUMED),
             running: gauge(&meter, &catalogue::RUNNING),
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -73,6 +73,7 @@
 const BEGUN_STREAMS: u8 = 46;
 const CLASSED_MEMBERS: u8 = 47;
 const USAGE_BUNDLE: u8 = 48;
+const RELEASE_EVIDENCE: u8 = 49;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -216,6 +217,7 @@
             LinkMessage::UsageBundle(bundle) => {
                 write(frame, USAGE_BUNDLE, &bundle::bundle_row(bundle))
             }
+            LinkMessage::ReleaseEvidence(reports) => write(frame, RELEASE_EVIDENCE, reports),
             LinkMessage::Query { number, text } => write(frame, QUERY, &(number, text)),
             LinkMessage::QueryAnswer { number, rows } => {
                 write(frame, QUERY_ANSWER, &(number, rows))
@@ -357,6 +359,7 @@
                 let bundle = bundle::read_bundle(read(rest, limit)?)?;
                 LinkMessage::UsageBundle(Arc::new(bundle))
             }
+            RELEASE_EVIDENCE => LinkMessage::ReleaseEvidence(read(rest, limit)?),
             QUERY => {
                 let (number, text) = read(rest, limit)?;
                 LinkMessage::Query { number, text }
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -59,6 +59,7 @@
     Usage "usage";
     UsageSum "usage-sum";
     UsageBundle "usage-bundle";
+    ReleaseEvidence "release-evidence";
     StateWanted "state-wanted";
     State "state";
     StreamBegun "stream-begun";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -42,6 +42,9 @@
 use crate::kernel::prompt::PartDigest;
 use crate::kernel::quarantine::CrashCount;
 use crate::kernel::quota::ReportBundle;
+use crate::kernel::release::ReleaseEvidence;
+use crate::kernel::release::ReleaseOrder;
+use crate::kernel::release::ReleaseState;
 use crate::kernel::roster::StoreEra;
 use crate::kernel::roster::UpstreamRecord;
 use crate::kernel::stream::StreamKey;
@@ -141,6 +144,9 @@
     UsageSum(UsageSum),
     /// Reports of the hosts of the sender's data centre, which it passes on to all of them.
     UsageBundle(Arc<ReportBundle>),
+    /// The counts of answers by which the driver of a release judges its target, of the sender or of
+    /// hosts of its data centre.
+    ReleaseEvidence(Vec<EvidenceReport>),
     /// The version of the worker that began a stream: sent to the replicas of its record, and in
     /// answer to [`Self::StreamWanted`].
     StreamBegun {
@@ -245,6 +251,32 @@
     /// The era of the store in which the sender knows its workers; unknown to earlier builds.
     #[serde(default, skip_serializing_if = "StoreEra::is_unknown")]
     pub era: StoreEra,
+    /// The orders and states of all releases; `None` if the sender knows nothing of releases, as those
+    /// of earlier builds do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub releases: Option<Vec<ReleaseUpdate>>,
+}
+
+/// The order and the state of the release of a service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReleaseUpdate {
+    /// The order; `None` if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub order: Option<ReleaseOrder>,
+    /// The state; `None` if it is not known or may have changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub state: Option<ReleaseState>,
+}
+
+/// The evidence of one host.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EvidenceReport {
+    /// The host that counted.
+    pub host: HostName,
+    /// The random number that its process drew at its start.
+    pub incarnation: u64,
+    /// The counts.
+    pub evidence: ReleaseEvidence,
 }
 
 /// The units that a host has charged to the quotas of workspaces.
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -33,16 +33,24 @@
 use borageladder::kernel::quarantine::CrashCount;
 use borageladder::kernel::quota::PassedReport;
 use borageladder::kernel::quota::ReportBundle;
+use borageladder::kernel::release::ReleaseEvidence;
+use borageladder::kernel::release::ReleaseOrder;
+use borageladder::kernel::release::ReleaseState;
+use borageladder::kernel::release::TallyKey;
+use borageladder::kernel::release::VersionSide;
 use borageladder::kernel::roster::StoreEra;
+use borageladder::kernel::roster::StoreRevision;
 use borageladder::kernel::stream::StreamKey;
 use borageladder::kernel::stream_log::StreamBatch;
 use borageladder::wire::CellSummary;
+use borageladder::wire::EvidenceReport;
 use borageladder::wire::Heartbeat;
 use borageladder::wire::LinkIncarnations;
 use borageladder::wire::LinkMessage;
 use borageladder::wire::MemberEntry;
 use borageladder::wire::MemberList;
 use borageladder::wire::Referral;
+use borageladder::wire::ReleaseUpdate;
 use borageladder::wire::StatePoll;
 use borageladder::wire::StateUpdate;
 use borageladder::wire::UsageReport;
@@ -274,9 +282,48 @@
         workers: Some(Vec::new()),
         roster: 3,
         era: StoreEra(2),
+        releases: None,
     }
 }
 
+/// Returns messages about releases, with all their fields.
+fn release_messages() -> Vec<LinkMessage> {
+    let order = ReleaseOrder {
+        service: name("drafter"),
+        revision: StoreRevision(u64::MAX),
+        target: name("v2"),
+        duration: Duration::from_secs(12),
+    };
+    let mut evidence = ReleaseEvidence::new(order.clone());
+    let key = TallyKey {
+        route: "letters.example/draft/".to_owned(),
+        side: VersionSide::Target,
+        worker: Some(name("drafter-worker-1")),
+    };
+    let tally = evidence.tally(key);
+    tally.requests = 3;
+    tally.record_answer(Duration::from_millis(20));
+    tally.record_failure();
+    tally.lost = 1;
+    let report = EvidenceReport {
+        host: name("host-1"),
+        incarnation: u64::MAX,
+        evidence,
+    };
+    let state = ReleaseState::begin(order.clone(), Duration::from_secs(100), StoreEra(2));
+    let update = StateUpdate {
+        releases: Some(vec![ReleaseUpdate {
+            order: Some(order),
+            state: Some(state),
+        }]),
+        ..state_update()
+    };
+    vec![
+        LinkMessage::ReleaseEvidence(vec![report]),
+        LinkMessage::State(Box::new(update)),
+    ]
+}
+
 fn crash_messages() -> Vec<LinkMessage> {
     vec![
         LinkMessage::Crash(CrashCount {
@@ -382,6 +429,7 @@
     messages.extend(stream_messages());
     messages.extend([rates_message(), sum_message()]);
     messages.extend([classed_members(), bundle_message()]);
+    messages.extend(release_messages());
     messages.extend(reports(70));
     for progress in [
         WorkProgress::Stopped,
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -17,6 +17,8 @@
 use borageladder::metrics::ClaimAttemptLabel;
 use borageladder::metrics::HandshakeLabel;
 use borageladder::metrics::MetricSet;
+use borageladder::metrics::ReleaseOutcome;
+use borageladder::metrics::ReleaseSide;
 use borageladder::metrics::RequestLabels;
 use borageladder::metrics::RequestOutcome;
 use borageladder::metrics::TrafficCarrier;
@@ -75,6 +77,9 @@
     );
     metrics.platform_called("transact", CallOutcome::Answered);
     metrics.worker_failed(&service);
+    metrics.release_request(&service, ReleaseSide::Target);
+    metrics.release_answer(&service, ReleaseSide::Target, ReleaseOutcome::Failed);
+    metrics.set_release_share(&service, 0.04);
     metrics.lines_dropped(LogEvent::RequestSent, 7);
     metrics.set_state_age(second);
     let bucket = QuotaBucket::new(
