Choose versions by releases at the entry, and drive releases

Each request asks for the version that the state of its service's release gives it; a grant on a worker of a version that is not allowed is returned, and a request that waits for such a version asks again. The host that is first in rank carries out the driver's reads and writes, and announces each state to all links.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -46,3 +46,4 @@
 pub mod stream;
 pub mod stream_log;
 pub mod table;
+pub mod version_choice;
--- a/kernel/src/membership/election.rs
+++ b/kernel/src/membership/election.rs
@@ -92,6 +92,24 @@
         }
         pair
     }
+
+    /// Returns the host that comes first in the choice of a broker among the live hosts of all data
+    /// centres that `may_serve` selects.
+    #[must_use]
+    pub fn first_eligible(
+        &self,
+        service: &ServiceName,
+        datacenter: &DatacenterName,
+        may_serve: impl Fn(&HostName) -> bool,
+    ) -> Option<&HostName> {
+        let candidates = self.candidates(|_| true);
+        let eligible = candidates.filter(|(_, host)| may_serve(host));
+        let rank = |(suitability, host): &(HostSuitability, &HostName)| {
+            let hash = rendezvous_hash(service, datacenter, host);
+            (*suitability, hash, (*host).clone())
+        };
+        eligible.max_by_key(rank).map(|(_, host)| host)
+    }
 }
 
 /// Returns the second highest value, which can equal the highest; `None` of fewer than two.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,6 +20,8 @@
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
 use super::relay::FirstEventReport;
+use super::release::DispatchCount;
+use super::release::VersionDemand;
 use super::slot::DispatchedCall;
 use super::slot::SlotError;
 use super::streams;
@@ -125,6 +127,9 @@
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
         is_suspect: false,
         required_version: None,
+        demand: VersionDemand::Any,
+        avoids_target: false,
+        count: None,
         origin: None,
         planned,
     };
@@ -150,6 +155,12 @@
     /// The only version of a worker at which the stream may continue; `None` if any may run the
     /// request.
     pub(super) required_version: Option<WorkerVersion>,
+    /// The versions that the last ask allowed.
+    pub(super) demand: VersionDemand,
+    /// Whether the request failed at the target of a release, or the target had no worker for it.
+    pub(super) avoids_target: bool,
+    /// Counts the answer to the last dispatch, during a release.
+    pub(super) count: Option<Rc<DispatchCount>>,
     /// What shows the version of the stream that the caller resumes; `None` if it resumes none.
     pub(super) origin: Option<OriginEvidence>,
 }
@@ -237,6 +248,7 @@
             endpoint,
             suspected,
             version,
+            to_target,
             dispatched_at,
         } = dispatched;
         let evidence = DispatchEvidence {
@@ -258,8 +270,10 @@
                 dispatched_at,
                 caller,
             )
-            .await?;
-        match end {
+            .await;
+        self.count_end(&end);
+        self.avoids_target |= to_target;
+        match end? {
             DispatchEnd::Answered { status } if status.is_server_error() => {
                 lease.erred();
                 Ok(None)
@@ -321,16 +335,46 @@
         }
     }
 
+    /// Counts the end of a dispatch during a release.
+    fn count_end(&mut self, end: &Result<DispatchEnd, ExchangeError>) {
+        let Some(count) = self.count.take() else {
+            return;
+        };
+        match end {
+            Ok(DispatchEnd::Answered { .. }) => count.answered(),
+            Ok(DispatchEnd::NotRun { .. }) => count.not_run(),
+            Ok(DispatchEnd::Broken { .. }) | Err(ExchangeError::Truncated) => count.lost(),
+            // A failure is counted by the head of its answer, and a caller that left by the drop.
+            Ok(DispatchEnd::Erred(_)) | Err(_) => (),
+        }
+    }
+
+    /// Returns a function that is called at the first event of an answer; `None` if nobody needs to
+    /// know of it.
+    fn first_event_report(&self, version: Option<&WorkerVersion>) -> Option<FirstEventReport> {
+        let record = self.begin_record(version);
+        let count = self.count.clone();
+        if record.is_none() && count.is_none() {
+            return None;
+        }
+        Some(FirstEventReport::new(move || {
+            if let Some(record) = record {
+                record();
+            }
+            if let Some(count) = count {
+                count.answered();
+            }
+        }))
+    }
+
     /// Returns a function that records the version at which a resumable stream begins; `None` if the
     /// worker states no version, or the stream has no key.
-    fn first_event_report(&self, version: Option<&WorkerVersion>) -> Option<FirstEventReport> {
+    fn begin_record(&self, version: Option<&WorkerVersion>) -> Option<impl FnOnce() + use<>> {
         let resumable = self.planned.route.kind == WorkKind::Stream { resumable: true };
         let stream = self.planned.stream_key().filter(|_| resumable)?;
         let version = version?.clone();
         let host = Rc::clone(self.host);
-        Some(FirstEventReport::new(move || {
-            streams::record_begin(&host, stream, &version);
-        }))
+        Some(move || streams::record_begin(&host, stream, &version))
     }
 
     /// Returns a permit for a retry if the kind of work, the run limit and the retry budget allow
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -19,6 +19,7 @@
 use super::document::ServingConfiguration;
 use super::document::WorkspaceTable;
 use super::pool::ConnectionPool;
+use super::release::ReleaseTable;
 use super::settings::GatewaySettings;
 use super::state::GatewayState;
 use super::store::FleetStore;
@@ -94,6 +95,8 @@
     pub(super) streams: StreamState,
     /// The exchange of reports of the use of quotas.
     pub(super) usage: UsageExchange,
+    /// What is known of releases.
+    pub(super) releases: ReleaseTable,
     pub(super) state: Rc<GatewayState>,
     incarnation: u64,
     last_sequence: Cell<u64>,
@@ -152,7 +155,9 @@
         };
         let bodies = Rc::new(BodyMemory::new(parts.settings.body_budget()));
         let budget = parts.settings.connection_budget(parts.descriptors);
+        let releases = ReleaseTable::new(parts.settings.bounds.release_bounds());
         Self {
+            releases,
             usage: UsageExchange::new(parts.settings.host.clone()),
             connections: Rc::new(ConnectionMemory::new(budget, Rc::clone(&bodies))),
             bodies,
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::host::GatewayHost;
+use super::release;
 use super::streams;
 use super::sync;
 use crate::kernel::name::HostName;
@@ -23,6 +24,7 @@
         LinkMessage::UsageSum(sum) => host.record_usage_sum(from, &sum),
         LinkMessage::StateWanted(poll) => sync::record_poll(host, from, poll),
         LinkMessage::State(update) => sync::receive_update(host, from, *update),
+        LinkMessage::ReleaseEvidence(reports) => release::receive_reports(host, reports),
         LinkMessage::StreamBegun { stream, version } => {
             streams::receive_record(host, stream, Some(StreamRecord::begun(version)));
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -24,6 +24,7 @@
 use super::messages;
 use super::metering;
 use super::readiness;
+use super::release;
 use super::settings::GatewaySettings;
 use super::snapshot;
 use super::state::GatewayState;
@@ -368,6 +369,8 @@
     actix_rt::spawn(confirm::confirm_workers(Rc::clone(host)));
     actix_rt::spawn(close_expired_connections(Rc::clone(host)));
     actix_rt::spawn(report_usage(Rc::clone(host)));
+    actix_rt::spawn(release::report_evidence(Rc::clone(host)));
+    actix_rt::spawn(release::drive_releases(Rc::clone(host)));
     actix_rt::spawn(stream_log::save_streams(Rc::clone(host)));
     actix_rt::spawn(record_activity(Rc::clone(host)));
 }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -13,6 +13,8 @@
 use super::exchange::DEFAULT_RETRY_AFTER;
 use super::exchange::refusal_error;
 use super::plan;
+use super::release::DispatchCount;
+use super::release::VersionDemand;
 use super::trace::SentCall;
 use super::worker::WorkerConnection;
 use super::worker::WorkerEndpoint;
@@ -44,6 +46,8 @@
     pub(super) suspected: Vec<PartDigest>,
     /// The version of the worker's software, if it states one.
     pub(super) version: Option<WorkerVersion>,
+    /// Whether the version is the target of a release in progress.
+    pub(super) to_target: bool,
     pub(super) dispatched_at: ClockTime,
 }
 
@@ -59,6 +63,9 @@
     /// The worker was leaving, and a health check has not shown yet whether it has started again.
     #[error("the worker may be leaving")]
     WorkerUnconfirmed,
+    /// The release of the service does not allow the version of the worker.
+    #[error("the release does not allow the worker's version")]
+    VersionNotAllowed,
     /// The worker asked this host for rest.
     #[error("the worker wants no requests for {remaining:?}")]
     WorkerResting {
@@ -113,27 +120,70 @@
         }
     }
 
-    /// Asks the broker for a slot, and asks again once the request is no longer a suspect.
+    /// Asks the broker for a slot, and asks again once the request is no longer a suspect, or if a
+    /// release no longer allows the version that it waits for.
     async fn ask_for_slot(&mut self) -> Result<Option<SlotAnswer>, CallError> {
         loop {
             let now = self.host.clock.now();
             self.is_suspect = crash::is_suspect(self.host, &self.planned);
-            let version = self.required_version.clone();
+            self.demand = self
+                .version_demand()
+                .map_err(|error| self.fail_unsent(error))?;
+            let version = self.demand.asked().cloned();
             let ask = self.planned.ask(now, version, self.is_suspect);
             let waiting = self.host.cells.ask(ask, self.planned.deadline);
-            if !self.is_suspect {
+            if !self.is_suspect && !self.host.releases.is_active() {
                 return Ok(waiting.await);
             }
             tokio::select! {
                 biased;
-                answer = waiting => return Ok(answer),
-                () = crash::wait_until_judged(self.host, &self.planned) => (),
+                answer = waiting => {
+                    if self.asks_elsewhere(answer.as_ref()) {
+                        continue;
+                    }
+                    return Ok(answer);
+                }
+                () = crash::wait_until_judged(self.host, &self.planned), if self.is_suspect => (),
+                () = self.wait_until_forbidden() => (),
             }
             crash::check_quarantine(self.host, &self.planned)
                 .map_err(|error| self.fail_unsent(error))?;
         }
     }
 
+    /// Returns the versions that may run the request. A stream that continues keeps its version.
+    fn version_demand(&self) -> Result<VersionDemand, CallError> {
+        if let Some(version) = &self.required_version {
+            return Ok(VersionDemand::Only(version.clone()));
+        }
+        self.host.version_demand(&self.planned, self.avoids_target)
+    }
+
+    /// Waits until the release no longer allows the version that the request waits for.
+    async fn wait_until_forbidden(&self) {
+        if self.required_version.is_some() {
+            std::future::pending::<()>().await;
+        }
+        let asked = self.demand.asked();
+        self.host
+            .wait_until_forbidden(&self.planned, self.avoids_target, asked)
+            .await;
+    }
+
+    /// Returns whether a request that was refused for lack of a worker of its version asks for another
+    /// version, which the release allows.
+    fn asks_elsewhere(&mut self, answer: Option<&SlotAnswer>) -> bool {
+        let Some(SlotAnswer::Refused(refusal)) = answer else {
+            return false;
+        };
+        if refusal.reason != RefusalReason::NoWorker {
+            return false;
+        }
+        self.avoids_target |= self.demand.is_target();
+        let demand = self.version_demand();
+        demand.is_ok_and(|demand| demand.asked() != self.demand.asked())
+    }
+
     /// Obtains a connection to the granted worker and marks the request as dispatched.
     ///
     /// There is no await point between the last checks and the dispatch, so the configuration, the
@@ -230,12 +280,15 @@
             dispatched_at: now,
         };
         self.trace.sent(&self.planned, &sent);
+        self.count = DispatchCount::of_dispatch(self.host, &self.planned, &record, now);
+        let to_target = self.count.as_ref().is_some_and(|count| count.is_target());
         let dispatched = DispatchedCall {
             life,
             lease,
             worker,
             endpoint: connection.endpoint(),
             version: record.version,
+            to_target,
             suspected: self.host.crashes.suspected(&self.planned.crash_candidates),
             dispatched_at: now,
         };
@@ -256,6 +309,10 @@
         if !is_present || !may_run {
             return Err(SlotError::WorkerGone);
         }
+        // The release may have changed while the request waited.
+        if !self.version_demand()?.allows(record.version.as_ref()) {
+            return Err(SlotError::VersionNotAllowed);
+        }
         match self.remaining_rest(worker) {
             Some(remaining) => Err(SlotError::WorkerResting { remaining }),
             None => Ok(record),
--- a/src/gateway/store_reader.rs
+++ b/src/gateway/store_reader.rs
@@ -6,6 +6,7 @@
 
 use super::document::ConfigurationReading;
 use super::host::GatewayHost;
+use super::release::StoredOrders;
 use super::store::FleetStore;
 use super::store::StoreError;
 use super::sync::StateChange;
@@ -64,19 +65,22 @@
     workers: Option<StorePosition>,
     /// The time of the last read of the workers; `None` before the first.
     workers_read: Option<ClockTime>,
+    /// The orders of releases as of the last read of the configuration.
+    orders: StoredOrders,
     /// The current back-off.
     retry_delay: Duration,
 }
 
 impl StoreReader {
     /// Creates a reader that has read nothing.
-    pub(super) const fn new(host: Rc<GatewayHost>, store: Rc<dyn FleetStore>) -> Self {
+    pub(super) fn new(host: Rc<GatewayHost>, store: Rc<dyn FleetStore>) -> Self {
         Self {
             host,
             store,
             configuration: None,
             workers: None,
             workers_read: None,
+            orders: StoredOrders::default(),
             retry_delay: RETRY_DELAY,
         }
     }
@@ -122,10 +126,7 @@
         begin: ClockTime,
         wait: Duration,
     ) -> Result<StateChange, StoreError> {
-        let mut change = StateChange {
-            configuration: self.read_configuration(begin, wait).await?,
-            workers: false,
-        };
+        let mut change = self.read_configuration(begin, wait).await?;
         let now = self.host.clock.now();
         let due = self
             .workers_read
@@ -136,6 +137,7 @@
             change.workers = self.read_workers().await?;
             self.workers_read = Some(now);
         }
+        change.releases |= self.host.read_releases().await;
         Ok(change)
     }
 
@@ -143,7 +145,7 @@
         &mut self,
         begin: ClockTime,
         wait: Duration,
-    ) -> Result<bool, StoreError> {
+    ) -> Result<StateChange, StoreError> {
         let before = self.configuration;
         let since = before.map(|before| before.revision);
         let read = self.store.configuration(since, wait).await;
@@ -157,11 +159,18 @@
         };
         let read = read.and_then(|reading| StorePosition::check(before, reading, position));
         self.configuration = next_position(&read, position, before);
-        let configuration = read?.configuration;
+        let reading = read?;
+        let configuration = reading.configuration;
         let changed =
             configuration.is_some_and(|newer| self.host.apply_configuration(Arc::new(newer)));
         self.host.state.freshness.borrow_mut().record_read(begin);
-        Ok(changed)
+        let orders = self.orders.apply(reading.orders);
+        self.host.releases.set_source_knows(true);
+        Ok(StateChange {
+            configuration: changed,
+            workers: false,
+            releases: self.host.apply_orders(orders, reading.era, begin),
+        })
     }
 
     async fn read_workers(&mut self) -> Result<bool, StoreError> {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use super::host::GatewayHost;
+use super::release;
 use super::store::FleetStore;
 use super::store_reader::StoreReader;
 use crate::cell::CellId;
@@ -70,7 +71,7 @@
                 let now = host.clock.now();
                 let answers = &host.sync.answers;
                 let overdue = answers.borrow().is_overdue(now, source.timeout());
-                if overdue {
+                if overdue || release::drives_without_source(&host) {
                     store_reader.read(Duration::ZERO).await;
                 }
             }
@@ -128,6 +129,23 @@
     }
 }
 
+/// Returns the host that polls the reader on behalf of the other hosts of this data centre.
+pub(super) fn relay_host(host: &GatewayHost) -> Option<HostName> {
+    let own = &host.settings.datacenter;
+    first_ranked(host, own, |datacenter| datacenter == own)
+}
+
+/// Returns the host of all data centres that comes first by the rules for the reader, among those that
+/// `may_serve` selects; `datacenter` must be the same at all hosts.
+pub(super) fn first_eligible(
+    host: &GatewayHost,
+    datacenter: &DatacenterName,
+    may_serve: impl Fn(&HostName) -> bool,
+) -> Option<HostName> {
+    let service = READER_SERVICE.parse().ok()?;
+    host.members.first_eligible(&service, datacenter, may_serve)
+}
+
 /// Returns the host that comes first for the reader or relay role among the hosts of the data
 /// centres that satisfy `within`.
 fn first_ranked(
@@ -176,9 +194,12 @@
         configuration: update
             .configuration
             .is_some_and(|newer| host.apply_configuration(newer)),
-        workers: false,
+        ..StateChange::default()
     };
     let Some(number) = update.number else {
+        if let Some(releases) = update.releases {
+            change.releases = host.apply_release_updates(releases, update.era, None);
+        }
         notify_subscribers(host, change);
         host.sync.update_received.notify_one();
         return;
@@ -189,6 +210,10 @@
         return;
     };
     host.state.freshness.borrow_mut().record_read(as_of);
+    host.releases.set_source_knows(update.releases.is_some());
+    if let Some(releases) = update.releases {
+        change.releases = host.apply_release_updates(releases, update.era, Some(as_of));
+    }
     if as_of > host.sync.roster_as_of.get() {
         host.sync.roster_as_of.set(as_of);
         change.workers = match update.workers {
@@ -212,6 +237,7 @@
 pub(super) struct StateChange {
     pub(super) configuration: bool,
     pub(super) workers: bool,
+    pub(super) releases: bool,
 }
 
 /// Answers the polls received up to `begin`, the time as of which the state of this host holds, and
@@ -227,6 +253,7 @@
             workers: (poll.roster != roster).then(|| host.state.registered_workers()),
             roster,
             era: host.state.era(),
+            releases: host.releases.updates(host.clock.now(), Some(begin)),
         };
         // A host that misses the answer polls again.
         let _ = host.links.send(&name, LinkMessage::State(Box::new(update)));
@@ -237,19 +264,47 @@
 /// Sends an unsolicited update to the subscribers if the state has changed. The update may be
 /// delayed on the network, so it carries no workers; its receivers poll for them.
 fn notify_subscribers(host: &GatewayHost, change: StateChange) {
-    if !change.configuration && !change.workers {
+    if !change.configuration && !change.workers && !change.releases {
         return;
     }
-    let update = StateUpdate {
+    let update = unsolicited_update(host, change);
+    let mut polls = host.sync.polls.borrow_mut();
+    for name in polls.subscribers(host.clock.now()) {
+        let update = Box::new(update.clone());
+        let _ = host.links.send(name, LinkMessage::State(update));
+    }
+}
+
+fn unsolicited_update(host: &GatewayHost, change: StateChange) -> StateUpdate {
+    let releases = host.releases.updates(host.clock.now(), None);
+    StateUpdate {
         number: None,
         configuration: host.latest_configuration().filter(|_| change.configuration),
         workers: None,
         roster: host.state.roster_revision(),
         era: host.state.era(),
+        releases: releases.filter(|_| change.releases),
+    }
+}
+
+/// Sends the orders and states of releases to all linked hosts and to the relays, which pass them on to
+/// the hosts that poll them.
+pub(super) fn announce_releases(host: &GatewayHost) {
+    let change = StateChange {
+        releases: true,
+        ..StateChange::default()
     };
-    let mut polls = host.sync.polls.borrow_mut();
-    for name in polls.subscribers(host.clock.now()) {
-        let update = Box::new(update.clone());
-        let _ = host.links.send(name, LinkMessage::State(update));
+    let update = unsolicited_update(host, change);
+    if update.releases.is_none() {
+        return;
+    }
+    let message = LinkMessage::State(Box::new(update));
+    host.links.broadcast(&message);
+    for datacenter in host.settings.datacenters.keys() {
+        let relay = first_ranked(host, datacenter, |other| other == datacenter);
+        if let Some(relay) = relay.filter(|relay| *relay != host.settings.host) {
+            // An unlinked relay polls the reader; the link serves the next announcement.
+            host.members.dial(&relay);
+        }
     }
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -230,6 +230,20 @@
         membership.reporter(datacenter, may_report).cloned()
     }
 
+    /// Returns the host that comes first in the choice of a broker among the live hosts of all data
+    /// centres that `may_serve` selects.
+    #[must_use]
+    pub fn first_eligible(
+        &self,
+        service: &ServiceName,
+        datacenter: &DatacenterName,
+        may_serve: impl Fn(&HostName) -> bool,
+    ) -> Option<HostName> {
+        let membership = self.membership.borrow();
+        let first = membership.first_eligible(service, datacenter, may_serve);
+        first.cloned()
+    }
+
     /// Returns the live hosts other than this one that are not stopping, with their data centres.
     #[must_use]
     pub fn serving_peers(&self) -> Vec<(HostName, DatacenterName)> {
