Move the parts of releases into files of their own, and document them

Evidence is sent in messages of at most 256 tallies, and one that is too long is dropped without closing the link, since it uses no tables.

--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -140,9 +140,7 @@
         if metadata.not_run {
             self.trace.answer_unused(answer.head().status, &metadata);
         }
-        if answer.head().status.is_server_error() {
-            self.count_error(&metadata);
-        }
+        self.count_error(answer.head().status, &metadata);
         if !metadata.signed && answer.head().status.is_success() {
             let error = CallError::Lost;
             return Ok(DispatchEnd::Broken { error, lost: None });
@@ -196,17 +194,6 @@
         }
     }
 
-    /// Counts a server error during a release: one that the worker did not sign may not be its own.
-    fn count_error(&self, metadata: &AnswerMetadata) {
-        if let Some(count) = &self.count {
-            if metadata.signed {
-                count.failed();
-            } else {
-                count.lost();
-            }
-        }
-    }
-
     /// Sends the request and reads the head of the answer to the caller's attempt.
     ///
     /// Answers with the identifier of another attempt are skipped. One without any is accepted only as
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,7 +19,6 @@
 use super::plan;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
-use super::relay::FirstEventReport;
 use super::release::DispatchCount;
 use super::release::VersionDemand;
 use super::slot::DispatchedCall;
@@ -32,7 +31,6 @@
 use super::worker::WorkerConnection;
 use crate::kernel::attempt::DispatchTally;
 use crate::kernel::attempt::RetryPermit;
-use crate::kernel::attempt::WorkKind;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::RequestLife;
@@ -335,48 +333,6 @@
         }
     }
 
-    /// Counts the end of a dispatch during a release.
-    fn count_end(&mut self, end: &Result<DispatchEnd, ExchangeError>) {
-        let Some(count) = self.count.take() else {
-            return;
-        };
-        match end {
-            Ok(DispatchEnd::Answered { .. }) => count.answered(),
-            Ok(DispatchEnd::NotRun { .. }) => count.not_run(),
-            Ok(DispatchEnd::Broken { .. }) | Err(ExchangeError::Truncated) => count.lost(),
-            // A failure is counted by the head of its answer, and a caller that left by the drop.
-            Ok(DispatchEnd::Erred(_)) | Err(_) => (),
-        }
-    }
-
-    /// Returns a function that is called at the first event of an answer; `None` if nobody needs to
-    /// know of it.
-    fn first_event_report(&self, version: Option<&WorkerVersion>) -> Option<FirstEventReport> {
-        let record = self.begin_record(version);
-        let count = self.count.clone();
-        if record.is_none() && count.is_none() {
-            return None;
-        }
-        Some(FirstEventReport::new(move || {
-            if let Some(record) = record {
-                record();
-            }
-            if let Some(count) = count {
-                count.answered();
-            }
-        }))
-    }
-
-    /// Returns a function that records the version at which a resumable stream begins; `None` if the
-    /// worker states no version, or the stream has no key.
-    fn begin_record(&self, version: Option<&WorkerVersion>) -> Option<impl FnOnce() + use<>> {
-        let resumable = self.planned.route.kind == WorkKind::Stream { resumable: true };
-        let stream = self.planned.stream_key().filter(|_| resumable)?;
-        let version = version?.clone();
-        let host = Rc::clone(self.host);
-        Some(move || streams::record_begin(&host, stream, &version))
-    }
-
     /// Returns a permit for a retry if the kind of work, the run limit and the retry budget allow
     /// one; a permit uses up one retry of the budget.
     pub(super) fn retry_permit(&self) -> Option<RetryPermit> {
--- a/src/gateway/release/choice.rs
+++ b/src/gateway/release/choice.rs
@@ -167,11 +167,9 @@
     let draw = hash & u64::from(u32::MAX);
     let usable = versions.usable.choose_except(&target, draw);
     let chosen = usable.or_else(|| versions.registered.choose_except(&target, draw));
-    match chosen {
-        Some(chosen) => Ok(VersionDemand::Baseline { target, chosen }),
-        None => {
-            let reason = "no worker of a version that may run the request is registered";
-            Err(refusal_error(reason, DEFAULT_RETRY_AFTER))
-        }
-    }
+    let chosen = chosen.ok_or_else(|| {
+        let reason = "no worker of a version that may run the request is registered";
+        refusal_error(reason, DEFAULT_RETRY_AFTER)
+    })?;
+    Ok(VersionDemand::Baseline { target, chosen })
 }
--- a/src/gateway/release/counting.rs
+++ b/src/gateway/release/counting.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
 use super::super::host::GatewayHost;
 use super::super::plan::PlannedCall;
@@ -148,7 +147,7 @@
     pub(in super::super) fn answered(&self) {
         if self.stage.get() == CountStage::Pending {
             self.stage.set(CountStage::Answered);
-            let time: Duration = self.host.clock.now().since(self.sent_at);
+            let time = self.host.clock.now().since(self.sent_at);
             self.record(|tally| tally.record_answer(time));
             self.count_metric(ReleaseOutcome::Answered);
         }
--- a/src/gateway/release/driver.rs
+++ b/src/gateway/release/driver.rs
@@ -267,7 +267,7 @@
             Ok(false) => WriteOutcome::Conflict,
             Err(_) => WriteOutcome::Unknown,
         };
-        let took: Duration = self.clock.now().since(began);
+        let took = self.clock.now().since(began);
         log_event!(self.log, LogEvent::ReleaseWritten,
             "service" => state.order.service.as_str(),
             "target" => state.order.target.as_str(),
--- a/src/gateway/release/mod.rs
+++ b/src/gateway/release/mod.rs
@@ -8,6 +8,7 @@
 mod counting;
 mod driver;
 mod report;
+mod request;
 mod roles;
 mod spread;
 mod versions;
--- a/src/gateway/release/report.rs
+++ b/src/gateway/release/report.rs
@@ -20,8 +20,9 @@
 /// The number of reports of which one holds all evidence, in case one was lost.
 const FULL_REPORT_PERIOD: u32 = 8;
 
-/// The maximum number of reports in one message.
-const MAX_REPORTS: usize = 16;
+/// The maximum number of tallies in one message, which keeps it below the limit on messages with routes
+/// of several hundred bytes.
+const MAX_TALLIES: usize = 256;
 
 /// The reports that are to be passed on, by their hosts and services.
 #[derive(Debug, Default)]
@@ -91,19 +92,21 @@
         let mut queue = self.releases.reports.borrow_mut();
         let is_new = queue.last_driver.replace(driver.clone()) != Some(driver.clone());
         let own = self.own_reports(is_full_turn || is_new);
-        own.into_iter().for_each(|report| queue.add(report));
+        for report in own {
+            queue.add(report);
+        }
         let queued = std::mem::take(&mut queue.queued);
         drop(queue);
         let reports: Vec<EvidenceReport> = queued.into_values().collect();
         if driver == self.settings.host {
-            reports
-                .into_iter()
-                .for_each(|report| self.take_evidence(report));
+            for report in reports {
+                self.take_evidence(report);
+            }
             return;
         }
         let next = self.next_report_host(&driver);
-        for reports in reports.chunks(MAX_REPORTS) {
-            let message = LinkMessage::ReleaseEvidence(reports.to_vec());
+        for reports in batches(reports) {
+            let message = LinkMessage::ReleaseEvidence(reports);
             // A report that is lost is followed by one that holds all evidence.
             if self.links.send(&next, message).is_err() {
                 self.members.dial(&next);
@@ -144,3 +147,30 @@
         reports.collect()
     }
 }
+
+/// Divides reports into messages of at most [`MAX_TALLIES`] tallies each.
+fn batches(reports: Vec<EvidenceReport>) -> Vec<Vec<EvidenceReport>> {
+    let mut batches = vec![Vec::new()];
+    let mut room = MAX_TALLIES;
+    for report in reports {
+        let mut part = ReleaseEvidence::new(report.evidence.order.clone());
+        let with = |evidence| EvidenceReport {
+            evidence,
+            ..report.clone()
+        };
+        for (key, tally) in report.evidence.iter() {
+            if room == 0 {
+                let empty = ReleaseEvidence::new(report.evidence.order.clone());
+                let full = with(std::mem::replace(&mut part, empty));
+                batches.last_mut().expect("a batch").push(full);
+                batches.push(Vec::new());
+                room = MAX_TALLIES;
+            }
+            *part.tally(key.clone()) = tally.clone();
+            room -= 1;
+        }
+        batches.last_mut().expect("a batch").push(with(part));
+    }
+    batches.retain(|batch| !batch.is_empty());
+    batches
+}
--- a/src/gateway/release/spread.rs
+++ b/src/gateway/release/spread.rs
@@ -248,7 +248,8 @@
         for order in self.releases.open_orders() {
             let began = self.clock.now();
             let Ok(reading) = self.read_release(&order.service).await else {
-                continue;
+                // Polls of other hosts wait for the end of the reads.
+                break;
             };
             if let Some(stored) = reading.state {
                 changed |= self.learn_release(stored.state, began);
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -14,7 +14,6 @@
 use super::exchange::refusal_error;
 use super::plan;
 use super::release::DispatchCount;
-use super::release::VersionDemand;
 use super::trace::SentCall;
 use super::worker::WorkerConnection;
 use super::worker::WorkerEndpoint;
@@ -151,39 +150,6 @@
         }
     }
 
-    /// Returns the versions that may run the request. A stream that continues keeps its version.
-    fn version_demand(&self) -> Result<VersionDemand, CallError> {
-        if let Some(version) = &self.required_version {
-            return Ok(VersionDemand::Only(version.clone()));
-        }
-        self.host.version_demand(&self.planned, self.avoids_target)
-    }
-
-    /// Waits until the release no longer allows the version that the request waits for.
-    async fn wait_until_forbidden(&self) {
-        if self.required_version.is_some() {
-            std::future::pending::<()>().await;
-        }
-        let asked = self.demand.asked();
-        self.host
-            .wait_until_forbidden(&self.planned, self.avoids_target, asked)
-            .await;
-    }
-
-    /// Returns whether a request that was refused for lack of a worker of its version asks for another
-    /// version, which the release allows.
-    fn asks_elsewhere(&mut self, answer: Option<&SlotAnswer>) -> bool {
-        let Some(SlotAnswer::Refused(refusal)) = answer else {
-            return false;
-        };
-        if refusal.reason != RefusalReason::NoWorker {
-            return false;
-        }
-        self.avoids_target |= self.demand.is_target();
-        let demand = self.version_demand();
-        demand.is_ok_and(|demand| demand.asked() != self.demand.asked())
-    }
-
     /// Obtains a connection to the granted worker and marks the request as dispatched.
     ///
     /// There is no await point between the last checks and the dispatch, so the configuration, the
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -181,6 +181,7 @@
             | LinkMessage::ConfigurationDeltas(_)
             | LinkMessage::Query { .. }
             | LinkMessage::QueryAnswer { .. }
+            | LinkMessage::ReleaseEvidence(_)
     )
 }
 
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,5 +1,6 @@
 //! Membership of the hosts: heartbeats, links between hosts and the choice of brokers.
 
+mod choice;
 mod dialing;
 mod lists;
 
@@ -14,8 +15,6 @@
 use slog::Logger;
 use tokio::time::sleep;
 
-use crate::cell::CellBrokers;
-use crate::cell::CellId;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
@@ -28,7 +27,6 @@
 use crate::kernel::membership::Membership;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
-use crate::kernel::name::ServiceName;
 use crate::kernel::rollout::OwnReport;
 use crate::link::LinkSet;
 use crate::log_event;
@@ -162,26 +160,6 @@
         self.listeners.borrow_mut().push(listener);
     }
 
-    /// Returns the broker of the cell of a service in a data centre; `None` if no host is alive
-    /// there.
-    #[must_use]
-    pub fn broker(&self, service: &ServiceName, datacenter: &DatacenterName) -> Option<HostName> {
-        let membership = self.membership.borrow();
-        membership.broker(service, datacenter).cloned()
-    }
-
-    /// Returns the broker of a cell and its deputy; `within` selects the data centres that share
-    /// the cell.
-    #[must_use]
-    pub fn brokers(&self, cell: &CellId, within: impl Fn(&DatacenterName) -> bool) -> CellBrokers {
-        let membership = self.membership.borrow();
-        let pair = membership.brokers(&cell.service, &cell.datacenter, within);
-        CellBrokers {
-            broker: pair.broker.cloned(),
-            deputy: pair.deputy.cloned(),
-        }
-    }
-
     /// Dials a live host outside the regular links, such as the broker of a cell in another data
     /// centre, and keeps the link open; does nothing if the host is not alive or is linked.
     pub fn dial(&self, host: &HostName) {
@@ -218,32 +196,6 @@
         self.membership.borrow().alive_count()
     }
 
-    /// Returns the host that reports for a data centre to the others, among the live hosts that
-    /// `may_report` selects; `None` if there is none.
-    #[must_use]
-    pub fn reporter(
-        &self,
-        datacenter: &DatacenterName,
-        may_report: impl Fn(&HostName) -> bool,
-    ) -> Option<HostName> {
-        let membership = self.membership.borrow();
-        membership.reporter(datacenter, may_report).cloned()
-    }
-
-    /// Returns the host that comes first in the choice of a broker among the live hosts of all data
-    /// centres that `may_serve` selects.
-    #[must_use]
-    pub fn first_eligible(
-        &self,
-        service: &ServiceName,
-        datacenter: &DatacenterName,
-        may_serve: impl Fn(&HostName) -> bool,
-    ) -> Option<HostName> {
-        let membership = self.membership.borrow();
-        let first = membership.first_eligible(service, datacenter, may_serve);
-        first.cloned()
-    }
-
     /// Returns the live hosts other than this one that are not stopping, with their data centres.
     #[must_use]
     pub fn serving_peers(&self) -> Vec<(HostName, DatacenterName)> {
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -126,7 +126,7 @@
     ///
     /// Returns [`CodecError::MessageTooLong`] if the message exceeds the limit of its kind; the
     /// frame is then unchanged. Encoding can go on if that was a configuration, a list of deltas, a
-    /// state update, a query or its rows. After any other error the link must be closed, because
+    /// state update, evidence, a query or its rows. After any other error the link must be closed, because
     /// the tables of the two ends may differ.
     pub fn encode(&mut self, message: &LinkMessage, frame: &mut Vec<u8>) -> Result<(), CodecError> {
         let start = frame.len();
