Give the shift of a release the time that its bounds allow

The deadline's uncertainty, from the last read without the order to the first with it, counts as exposure.

--- a/kernel/src/release/driver/event.rs
+++ b/kernel/src/release/driver/event.rs
@@ -11,7 +11,7 @@
 use crate::roster::StoreRevision;
 
 /// The interval at which a driver must get [`ReleaseEvent::Tick`] while an order exists.
-pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
+pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A state in the store, with the revision of its row.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/kernel/src/release/driver/mod.rs
+++ b/kernel/src/release/driver/mod.rs
@@ -93,6 +93,8 @@
     view: Option<StoreView>,
     /// The time at which the order of `view` was first read.
     order_seen: ClockTime,
+    /// The store time of that read.
+    order_seen_at: Option<Duration>,
     /// The latest known store time at which there was no such order.
     order_absent_at: Option<Duration>,
     /// The newest state, from the store or another host. It outlives the order.
@@ -122,6 +124,7 @@
             fleet: None,
             view: None,
             order_seen: ClockTime::ZERO,
+            order_seen_at: None,
             order_absent_at: None,
             known: None,
             call: StoreCall::None,
@@ -213,6 +216,7 @@
             self.order_absent_at
         } else {
             self.order_seen = now;
+            self.order_seen_at = Some(reading.store_time);
             self.observations = Observations::new();
             self.step = None;
             before.map(|before| before.store_time)
--- a/kernel/src/release/driver/observed.rs
+++ b/kernel/src/release/driver/observed.rs
@@ -8,7 +8,7 @@
 use crate::release::verdict::ReleaseVerdict;
 
 /// The minimum time between two evaluations of the evidence.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
+const JUDGE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The interval at which a copy of the evidence is kept.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
--- a/kernel/src/release/driver/progress.rs
+++ b/kernel/src/release/driver/progress.rs
@@ -21,19 +21,6 @@
 /// send it every 250 ms.
 const EVIDENCE_WAIT: Duration = Duration::from_millis(500);
 
-/// The age of the evidence that the driver assumes when it counts requests that it has not heard of.
-const EVIDENCE_LAG: Duration = Duration::from_millis(250);
-
-/// The time before the deadline at which a release is completed: 0.3 s by the requirements, and the time
-/// of the write.
-const COMPLETION_LEAD: Duration = Duration::from_millis(350);
-
-/// The time after which all hosts have taken a state, also those that missed an update.
-const MAX_STEP_TIME: Duration = Duration::from_millis(1_100);
-
-/// The time that a step of a shift takes after the deadline, when nothing is gained by more haste.
-const LATE_STEP_TIME: Duration = Duration::from_millis(300);
-
 /// The number of requests from which on a target that got none of them counts as unable to serve.
 const EXPECTED_TARGET_REQUESTS: u64 = 20;
 
@@ -147,7 +134,9 @@
         let read_at = reading.map_or(Duration::ZERO, |reading| reading.store_time);
         let start = self.order_absent_at.map_or(read_at, |at| at.min(read_at));
         let era = reading.map(|reading| reading.era).unwrap_or_default();
-        ReleaseState::begin(order.clone(), start, era)
+        let mut state = ReleaseState::begin(order.clone(), start, era);
+        state.seen = self.order_seen_at.unwrap_or(read_at).max(start);
+        state
     }
 
     /// Returns the next state of a release in progress; `None` while it stays as it is.
@@ -209,7 +198,7 @@
         if state.share > limit {
             return Some(self.changed(state, ReleasePhase::Shift, limit));
         }
-        let duration = step_time(state.share, load.left);
+        let duration = ReleaseSchedule::step_time(state.share, load.left);
         let is_over = self.in_force_for(now, state, duration) >= self.step_duration();
         if !is_fit || !is_over {
             return None;
@@ -273,15 +262,18 @@
         let store_now = view.reading.store_time + now.since(view.began);
         let mut counts = self.counts(state);
         let elapsed = store_now.saturating_sub(state.start);
-        let counted = elapsed.saturating_sub(EVIDENCE_LAG).max(EVIDENCE_LAG);
+        // Requests of the time since the last reports of the hosts are not counted yet.
+        let unreported = state.phase.evidence_interval();
+        let counted = elapsed.saturating_sub(unreported).max(unreported);
         let mean_rate = counts.requests as f64 / counted.as_secs_f64();
         let rate = mean_rate.max(self.observations.recent_rate());
-        let unseen = rate * state.share.ratio() * EVIDENCE_LAG.as_secs_f64();
+        let unseen = rate * state.share.ratio() * unreported.as_secs_f64();
         counts.target_requests += unseen as u64;
         Some(ReleaseLoad {
             counts,
             rate,
             left: state.deadline.saturating_sub(store_now),
+            uncertainty: state.seen.saturating_sub(state.start),
         })
     }
 
@@ -313,19 +305,3 @@
         self.step.map_or(Duration::ZERO, |step| step.duration)
     }
 }
-
-/// Returns the time that a step of a shift takes: an equal part of what is left for it and those that
-/// follow.
-fn step_time(share: TrafficShare, left: Duration) -> Duration {
-    if left.is_zero() {
-        return LATE_STEP_TIME;
-    }
-    let mut steps = 1;
-    let mut next = ReleaseSchedule::next_step(share);
-    while let Some(share) = next {
-        steps += 1;
-        next = ReleaseSchedule::next_step(share);
-    }
-    let available = left.saturating_sub(COMPLETION_LEAD);
-    (available / steps).min(MAX_STEP_TIME)
-}
--- a/kernel/src/release/state.rs
+++ b/kernel/src/release/state.rs
@@ -12,6 +12,13 @@
 /// The value of [`TrafficShare`] that stands for all requests.
 const WHOLE: u32 = 1_000_000;
 
+/// The interval at which hosts send their evidence to the driver, if it has changed.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The interval while the share rises, when the driver has little time to find a version that is bad
+/// under load.
+const SHIFT_EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The part of new requests that goes to the target, in millionths.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
@@ -82,6 +89,15 @@
         matches!(self, Self::Completed | Self::Reverted)
     }
 
+    /// Returns the interval at which hosts send their evidence to the driver, if it has changed.
+    #[must_use]
+    pub const fn evidence_interval(self) -> Duration {
+        match self {
+            Self::Shift => SHIFT_EVIDENCE_INTERVAL,
+            Self::Canary | Self::Completed | Self::Reverted => EVIDENCE_INTERVAL,
+        }
+    }
+
     /// Returns what the operators are told.
     #[must_use]
     pub const fn status(self) -> ReleaseStatus {
@@ -129,8 +145,12 @@
     pub phase: ReleasePhase,
     /// The share of requests that goes to the target; without meaning in a final phase.
     pub share: TrafficShare,
-    /// The start, on the store's steady clock.
+    /// The earliest time at which the order may have been written, on the store's steady clock.
     pub start: Duration,
+    /// The time of the read that first showed the order, on the store's steady clock. The order was written
+    /// between the start and this time.
+    #[serde(default)]
+    pub seen: Duration,
     /// The time at which the release is due, on the store's steady clock.
     pub deadline: Duration,
     /// The requests that the driver knew of when it wrote the state.
@@ -142,7 +162,7 @@
 }
 
 impl ReleaseState {
-    /// Creates the first state of an order, of which nothing goes to the target.
+    /// Creates the first state of an order that was written at `start`. Nothing goes to the target.
     #[must_use]
     pub fn begin(order: ReleaseOrder, start: Duration, era: StoreEra) -> Self {
         let deadline = start.saturating_add(order.duration);
@@ -153,6 +173,7 @@
             phase: ReleasePhase::Canary,
             share: TrafficShare::NONE,
             start,
+            seen: start,
             deadline,
             counts: ReleaseCounts::default(),
             verdict: None,
--- a/kernel/src/release/verdict/comparison.rs
+++ b/kernel/src/release/verdict/comparison.rs
@@ -5,11 +5,8 @@
 use super::sides::ComparedSides;
 use crate::release::tally::VersionTally;
 
-/// The difference of the bad shares of target and baseline that is not tolerated.
-const MIN_DIFFERENCE: f64 = 0.05;
-
-/// The bad answers beyond the baseline's share from which on any significant difference counts, so that
-/// a version that is bad in a small part of its answers is found soon after its 50th bad answer.
+/// The bad answers beyond the baseline's share from which on a small difference counts too, and one from a
+/// small baseline, so that a bad version is found soon after its 50th bad answer.
 const MAX_EXCESS: f64 = 40.0;
 
 /// The maximum number of workers left out at [`MAX_EXCESS`]. A quarter of many workers could hold all
@@ -48,15 +45,25 @@
 struct TestBounds {
     /// The minimum number of bad answers of the target.
     bad: u64,
+    /// The difference of the bad shares of target and baseline that must be exceeded.
+    difference: f64,
     /// The z-score that must be exceeded.
     score: f64,
 }
 
 /// The bounds by which a target is bad.
-const BAD_BOUNDS: TestBounds = TestBounds { bad: 8, score: 4.0 };
+const BAD_BOUNDS: TestBounds = TestBounds {
+    bad: 8,
+    difference: 0.05,
+    score: 4.0,
+};
 
 /// The bounds by which a target is doubtful.
-const DOUBT_BOUNDS: TestBounds = TestBounds { bad: 4, score: 3.0 };
+const DOUBT_BOUNDS: TestBounds = TestBounds {
+    bad: 4,
+    difference: 0.02,
+    score: 3.0,
+};
 
 /// Bad answers out of all.
 #[derive(Clone, Copy, Debug, Default)]
@@ -112,6 +119,20 @@
         self.bad as f64 - self.all as f64 * share
     }
 
+    /// Returns the z-score of the bad answers beyond those that the share of another count explains, by
+    /// that share alone. One bad and one good answer are added to the other count, for one without bad
+    /// answers.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a release has far fewer answers than 2^52"
+    )]
+    fn excess_score(self, other: Self) -> f64 {
+        let share = (other.bad + 1) as f64 / (other.all + 2) as f64;
+        let all = self.all as f64;
+        let variance = share * (1.0 - share) * all * (1.0 + all / other.all as f64);
+        self.excess(share) / variance.sqrt()
+    }
+
     /// Returns the z-score of the difference from another count, by the share of both together.
     #[expect(
         clippy::cast_precision_loss,
@@ -206,10 +227,13 @@
     /// Returns whether the target exceeds the bounds, with and without its worst workers.
     fn holds(&self, bounds: TestBounds, has_excess: bool) -> bool {
         let exceeds = |count: BadCount| {
+            if count.bad < bounds.bad {
+                return false;
+            }
             let difference = count.share() - self.baseline.share();
-            count.bad >= bounds.bad
-                && (difference > MIN_DIFFERENCE || has_excess)
-                && count.score(self.baseline) > bounds.score
+            let differs =
+                difference > bounds.difference && count.score(self.baseline) > bounds.score;
+            differs || (has_excess && count.excess_score(self.baseline) > bounds.score)
         };
         exceeds(self.target) && exceeds(self.without_worst(has_excess))
     }
