Revert releases whose order is removed also after a change of the driver

A host that became the driver after the removal had no order from which to create the driver of the release.

--- a/src/gateway/release/driver.rs
+++ b/src/gateway/release/driver.rs
@@ -49,8 +49,7 @@
     }
     let mut was_leading = false;
     loop {
-        let has_orders = !host.releases.orders.borrow().is_empty();
-        let is_idle = !has_orders && host.releases.drivers.borrow().is_empty();
+        let is_idle = host.releases.services().is_empty();
         let interval = if host.has_open_release() {
             TICK_INTERVAL
         } else {
@@ -95,7 +94,7 @@
             return;
         };
         let mut drivers = self.releases.drivers.borrow_mut();
-        for service in self.releases.orders.borrow().keys() {
+        for service in self.releases.services() {
             let create = || DriverEntry {
                 driver: ReleaseDriver::new(service.clone(), bounds),
                 leading: false,
@@ -109,13 +108,9 @@
 
     /// Removes the drivers of services whose order is gone and whose release is final.
     fn remove_drivers(&self) {
-        let orders = self.releases.orders.borrow();
-        let known = self.releases.known.borrow();
+        let services = self.releases.services();
         let mut drivers = self.releases.drivers.borrow_mut();
-        drivers.retain(|service, _| {
-            let state = known.get(service).map(|known| known.state().phase);
-            orders.contains_key(service) || state.is_some_and(|phase| !phase.is_final())
-        });
+        drivers.retain(|service, _| services.contains(service));
     }
 
     /// Tells a driver what has changed since the last call, and that time has passed.
--- a/src/gateway/release/mod.rs
+++ b/src/gateway/release/mod.rs
@@ -16,6 +16,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use tokio::sync::Notify;
 
@@ -102,6 +103,17 @@
         open.map(|known| known.order.clone()).collect()
     }
 
+    /// Returns the services that have an order, or a release that is not known to be final.
+    fn services(&self) -> BTreeSet<ServiceName> {
+        let orders = self.orders.borrow();
+        let known = self.known.borrow();
+        let unfinished = known
+            .iter()
+            .filter(|(_, known)| !known.state().phase.is_final());
+        let unfinished = unfinished.map(|(service, _)| service);
+        orders.keys().chain(unfinished).cloned().collect()
+    }
+
     /// Records whether the host's source of the state sends releases.
     pub(super) fn set_source_knows(&self, knows: bool) {
         self.source_knows.set(knows);
