--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -140,6 +140,7 @@
         if metadata.not_run {
             self.trace.answer_unused(answer.head().status, &metadata);
         }
+        self.count_error(answer.head().status, &metadata);
         if !metadata.signed && answer.head().status.is_success() {
             let error = CallError::Lost;
             return Ok(DispatchEnd::Broken { error, lost: None });
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,7 +19,8 @@
 use super::plan;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
-use super::relay::FirstEventReport;
+use super::release::DispatchCount;
+use super::release::VersionDemand;
 use super::slot::DispatchedCall;
 use super::slot::SlotError;
 use super::streams;
@@ -30,7 +31,6 @@
 use super::worker::WorkerConnection;
 use crate::kernel::attempt::DispatchTally;
 use crate::kernel::attempt::RetryPermit;
-use crate::kernel::attempt::WorkKind;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::RequestLife;
@@ -125,6 +125,9 @@
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
         is_suspect: false,
         required_version: None,
+        demand: VersionDemand::Any,
+        avoids_target: false,
+        count: None,
         origin: None,
         planned,
     };
@@ -150,6 +153,12 @@
     /// The only version of a worker at which the stream may continue; `None` if any may run the
     /// request.
     pub(super) required_version: Option<WorkerVersion>,
+    /// The versions that the last ask allowed.
+    pub(super) demand: VersionDemand,
+    /// Whether the request failed at the target of a release, or the target had no worker for it.
+    pub(super) avoids_target: bool,
+    /// Counts the answer to the last dispatch, during a release.
+    pub(super) count: Option<Rc<DispatchCount>>,
     /// What shows the version of the stream that the caller resumes; `None` if it resumes none.
     pub(super) origin: Option<OriginEvidence>,
 }
@@ -237,6 +246,7 @@
             endpoint,
             suspected,
             version,
+            to_target,
             dispatched_at,
         } = dispatched;
         let evidence = DispatchEvidence {
@@ -258,8 +268,10 @@
                 dispatched_at,
                 caller,
             )
-            .await?;
-        match end {
+            .await;
+        self.count_end(&end);
+        self.avoids_target |= to_target;
+        match end? {
             DispatchEnd::Answered { status } if status.is_server_error() => {
                 lease.erred();
                 Ok(None)
@@ -321,18 +333,6 @@
         }
     }
 
-    /// Returns a function that records the version at which a resumable stream begins; `None` if the
-    /// worker states no version, or the stream has no key.
-    fn first_event_report(&self, version: Option<&WorkerVersion>) -> Option<FirstEventReport> {
-        let resumable = self.planned.route.kind == WorkKind::Stream { resumable: true };
-        let stream = self.planned.stream_key().filter(|_| resumable)?;
-        let version = version?.clone();
-        let host = Rc::clone(self.host);
-        Some(FirstEventReport::new(move || {
-            streams::record_begin(&host, stream, &version);
-        }))
-    }
-
     /// Returns a permit for a retry if the kind of work, the run limit and the retry budget allow
     /// one; a permit uses up one retry of the budget.
     pub(super) fn retry_permit(&self) -> Option<RetryPermit> {
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -14,6 +14,7 @@
 use super::exchange::DEFAULT_RETRY_AFTER;
 use super::exchange::refusal_error;
 use super::plan;
+use super::release::DispatchCount;
 use super::worker::WorkerConnection;
 use super::worker::WorkerEndpoint;
 use crate::cell::SlotAnswer;
@@ -44,6 +45,8 @@
     pub(super) suspected: Vec<PartDigest>,
     /// The version of the worker's software, if it states one.
     pub(super) version: Option<WorkerVersion>,
+    /// Whether the version is the target of a release in progress.
+    pub(super) to_target: bool,
     pub(super) dispatched_at: ClockTime,
 }
 
@@ -59,6 +62,9 @@
     /// The worker was leaving, and a health check has not shown yet whether it has started again.
     #[error("the worker may be leaving")]
     WorkerUnconfirmed,
+    /// The release of the service does not allow the version of the worker.
+    #[error("the release does not allow the worker's version")]
+    VersionNotAllowed,
     /// The worker asked this host for rest.
     #[error("the worker wants no requests for {remaining:?}")]
     WorkerResting {
@@ -113,21 +119,31 @@
         }
     }
 
-    /// Asks the broker for a slot, and asks again once the request is no longer a suspect.
+    /// Asks the broker for a slot, and asks again once the request is no longer a suspect, or if a
+    /// release no longer allows the version that it waits for.
     async fn ask_for_slot(&mut self) -> Result<Option<SlotAnswer>, CallError> {
         loop {
             let now = self.host.clock.now();
             self.is_suspect = crash::is_suspect(self.host, &self.planned);
-            let version = self.required_version.clone();
+            self.demand = self
+                .version_demand()
+                .map_err(|error| self.fail_unsent(error))?;
+            let version = self.demand.asked().cloned();
             let ask = self.planned.ask(now, version, self.is_suspect);
             let waiting = self.host.cells.ask(ask, self.planned.deadline);
-            if !self.is_suspect {
+            if !self.is_suspect && !self.host.releases.is_active() {
                 return Ok(waiting.await);
             }
             tokio::select! {
                 biased;
-                answer = waiting => return Ok(answer),
-                () = crash::wait_until_judged(self.host, &self.planned) => (),
+                answer = waiting => {
+                    if self.asks_elsewhere(answer.as_ref()) {
+                        continue;
+                    }
+                    return Ok(answer);
+                }
+                () = crash::wait_until_judged(self.host, &self.planned), if self.is_suspect => (),
+                () = self.wait_until_forbidden() => (),
             }
             crash::check_quarantine(self.host, &self.planned)
                 .map_err(|error| self.fail_unsent(error))?;
@@ -230,12 +246,15 @@
             dispatched_at: now,
         };
         self.trace.sent(&self.planned, &sent);
+        self.count = DispatchCount::of_dispatch(self.host, &self.planned, &record, now);
+        let to_target = self.count.as_ref().is_some_and(|count| count.is_target());
         let dispatched = DispatchedCall {
             life,
             lease,
             worker,
             endpoint: connection.endpoint(),
             version: record.version,
+            to_target,
             suspected: self.host.crashes.suspected(&self.planned.crash_candidates),
             dispatched_at: now,
         };
@@ -256,6 +275,10 @@
         if !is_present || !may_run {
             return Err(SlotError::WorkerGone);
         }
+        // The release may have changed while the request waited.
+        if !self.version_demand()?.allows(record.version.as_ref()) {
+            return Err(SlotError::VersionNotAllowed);
+        }
         match self.remaining_rest(worker) {
             Some(remaining) => Err(SlotError::WorkerResting { remaining }),
             None => Ok(record),
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -73,6 +73,7 @@
 const BEGUN_STREAMS: u8 = 46;
 const CLASSED_MEMBERS: u8 = 47;
 const USAGE_BUNDLE: u8 = 48;
+const RELEASE_EVIDENCE: u8 = 49;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -125,7 +126,7 @@
     ///
     /// Returns [`CodecError::MessageTooLong`] if the message exceeds the limit of its kind; the
     /// frame is then unchanged. Encoding can go on if that was a configuration, a list of deltas, a
-    /// state update, a query or its rows. After any other error the link must be closed, because
+    /// state update, evidence, a query or its rows. After any other error the link must be closed, because
     /// the tables of the two ends may differ.
     pub fn encode(&mut self, message: &LinkMessage, frame: &mut Vec<u8>) -> Result<(), CodecError> {
         let start = frame.len();
@@ -216,6 +217,7 @@
             LinkMessage::UsageBundle(bundle) => {
                 write(frame, USAGE_BUNDLE, &bundle::bundle_row(bundle))
             }
+            LinkMessage::ReleaseEvidence(reports) => write(frame, RELEASE_EVIDENCE, reports),
             LinkMessage::Query { number, text } => write(frame, QUERY, &(number, text)),
             LinkMessage::QueryAnswer { number, rows } => {
                 write(frame, QUERY_ANSWER, &(number, rows))
@@ -357,6 +359,7 @@
                 let bundle = bundle::read_bundle(read(rest, limit)?)?;
                 LinkMessage::UsageBundle(Arc::new(bundle))
             }
+            RELEASE_EVIDENCE => LinkMessage::ReleaseEvidence(read(rest, limit)?),
             QUERY => {
                 let (number, text) = read(rest, limit)?;
                 LinkMessage::Query { number, text }
