Test releases under failures, and ask for recent answers before the shift

A simulated deployment with two drivers, frozen or leading together, lost and late writes, outages and older copies of the store checks at each step that ends do not change, status and state agree and exposure is bounded. With the store down for 8 of 12 s, the shift began without an answer of the last seconds and completed a version that had turned bad; the target must now have answered lately.

--- a/kernel/src/release/driver/mod.rs
+++ b/kernel/src/release/driver/mod.rs
@@ -11,6 +11,7 @@
 use super::order::ReleaseOrder;
 use super::schedule::ReleaseBounds;
 use super::state::ReleaseState;
+use super::state::TrafficShare;
 use super::verdict::ReleaseVerdict;
 use crate::clock::ClockTime;
 use crate::name::ServiceName;
@@ -278,18 +279,20 @@
     /// Judges the target of a release in progress, and stops the release if it is bad.
     fn observe(&mut self, now: ClockTime) {
         let Some(state) = self.state_in_progress().cloned() else {
+            self.observations = Observations::new();
             return;
         };
         let position = self.evidence_position(&state.order);
         let evidence = self.evidence[position].total();
-        self.observations.record(now, evidence);
+        let interval = state.phase.evidence_interval() / 2;
+        self.observations.record(now, interval, evidence);
         if state.is_halted() {
             return;
         }
         if let ReleaseVerdict::Bad(counts) = self.observations.verdict() {
             let mut halted = state;
             halted.sequence += 1;
-            halted.share = super::TrafficShare::NONE;
+            halted.share = TrafficShare::NONE;
             halted.verdict = Some(counts.clone());
             halted.counts = evidence.counts();
             self.learn(halted);
--- a/kernel/src/release/driver/observed.rs
+++ b/kernel/src/release/driver/observed.rs
@@ -5,17 +5,18 @@
 
 use crate::clock::ClockTime;
 use crate::release::evidence::ReleaseEvidence;
+use crate::release::split::VersionSide;
 use crate::release::verdict::ReleaseVerdict;
 
-/// The minimum time between two evaluations of the evidence.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(50);
-
 /// The interval at which a copy of the evidence is kept.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The time over which recent answers are judged, since a version may turn bad later.
 const RECENT_SPAN: Duration = Duration::from_secs(3);
 
+/// The minimum time over which recent answers are judged.
+const MIN_RECENT_SPAN: Duration = Duration::from_secs(1);
+
 /// The time over which the recent rate of requests is measured.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
@@ -62,9 +63,14 @@
         &self.verdict
     }
 
-    /// Records the evidence as it is now, unless it was recorded just before.
-    pub(super) fn record(&mut self, now: ClockTime, evidence: &ReleaseEvidence) {
-        let is_recent = |at: ClockTime| now.since(at) < JUDGE_INTERVAL;
+    /// Records the evidence as it is now, unless it was recorded less than `interval` before.
+    pub(super) fn record(
+        &mut self,
+        now: ClockTime,
+        interval: Duration,
+        evidence: &ReleaseEvidence,
+    ) {
+        let is_recent = |at: ClockTime| now.since(at) < interval;
         if self.judged_at.is_some_and(is_recent) {
             return;
         }
@@ -73,7 +79,7 @@
         self.record_snapshot(now, evidence);
         self.record_answers(now, evidence);
         let earlier = self.snapshots.front();
-        let earlier = earlier.filter(|snapshot| now.since(snapshot.at) >= RECENT_SPAN);
+        let earlier = earlier.filter(|snapshot| now.since(snapshot.at) >= MIN_RECENT_SPAN);
         self.verdict = ReleaseVerdict::judge(evidence, earlier.map(|snapshot| &snapshot.evidence));
     }
 
@@ -103,7 +109,8 @@
     }
 
     fn record_answers(&mut self, now: ClockTime, evidence: &ReleaseEvidence) {
-        let waits = evidence.counts().target_requests > 0 && evidence.target_answers() == 0;
+        let waits =
+            evidence.counts().target_requests > 0 && evidence.answers(VersionSide::Target) == 0;
         self.unanswered_since = waits.then(|| self.unanswered_since.unwrap_or(now));
     }
 
@@ -113,6 +120,13 @@
         since.map_or(Duration::ZERO, |since| now.since(since))
     }
 
+    /// Returns the answers of a side over the last seconds.
+    pub(super) fn recent_answers(&self, evidence: &ReleaseEvidence, side: VersionSide) -> u64 {
+        let earlier = self.snapshots.front();
+        let before = earlier.map_or(0, |snapshot| snapshot.evidence.answers(side));
+        evidence.answers(side).saturating_sub(before)
+    }
+
     /// Returns the requests in a second over the last samples; zero without two samples.
     #[expect(
         clippy::cast_precision_loss,
--- a/kernel/src/release/driver/progress.rs
+++ b/kernel/src/release/driver/progress.rs
@@ -10,6 +10,7 @@
 use crate::release::order::ReleaseOrder;
 use crate::release::schedule::ReleaseLoad;
 use crate::release::schedule::ReleaseSchedule;
+use crate::release::split::VersionSide;
 use crate::release::state::ReleaseCounts;
 use crate::release::state::ReleasePhase;
 use crate::release::state::ReleaseState;
@@ -28,6 +29,12 @@
 /// requests.
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
 
+/// The part of the target's expected answers that must have come lately before the shift begins.
+const MIN_ANSWERED_PART: f64 = 0.5;
+
+/// The number of recent answers that is enough for the shift to begin.
+const ENOUGH_ANSWERS: f64 = 8.0;
+
 /// The change of the canary's share, as a ratio, below which it is not raised.
 const MIN_RAISE: f64 = 1.25;
 
@@ -173,7 +180,7 @@
         is_fit: bool,
     ) -> Option<ReleaseState> {
         let schedule = ReleaseSchedule::new(self.bounds, state.order.duration);
-        if is_fit && schedule.allows_shift(load) {
+        if is_fit && schedule.allows_shift(load) && self.has_recent_answers(state) {
             let first = ReleaseSchedule::next_step(TrafficShare::NONE)?;
             return Some(self.changed(state, ReleasePhase::Shift, first.max(state.share)));
         }
@@ -280,7 +287,7 @@
     /// Returns whether the target has answered, or has had no request that it could answer.
     fn target_answers(&self, now: ClockTime, state: &ReleaseState) -> bool {
         let table = self.evidence_for(state);
-        if table.is_some_and(|table| table.total().target_answers() > 0) {
+        if table.is_some_and(|table| table.total().answers(VersionSide::Target) > 0) {
             return true;
         }
         let counts = self.counts(state);
@@ -288,6 +295,24 @@
             && self.observations.unanswered_for(now) < ANSWER_WAIT
     }
 
+    /// Returns whether the target has answered lately as many requests as its share explains, or enough.
+    ///
+    /// While hosts or the driver are cut off from the store, the target gets no requests, and may have
+    /// turned bad meanwhile.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a release has far fewer requests than 2^52"
+    )]
+    fn has_recent_answers(&self, state: &ReleaseState) -> bool {
+        let Some(table) = self.evidence_for(state) else {
+            return true;
+        };
+        let [target, baseline] = [VersionSide::Target, VersionSide::Baseline]
+            .map(|side| self.observations.recent_answers(table.total(), side) as f64);
+        let expected = (target + baseline) * state.share.ratio();
+        target >= (expected * MIN_ANSWERED_PART).min(ENOUGH_ANSWERS)
+    }
+
     /// Returns how long the store has held a state, and sets the duration of a new step.
     fn in_force_for(&mut self, now: ClockTime, state: &ReleaseState, new: Duration) -> Duration {
         let sequence = state.sequence;
--- a/kernel/src/release/evidence.rs
+++ b/kernel/src/release/evidence.rs
@@ -109,12 +109,11 @@
         recent
     }
 
-    /// Returns the number of the target's answers.
+    /// Returns the number of the answers of a side.
     #[must_use]
-    pub fn target_answers(&self) -> u64 {
-        let target = self.tallies.iter();
-        let target = target.filter(|(key, _)| key.side == VersionSide::Target);
-        target.map(|(_, tally)| tally.answers).sum()
+    pub fn answers(&self, side: VersionSide) -> u64 {
+        let tallies = self.tallies.iter().filter(|(key, _)| key.side == side);
+        tallies.map(|(_, tally)| tally.answers).sum()
     }
 
     /// Returns the requests that were counted.
@@ -134,6 +133,39 @@
 /// The newest reports of all hosts for one order, by the runs of their processes.
 ///
 /// Lost, repeated and reordered reports do no harm. The counts of a run that has ended stay.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use borageladder_kernel::release::EvidenceTable;
+/// use borageladder_kernel::release::ReleaseEvidence;
+/// use borageladder_kernel::release::ReleaseOrder;
+/// use borageladder_kernel::release::TallyKey;
+/// use borageladder_kernel::release::VersionSide;
+/// use borageladder_kernel::roster::StoreRevision;
+///
+/// let order = ReleaseOrder {
+///     service: "drafter".parse()?,
+///     revision: StoreRevision(7),
+///     target: "v2".parse()?,
+///     duration: Duration::from_secs(12),
+/// };
+/// let mut report = ReleaseEvidence::new(order.clone());
+/// let key = TallyKey {
+///     route: "letters.example/".to_owned(),
+///     side: VersionSide::Target,
+///     worker: Some("drafter-17".parse()?),
+/// };
+/// report.tally(key).requests += 1;
+/// let mut table = EvidenceTable::new(order);
+/// let host = "sapporo-1".parse()?;
+/// table.record(&host, 1, &report);
+/// table.record(&host, 1, &report);
+/// assert_eq!(table.total().counts().target_requests, 1);
+/// # Ok::<(), borageladder_kernel::name::NameError>(())
+/// ```
 #[derive(Clone, Debug)]
 pub struct EvidenceTable {
     reports: BTreeMap<(HostName, u64), ReleaseEvidence>,
--- a/kernel/src/release/known.rs
+++ b/kernel/src/release/known.rs
@@ -9,6 +9,37 @@
 
 /// The newest state of the release of one service, out of those that a host gets from the store, from
 /// state updates and from the driver.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use borageladder_kernel::clock::ClockTime;
+/// use borageladder_kernel::release::KnownRelease;
+/// use borageladder_kernel::release::ReleaseOrder;
+/// use borageladder_kernel::release::ReleasePhase;
+/// use borageladder_kernel::release::ReleaseState;
+/// use borageladder_kernel::roster::StoreEra;
+/// use borageladder_kernel::roster::StoreRevision;
+///
+/// let order = ReleaseOrder {
+///     service: "drafter".parse()?,
+///     revision: StoreRevision(7),
+///     target: "v2".parse()?,
+///     duration: Duration::from_secs(12),
+/// };
+/// let first = ReleaseState::begin(order, Duration::from_secs(100), StoreEra(1));
+/// let mut reverted = first.clone();
+/// reverted.phase = ReleasePhase::Reverted;
+/// let mut known = KnownRelease::new(reverted.clone(), ClockTime::ZERO);
+/// // The store is back from an older copy.
+/// let mut older = first;
+/// older.era = StoreEra(2);
+/// assert!(!known.learn(older, ClockTime::from_millis(300)));
+/// assert_eq!(known.state(), &reverted);
+/// # Ok::<(), borageladder_kernel::name::NameError>(())
+/// ```
 #[derive(Clone, Debug)]
 pub struct KnownRelease {
     state: ReleaseState,
--- a/kernel/src/release/schedule.rs
+++ b/kernel/src/release/schedule.rs
@@ -123,8 +123,8 @@
 
     /// Returns the share of the canary.
     ///
-    /// At a steady rate it leaves as much of the budget as the shift needs for steps of
-    /// [`WANTED_STEP_TIME`], within [`CANARY_PARTS`].
+    /// At a steady rate it leaves as much of the budget as the shift needs, if that leaves enough for the
+    /// canary.
     ///
     /// # Examples
     ///
--- a/kernel/src/release/tally.rs
+++ b/kernel/src/release/tally.rs
@@ -69,7 +69,8 @@
 /// What happened to the requests that were sent to one side.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VersionTally {
-    /// The requests that were sent, counted when they are dispatched.
+    /// The requests that were sent, counted at their first dispatch. Retries and hedges are not counted
+    /// here, but their answers are.
     #[serde(default)]
     pub requests: u64,
     /// The answers that arrived, failures included.
--- a/kernel/tests/release_support/store.rs
+++ b/kernel/tests/release_model/store.rs
@@ -25,16 +25,20 @@
 }
 
 impl SimulatedStore {
-    pub(crate) fn write_order(&mut self, target: &str, duration: Duration) -> ReleaseOrder {
+    pub(crate) fn write_order(&mut self, target: &str, duration: Duration) {
         self.revision += 1;
-        let order = ReleaseOrder {
+        self.order = Some(ReleaseOrder {
             service: "drafter".parse().expect("a valid name"),
             revision: StoreRevision(self.revision),
             target: target.parse().expect("a valid name"),
             duration,
-        };
-        self.order = Some(order.clone());
-        order
+        });
+    }
+
+    /// Continues from an older copy.
+    pub(crate) fn restore(&mut self, copy: Self) {
+        let era = StoreEra(self.era.0 + 1);
+        *self = Self { era, ..copy };
     }
 
     pub(crate) fn read(&self, now: ClockTime) -> ReleaseReading {
--- a/kernel/tests/release_support/traffic.rs
+++ b/kernel/tests/release_model/traffic.rs
@@ -12,15 +12,15 @@
 use borageladder_kernel::release::VersionSide;
 use rand::RngExt;
 
-use super::BOUNDS;
-use super::DRIVERS;
-use super::DURATION;
-use super::HOSTS;
-use super::Outcome;
-use super::Step;
-use super::TargetFault;
-use super::Trial;
-use super::host_name;
+use crate::trial::BOUNDS;
+use crate::trial::DRIVERS;
+use crate::trial::DURATION;
+use crate::trial::HOSTS;
+use crate::trial::Outcome;
+use crate::trial::Step;
+use crate::trial::TargetFault;
+use crate::trial::Trial;
+use crate::trial::host_name;
 
 /// The time after its 50th bad answer from which on a bad version must get no request.
 const ROLLBACK: Duration = Duration::from_secs(5);
@@ -33,7 +33,7 @@
 
 impl Trial {
     /// Lets hosts read the store at intervals of about 0.1 s, and 1.1 s at most.
-    pub(super) fn poll_hosts(&mut self) {
+    pub(crate) fn poll_hosts(&mut self) {
         for host in 0..HOSTS {
             if self.now < self.hosts[host].next_poll {
                 continue;
@@ -51,19 +51,16 @@
         }
     }
 
-    pub(super) fn learn(&mut self, host: usize, state: &ReleaseState) {
+    pub(crate) fn learn(&mut self, host: usize, state: &ReleaseState) {
         let now = self.now;
-        let known = self.hosts[host]
-            .known
-            .get_or_insert_with(|| KnownRelease::new(state.clone(), now));
+        let known = &mut self.hosts[host].known;
+        let known = known.get_or_insert_with(|| KnownRelease::new(state.clone(), now));
         known.learn(state.clone(), now);
         let newest = known.state().clone();
         self.check_known(&newest);
         for driver in 0..DRIVERS {
-            self.tell(
-                driver,
-                ReleaseEvent::StateReceived(Box::new(newest.clone())),
-            );
+            let event = ReleaseEvent::StateReceived(Box::new(newest.clone()));
+            self.tell(driver, event);
         }
     }
 
@@ -72,15 +69,11 @@
         let is_present = Some(&newest.order) == self.store.order.as_ref();
         if is_present && newest.phase.is_final() {
             let told = *self.told.get_or_insert(newest.phase);
-            assert_eq!(
-                told, newest.phase,
-                "seed {}: the end has changed",
-                self.plan.seed
-            );
+            assert_eq!(told, newest.phase, "seed {}", self.plan.seed);
         }
     }
 
-    pub(super) fn send_evidence(&mut self) {
+    pub(crate) fn send_evidence(&mut self) {
         for host in 0..HOSTS {
             let (Some(known), Some(evidence)) =
                 (&self.hosts[host].known, &self.hosts[host].evidence)
@@ -106,7 +99,7 @@
     }
 
     /// Creates the requests that have arrived by now, in random intervals.
-    pub(super) fn arrive(&mut self) {
+    pub(crate) fn arrive(&mut self) {
         while self.plan.rate > 0.0 && self.next_request <= self.now {
             let draw: f64 = self.random.random();
             let gap = -(1.0 - draw).ln() / self.plan.rate;
@@ -118,32 +111,24 @@
     fn request(&mut self) {
         let host = self.random.random_range(0..HOSTS);
         let hash = self.random.random();
-        let known = self.hosts[host].known.as_ref();
-        let order = self.store.order.clone();
-        let known = known.filter(|known| Some(&known.state().order) == order.as_ref());
-        let side = known.map_or(VersionSide::Baseline, |known| {
-            known.choose_side(self.now, hash)
-        });
-        let side = if self.readiness.target {
-            side
-        } else {
-            VersionSide::Baseline
-        };
-        let (Some(order), Some(_)) = (order, known) else {
+        let Some(known) = &self.hosts[host].known else {
             return;
         };
-        let key = self.tally_key(side);
-        let outcome = self.outcome(&key);
-        let evidence = &mut self.hosts[host].evidence;
-        if evidence
-            .as_ref()
-            .is_none_or(|evidence| evidence.order != order)
-        {
-            *evidence = Some(ReleaseEvidence::new(order));
+        let order = known.state().order.clone();
+        if Some(&order) != self.store.order.as_ref() {
+            return;
         }
-        if let Some(evidence) = evidence {
-            evidence.tally(key.clone()).requests += 1;
+        let mut side = known.choose_side(self.now, hash);
+        if !self.readiness.target {
+            side = VersionSide::Baseline;
         }
+        let key = self.tally_key(side);
+        let outcome = self.outcome(&key);
+        let evidence = self.hosts[host].evidence.take();
+        let evidence = evidence.filter(|evidence| evidence.order == order);
+        let mut evidence = evidence.unwrap_or_else(|| ReleaseEvidence::new(order));
+        evidence.tally(key.clone()).requests += 1;
+        self.hosts[host].evidence = Some(evidence);
         self.count(side, outcome);
         if let Some(outcome) = outcome {
             let delay = match outcome {
@@ -203,7 +188,7 @@
         }
     }
 
-    pub(super) fn answer(&mut self, host: usize, key: TallyKey, outcome: Outcome) {
+    pub(crate) fn answer(&mut self, host: usize, key: TallyKey, outcome: Outcome) {
         let is_target = key.side == VersionSide::Target;
         let Some(evidence) = &mut self.hosts[host].evidence else {
             return;
@@ -247,7 +232,7 @@
     }
 
     /// Checks the bound on the requests of a bad version, and notes when the release ends.
-    pub(super) fn check(&mut self) {
+    pub(crate) fn check(&mut self) {
         let state = self.store.state.as_ref().map(|stored| &stored.state);
         let order = self.store.order.as_ref();
         if let Some(state) = state.filter(|state| Some(&state.order) == order) {
--- a/kernel/tests/release_support/mod.rs
+++ b/kernel/tests/release_model/trial.rs
@@ -1,7 +1,4 @@
-//! Simulated releases: two drivers, a store that can fail, hosts, and workers of two versions.
-
-pub(crate) mod store;
-mod traffic;
+//! One simulated release.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -16,7 +13,6 @@
 use borageladder_kernel::release::ReleaseDriver;
 use borageladder_kernel::release::ReleaseEvent;
 use borageladder_kernel::release::ReleaseEvidence;
-use borageladder_kernel::release::ReleaseOrder;
 use borageladder_kernel::release::ReleasePhase;
 use borageladder_kernel::release::ReleaseState;
 use borageladder_kernel::release::ReleaseStatus;
@@ -28,7 +24,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use store::SimulatedStore;
+use crate::store::SimulatedStore;
 
 pub(crate) const BOUNDS: ReleaseBounds = ReleaseBounds {
     exposure_share: 0.1,
@@ -39,8 +35,8 @@
 /// The time at which the order is written.
 pub(crate) const ORDER_AT: Duration = Duration::from_secs(2);
 
-const DRIVERS: usize = 2;
-const HOSTS: usize = 4;
+pub(crate) const DRIVERS: usize = 2;
+pub(crate) const HOSTS: usize = 4;
 const LOST_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 const STEP: Duration = Duration::from_millis(5);
 const FEED_INTERVAL: Duration = Duration::from_millis(250);
@@ -90,7 +86,7 @@
 }
 
 #[derive(Debug)]
-enum Step {
+pub(crate) enum Step {
     Read(usize, ClockTime),
     /// A write, and whether its answer arrives.
     Write(usize, Box<StateWrite>, bool),
@@ -100,17 +96,17 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Outcome {
+pub(crate) enum Outcome {
     After(Duration),
     Failed,
 }
 
-#[derive(Debug)]
-struct SimulatedHost {
-    known: Option<KnownRelease>,
-    next_poll: ClockTime,
-    next_report: ClockTime,
-    evidence: Option<ReleaseEvidence>,
+#[derive(Debug, Default)]
+pub(crate) struct SimulatedHost {
+    pub(crate) known: Option<KnownRelease>,
+    pub(crate) next_poll: ClockTime,
+    pub(crate) next_report: ClockTime,
+    pub(crate) evidence: Option<ReleaseEvidence>,
 }
 
 /// What was counted of the present order.
@@ -119,36 +115,35 @@
     pub(crate) requests: usize,
     pub(crate) target: usize,
     pub(crate) bad: usize,
-    fiftieth_bad: Option<ClockTime>,
+    pub(crate) fiftieth_bad: Option<ClockTime>,
 }
 
 pub(crate) struct Trial {
-    plan: TrialPlan,
-    random: StdRng,
+    pub(crate) plan: TrialPlan,
+    pub(crate) random: StdRng,
     pub(crate) now: ClockTime,
     pub(crate) store: SimulatedStore,
     pub(crate) store_up: bool,
-    drivers: Vec<ReleaseDriver>,
-    pub(crate) leading: [bool; DRIVERS],
-    /// The drivers that get no events.
+    pub(crate) drivers: Vec<ReleaseDriver>,
+    /// The drivers that process nothing until they resume.
     pub(crate) frozen: [bool; DRIVERS],
     pub(crate) readiness: FleetReadiness,
-    hosts: Vec<SimulatedHost>,
-    queue: BinaryHeap<Reverse<(ClockTime, usize)>>,
-    steps: Vec<Option<Step>>,
-    next_request: ClockTime,
-    next_tick: ClockTime,
-    next_feed: ClockTime,
+    pub(crate) hosts: Vec<SimulatedHost>,
+    pub(crate) queue: BinaryHeap<Reverse<(ClockTime, usize)>>,
+    pub(crate) steps: Vec<Option<Step>>,
+    pub(crate) next_request: ClockTime,
+    pub(crate) next_tick: ClockTime,
+    pub(crate) next_feed: ClockTime,
     /// The target's latest requests.
-    recent: Vec<ClockTime>,
-    order_at: ClockTime,
+    pub(crate) recent: Vec<ClockTime>,
+    pub(crate) order_at: ClockTime,
     pub(crate) exposure: Exposure,
     /// The final phase that hosts were told of the present order.
-    told: Option<ReleasePhase>,
+    pub(crate) told: Option<ReleasePhase>,
     pub(crate) ended_at: Option<ClockTime>,
 }
 
-fn host_name(number: usize) -> HostName {
+pub(crate) fn host_name(number: usize) -> HostName {
     format!("sapporo-{number}").parse().expect("a valid name")
 }
 
@@ -156,12 +151,7 @@
     pub(crate) fn new(plan: TrialPlan) -> Self {
         let service = "drafter".parse().expect("a valid name");
         let driver = ReleaseDriver::new(service, BOUNDS);
-        let hosts = (0..HOSTS).map(|_| SimulatedHost {
-            known: None,
-            next_poll: ClockTime::ZERO,
-            next_report: ClockTime::ZERO,
-            evidence: None,
-        });
+        let hosts = (0..HOSTS).map(|_| SimulatedHost::default());
         let mut trial = Self {
             plan,
             random: StdRng::seed_from_u64(plan.seed),
@@ -169,7 +159,6 @@
             store: SimulatedStore::default(),
             store_up: true,
             drivers: vec![driver; DRIVERS],
-            leading: [false; DRIVERS],
             frozen: [false; DRIVERS],
             readiness: FleetReadiness {
                 target: true,
@@ -200,19 +189,17 @@
         trial
     }
 
-    pub(crate) fn order(&mut self, target: &str) -> ReleaseOrder {
+    pub(crate) fn order(&mut self, target: &str) {
         self.order_at = self.now;
         self.exposure = Exposure::default();
         self.told = None;
         self.ended_at = None;
-        let order = self.store.write_order(target, DURATION);
         // A read that waits for a change ends at once.
         self.next_feed = self.now;
-        order
+        self.store.write_order(target, DURATION);
     }
 
     pub(crate) fn lead(&mut self, driver: usize, leading: bool) {
-        self.leading[driver] = leading;
         self.tell(driver, ReleaseEvent::RoleChanged { leading });
     }
 
@@ -223,6 +210,33 @@
         }
     }
 
+    pub(crate) const fn set_fault(&mut self, fault: TargetFault) {
+        self.plan.fault = fault;
+    }
+
+    /// Runs until a time while drivers freeze, change and lead together, and the store fails.
+    pub(crate) fn run_with_failures(&mut self, random: &mut StdRng, end: Duration) {
+        let mut copy = self.store.clone();
+        while self.now < ClockTime::ZERO + end {
+            let driver = random.random_range(0..DRIVERS);
+            match random.random_range(0..10) {
+                0 => self.frozen[driver] = !self.frozen[driver],
+                1..4 => self.lead(driver, random.random_bool(0.7)),
+                4 => self.store_up = !self.store_up,
+                5 => copy = self.store.clone(),
+                6 if self.store.era.0 < 2 => self.store.restore(copy.clone()),
+                _ => {}
+            }
+            let pause = Duration::from_millis(random.random_range(50..800));
+            self.run_until(self.now.since(ClockTime::ZERO) + pause);
+        }
+        self.store_up = true;
+        self.frozen = [false; DRIVERS];
+        // The events of the time in which they were frozen come first.
+        self.run_until(self.now.since(ClockTime::ZERO) + 2 * TICK_INTERVAL);
+        self.lead(0, true);
+    }
+
     pub(crate) fn status(&self) -> Option<ReleaseStatus> {
         self.store.status
     }
@@ -249,13 +263,13 @@
         }
     }
 
-    fn send(&mut self, delay: Duration, step: Step) {
+    pub(crate) fn send(&mut self, delay: Duration, step: Step) {
         self.queue
             .push(Reverse((self.now + delay, self.steps.len())));
         self.steps.push(Some(step));
     }
 
-    fn delay(&mut self) -> Duration {
+    pub(crate) fn delay(&mut self) -> Duration {
         Duration::from_millis(self.random.random_range(2..15))
     }
 
@@ -320,8 +334,11 @@
         }
     }
 
-    fn tell(&mut self, driver: usize, event: ReleaseEvent) {
+    pub(crate) fn tell(&mut self, driver: usize, event: ReleaseEvent) {
         if self.frozen[driver] {
+            if !matches!(event, ReleaseEvent::Tick) {
+                self.send(TICK_INTERVAL, Step::ToDriver(driver, event));
+            }
             return;
         }
         for action in self.drivers[driver].handle(self.now, event) {
--- a/kernel/tests/release_trials.rs
+++ b/kernel/tests/release_model/versions.rs
@@ -1,17 +1,15 @@
 //! Releases of good and bad versions under a simulated load, from the order to the end.
 
-mod release_support;
-
 use std::time::Duration;
 
 use borageladder_kernel::clock::ClockTime;
 use borageladder_kernel::release::ReleaseStatus;
 
-use release_support::DURATION;
-use release_support::ORDER_AT;
-use release_support::TargetFault;
-use release_support::Trial;
-use release_support::TrialPlan;
+use crate::trial::DURATION;
+use crate::trial::ORDER_AT;
+use crate::trial::TargetFault;
+use crate::trial::Trial;
+use crate::trial::TrialPlan;
 
 const SEEDS: u64 = 12;
 
--- a/kernel/tests/release_verdict.rs
+++ b/kernel/tests/release_verdict.rs
@@ -33,7 +33,7 @@
 }
 
 /// The faults of some answers, as probabilities.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Faults {
     failed: f64,
     lost: f64,
@@ -42,17 +42,22 @@
 }
 
 impl Faults {
-    const NONE: Self = Self {
-        failed: 0.0,
-        lost: 0.0,
-        slow: 0.0,
-    };
+    const NONE: Self = Self::new(0.0, 0.0, 0.0);
 
-    const fn failed(share: f64) -> Self {
-        Self {
-            failed: share,
-            ..Self::NONE
-        }
+    const fn new(failed: f64, lost: f64, slow: f64) -> Self {
+        Self { failed, lost, slow }
+    }
+
+    const fn failed(part: f64) -> Self {
+        Self::new(part, 0.0, 0.0)
+    }
+
+    const fn lost(part: f64) -> Self {
+        Self::new(0.0, part, 0.0)
+    }
+
+    const fn slow(part: f64) -> Self {
+        Self::new(0.0, 0.0, part)
     }
 
     /// Records an answer; returns whether it is bad.
@@ -130,9 +135,9 @@
     failing_rarely = { Faults::failed(0.03), 4 },
     failing_on_many_workers = { Faults::failed(0.3), 200 },
     failing_on_one_worker = { Faults::failed(0.3), 1 },
-    slow_in_part = { Faults { slow: 0.3, ..Faults::NONE }, 4 },
-    lost_in_part = { Faults { lost: 0.3, ..Faults::NONE }, 8 },
-    failing_and_slow = { Faults { failed: 0.1, slow: 0.1, lost: 0.0 }, 4 },
+    slow_in_part = { Faults::slow(0.3), 4 },
+    lost_in_part = { Faults::lost(0.3), 8 },
+    failing_and_slow = { Faults::new(0.1, 0.0, 0.1), 4 },
 )]
 fn a_bad_version_is_found_by_its_50th_bad_answer(faults: Faults, workers: usize) {
     for seed in 0..SEEDS {
@@ -199,22 +204,10 @@
     all_sound = { Faults::NONE, &[Faults::NONE; 4] },
     half_of_all_answers_fail = { Faults::failed(0.5), &[Faults::failed(0.5); 4] },
     everything_fails = { Faults::failed(1.0), &[Faults::failed(1.0); 4] },
-    slow_answers_on_both_sides = {
-        Faults { slow: 0.3, ..Faults::NONE },
-        &[Faults { slow: 0.3, ..Faults::NONE }; 4]
-    },
-    crashes_on_both_sides = {
-        Faults { lost: 0.1, ..Faults::NONE },
-        &[Faults { lost: 0.1, ..Faults::NONE }; 4]
-    },
-    one_of_four_workers_fails = {
-        Faults::NONE,
-        &[Faults::failed(1.0), Faults::NONE, Faults::NONE, Faults::NONE]
-    },
-    one_of_three_workers_is_slow = {
-        Faults::NONE,
-        &[Faults { slow: 1.0, ..Faults::NONE }, Faults::NONE, Faults::NONE]
-    },
+    slow_answers_on_both_sides = { Faults::slow(0.3), &[Faults::slow(0.3); 4] },
+    crashes_on_both_sides = { Faults::lost(0.1), &[Faults::lost(0.1); 4] },
+    one_of_three_fails = { Faults::NONE, &[Faults::failed(1.0), Faults::NONE, Faults::NONE] },
+    one_of_three_is_slow = { Faults::NONE, &[Faults::slow(1.0), Faults::NONE, Faults::NONE] },
     the_baseline_is_worse = { Faults::failed(0.3), &[Faults::NONE; 4] },
 )]
 fn a_good_version_is_not_bad(baseline: Faults, workers: &[Faults]) {
