Leave room for chance in the shift of a release

Exposure exceeded its bound in 1 of 100 trials of a version that fails on one route at 60 requests/s (126 requests of 121): the shift now leaves 1.5 standard deviations of the coming requests. Good versions were held up past the deadline by a demand for recent answers that chance did not meet, and reverted beside a failing worker by doubts about 3.6 % of failures (3 of 150 at 30 s); the demand is now statistical and the doubt needs 4 %.

--- a/kernel/src/release/driver/progress.rs
+++ b/kernel/src/release/driver/progress.rs
@@ -29,8 +29,12 @@
 /// requests.
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
 
-/// The part of the target's expected answers that must have come lately before the shift begins.
-const MIN_ANSWERED_PART: f64 = 0.5;
+/// The time that a new driver observes the answers before it begins the shift.
+const OBSERVATION_TIME: Duration = Duration::from_millis(1_500);
+
+/// The standard deviations by which the target's recent answers may be below the expected number when the
+/// shift begins.
+const ANSWER_DEVIATIONS: f64 = 3.0;
 
 /// The number of recent answers that is enough for the shift to begin.
 const ENOUGH_ANSWERS: f64 = 8.0;
@@ -180,8 +184,8 @@
         is_fit: bool,
     ) -> Option<ReleaseState> {
         let schedule = ReleaseSchedule::new(self.bounds, state.order.duration);
-        if is_fit && schedule.allows_shift(load) && self.has_recent_answers(state) {
-            let first = ReleaseSchedule::next_step(TrafficShare::NONE)?;
+        if is_fit && schedule.allows_shift(load) && self.has_recent_answers(now, state) {
+            let first = ReleaseSchedule::next_step(TrafficShare::NONE, load.left)?;
             return Some(self.changed(state, ReleasePhase::Shift, first.max(state.share)));
         }
         let share = schedule.canary_share(load);
@@ -210,7 +214,7 @@
         if !is_fit || !is_over {
             return None;
         }
-        match ReleaseSchedule::next_step(state.share) {
+        match ReleaseSchedule::next_step(state.share, load.left) {
             None => Some(self.changed(state, ReleasePhase::Completed, TrafficShare::ALL)),
             Some(next) => (next <= limit).then(|| self.changed(state, ReleasePhase::Shift, next)),
         }
@@ -303,14 +307,19 @@
         clippy::cast_precision_loss,
         reason = "a release has far fewer requests than 2^52"
     )]
-    fn has_recent_answers(&self, state: &ReleaseState) -> bool {
+    fn has_recent_answers(&self, now: ClockTime, state: &ReleaseState) -> bool {
+        let leading = self.leading_since.map(|since| now.since(since));
+        if leading.is_none_or(|leading| leading < OBSERVATION_TIME) {
+            return false;
+        }
         let Some(table) = self.evidence_for(state) else {
             return true;
         };
         let [target, baseline] = [VersionSide::Target, VersionSide::Baseline]
             .map(|side| self.observations.recent_answers(table.total(), side) as f64);
         let expected = (target + baseline) * state.share.ratio();
-        target >= (expected * MIN_ANSWERED_PART).min(ENOUGH_ANSWERS)
+        let explained = ANSWER_DEVIATIONS.mul_add(-expected.sqrt(), expected);
+        target >= explained.min(ENOUGH_ANSWERS)
     }
 
     /// Returns how long the store has held a state, and sets the duration of a new step.
--- a/kernel/src/release/schedule.rs
+++ b/kernel/src/release/schedule.rs
@@ -11,14 +11,21 @@
 
 /// The part of the bounds that the target may have had at the deadline after a shift. It is higher than
 /// [`PLANNED_PART`], because a shift is short and the driver hears of the requests meanwhile.
-const SHIFT_PART: f64 = 0.92;
+const SHIFT_PART: f64 = 0.95;
+
+/// The standard deviations of the number of coming requests that a shift leaves room for.
+const RATE_DEVIATIONS: f64 = 1.5;
 
 /// The part of the bounds at which a shift that has begun goes no further. It is above [`SHIFT_PART`], so
 /// that a shift is not held up by errors of counting.
 const LIMIT_PART: f64 = 1.0;
 
-/// The parts of the bounds that the canary uses up at a steady rate, at least and at most.
-const CANARY_PARTS: [f64; 2] = [0.2, 0.7];
+/// The parts of the bounds that the canary uses up at a steady rate: the least, the most that it takes from
+/// the shift for the sake of [`WANTED_CANARY_REQUESTS`], and the most.
+const CANARY_PARTS: [f64; 3] = [0.12, 0.4, 0.7];
+
+/// The number of requests of a canary from which a bad version can be told.
+const WANTED_CANARY_REQUESTS: f64 = 50.0;
 
 /// How the rate of requests may rise before the driver hears of it: tenfold and by this number in a
 /// second. Half of the headroom is kept for this.
@@ -34,6 +41,9 @@
 /// requirements, and the time of two ticks and of the write.
 const COMPLETION_LEAD: Duration = Duration::from_millis(370);
 
+/// The shortest time from the last step to the completion, in which most hosts take the state.
+const MIN_FULL_TIME: Duration = Duration::from_millis(100);
+
 /// The time from the decision on a step until the driver knows that the store holds it: a tick, the write
 /// and a read.
 const STEP_OVERHEAD: Duration = Duration::from_millis(50);
@@ -46,8 +56,8 @@
 /// more, but their rate can rise many times over before the driver hears of it.
 const MAX_STEP_TIME: Duration = Duration::from_millis(500);
 
-/// The time that a step takes after the deadline, when nothing is gained by more haste.
-const LATE_STEP_TIME: Duration = Duration::from_millis(300);
+/// The time that a step takes after the deadline, when evidence counts for more than haste.
+const LATE_STEP_TIME: Duration = Duration::from_millis(600);
 
 /// The bounds on the requests that a bad version may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -161,7 +171,13 @@
         let bound = self.bounds.exposure_share + headroom;
         let shift = WANTED_STEP_TIME.as_secs_f64() * step_sum() + full_time_after(load);
         let after_shift = SHIFT_PART * bound - shift / self.duration.as_secs_f64();
-        let steady = after_shift.clamp(CANARY_PARTS[0] * bound, CANARY_PARTS[1] * bound);
+        let samples = if whole > 0.0 {
+            WANTED_CANARY_REQUESTS / whole
+        } else {
+            0.0
+        };
+        let least = samples.clamp(CANARY_PARTS[0] * bound, CANARY_PARTS[1] * bound);
+        let steady = after_shift.clamp(least, CANARY_PARTS[2] * bound);
         let risen = MAX_RATE_RISE[0].mul_add(load.rate, MAX_RATE_RISE[1]);
         let limit = self.bounds.exposure_share + self.bounds.exposure_headroom / 2.0 / risen;
         // Half of the headroom is left for requests that reach the target before and after a verdict.
@@ -176,7 +192,8 @@
     /// only by their answers.
     #[must_use]
     pub fn allows_shift(&self, load: &ReleaseLoad) -> bool {
-        let room = self.budget(SHIFT_PART, 1.0, load) - load.target_requests();
+        let deviation = RATE_DEVIATIONS * load.coming().sqrt();
+        let room = self.budget(SHIFT_PART, 1.0, load) - load.target_requests() - deviation;
         // The time for which all requests may go to the target.
         let full = if load.rate > 0.0 {
             (room / load.rate).max(0.0)
@@ -201,6 +218,11 @@
         if left.is_zero() {
             return LATE_STEP_TIME;
         }
+        if share == TrafficShare::ALL {
+            let latest = left.saturating_sub(STEP_OVERHEAD);
+            let available = left.saturating_sub(COMPLETION_LEAD);
+            return available.max(MIN_FULL_TIME.min(latest));
+        }
         let following = steps().filter(|step| *step > share).count();
         let following = u32::try_from(following).unwrap_or(0);
         let reserved = COMPLETION_LEAD + STEP_OVERHEAD * following;
@@ -213,10 +235,13 @@
         TrafficShare::from_ratio(load.share_within(self.budget(LIMIT_PART, 1.0, load)))
     }
 
-    /// Returns the share of a shift that follows a share; `None` after the last.
+    /// Returns the share of a shift that follows a share, with `left` until the deadline; `None` after the
+    /// last. Steps are skipped if there is no time for them.
     #[must_use]
-    pub fn next_step(share: TrafficShare) -> Option<TrafficShare> {
-        steps().find(|step| *step > share)
+    pub fn next_step(share: TrafficShare, left: Duration) -> Option<TrafficShare> {
+        let is_short = !left.is_zero() && left <= COMPLETION_LEAD;
+        let mut steps = steps().filter(|step| *step > share);
+        if is_short { steps.last() } else { steps.next() }
     }
 
     /// Returns the number of requests that the target may have had by the deadline, by a part of the
--- a/kernel/src/release/verdict/comparison.rs
+++ b/kernel/src/release/verdict/comparison.rs
@@ -61,7 +61,7 @@
 /// The bounds by which a target is doubtful.
 const DOUBT_BOUNDS: TestBounds = TestBounds {
     bad: 4,
-    difference: 0.02,
+    difference: 0.04,
     score: 3.0,
 };
 
