Let requests that miss their latency target wait for idle slots (late_work)

Cause: a request that cannot start within its latency target is refused at once, and one that waits is refused when the target has passed, although an answer before the deadline is still of use and slots are idle seconds later.

Change: with late_work such a request waits in a second class behind all requests that can be in time. It is admitted if an upper estimate of the work ahead lets it start within three quarters of its caller's patience and before its deadline less its predicted run. After a late request is refused after its wait, the lane admits none until slots are idle. Late work leaves a reserve of free slots. New requests count a part of the time until slots are released, so that fewer are admitted and then miss their target. Off by default; then nothing changes.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -136,63 +136,70 @@
     ) {
         self.arrivals += 1;
         let deadline = now + ask.budget;
-        let key = QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals);
         let estimate = self.service_estimate(lane, &ask);
-        if self.policy.refuses_early() && self.taken_over {
-            let wait = self.predicted_wait(now, lane, &key);
-            let max_wait = self.max_wait(&ask, ask.budget, estimate.quickest);
-            let too_late = wait > max_wait && !self.can_start_now(now, &host, &ask, lane, &key);
-            if too_late || estimate.quickest > ask.budget {
-                let excess = wait.saturating_sub(max_wait);
-                let retry_after = self.retry_after_for(now, lane, &ask, ask.budget, excess);
-                Self::refuse_ask(host, &ask, RefusalReason::Deadline, retry_after, actions);
-                return;
-            }
-        }
-        self.workers.lanes[lane]
-            .load
-            .arrived(now, ask.tier, estimate.work);
-        let queue = if ask.suspect {
-            QueueKind::Exclusive
-        } else {
-            QueueKind::Ready
-        };
-        let request = ask.request;
-        self.waiting.insert(WaitingRecord {
+        let max_wait = self.max_wait(&ask, ask.budget, estimate.quickest);
+        let mut record = WaitingRecord {
             host,
             lane,
-            key,
+            key: QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals),
             arrived_at: now,
             deadline,
-            latest_start: now + self.max_wait(&ask, ask.budget, estimate.quickest),
+            latest_start: now + max_wait,
             work: estimate.work,
-            queue,
+            queue: if ask.suspect {
+                QueueKind::Exclusive
+            } else {
+                QueueKind::Ready
+            },
             deferred_until: None,
             deferral_spent: false,
             ask,
-        });
-        self.workers.lanes[lane].tally.add(&key, estimate.work);
-        self.enqueue(now, request);
+        };
+        if self.policy.refuses_early() && self.taken_over {
+            let slots = self.available_slots(now, lane, record.key.tier);
+            let wait = self.predicted_wait(now, lane, &record.key)
+                + self.release_wait(lane).div_f64(slots);
+            let too_late = wait > max_wait && !self.can_start_now(now, &record);
+            if (too_late || estimate.quickest > record.ask.budget)
+                && !self.make_late(now, &mut record)
+            {
+                let ask = &record.ask;
+                let excess = wait.saturating_sub(max_wait);
+                let retry_after = self.retry_after_for(now, lane, ask, ask.budget, excess);
+                let reason = RefusalReason::Deadline;
+                Self::refuse_ask(record.host, ask, reason, retry_after, actions);
+                return;
+            }
+        }
+        if !record.key.is_late() {
+            let load = &mut self.workers.lanes[lane].load;
+            load.arrived(now, record.ask.tier, estimate.work);
+        }
+        self.insert_waiting(now, record);
         self.shed_excess(now, actions);
     }
 
+    /// Adds a request to the waiting ones and to the queue in which it waits.
+    pub(super) fn insert_waiting(&mut self, now: ClockTime, record: WaitingRecord) {
+        let request = record.ask.request;
+        let lane = &mut self.workers.lanes[record.lane];
+        lane.tally.add(&record.key, record.work);
+        self.waiting.insert(record);
+        self.enqueue(now, request);
+    }
+
     /// Returns whether an ask can get a free slot immediately on a worker that the policy accepts.
     ///
     /// Requests that wait for one particular worker are ignored: they don't take the free slots of
     /// other workers.
-    fn can_start_now(
-        &mut self,
-        now: ClockTime,
-        host: &HostName,
-        ask: &Ask,
-        lane: usize,
-        key: &QueueKey,
-    ) -> bool {
-        if !self.workers.lanes[lane].is_next(key) {
+    fn can_start_now(&mut self, now: ClockTime, record: &WaitingRecord) -> bool {
+        let WaitingRecord { ask, lane, .. } = record;
+        if !self.workers.lanes[*lane].is_next(&record.key) {
             return false;
         }
         let mut list = std::mem::take(&mut self.scratch);
-        self.list_candidates(now, lane, ask, self.host_locations.get(host), &mut list);
+        let host_location = self.host_locations.get(&record.host);
+        self.list_candidates(now, *lane, ask, host_location, &mut list);
         let view = ChoiceView {
             ask,
             remaining: ask.budget,
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -6,6 +6,7 @@
 use super::grants::GrantObservation;
 use super::grants::GrantRecord;
 use super::grants::GrantState;
+use super::late::without_wait;
 use super::timers::BrokerTimer;
 use super::waiting::QueueKind;
 use super::waiting::WaitingRecord;
@@ -48,7 +49,10 @@
             while let Some(entry) = self.next_ready() {
                 self.assign_request(now, entry.request, actions);
             }
-            if !self.assign_suspects(now, actions) {
+            if self.assign_suspects(now, actions) {
+                continue;
+            }
+            if !self.assign_late(now, actions) {
                 return;
             }
         }
@@ -66,10 +70,11 @@
         let awaited_workers = self.workers.awaited_workers.iter();
         let waiters =
             awaited_workers.filter_map(|worker| self.workers.records[*worker].waiters.first());
-        ready.chain(waiters).min_by_key(|entry| entry.key)
+        let in_time = ready.chain(waiters).filter(|entry| !entry.key.is_late());
+        in_time.min_by_key(|entry| entry.key)
     }
 
-    fn assign_request(
+    pub(super) fn assign_request(
         &mut self,
         now: ClockTime,
         request: RequestId,
@@ -89,17 +94,23 @@
         let mut list = std::mem::take(&mut self.scratch);
         let host_location = self.host_locations.get(&record.host);
         self.list_candidates(now, lane, &record.ask, host_location, &mut list);
+        let is_late = record.key.is_late();
         let first = record.ask.prefix.first();
         let holders = first.map_or(0, |digest| self.workers.index.holders(*digest).len());
         let view = ChoiceView {
             ask: &record.ask,
             remaining,
-            deferral_spent: record.deferral_spent,
+            deferral_spent: record.deferral_spent || is_late,
             grants: self.grant_count,
             holders,
             candidates: &list.candidates,
         };
         let choice = choose_probe(&view).unwrap_or_else(|| self.policy.choose(&view));
+        let choice = if is_late {
+            without_wait(&view, choice)
+        } else {
+            choice
+        };
         self.apply_choice(now, request, choice, &list.workers, actions);
         self.scratch = list;
     }
@@ -184,6 +195,7 @@
         let id = self.next_grant();
         let expires = now + self.settings.grant_lifetime;
         let uncached_tokens = self.occupy_slot(now, worker, &waiting);
+        self.count_granted(worker, &waiting);
         self.count_sent(now, worker);
         let grant = Grant {
             grant: id,
@@ -205,6 +217,7 @@
             expires,
             issued_at: Some(now),
             started: now,
+            work: waiting.work,
             release_at: None,
             rate_named: false,
             uncached_tokens,
--- a/kernel/src/broker/grants.rs
+++ b/kernel/src/broker/grants.rs
@@ -1,6 +1,7 @@
 //! The grants of a broker, from issue to release.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::clock::ClockTime;
 use crate::name::BlockDigest;
@@ -52,6 +53,8 @@
     pub issued_at: Option<ClockTime>,
     /// The time at which the dispatch was reported, or that of the grant before the report.
     pub started: ClockTime,
+    /// The predicted time for which the request holds the slot.
+    pub work: Duration,
     /// The time at which the slot is released; `None` unless the host is lost.
     pub release_at: Option<ClockTime>,
     /// Whether the answer named the rate of requests that the worker takes.
@@ -97,6 +100,11 @@
         Some(record)
     }
 
+    /// Iterates over all grants that hold a slot.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &GrantRecord> {
+        self.records.values()
+    }
+
     /// Returns the latest grant of a request that still holds a slot.
     pub(super) fn of_request(&self, request: RequestId) -> Option<GrantId> {
         self.requests.get(&request).copied()
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use super::late::LateAdmission;
+use super::records::RunningTime;
 use super::records::WorkerHealth;
 use super::records::WorkerRecord;
 use crate::ask::Ask;
@@ -91,6 +93,10 @@
     pub reserved: Option<usize>,
     /// The predicted work of all waiting requests.
     pub tally: WorkTally,
+    /// The predicted slot time of the requests that run on the workers.
+    pub running: RunningTime,
+    /// The admission of late work.
+    pub late: LateAdmission,
     /// The recent load by tier.
     pub load: ArrivalLoad,
     /// The retry-after times given to refused callers.
@@ -125,6 +131,7 @@
 /// Recomputes the number of slots and the speeds of a lane from the records of its workers.
 pub(super) fn measure_lane(now: ClockTime, lane: &mut WorkLane, records: &[WorkerRecord]) {
     let mut slots = 0_u32;
+    let mut running = RunningTime::default();
     let mut paced = true;
     let mut reopens_at = None;
     let mut gaps = Vec::with_capacity(lane.workers.len());
@@ -132,6 +139,7 @@
     for position in &lane.workers {
         let record = &records[*position];
         slots = slots.saturating_add(record.usable_slots(now));
+        running += record.running;
         paced &= record.pace.is_some() || !record.eligible();
         if record.eligible() {
             let at = now + record.pushback.wait(now);
@@ -147,6 +155,7 @@
     let unknown = WorkerSpeed::default();
     lane.fastest_workers = fastest_workers(lane, records);
     lane.slots = slots;
+    lane.running = running;
     lane.paced = paced;
     lane.reopens_at = reopens_at.unwrap_or_default();
     // Plain services have no token speeds; their times come from completed requests.
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -17,6 +17,7 @@
 mod grants;
 mod health;
 mod lanes;
+mod late;
 mod pushback;
 mod rates;
 mod records;
@@ -39,6 +40,7 @@
 use self::grants::GrantLedger;
 pub use self::health::WorkerSuspension;
 use self::lanes::LaneKey;
+pub use self::late::LateCounts;
 use self::records::WorkerHealth;
 use self::records::WorkerRecord;
 use self::reports::OrphanedWork;
@@ -145,6 +147,8 @@
     running_suspects: usize,
     /// The time from which the next suspect may be granted a slot, if they run one by one.
     next_suspect_at: ClockTime,
+    /// The late requests started and refused that [`Self::take_late_counts`] has not returned yet.
+    late_counts: LateCounts,
     /// The suspensions that [`Self::take_suspensions`] has not returned yet.
     suspensions: Vec<WorkerSuspension>,
     /// The buffers of the last candidate list, kept to save allocations.
@@ -191,6 +195,7 @@
             orphans: Vec::new(),
             running_suspects: 0,
             next_suspect_at: now,
+            late_counts: LateCounts::default(),
             suspensions: Vec::new(),
             scratch: CandidateList::default(),
             host_locations: BTreeMap::new(),
--- a/kernel/src/broker/records.rs
+++ b/kernel/src/broker/records.rs
@@ -1,5 +1,6 @@
 //! The state that a broker keeps for one worker.
 
+use std::ops::AddAssign;
 use std::time::Duration;
 
 use super::blame::FailureBlame;
@@ -43,6 +44,22 @@
     },
 }
 
+/// The predicted slot time of running requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RunningTime {
+    /// The time from their start to their end.
+    pub whole: Duration,
+    /// The part of it that is left.
+    pub left: Duration,
+}
+
+impl AddAssign for RunningTime {
+    fn add_assign(&mut self, rhs: Self) {
+        self.whole += rhs.whole;
+        self.left += rhs.left;
+    }
+}
+
 /// A worker that the broker grants slots on.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerRecord {
@@ -78,6 +95,8 @@
     pub unanswered: u32,
     /// The uncached prompt tokens of the requests that have not produced a first token.
     pub prefilling: u64,
+    /// The predicted slot time of the running requests.
+    pub running: RunningTime,
     /// The moving average of the time that a request holds a slot; `None` before the first one.
     pub mean_hold_micros: Option<u64>,
     /// The pace of a worker that names a rate; `None` if it takes requests at any rate.
@@ -113,6 +132,7 @@
             used: 0,
             unanswered: 0,
             prefilling: 0,
+            running: RunningTime::default(),
             mean_hold_micros: None,
             pace: None,
             pushback: WorkerPushback::default(),
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -359,6 +359,7 @@
             expires: now,
             issued_at: None,
             started: now,
+            work: self.workers.records[worker].mean_hold(),
             release_at: None,
             rate_named: false,
             uncached_tokens: 0,
--- a/kernel/src/broker/settings.rs
+++ b/kernel/src/broker/settings.rs
@@ -47,6 +47,9 @@
     pub seed: u64,
     /// How suspects are granted slots.
     pub suspects: SuspectPlacement,
+    /// Whether requests that can no longer meet their latency target wait in a class of their own
+    /// instead of being refused.
+    pub late_work: bool,
 }
 
 impl Default for BrokerSettings {
@@ -59,6 +62,7 @@
             takeover_time: Duration::from_secs(1),
             seed: 0,
             suspects: SuspectPlacement::Alone,
+            late_work: false,
         }
     }
 }
@@ -112,6 +116,13 @@
         self.suspects = placement;
         self
     }
+
+    /// Sets whether requests that can no longer meet their latency target wait for idle slots.
+    #[must_use]
+    pub const fn with_late_work(mut self, late_work: bool) -> Self {
+        self.late_work = late_work;
+        self
+    }
 }
 
 /// An error that prevents the creation of a broker.
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -40,12 +40,15 @@
     ///
     /// Only two requests of the tier are compared: the one with the earliest latest start and the
     /// last one in queue order. Under arrival order, the last request is shed regardless of its
-    /// tier.
+    /// tier. Late work is shed before any request that can be in time.
     fn shedding_victim(&self, now: ClockTime) -> Option<RequestId> {
         let last = self.waiting.last()?;
         if self.policy.order() == QueueOrder::Arrival {
             return Some(last);
         }
+        if self.waiting.get(last)?.key.is_late() {
+            return Some(last);
+        }
         let tightest = self.waiting.tightest_in_lowest_tier()?;
         if self.slack(now, tightest) < self.slack(now, last) {
             Some(tightest)
@@ -78,9 +81,12 @@
                 return;
             };
             self.last_swept = Some(entry.key);
+            if entry.key.is_late() {
+                continue;
+            }
             self.update_latest_start(entry.request);
             if self.slack(now, entry.request) < 0 {
-                self.refuse_waiting(now, entry.request, RefusalReason::Deadline, actions);
+                self.refuse_or_demote(now, entry.request, actions);
             }
         }
     }
@@ -120,6 +126,7 @@
         let Some(record) = self.remove_waiting(now, request) else {
             return;
         };
+        self.late_counts.refused += u64::from(record.key.is_late());
         let delay = self.predicted_delay(now, &record);
         let remaining = record.deadline.since(now);
         let retry_after = self.retry_after_for(now, record.lane, &record.ask, remaining, delay);
--- a/kernel/src/broker/timers.rs
+++ b/kernel/src/broker/timers.rs
@@ -6,7 +6,6 @@
 use super::grants::GrantState;
 use super::waiting::QueueKind;
 use crate::ask::BrokerAction;
-use crate::ask::RefusalReason;
 use crate::clock::ClockTime;
 use crate::name::GrantId;
 use crate::name::RequestId;
@@ -67,11 +66,13 @@
             self.refuse_unserved(now, actions);
         }
         while let Some(request) = self.waiting.find_overdue(now) {
-            self.refuse_waiting(now, request, RefusalReason::Deadline, actions);
+            self.refuse_or_demote(now, request, actions);
         }
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
+            self.measure_running(now);
             self.workers.measure(now);
+            self.reopen_late(now);
             self.detect_stragglers(now);
             self.sweep_waiting(now, actions);
         }
--- a/kernel/src/load.rs
+++ b/kernel/src/load.rs
@@ -63,4 +63,10 @@
         let higher = self.tiers.range(..tier);
         higher.map(|(_, load)| load.at(now)).sum()
     }
+
+    /// Returns the mean number of slots that the work of all tiers occupies.
+    #[must_use]
+    pub fn total(&self, now: ClockTime) -> f64 {
+        self.tiers.values().map(|load| load.at(now)).sum()
+    }
 }
--- a/kernel/src/queue.rs
+++ b/kernel/src/queue.rs
@@ -26,12 +26,25 @@
     TierDeadline,
 }
 
+/// The class of a waiting request; all requests of the first class precede those of the second.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum QueueClass {
+    /// The request can still meet its latency target.
+    #[default]
+    InTime,
+    /// The request can only be answered after its latency target.
+    Late,
+}
+
 /// The sort key of a waiting request; smaller keys are served first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct QueueKey {
+    /// The class, which precedes the tier.
+    pub class: QueueClass,
     /// The tier, or zero where the order is by arrival.
     pub tier: TierRank,
-    /// The deadline, or zero where the order is by arrival.
+    /// The deadline, or zero where the order is by arrival; in the late class the latest useful
+    /// start.
     pub due: ClockTime,
     /// The arrival number of the request, which breaks ties.
     pub sequence: u64,
@@ -58,17 +71,43 @@
     pub const fn new(order: QueueOrder, tier: TierRank, due: ClockTime, sequence: u64) -> Self {
         match order {
             QueueOrder::Arrival => Self {
+                class: QueueClass::InTime,
                 tier: TierRank(0),
                 due: ClockTime::ZERO,
                 sequence,
             },
             QueueOrder::TierDeadline => Self {
+                class: QueueClass::InTime,
                 tier,
                 due,
                 sequence,
             },
         }
     }
+
+    /// Creates the key of a request of the late class, ordered by tier and latest useful start.
+    #[must_use]
+    pub const fn late(tier: TierRank, latest_start: ClockTime, sequence: u64) -> Self {
+        Self {
+            class: QueueClass::Late,
+            tier,
+            due: latest_start,
+            sequence,
+        }
+    }
+
+    /// Returns whether the request is of the late class.
+    #[must_use]
+    pub const fn is_late(&self) -> bool {
+        matches!(self.class, QueueClass::Late)
+    }
+
+    const fn group(&self) -> TallyGroup {
+        TallyGroup {
+            class: self.class,
+            tier: self.tier,
+        }
+    }
 }
 
 /// Waiting requests, sorted by key and counted by tier.
@@ -157,19 +196,27 @@
     }
 }
 
-/// The predicted work of waiting requests by tier and deadline, with prefix sums in logarithmic
+/// The predicted work of waiting requests by class, tier and deadline, with prefix sums in logarithmic
 /// time.
 ///
 /// Deadlines fall into buckets of a millisecond; each bucket of a higher level sums 64 buckets of
 /// the level below it.
 #[derive(Clone, Debug, Default)]
 pub struct WorkTally {
-    tiers: BTreeMap<TierRank, TierTally>,
+    tiers: BTreeMap<TallyGroup, TierTally>,
+}
+
+/// The class and the tier whose work is summed, in the order in which they are served.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct TallyGroup {
+    class: QueueClass,
+    tier: TierRank,
 }
 
-/// The work of one tier, in microseconds.
+/// The work of one tier in a class, in microseconds.
 #[derive(Clone, Debug, Default)]
 struct TierTally {
+    count: usize,
     total: u64,
     levels: [BTreeMap<u64, u64>; LEVEL_COUNT],
 }
@@ -177,8 +224,9 @@
 impl WorkTally {
     /// Adds the predicted work of a request.
     pub fn add(&mut self, key: &QueueKey, work: Duration) {
-        let tally = self.tiers.entry(key.tier).or_default();
+        let tally = self.tiers.entry(key.group()).or_default();
         let work = micros(work);
+        tally.count += 1;
         tally.total += work;
         let mut bucket = key.due.as_micros() / BUCKET_MICROS;
         for level in &mut tally.levels {
@@ -189,10 +237,11 @@
 
     /// Removes the work of a request that was added with the same key and work.
     pub fn remove(&mut self, key: &QueueKey, work: Duration) {
-        let Some(tally) = self.tiers.get_mut(&key.tier) else {
+        let Some(tally) = self.tiers.get_mut(&key.group()) else {
             return;
         };
         let work = micros(work);
+        tally.count = tally.count.saturating_sub(1);
         tally.total = tally.total.saturating_sub(work);
         let mut bucket = key.due.as_micros() / BUCKET_MICROS;
         for level in &mut tally.levels {
@@ -214,15 +263,34 @@
     pub fn before(&self, key: &QueueKey) -> Duration {
         let higher: u64 = self
             .tiers
-            .range(..key.tier)
+            .range(..key.group())
             .map(|(_, tally)| tally.total)
             .sum();
         let same = self
             .tiers
-            .get(&key.tier)
+            .get(&key.group())
             .map_or(0, |tally| tally.before(key.due));
         Duration::from_micros(higher + same)
     }
+
+    /// Returns the number of requests of a class.
+    #[must_use]
+    pub fn count(&self, class: QueueClass) -> usize {
+        self.of_class(class).map(|tally| tally.count).sum()
+    }
+
+    /// Returns the work of a class.
+    #[must_use]
+    pub fn total(&self, class: QueueClass) -> Duration {
+        Duration::from_micros(self.of_class(class).map(|tally| tally.total).sum())
+    }
+
+    fn of_class(&self, class: QueueClass) -> impl Iterator<Item = &TierTally> {
+        let groups = self.tiers.iter();
+        groups
+            .filter(move |(group, _)| group.class == class)
+            .map(|(_, tally)| tally)
+    }
 }
 
 impl TierTally {
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -3,7 +3,9 @@
 mod faults;
 mod grants;
 mod harness;
+mod late_work;
 mod latency_targets;
+mod load_run;
 mod prefixes;
 mod rates;
 mod rejections;
--- a/src/activity.rs
+++ b/src/activity.rs
@@ -59,6 +59,9 @@
         for (cell, suspension) in source.cells().take_suspensions() {
             log_suspension(source.log(), &cell, &suspension);
         }
+        for (cell, counts) in source.cells().take_late_counts() {
+            metrics.late_ended(&cell.service, counts);
+        }
         log_event!(source.log(), LogEvent::HostActivity,
             "timer_delay_ms" => whole_millis(delay),
             "processor_ms" => used.map(whole_millis),
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -11,6 +11,7 @@
 use crate::kernel::broker::BrokerError;
 use crate::kernel::broker::BrokerSettings;
 use crate::kernel::broker::CellBroker;
+use crate::kernel::broker::LateCounts;
 use crate::kernel::broker::WorkerSuspension;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::Configuration;
@@ -171,6 +172,15 @@
         suspensions
     }
 
+    /// Returns the late requests started and refused since the last call, with their cells.
+    pub fn take_late_counts(&mut self) -> Vec<(CellId, LateCounts)> {
+        let brokers = self.brokers.iter_mut();
+        let counts = brokers.map(|(cell, broker)| (cell.clone(), broker.take_late_counts()));
+        counts
+            .filter(|(_, counts)| *counts != LateCounts::default())
+            .collect()
+    }
+
     /// Sets the location of a host for the broker of a cell; without effect if that does not run
     /// here.
     pub fn set_host_location(&mut self, cell: &CellId, host: &HostName, location: NetworkLocation) {
--- a/src/cell/roles.rs
+++ b/src/cell/roles.rs
@@ -14,6 +14,7 @@
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::broker::CellBroker;
+use crate::kernel::broker::LateCounts;
 use crate::kernel::broker::WorkerSuspension;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::location::NetworkLocation;
@@ -89,6 +90,11 @@
         self.brokers.borrow_mut().take_suspensions()
     }
 
+    /// Returns the late requests that the brokers here started and refused since the last call.
+    pub fn take_late_counts(&self) -> Vec<(CellId, LateCounts)> {
+        self.brokers.borrow_mut().take_late_counts()
+    }
+
     /// Returns the cells for which a broker runs on this host.
     #[must_use]
     pub fn own_cells(&self) -> Vec<CellId> {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -92,6 +92,10 @@
     /// to the others.
     #[serde(default = "default_direct_hosts")]
     pub direct_hosts: usize,
+    /// Whether requests that can no longer meet their latency target wait for idle slots instead of
+    /// being refused.
+    #[serde(default)]
+    pub late_work: bool,
     /// The limits set by the operators of the deployment.
     pub bounds: GatewayBounds,
 }
--- a/src/metering.rs
+++ b/src/metering.rs
@@ -140,6 +140,7 @@
                 .map(|worker| u64::from(worker.running))
                 .sum();
             metrics.set_slots(&cell.service, limit, used);
+            metrics.set_late_waiting(&cell.service, broker.late_waiting() as u64);
         }
     });
 }
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -85,6 +85,10 @@
         "Requests whose complete answer arrived within the deadline; divided by all valid requests that ended, the goodput.";
     GOODPUT_TOKENS Counter "borageladder_goodput_tokens" ["service" "tier"]
         "Tokens of complete answers that arrived within the deadline.";
+    LATE_REQUESTS Counter "borageladder_late_requests" ["outcome" "service"]
+        "Late requests that waited at the brokers of the host and were granted a slot (started) or refused (refused).";
+    LATE_WAITING Gauge "borageladder_late_waiting_requests" ["service"]
+        "Late requests that wait at the brokers of the host.";
     LINK_HANDSHAKES Counter "borageladder_link_handshakes" ["outcome"]
         "Handshakes of links that were begun, failed, or were delayed since too many were in progress.";
     LINK_MESSAGES Counter "borageladder_link_messages" ["direction" "kind"]
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -22,6 +22,7 @@
 use crate::wire::MessageKind;
 use crate::wire::WireRevision;
 
+mod broker;
 pub mod catalogue;
 mod instrument;
 mod label;
@@ -66,6 +67,8 @@
     first_token: Histogram<f64>,
     goodput_requests: Counter<u64>,
     goodput_tokens: Counter<u64>,
+    late_requests: Counter<u64>,
+    late_waiting: Gauge<u64>,
     link_handshakes: Counter<u64>,
     link_messages: Counter<u64>,
     link_pings: Counter<u64>,
@@ -139,6 +142,8 @@
             first_token: histogram(&meter, &catalogue::FIRST_TOKEN),
             goodput_requests: counter(&meter, &catalogue::GOODPUT_REQUESTS),
             goodput_tokens: counter(&meter, &catalogue::GOODPUT_TOKENS),
+            late_requests: counter(&meter, &catalogue::LATE_REQUESTS),
+            late_waiting: gauge(&meter, &catalogue::LATE_WAITING),
             link_handshakes: counter(&meter, &catalogue::LINK_HANDSHAKES),
             link_messages: counter(&meter, &catalogue::LINK_MESSAGES),
             link_pings: counter(&meter, &catalogue::LINK_PINGS),
@@ -266,17 +271,6 @@
         self.running.record(count, &labels.attributes());
     }
 
-    /// Sets the slot limit and the number of used slots of a cell whose broker is on this host.
-    ///
-    /// The gauge has no label for the data centre: cells of one service replace each other's values.
-    pub fn set_slots(&self, service: &ServiceName, limit: u64, used: u64) {
-        for (state, count) in [("limit", limit), ("used", used)] {
-            let service = KeyValue::new("service", service.to_string());
-            self.slots
-                .record(count, &[service, KeyValue::new("state", state)]);
-        }
-    }
-
     /// Counts a claim of an idempotency key by its outcome.
     pub fn claim_attempted(&self, outcome: ClaimAttemptLabel) {
         let outcome = KeyValue::new("outcome", outcome.as_str());
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -7,6 +7,7 @@
 
 use borageladder::event::LogEvent;
 use borageladder::kernel::ask::RefusalReason;
+use borageladder::kernel::broker::LateCounts;
 use borageladder::kernel::clock::ClockTime;
 use borageladder::kernel::configuration::ConfigVersion;
 use borageladder::kernel::name::ServiceName;
@@ -56,6 +57,14 @@
     metrics.connection_refused();
     metrics.set_running(&labels, 4);
     metrics.set_slots(&service, 16, 4);
+    metrics.late_ended(
+        &service,
+        LateCounts {
+            started: 3,
+            refused: 1,
+        },
+    );
+    metrics.set_late_waiting(&service, 2);
     metrics.claim_attempted(ClaimAttemptLabel::Won);
     metrics.set_versions(ConfigVersion(41), ConfigVersion(42));
     metrics.set_ready(true);
