Order the waiting requests of a tier by fair shares of workspaces (fair_shares)

Cause: within a tier the queue is ordered by deadline, so a workspace that sends many times its usual load takes the slots of the others while requests wait.

Change: with fair_shares the queue of a lane and tier is ordered by start-time fair queueing over workspaces with the predicted slot time as cost, and by deadline within a workspace. The cost of a request that is refused or withdrawn is taken back. At the end of a takeover the shares are computed anew from the running work that entries declare with its workspaces. Off by default; then nothing changes.

--- a/kernel/src/ask.rs
+++ b/kernel/src/ask.rs
@@ -191,6 +191,18 @@
     pub prompt_tokens: u32,
 }
 
+/// The workspace of a request that holds a slot, from which a new broker computes the shares of
+/// workspaces.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkspaceWork {
+    /// The request that holds the slot.
+    pub request: RequestId,
+    /// The workspace of the caller.
+    pub workspace: WorkspaceName,
+    /// The rank of the tier of the request.
+    pub tier: TierRank,
+}
+
 /// The load that a worker reports about itself.
 ///
 /// The report arrives with a delay, so it may lower a concurrency limit but never raises one.
@@ -256,6 +268,14 @@
         /// All requests of the entry that hold a slot of the cell.
         running: Vec<RunningWork>,
     },
+    /// An entry declares the workspaces of the requests for which it holds slots of this cell, after
+    /// the requests themselves.
+    WorkspacesDeclared {
+        /// The host of the entry.
+        host: HostName,
+        /// The workspaces of the requests.
+        running: Vec<WorkspaceWork>,
+    },
     /// An entry declares the rates that workers of this cell named to it, when this broker has
     /// taken over.
     RatesDeclared {
--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -141,7 +141,7 @@
         let mut record = WaitingRecord {
             host,
             lane,
-            key: QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals),
+            key: self.queue_key(lane, &ask, deadline, self.arrivals),
             arrived_at: now,
             deadline,
             latest_start: now + max_wait,
@@ -159,6 +159,7 @@
             let slots = self.available_slots(now, lane, record.key.tier);
             let wait = self.predicted_wait(now, lane, &record.key)
                 + self.release_wait(lane).div_f64(slots);
+            let wait = wait.max(self.share_wait(now, &record));
             let too_late = wait > max_wait && !self.can_start_now(now, &record);
             if (too_late || estimate.quickest > record.ask.budget)
                 && !self.make_late(now, &mut record)
@@ -167,20 +168,23 @@
                 let excess = wait.saturating_sub(max_wait);
                 let retry_after = self.retry_after_for(now, lane, ask, ask.budget, excess);
                 let reason = RefusalReason::Deadline;
-                Self::refuse_ask(record.host, ask, reason, retry_after, actions);
+                self.count_refused(&record.ask.workspace, reason);
+                Self::refuse_ask(record.host, &record.ask, reason, retry_after, actions);
                 return;
             }
         }
         if !record.key.is_late() {
             let load = &mut self.workers.lanes[lane].load;
             load.arrived(now, record.ask.tier, estimate.work);
+            self.count_arrived(now, &record);
         }
         self.insert_waiting(now, record);
         self.shed_excess(now, actions);
     }
 
     /// Adds a request to the waiting ones and to the queue in which it waits.
-    pub(super) fn insert_waiting(&mut self, now: ClockTime, record: WaitingRecord) {
+    pub(super) fn insert_waiting(&mut self, now: ClockTime, mut record: WaitingRecord) {
+        self.join_shares(now, &mut record);
         let request = record.ask.request;
         let lane = &mut self.workers.lanes[record.lane];
         lane.tally.add(&record.key, record.work);
@@ -301,7 +305,7 @@
     /// Returns the slots that higher tiers are expected to leave to a tier, at least a small share.
     ///
     /// The load of higher tiers counts only under policies that limit the wait by a latency target.
-    fn available_slots(&self, now: ClockTime, lane: usize, tier: TierRank) -> f64 {
+    pub(super) fn available_slots(&self, now: ClockTime, lane: usize, tier: TierRank) -> f64 {
         let work_lane = &self.workers.lanes[lane];
         if work_lane.slots == 0 {
             // The predicted wait becomes zero while no worker of the lane has slots.
--- a/kernel/src/broker/granting.rs
+++ b/kernel/src/broker/granting.rs
@@ -196,6 +196,7 @@
         let expires = now + self.settings.grant_lifetime;
         let uncached_tokens = self.occupy_slot(now, worker, &waiting);
         self.count_granted(worker, &waiting);
+        self.charge_share(&waiting);
         self.count_sent(now, worker);
         let grant = Grant {
             grant: id,
@@ -224,6 +225,7 @@
             prefix: waiting.ask.prefix,
             exclusive: waiting.ask.suspect,
             observation: Some(observation),
+            declared: None,
             reason: Some(reason),
         };
         self.grants.insert(id, record);
@@ -278,6 +280,7 @@
         let record = self.waiting.remove(request)?;
         let lane = &mut self.workers.lanes[record.lane];
         lane.tally.remove(&record.key, record.work);
+        self.leave_shares(&record);
         if let Some(until) = record.deferred_until {
             self.timers.remove(&super::timers::TimerKey {
                 at: until,
@@ -351,7 +354,7 @@
     }
 
     /// Removes a waiting request from the queue in which it waits.
-    fn dequeue(&mut self, now: ClockTime, request: RequestId) {
+    pub(super) fn dequeue(&mut self, now: ClockTime, request: RequestId) {
         let Some(record) = self.waiting.get(request) else {
             return;
         };
--- a/kernel/src/broker/grants.rs
+++ b/kernel/src/broker/grants.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::ask::WorkspaceWork;
 use crate::clock::ClockTime;
 use crate::name::BlockDigest;
 use crate::name::GrantId;
@@ -67,6 +68,8 @@
     pub exclusive: bool,
     /// How to record the answer; `None` for requests that were adopted from an entry.
     pub observation: Option<GrantObservation>,
+    /// The workspace of a request that was adopted from an entry, if the entry declared it.
+    pub declared: Option<WorkspaceWork>,
     /// The reason for the choice of worker; `None` for requests that were adopted from an entry.
     pub reason: Option<ChoiceReason>,
 }
--- a/kernel/src/broker/lanes.rs
+++ b/kernel/src/broker/lanes.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use super::fair_queue::FairQueue;
 use super::late::LateAdmission;
 use super::records::RunningTime;
 use super::records::WorkerHealth;
@@ -13,6 +14,7 @@
 use crate::load::ArrivalLoad;
 use crate::name::BlockDigest;
 use crate::name::ModelName;
+use crate::name::TierRank;
 use crate::name::WorkerVersion;
 use crate::prefix::mix_bits;
 use crate::queue::QueueKey;
@@ -95,6 +97,8 @@
     pub tally: WorkTally,
     /// The predicted slot time of the requests that run on the workers.
     pub running: RunningTime,
+    /// The shares of workspaces in each tier; empty without fair shares.
+    pub shares: BTreeMap<TierRank, FairQueue>,
     /// The admission of late work.
     pub late: LateAdmission,
     /// The recent load by tier.
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -13,6 +13,8 @@
 mod asks;
 mod blame;
 mod candidates;
+mod fair_queue;
+mod fairness;
 mod granting;
 mod grants;
 mod health;
@@ -36,6 +38,8 @@
 use std::time::Duration;
 
 use self::candidates::CandidateList;
+pub use self::fairness::WorkspaceCounts;
+pub use self::fairness::WorkspaceUsage;
 use self::granting::PrefillKey;
 use self::grants::GrantLedger;
 pub use self::health::WorkerSuspension;
@@ -62,6 +66,7 @@
 use crate::estimate::AnswerEstimator;
 use crate::location::NetworkLocation;
 use crate::name::HostName;
+use crate::name::WorkspaceName;
 use crate::policy;
 use crate::policy::WorkerPolicy;
 use crate::queue::QueueKey;
@@ -149,6 +154,8 @@
     next_suspect_at: ClockTime,
     /// The late requests started and refused that [`Self::take_late_counts`] has not returned yet.
     late_counts: LateCounts,
+    /// The counts that [`Self::take_workspace_usage`] has not returned yet.
+    workspace_counts: BTreeMap<WorkspaceName, WorkspaceCounts>,
     /// The suspensions that [`Self::take_suspensions`] has not returned yet.
     suspensions: Vec<WorkerSuspension>,
     /// The buffers of the last candidate list, kept to save allocations.
@@ -196,6 +203,7 @@
             running_suspects: 0,
             next_suspect_at: now,
             late_counts: LateCounts::default(),
+            workspace_counts: BTreeMap::new(),
             suspensions: Vec::new(),
             scratch: CandidateList::default(),
             host_locations: BTreeMap::new(),
@@ -211,6 +219,9 @@
             BrokerEvent::Withdrawn { host, request } => self.on_withdrawn(now, &host, request),
             BrokerEvent::Reported { host, report } => self.on_reported(now, &host, &report),
             BrokerEvent::Declared { host, running } => self.on_declared(now, &host, &running),
+            BrokerEvent::WorkspacesDeclared { host, running } => {
+                self.on_workspaces_declared(&host, &running);
+            }
             BrokerEvent::RatesDeclared { rates } => self.on_rates_declared(now, &rates),
             BrokerEvent::HostLost { host } => self.on_host_lost(now, &host),
             BrokerEvent::WorkersChanged { workers } => {
@@ -271,7 +282,7 @@
             return None;
         }
         let deadline = now + ask.budget;
-        let key = QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals);
+        let key = self.queue_key(lane, ask, deadline, self.arrivals);
         Some(self.predicted_wait(now, lane, &key) + self.service_estimate(lane, ask).quickest)
     }
 
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -199,6 +199,9 @@
             at: record.expires,
             timer: BrokerTimer::Grant(grant),
         });
+        if let Some(observation) = &record.observation {
+            self.count_slot_time(&observation.workspace, now.since(record.started));
+        }
         let worker_record = &mut self.workers.records[record.worker];
         worker_record.used -= 1;
         if record.exclusive {
@@ -366,6 +369,7 @@
             prefix: Vec::new(),
             exclusive: false,
             observation: None,
+            declared: None,
             reason: None,
         };
         self.grants.insert(grant, record);
--- a/kernel/src/broker/settings.rs
+++ b/kernel/src/broker/settings.rs
@@ -50,6 +50,8 @@
     /// Whether requests that can no longer meet their latency target wait in a class of their own
     /// instead of being refused.
     pub late_work: bool,
+    /// Whether waiting requests of a tier are ordered by fair shares between workspaces.
+    pub fair_shares: bool,
 }
 
 impl Default for BrokerSettings {
@@ -63,6 +65,7 @@
             seed: 0,
             suspects: SuspectPlacement::Alone,
             late_work: false,
+            fair_shares: false,
         }
     }
 }
@@ -123,6 +126,13 @@
         self.late_work = late_work;
         self
     }
+
+    /// Sets whether waiting requests of a tier are ordered by fair shares between workspaces.
+    #[must_use]
+    pub const fn with_fair_shares(mut self, fair_shares: bool) -> Self {
+        self.fair_shares = fair_shares;
+        self
+    }
 }
 
 /// An error that prevents the creation of a broker.
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -40,13 +40,14 @@
     ///
     /// Only two requests of the tier are compared: the one with the earliest latest start and the
     /// last one in queue order. Under arrival order, the last request is shed regardless of its
-    /// tier. Late work is shed before any request that can be in time.
+    /// tier. Late work is shed before any request that can be in time. With fair shares, the last
+    /// request is of the workspace that is most above its share.
     fn shedding_victim(&self, now: ClockTime) -> Option<RequestId> {
         let last = self.waiting.last()?;
         if self.policy.order() == QueueOrder::Arrival {
             return Some(last);
         }
-        if self.waiting.get(last)?.key.is_late() {
+        if self.settings.fair_shares || self.waiting.get(last)?.key.is_late() {
             return Some(last);
         }
         let tightest = self.waiting.tightest_in_lowest_tier()?;
@@ -127,6 +128,7 @@
             return;
         };
         self.late_counts.refused += u64::from(record.key.is_late());
+        self.count_refused(&record.ask.workspace, reason);
         let delay = self.predicted_delay(now, &record);
         let remaining = record.deadline.since(now);
         let retry_after = self.retry_after_for(now, record.lane, &record.ask, remaining, delay);
--- a/kernel/src/broker/timers.rs
+++ b/kernel/src/broker/timers.rs
@@ -63,6 +63,7 @@
         }
         if !self.taken_over && self.takeover_until <= now {
             self.taken_over = true;
+            self.rebuild_shares(now);
             self.refuse_unserved(now, actions);
         }
         while let Some(request) = self.waiting.find_overdue(now) {
--- a/kernel/src/broker/waiting.rs
+++ b/kernel/src/broker/waiting.rs
@@ -108,6 +108,15 @@
         starts.insert(start_key(record));
     }
 
+    /// Moves a request to another position in queue order.
+    pub(super) fn set_key(&mut self, request: RequestId, key: QueueKey) {
+        if let Some(record) = self.records.get_mut(&request) {
+            self.order.remove(&record.key);
+            record.key = key;
+            self.order.insert(key, request);
+        }
+    }
+
     pub(super) fn get(&self, request: RequestId) -> Option<&WaitingRecord> {
         self.records.get(&request)
     }
--- a/kernel/src/load.rs
+++ b/kernel/src/load.rs
@@ -64,6 +64,12 @@
         higher.map(|(_, load)| load.at(now)).sum()
     }
 
+    /// Returns the mean number of slots that the work of a tier occupies.
+    #[must_use]
+    pub fn of(&self, now: ClockTime, tier: TierRank) -> f64 {
+        self.tiers.get(&tier).map_or(0.0, |load| load.at(now))
+    }
+
     /// Returns the mean number of slots that the work of all tiers occupies.
     #[must_use]
     pub fn total(&self, now: ClockTime) -> f64 {
--- a/kernel/src/queue.rs
+++ b/kernel/src/queue.rs
@@ -43,6 +43,9 @@
     pub class: QueueClass,
     /// The tier, or zero where the order is by arrival.
     pub tier: TierRank,
+    /// The virtual start, in microseconds of slot time, which precedes the deadline; zero unless the
+    /// workspaces of the tier have fair shares.
+    pub start: u64,
     /// The deadline, or zero where the order is by arrival; in the late class the latest useful
     /// start.
     pub due: ClockTime,
@@ -73,12 +76,14 @@
             QueueOrder::Arrival => Self {
                 class: QueueClass::InTime,
                 tier: TierRank(0),
+                start: 0,
                 due: ClockTime::ZERO,
                 sequence,
             },
             QueueOrder::TierDeadline => Self {
                 class: QueueClass::InTime,
                 tier,
+                start: 0,
                 due,
                 sequence,
             },
@@ -91,11 +96,29 @@
         Self {
             class: QueueClass::Late,
             tier,
+            start: 0,
             due: latest_start,
             sequence,
         }
     }
 
+    /// Returns the key with a virtual start, by which requests of a tier are served before the
+    /// deadline counts.
+    #[must_use]
+    pub const fn starting_at(self, start: u64) -> Self {
+        Self { start, ..self }
+    }
+
+    /// Returns the finest bucket of a [`WorkTally`] that the key falls into.
+    const fn bucket(&self) -> u64 {
+        let position = if self.start == 0 {
+            self.due.as_micros()
+        } else {
+            self.start
+        };
+        position / BUCKET_MICROS
+    }
+
     /// Returns whether the request is of the late class.
     #[must_use]
     pub const fn is_late(&self) -> bool {
@@ -197,7 +220,7 @@
 }
 
 /// The predicted work of waiting requests by class, tier and deadline, with prefix sums in logarithmic
-/// time.
+/// time. Where requests have virtual starts, these take the place of the deadlines.
 ///
 /// Deadlines fall into buckets of a millisecond; each bucket of a higher level sums 64 buckets of
 /// the level below it.
@@ -228,7 +251,7 @@
         let work = micros(work);
         tally.count += 1;
         tally.total += work;
-        let mut bucket = key.due.as_micros() / BUCKET_MICROS;
+        let mut bucket = key.bucket();
         for level in &mut tally.levels {
             *level.entry(bucket).or_default() += work;
             bucket >>= LEVEL_BITS;
@@ -243,7 +266,7 @@
         let work = micros(work);
         tally.count = tally.count.saturating_sub(1);
         tally.total = tally.total.saturating_sub(work);
-        let mut bucket = key.due.as_micros() / BUCKET_MICROS;
+        let mut bucket = key.bucket();
         for level in &mut tally.levels {
             if let Some(sum) = level.get_mut(&bucket) {
                 *sum = sum.saturating_sub(work);
@@ -269,7 +292,7 @@
         let same = self
             .tiers
             .get(&key.group())
-            .map_or(0, |tally| tally.before(key.due));
+            .map_or(0, |tally| tally.before(key.bucket()));
         Duration::from_micros(higher + same)
     }
 
@@ -294,8 +317,7 @@
 }
 
 impl TierTally {
-    fn before(&self, due: ClockTime) -> u64 {
-        let mut bucket = due.as_micros() / BUCKET_MICROS;
+    fn before(&self, mut bucket: u64) -> u64 {
         let mut sum = self.levels[0].get(&bucket).copied().unwrap_or(0);
         // Each level adds the buckets before `bucket` that belong to the same bucket of the next
         // level; the last level adds all buckets before `bucket`.
--- a/kernel/tests/broker/load_run.rs
+++ b/kernel/tests/broker/load_run.rs
@@ -146,10 +146,15 @@
         }
     }
 
+    /// Returns the outcomes of a workspace so far.
+    pub(crate) fn outcome(&self, workspace: &str) -> LoadOutcome {
+        self.outcomes.get(workspace).copied().unwrap_or_default()
+    }
+
     /// Runs until all requests have ended and returns the outcome of one workspace.
     pub(crate) fn finish(&mut self, workspace: &str) -> LoadOutcome {
         self.advance_to(self.harness.now + Duration::from_mins(2));
-        self.outcomes.get(workspace).copied().unwrap_or_default()
+        self.outcome(workspace)
     }
 
     fn push(&mut self, at: ClockTime, event: LoadEvent) {
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the broker of a cell with simulated time.
 
+mod fair_shares;
 mod faults;
 mod grants;
 mod harness;
--- a/src/activity.rs
+++ b/src/activity.rs
@@ -62,6 +62,9 @@
         for (cell, counts) in source.cells().take_late_counts() {
             metrics.late_ended(&cell.service, counts);
         }
+        for usage in source.cells().take_workspace_usage() {
+            metrics.workspace_used(&usage);
+        }
         log_event!(source.log(), LogEvent::HostActivity,
             "timer_delay_ms" => whole_millis(delay),
             "processor_ms" => used.map(whole_millis),
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -13,6 +13,7 @@
 use crate::kernel::broker::CellBroker;
 use crate::kernel::broker::LateCounts;
 use crate::kernel::broker::WorkerSuspension;
+use crate::kernel::broker::WorkspaceUsage;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::configuration::WorkerState;
@@ -181,6 +182,12 @@
             .collect()
     }
 
+    /// Returns what workspaces used and were refused since the last call.
+    pub fn take_workspace_usage(&mut self) -> Vec<WorkspaceUsage> {
+        let brokers = self.brokers.values_mut();
+        brokers.flat_map(CellBroker::take_workspace_usage).collect()
+    }
+
     /// Sets the location of a host for the broker of a cell; without effect if that does not run
     /// here.
     pub fn set_host_location(&mut self, cell: &CellId, host: &HostName, location: NetworkLocation) {
--- a/src/cell/roles.rs
+++ b/src/cell/roles.rs
@@ -16,6 +16,7 @@
 use crate::kernel::broker::CellBroker;
 use crate::kernel::broker::LateCounts;
 use crate::kernel::broker::WorkerSuspension;
+use crate::kernel::broker::WorkspaceUsage;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::location::NetworkLocation;
 use crate::kernel::name::HostName;
@@ -95,6 +96,11 @@
         self.brokers.borrow_mut().take_late_counts()
     }
 
+    /// Returns what workspaces used and were refused by the brokers here since the last call.
+    pub fn take_workspace_usage(&self) -> Vec<WorkspaceUsage> {
+        self.brokers.borrow_mut().take_workspace_usage()
+    }
+
     /// Returns the cells for which a broker runs on this host.
     #[must_use]
     pub fn own_cells(&self) -> Vec<CellId> {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -327,7 +327,8 @@
         .with_policy(FIRST_TOKEN_POLICY)
         .with_takeover_time(TAKEOVER_TIME)
         .with_suspects(SuspectPlacement::OneByOne)
-        .with_late_work(settings.late_work);
+        .with_late_work(settings.late_work)
+        .with_fair_shares(settings.fair_shares);
     let cells = CellService::new(Box::new(network), clock, broker_settings);
     let cells = Rc::new(cells.with_span(settings.cells));
     let host = Rc::new(GatewayHost::from(GatewayParts {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -96,6 +96,9 @@
     /// being refused.
     #[serde(default)]
     pub late_work: bool,
+    /// Whether waiting requests of a tier are ordered by fair shares between workspaces.
+    #[serde(default)]
+    pub fair_shares: bool,
     /// The limits set by the operators of the deployment.
     pub bounds: GatewayBounds,
 }
--- a/src/metrics/broker.rs
+++ b/src/metrics/broker.rs
@@ -4,6 +4,7 @@
 
 use super::MetricSet;
 use crate::kernel::broker::LateCounts;
+use crate::kernel::broker::WorkspaceUsage;
 use crate::kernel::name::ServiceName;
 
 impl MetricSet {
@@ -28,6 +29,15 @@
         }
     }
 
+    /// Counts the slot time and the refusals of a workspace.
+    pub fn workspace_used(&self, usage: &WorkspaceUsage) {
+        let workspace = KeyValue::new("workspace", usage.workspace.to_string());
+        let labels = [workspace];
+        self.workspace_refusals.add(usage.counts.refused, &labels);
+        let slot_time = usage.counts.slot_time.as_secs_f64();
+        self.workspace_slot_time.add(slot_time, &labels);
+    }
+
     /// Sets the number of late requests that wait in a cell whose broker is on this host.
     pub fn set_late_waiting(&self, service: &ServiceName, count: u64) {
         let service = KeyValue::new("service", service.to_string());
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -145,4 +145,8 @@
         "Prompt tokens computed without use; divided by all computed prompt tokens, the wasted prefill.";
     WORKER_FAILURES Counter "borageladder_worker_failures" ["service"]
         "Connections to workers that broke or were not accepted.";
+    WORKSPACE_REFUSALS Counter "borageladder_workspace_refusals" ["workspace"]
+        "Requests that the brokers of the host refused for lack of capacity or for their deadline, by workspace; counted with fair shares only.";
+    WORKSPACE_SLOT_TIME Counter "borageladder_workspace_slot_seconds" ["workspace"]
+        "Time for which requests held slots that the brokers of the host granted, by workspace; counted with fair shares only.";
 }
--- a/src/metrics/instrument.rs
+++ b/src/metrics/instrument.rs
@@ -19,6 +19,11 @@
     counter.with_description(entry.description).build()
 }
 
+pub(super) fn real_counter(meter: &Meter, entry: &MetricEntry) -> Counter<f64> {
+    let counter = meter.f64_counter(entry.name);
+    counter.with_description(entry.description).build()
+}
+
 pub(super) fn gauge(meter: &Meter, entry: &MetricEntry) -> Gauge<u64> {
     let gauge = meter.u64_gauge(entry.name);
     gauge.with_description(entry.description).build()
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -30,6 +30,7 @@
 use instrument::counter;
 use instrument::gauge;
 use instrument::histogram;
+use instrument::real_counter;
 use instrument::real_gauge;
 pub use label::CallOutcome;
 pub use label::ClaimAttemptLabel;
@@ -97,6 +98,8 @@
     waiting_bytes: Gauge<u64>,
     wasted_prefill: Counter<u64>,
     worker_failures: Counter<u64>,
+    workspace_refusals: Counter<u64>,
+    workspace_slot_time: Counter<f64>,
 }
 
 impl MetricSet {
@@ -172,6 +175,8 @@
             waiting_bytes: gauge(&meter, &catalogue::WAITING_BYTES),
             wasted_prefill: counter(&meter, &catalogue::WASTED_PREFILL),
             worker_failures: counter(&meter, &catalogue::WORKER_FAILURES),
+            workspace_refusals: counter(&meter, &catalogue::WORKSPACE_REFUSALS),
+            workspace_slot_time: real_counter(&meter, &catalogue::WORKSPACE_SLOT_TIME),
         })
     }
 
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -8,6 +8,8 @@
 use borageladder::event::LogEvent;
 use borageladder::kernel::ask::RefusalReason;
 use borageladder::kernel::broker::LateCounts;
+use borageladder::kernel::broker::WorkspaceCounts;
+use borageladder::kernel::broker::WorkspaceUsage;
 use borageladder::kernel::clock::ClockTime;
 use borageladder::kernel::configuration::ConfigVersion;
 use borageladder::kernel::name::ServiceName;
@@ -65,6 +67,13 @@
         },
     );
     metrics.set_late_waiting(&service, 2);
+    metrics.workspace_used(&WorkspaceUsage {
+        workspace: "union".parse().expect("the name is valid"),
+        counts: WorkspaceCounts {
+            slot_time: second,
+            refused: 2,
+        },
+    });
     metrics.claim_attempted(ClaimAttemptLabel::Won);
     metrics.set_versions(ConfigVersion(41), ConfigVersion(42));
     metrics.set_ready(true);
