Declare the workspaces of running work to a broker that takes over

Cause: fair shares start again after a hand-over, and declarations of running work do not tell the workspaces, so a workspace far above its share started level with the others.

Change: message kind 50, from wire revision 7 on, with the request, workspace and tier of each held slot. Entries send it after the first declaration to a new broker where fair_shares is set.

The hand-over itself is tested in the kernel only (fair_shares.rs); no run with processes was made.

--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -11,11 +11,13 @@
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::ask::RunningWork;
+use crate::kernel::ask::WorkspaceWork;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::DatacenterName;
 use crate::kernel::name::HostName;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
+use crate::kernel::name::WorkspaceName;
 
 /// The interval at which an ask that is neither granted nor refused is sent again.
 pub const ASK_RETRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -86,6 +88,7 @@
 struct HeldSlot {
     cell: CellId,
     work: RunningWork,
+    workspace: WorkspaceName,
 }
 
 /// An ask to be sent to a broker.
@@ -259,6 +262,7 @@
                 HeldSlot {
                     cell: pending.cell.clone(),
                     work,
+                    workspace: pending.ask.workspace.clone(),
                 },
             );
         }
@@ -321,6 +325,18 @@
         let held = self.held.values().filter(|slot| slot.cell == *cell);
         held.map(|slot| slot.work.clone()).collect()
     }
+
+    /// Returns the workspaces of the work for which this entry holds slots of a cell.
+    #[must_use]
+    pub fn running_workspaces(&self, cell: &CellId) -> Vec<WorkspaceWork> {
+        let held = self.held.values().filter(|slot| slot.cell == *cell);
+        let workspace = |slot: &HeldSlot| WorkspaceWork {
+            request: slot.work.request,
+            workspace: slot.workspace.clone(),
+            tier: slot.work.tier,
+        };
+        held.map(workspace).collect()
+    }
 }
 
 impl PendingAsk {
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Returns whether brokers order requests by fair shares between workspaces.
+    #[must_use]
+    pub const fn has_fair_shares(&self) -> bool {
+        self.settings.fair_shares
+    }
+
     /// Sets which data centres share the cells of a service.
     pub const fn set_span(&mut self, span: CellSpan) {
         self.span = span;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod service;
 mod slot;
 mod ticker;
+mod workspaces;
 
 pub use self::answer::SlotAnswer;
 pub use self::asks::AskTable;
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -195,6 +195,9 @@
             LinkMessage::Rates { service, rates } => {
                 self.broker_event(service, BrokerEvent::RatesDeclared { rates });
             }
+            LinkMessage::Workspaces { service, running } => {
+                self.workspaces_declared(from, service, running);
+            }
             LinkMessage::Grant(grant) => self.handle_grant(from, grant),
             LinkMessage::Refuse(refusal) => self.handle_refusal(from, refusal),
             LinkMessage::Waiting(request) => self.asks.borrow_mut().acknowledge(from, request),
@@ -388,6 +391,7 @@
                 let service = cell.service.clone();
                 self.network
                     .send(host, LinkMessage::Declare { service, running });
+                self.declare_workspaces(cell, host, is_new);
             }
         }
         *self.known_brokers.borrow_mut() = current;
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -32,7 +32,7 @@
 /// The maximum number of messages in one frame.
 pub const MAX_FRAME_MESSAGES: usize = 1024;
 
-// The kind numbers of the messages; 6 and 27 to 31 are not in use.
+// The kind numbers of the messages; 6, 27 to 31 and 49 are not in use.
 const HEARTBEAT: u8 = 0;
 const ASK: u8 = 1;
 const WITHDRAW: u8 = 2;
@@ -73,6 +73,7 @@
 const BEGUN_STREAMS: u8 = 46;
 const CLASSED_MEMBERS: u8 = 47;
 const USAGE_BUNDLE: u8 = 48;
+const WORKSPACES: u8 = 50;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -176,6 +177,9 @@
                 write(frame, DECLARE, &state.encode_declaration(service, running))
             }
             LinkMessage::Rates { service, rates } => write(frame, RATES, &(service, rates)),
+            LinkMessage::Workspaces { service, running } => {
+                write(frame, WORKSPACES, &(service, running))
+            }
             LinkMessage::Summary(summary) => {
                 write(frame, CELL_SUMMARY, &state.encode_summary(summary))
             }
@@ -314,6 +318,10 @@
                 let (service, rates) = read(rest, limit)?;
                 LinkMessage::Rates { service, rates }
             }
+            WORKSPACES => {
+                let (service, running) = read(rest, limit)?;
+                LinkMessage::Workspaces { service, running }
+            }
             CELL_SUMMARY => LinkMessage::Summary(state.decode_summary(read(rest, limit)?)?),
             CONFIGURATION => LinkMessage::Configuration(Arc::new(read(rest, MAX_FRAME_BYTES)?)),
             CONFIGURATION_DELTAS => LinkMessage::ConfigurationDeltas(read(rest, limit)?),
--- a/src/wire/kind.rs
+++ b/src/wire/kind.rs
@@ -47,6 +47,7 @@
     Report "report";
     Declare "declare";
     Rates "rates";
+    Workspaces "workspaces";
     Summary "summary";
     Configuration "configuration";
     ConfigurationDeltas "configuration-deltas";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -27,6 +27,7 @@
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RunningWork;
 use crate::kernel::ask::WorkReport;
+use crate::kernel::ask::WorkspaceWork;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::ConfigVersion;
 use crate::kernel::configuration::Configuration;
@@ -107,6 +108,14 @@
         /// The rates.
         rates: Vec<NamedRate>,
     },
+    /// The sender's entry declares the workspaces of its running work, to the broker or deputy of a
+    /// cell that has just taken over and computes the shares of workspaces.
+    Workspaces {
+        /// The service of the cell.
+        service: ServiceName,
+        /// The workspaces of the sender's requests that hold a slot of the cell.
+        running: Vec<WorkspaceWork>,
+    },
     /// The sender's broker publishes the free slots and the queue of its cell to the brokers of
     /// other data centres.
     Summary(CellSummary),
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -53,7 +53,10 @@
     pub const UNSTATED: Self = Self(2);
 
     /// The revision of this build; hosts state their revisions and skip messages of unknown kinds.
-    pub const CURRENT: Self = Self(6);
+    pub const CURRENT: Self = Self(7);
+
+    /// The revision from which on hosts take declarations of the workspaces of running work.
+    pub const DECLARED_WORKSPACES: Self = Self(7);
 
     /// The revision from which on member lists tell the classes of hosts, so that hosts need no links
     /// with all others.
@@ -96,6 +99,7 @@
             Self::SoundAnswer { .. } => WireRevision::SOUND_ANSWERS,
             Self::StreamRecords(_) => WireRevision::STREAM_RECORDS,
             Self::UsageSum(_) => WireRevision::SUMS,
+            Self::Workspaces { .. } => WireRevision::DECLARED_WORKSPACES,
             Self::UsageBundle(_) => WireRevision::BUNDLED_USE,
             _ => WireRevision::EARLIEST,
         }
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -11,6 +11,7 @@
 use borageladder::kernel::ask::RunningWork;
 use borageladder::kernel::ask::WorkProgress;
 use borageladder::kernel::ask::WorkReport;
+use borageladder::kernel::ask::WorkspaceWork;
 use borageladder::kernel::clock::ClockTime;
 use borageladder::kernel::configuration::ConfigVersion;
 use borageladder::kernel::configuration::Configuration;
@@ -205,6 +206,20 @@
     }
 }
 
+fn workspaces_message() -> LinkMessage {
+    LinkMessage::Workspaces {
+        service: name("drafter"),
+        running: vec![WorkspaceWork {
+            request: RequestId {
+                incarnation: u64::MAX,
+                sequence: 17,
+            },
+            workspace: name("union"),
+            tier: TierRank(2),
+        }],
+    }
+}
+
 fn sum_message() -> LinkMessage {
     LinkMessage::UsageSum(UsageSum {
         datacenter: name("kushiro-a"),
@@ -380,7 +395,7 @@
     ];
     messages.extend(crash_messages());
     messages.extend(stream_messages());
-    messages.extend([rates_message(), sum_message()]);
+    messages.extend([rates_message(), sum_message(), workspaces_message()]);
     messages.extend([classed_members(), bundle_message()]);
     messages.extend(reports(70));
     for progress in [
