--- a/kernel/src/broker/grants.rs
+++ b/kernel/src/broker/grants.rs
@@ -1,7 +1,9 @@
 //! The grants of a broker, from issue to release.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use crate::ask::WorkspaceWork;
 use crate::clock::ClockTime;
 use crate::name::BlockDigest;
 use crate::name::GrantId;
@@ -52,6 +54,8 @@
     pub issued_at: Option<ClockTime>,
     /// The time at which the dispatch was reported, or that of the grant before the report.
     pub started: ClockTime,
+    /// The predicted time for which the request holds the slot.
+    pub work: Duration,
     /// The time at which the slot is released; `None` unless the host is lost.
     pub release_at: Option<ClockTime>,
     /// Whether the answer named the rate of requests that the worker takes.
@@ -64,6 +68,8 @@
     pub exclusive: bool,
     /// How to record the answer; `None` for requests that were adopted from an entry.
     pub observation: Option<GrantObservation>,
+    /// The workspace of a request that was adopted from an entry, if the entry declared it.
+    pub declared: Option<WorkspaceWork>,
     /// The reason for the choice of worker; `None` for requests that were adopted from an entry.
     pub reason: Option<ChoiceReason>,
 }
@@ -97,6 +103,11 @@
         Some(record)
     }
 
+    /// Iterates over all grants that hold a slot.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &GrantRecord> {
+        self.records.values()
+    }
+
     /// Returns the latest grant of a request that still holds a slot.
     pub(super) fn of_request(&self, request: RequestId) -> Option<GrantId> {
         self.requests.get(&request).copied()
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -13,10 +13,13 @@
 mod asks;
 mod blame;
 mod candidates;
+mod fair_queue;
+mod fairness;
 mod granting;
 mod grants;
 mod health;
 mod lanes;
+mod late;
 mod pushback;
 mod rates;
 mod records;
@@ -35,10 +38,13 @@
 use std::time::Duration;
 
 use self::candidates::CandidateList;
+pub use self::fairness::WorkspaceCounts;
+pub use self::fairness::WorkspaceUsage;
 use self::granting::PrefillKey;
 use self::grants::GrantLedger;
 pub use self::health::WorkerSuspension;
 use self::lanes::LaneKey;
+pub use self::late::LateCounts;
 use self::records::WorkerHealth;
 use self::records::WorkerRecord;
 use self::reports::OrphanedWork;
@@ -60,6 +66,7 @@
 use crate::estimate::AnswerEstimator;
 use crate::location::NetworkLocation;
 use crate::name::HostName;
+use crate::name::WorkspaceName;
 use crate::policy;
 use crate::policy::WorkerPolicy;
 use crate::queue::QueueKey;
@@ -145,6 +152,10 @@
     running_suspects: usize,
     /// The time from which the next suspect may be granted a slot, if they run one by one.
     next_suspect_at: ClockTime,
+    /// The late requests started and refused that [`Self::take_late_counts`] has not returned yet.
+    late_counts: LateCounts,
+    /// The counts that [`Self::take_workspace_usage`] has not returned yet.
+    workspace_counts: BTreeMap<WorkspaceName, WorkspaceCounts>,
     /// The suspensions that [`Self::take_suspensions`] has not returned yet.
     suspensions: Vec<WorkerSuspension>,
     /// The buffers of the last candidate list, kept to save allocations.
@@ -191,6 +202,8 @@
             orphans: Vec::new(),
             running_suspects: 0,
             next_suspect_at: now,
+            late_counts: LateCounts::default(),
+            workspace_counts: BTreeMap::new(),
             suspensions: Vec::new(),
             scratch: CandidateList::default(),
             host_locations: BTreeMap::new(),
@@ -206,6 +219,9 @@
             BrokerEvent::Withdrawn { host, request } => self.on_withdrawn(now, &host, request),
             BrokerEvent::Reported { host, report } => self.on_reported(now, &host, &report),
             BrokerEvent::Declared { host, running } => self.on_declared(now, &host, &running),
+            BrokerEvent::WorkspacesDeclared { host, running } => {
+                self.on_workspaces_declared(&host, &running);
+            }
             BrokerEvent::RatesDeclared { rates } => self.on_rates_declared(now, &rates),
             BrokerEvent::HostLost { host } => self.on_host_lost(now, &host),
             BrokerEvent::WorkersChanged { workers } => {
@@ -266,7 +282,7 @@
             return None;
         }
         let deadline = now + ask.budget;
-        let key = QueueKey::new(self.policy.order(), ask.tier, deadline, self.arrivals);
+        let key = self.queue_key(lane, ask, deadline, self.arrivals);
         Some(self.predicted_wait(now, lane, &key) + self.service_estimate(lane, ask).quickest)
     }
 
--- a/kernel/src/broker/reports.rs
+++ b/kernel/src/broker/reports.rs
@@ -199,6 +199,9 @@
             at: record.expires,
             timer: BrokerTimer::Grant(grant),
         });
+        if let Some(observation) = &record.observation {
+            self.count_slot_time(&observation.workspace, now.since(record.started));
+        }
         let worker_record = &mut self.workers.records[record.worker];
         worker_record.used -= 1;
         if record.exclusive {
@@ -359,12 +362,14 @@
             expires: now,
             issued_at: None,
             started: now,
+            work: self.workers.records[worker].mean_hold(),
             release_at: None,
             rate_named: false,
             uncached_tokens: 0,
             prefix: Vec::new(),
             exclusive: false,
             observation: None,
+            declared: None,
             reason: None,
         };
         self.grants.insert(grant, record);
--- a/kernel/src/broker/timers.rs
+++ b/kernel/src/broker/timers.rs
@@ -6,7 +6,6 @@
 use super::grants::GrantState;
 use super::waiting::QueueKind;
 use crate::ask::BrokerAction;
-use crate::ask::RefusalReason;
 use crate::clock::ClockTime;
 use crate::name::GrantId;
 use crate::name::RequestId;
@@ -64,14 +63,17 @@
         }
         if !self.taken_over && self.takeover_until <= now {
             self.taken_over = true;
+            self.rebuild_shares(now);
             self.refuse_unserved(now, actions);
         }
         while let Some(request) = self.waiting.find_overdue(now) {
-            self.refuse_waiting(now, request, RefusalReason::Deadline, actions);
+            self.refuse_or_demote(now, request, actions);
         }
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
+            self.measure_running(now);
             self.workers.measure(now);
+            self.reopen_late(now);
             self.detect_stragglers(now);
             self.sweep_waiting(now, actions);
         }
--- a/kernel/src/load.rs
+++ b/kernel/src/load.rs
@@ -63,4 +63,16 @@
         let higher = self.tiers.range(..tier);
         higher.map(|(_, load)| load.at(now)).sum()
     }
+
+    /// Returns the mean number of slots that the work of a tier occupies.
+    #[must_use]
+    pub fn of(&self, now: ClockTime, tier: TierRank) -> f64 {
+        self.tiers.get(&tier).map_or(0.0, |load| load.at(now))
+    }
+
+    /// Returns the mean number of slots that the work of all tiers occupies.
+    #[must_use]
+    pub fn total(&self, now: ClockTime) -> f64 {
+        self.tiers.values().map(|load| load.at(now)).sum()
+    }
 }
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the broker of a cell with simulated time.
 
+mod fair_shares;
 mod faults;
 mod grants;
 mod harness;
+mod late_work;
 mod latency_targets;
+mod load_run;
 mod prefixes;
 mod rates;
 mod rejections;
--- a/src/cell/brokers.rs
+++ b/src/cell/brokers.rs
@@ -11,7 +11,9 @@
 use crate::kernel::broker::BrokerError;
 use crate::kernel::broker::BrokerSettings;
 use crate::kernel::broker::CellBroker;
+use crate::kernel::broker::LateCounts;
 use crate::kernel::broker::WorkerSuspension;
+use crate::kernel::broker::WorkspaceUsage;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::configuration::Configuration;
 use crate::kernel::configuration::WorkerState;
@@ -80,6 +82,12 @@
         }
     }
 
+    /// Returns whether brokers order requests by fair shares between workspaces.
+    #[must_use]
+    pub const fn has_fair_shares(&self) -> bool {
+        self.settings.fair_shares
+    }
+
     /// Sets which data centres share the cells of a service.
     pub const fn set_span(&mut self, span: CellSpan) {
         self.span = span;
@@ -171,6 +179,21 @@
         suspensions
     }
 
+    /// Returns the late requests started and refused since the last call, with their cells.
+    pub fn take_late_counts(&mut self) -> Vec<(CellId, LateCounts)> {
+        let brokers = self.brokers.iter_mut();
+        let counts = brokers.map(|(cell, broker)| (cell.clone(), broker.take_late_counts()));
+        counts
+            .filter(|(_, counts)| *counts != LateCounts::default())
+            .collect()
+    }
+
+    /// Returns what workspaces used and were refused since the last call.
+    pub fn take_workspace_usage(&mut self) -> Vec<WorkspaceUsage> {
+        let brokers = self.brokers.values_mut();
+        brokers.flat_map(CellBroker::take_workspace_usage).collect()
+    }
+
     /// Sets the location of a host for the broker of a cell; without effect if that does not run
     /// here.
     pub fn set_host_location(&mut self, cell: &CellId, host: &HostName, location: NetworkLocation) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -93,6 +93,13 @@
     /// to the others.
     #[serde(default = "default_direct_hosts")]
     pub direct_hosts: usize,
+    /// Whether requests that can no longer meet their latency target wait for idle slots instead of
+    /// being refused.
+    #[serde(default)]
+    pub late_work: bool,
+    /// Whether waiting requests of a tier are ordered by fair shares between workspaces.
+    #[serde(default)]
+    pub fair_shares: bool,
     /// The limits set by the operators of the deployment.
     pub bounds: GatewayBounds,
 }
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -85,6 +85,10 @@
         "Requests whose complete answer arrived within the deadline; divided by all valid requests that ended, the goodput.";
     GOODPUT_TOKENS Counter "borageladder_goodput_tokens" ["service" "tier"]
         "Tokens of complete answers that arrived within the deadline.";
+    LATE_REQUESTS Counter "borageladder_late_requests" ["outcome" "service"]
+        "Late requests that waited at the brokers of the host and were granted a slot (started) or refused (refused).";
+    LATE_WAITING Gauge "borageladder_late_waiting_requests" ["service"]
+        "Late requests that wait at the brokers of the host.";
     LINK_HANDSHAKES Counter "borageladder_link_handshakes" ["outcome"]
         "Handshakes of links that were begun, failed, or were delayed since too many were in progress.";
     LINK_MESSAGES Counter "borageladder_link_messages" ["direction" "kind"]
@@ -147,4 +151,8 @@
         "Prompt tokens computed without use; divided by all computed prompt tokens, the wasted prefill.";
     WORKER_FAILURES Counter "borageladder_worker_failures" ["service"]
         "Connections to workers that broke or were not accepted.";
+    WORKSPACE_REFUSALS Counter "borageladder_workspace_refusals" ["workspace"]
+        "Requests that the brokers of the host refused for lack of capacity or for their deadline, by workspace; counted with fair shares only.";
+    WORKSPACE_SLOT_TIME Counter "borageladder_workspace_slot_seconds" ["workspace"]
+        "Time for which requests held slots that the brokers of the host granted, by workspace; counted with fair shares only.";
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -22,6 +22,7 @@
 use crate::wire::MessageKind;
 use crate::wire::WireRevision;
 
+mod broker;
 pub mod catalogue;
 mod instrument;
 mod label;
@@ -30,6 +31,7 @@
 use instrument::counter;
 use instrument::gauge;
 use instrument::histogram;
+use instrument::real_counter;
 use instrument::real_gauge;
 pub use label::CallOutcome;
 pub use label::ClaimAttemptLabel;
@@ -69,6 +71,8 @@
     first_token: Histogram<f64>,
     goodput_requests: Counter<u64>,
     goodput_tokens: Counter<u64>,
+    late_requests: Counter<u64>,
+    late_waiting: Gauge<u64>,
     link_handshakes: Counter<u64>,
     link_messages: Counter<u64>,
     link_pings: Counter<u64>,
@@ -100,6 +104,8 @@
     waiting_bytes: Gauge<u64>,
     wasted_prefill: Counter<u64>,
     worker_failures: Counter<u64>,
+    workspace_refusals: Counter<u64>,
+    workspace_slot_time: Counter<f64>,
 }
 
 impl MetricSet {
@@ -145,6 +151,8 @@
             first_token: histogram(&meter, &catalogue::FIRST_TOKEN),
             goodput_requests: counter(&meter, &catalogue::GOODPUT_REQUESTS),
             goodput_tokens: counter(&meter, &catalogue::GOODPUT_TOKENS),
+            late_requests: counter(&meter, &catalogue::LATE_REQUESTS),
+            late_waiting: gauge(&meter, &catalogue::LATE_WAITING),
             link_handshakes: counter(&meter, &catalogue::LINK_HANDSHAKES),
             link_messages: counter(&meter, &catalogue::LINK_MESSAGES),
             link_pings: counter(&meter, &catalogue::LINK_PINGS),
@@ -176,6 +184,8 @@
             waiting_bytes: gauge(&meter, &catalogue::WAITING_BYTES),
             wasted_prefill: counter(&meter, &catalogue::WASTED_PREFILL),
             worker_failures: counter(&meter, &catalogue::WORKER_FAILURES),
+            workspace_refusals: counter(&meter, &catalogue::WORKSPACE_REFUSALS),
+            workspace_slot_time: real_counter(&meter, &catalogue::WORKSPACE_SLOT_TIME),
         })
     }
 
@@ -275,17 +285,6 @@
         self.running.record(count, &labels.attributes());
     }
 
-    /// Sets the slot limit and the number of used slots of a cell whose broker is on this host.
-    ///
-    /// The gauge has no label for the data centre: cells of one service replace each other's values.
-    pub fn set_slots(&self, service: &ServiceName, limit: u64, used: u64) {
-        for (state, count) in [("limit", limit), ("used", used)] {
-            let service = KeyValue::new("service", service.to_string());
-            self.slots
-                .record(count, &[service, KeyValue::new("state", state)]);
-        }
-    }
-
     /// Counts a claim of an idempotency key by its outcome.
     pub fn claim_attempted(&self, outcome: ClaimAttemptLabel) {
         let outcome = KeyValue::new("outcome", outcome.as_str());
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -57,6 +57,8 @@
 
     /// The revision from which on hosts know releases.
     pub const RELEASES: Self = Self(7);
+    /// The revision from which on hosts take declarations of the workspaces of running work.
+    pub const DECLARED_WORKSPACES: Self = Self(7);
 
     /// The revision from which on member lists tell the classes of hosts, so that hosts need no links
     /// with all others.
@@ -100,6 +102,7 @@
             Self::StreamRecords(_) => WireRevision::STREAM_RECORDS,
             Self::UsageSum(_) => WireRevision::SUMS,
             Self::ReleaseEvidence(_) => WireRevision::RELEASES,
+            Self::Workspaces { .. } => WireRevision::DECLARED_WORKSPACES,
             Self::UsageBundle(_) => WireRevision::BUNDLED_USE,
             _ => WireRevision::EARLIEST,
         }
