Decide on hedges in the kernel, and grant them slots of their own

The broker ignores a repeated ask of a request, so a hedge asks under an identifier of its own and names the worker that has the first dispatch. Change: HedgePlanner learns the times of each class of requests and holds the budget; the broker grants a hedge at once or refuses it, never queues it, and leaves out the first worker and those that name a rate or a tolerance. Measured: nothing yet; the gateway does not use it.

--- a/kernel/benches/kernel.rs
+++ b/kernel/benches/kernel.rs
@@ -153,6 +153,7 @@
             hinted_tokens: None,
             prefix: (prefix..prefix + PREFIX_BLOCKS).map(BlockDigest).collect(),
             suspect: false,
+            hedged_worker: None,
         }
     }
 
--- a/kernel/src/ask.rs
+++ b/kernel/src/ask.rs
@@ -58,6 +58,10 @@
     pub prefix: Vec<BlockDigest>,
     /// Whether the request may have crashed a worker and must therefore run alone.
     pub suspect: bool,
+    /// The worker that has the first dispatch of the request if the slot is for a hedge; `None` for
+    /// any other ask.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedged_worker: Option<WorkerName>,
 }
 
 /// The permission to dispatch one request once to one worker.
--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -63,6 +63,10 @@
             Self::refuse_immediately(host, &ask, RefusalReason::NoWorker, actions);
             return;
         }
+        if ask.hedged_worker.is_some() {
+            self.on_hedge_asked(now, host, ask, lane, actions);
+            return;
+        }
         self.admit(now, host, ask, lane, actions);
     }
 
--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -16,6 +16,7 @@
 mod granting;
 mod grants;
 mod health;
+mod hedges;
 mod lanes;
 mod pushback;
 mod rates;
@@ -116,6 +117,7 @@
 ///     hinted_tokens: None,
 ///     prefix: Vec::new(),
 ///     suspect: false,
+///     hedged_worker: None,
 /// };
 /// let host = "sapporo-1".parse()?;
 /// let actions = broker.handle(now, BrokerEvent::Asked { host, ask });
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod estimate;
 pub mod failure;
 pub mod freshness;
+pub mod hedge;
 pub mod lifecycle;
 pub mod limit;
 pub mod load;
--- a/kernel/src/lifecycle.rs
+++ b/kernel/src/lifecycle.rs
@@ -224,6 +224,17 @@
         self.state.dispatched
     }
 
+    /// Returns a second life of the request, under an identifier of its own, for a dispatch beside
+    /// this one, which the permit allows.
+    #[must_use]
+    pub const fn hedge(
+        &self,
+        _permit: RetryPermit,
+        request: RequestId,
+    ) -> RequestLife<WaitingState> {
+        RequestLife::waiting(request, self.tier, self.deadline)
+    }
+
     /// Returns the request to its waiting state for a retry, which the permit allows.
     #[must_use]
     pub fn retry(self, _permit: RetryPermit) -> RequestLife<WaitingState> {
--- a/kernel/tests/broker/harness.rs
+++ b/kernel/tests/broker/harness.rs
@@ -87,6 +87,7 @@
             hinted_tokens: None,
             prefix: Vec::new(),
             suspect: false,
+            hedged_worker: None,
         }
     }
 
--- a/kernel/tests/broker/latency_targets.rs
+++ b/kernel/tests/broker/latency_targets.rs
@@ -85,6 +85,7 @@
             hinted_tokens: Some(hint),
             prefix: Vec::new(),
             suspect: false,
+            hedged_worker: None,
         }
     }
 
--- a/kernel/tests/cell_support/mod.rs
+++ b/kernel/tests/cell_support/mod.rs
@@ -26,6 +26,7 @@
         hinted_tokens: None,
         prefix: Vec::new(),
         suspect: false,
+        hedged_worker: None,
     }
 }
 
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -143,6 +143,7 @@
             hinted_tokens: self.metadata.answer_hint,
             prefix: Vec::new(),
             suspect,
+            hedged_worker: None,
         }
     }
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -70,6 +70,7 @@
             hinted_tokens: None,
             prefix: self.incoming.prefix.clone(),
             suspect: self.suspect,
+            hedged_worker: None,
         }
     }
 }
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -32,7 +32,7 @@
 /// The maximum number of messages in one frame.
 pub const MAX_FRAME_MESSAGES: usize = 1024;
 
-// The kind numbers of the messages; 6 and 27 to 31 are not in use.
+// The kind numbers of the messages; 6, 27 to 31 and 49 are not in use.
 const HEARTBEAT: u8 = 0;
 const ASK: u8 = 1;
 const WITHDRAW: u8 = 2;
@@ -73,6 +73,7 @@
 const BEGUN_STREAMS: u8 = 46;
 const CLASSED_MEMBERS: u8 = 47;
 const USAGE_BUNDLE: u8 = 48;
+const HEDGE_ASK: u8 = 50;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -154,6 +155,7 @@
             LinkMessage::ClassedMembers(list) => {
                 write(frame, CLASSED_MEMBERS, &host::classed_row(list))
             }
+            LinkMessage::Ask(ask) if ask.hedged_worker.is_some() => write(frame, HEDGE_ASK, ask),
             LinkMessage::Ask(ask) => match &ask.version {
                 None => write(frame, ASK, &state.encode_ask(ask)),
                 Some(version) => {
@@ -299,6 +301,7 @@
                     ..ask
                 }))
             }
+            HEDGE_ASK => LinkMessage::Ask(Box::new(read(rest, limit)?)),
             WITHDRAW => {
                 let (service, request) = state.decode_withdrawal(read(rest, limit)?)?;
                 LinkMessage::Withdraw { service, request }
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -53,7 +53,10 @@
     pub const UNSTATED: Self = Self(2);
 
     /// The revision of this build; hosts state their revisions and skip messages of unknown kinds.
-    pub const CURRENT: Self = Self(6);
+    pub const CURRENT: Self = Self(7);
+
+    /// The revision from which on brokers grant slots for hedges.
+    pub const HEDGES: Self = Self(7);
 
     /// The revision from which on member lists tell the classes of hosts, so that hosts need no links
     /// with all others.
@@ -91,6 +94,7 @@
     pub const fn revision(&self) -> WireRevision {
         match self {
             Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
+            Self::Ask(ask) if ask.hedged_worker.is_some() => WireRevision::HEDGES,
             Self::ClassedMembers(_) => WireRevision::CLASSED_MEMBERS,
             Self::BegunStreams(_) | Self::StreamBegun { .. } => WireRevision::BEGUN_STREAMS,
             Self::SoundAnswer { .. } => WireRevision::SOUND_ANSWERS,
--- a/src/wire/work.rs
+++ b/src/wire/work.rs
@@ -170,6 +170,7 @@
             hinted_tokens,
             prefix,
             suspect,
+            hedged_worker: None,
         })
     }
 
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -177,6 +177,7 @@
         hinted_tokens: None,
         prefix: Vec::new(),
         suspect: false,
+        hedged_worker: None,
     };
     let deadline = ProcessClock::start().now() + Duration::from_mins(10);
     service.ask(ask, deadline)
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -105,6 +105,7 @@
             BlockDigest(!own),
         ],
         suspect: false,
+        hedged_worker: None,
     }
 }
 
@@ -363,6 +364,10 @@
             version: Some(name("v1.2")),
             ..ask(72)
         })),
+        LinkMessage::Ask(Box::new(Ask {
+            hedged_worker: Some(name("drafter-worker-1")),
+            ..ask(73)
+        })),
         LinkMessage::StateWanted(StatePoll {
             number: 7,
             version: 21,
