Send hedges and race the two dispatches at the gateway (untested)

Change: the beginning of an answer is read ahead where a request may be hedged, so that the race goes on to the first event or the buffered answer; the other dispatch is dropped before anything is relayed. Log lines name the connection of the dispatch to their worker. Settings, metrics and events.

--- a/kernel/src/hedge/mod.rs
+++ b/kernel/src/hedge/mod.rs
@@ -27,6 +27,10 @@
 /// The time for which a hedge waits for a slot before its ask is withdrawn.
 pub const SLOT_WAIT: Duration = Duration::from_millis(50);
 
+/// The share of a class's requests that are answered before one of them counts as slow, if the
+/// settings don't say.
+pub const DEFAULT_QUANTILE: f64 = 0.95;
+
 /// The time after a refusal for lack of capacity in which the host sends no hedges.
 const OVERLOAD_TIME: Duration = Duration::from_secs(1);
 
@@ -48,6 +52,16 @@
     Quantile(f64),
 }
 
+impl Default for HedgeBounds {
+    /// Returns bounds that allow no hedges.
+    fn default() -> Self {
+        Self {
+            ratio: 0.0,
+            quantile: DEFAULT_QUANTILE,
+        }
+    }
+}
+
 impl HedgeBounds {
     /// Returns the bounds; `ratio` is the number of hedges for each request, `quantile` that of the
     /// times after which a hedge is sent.
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod grants;
 mod harness;
+mod hedges;
 mod latency_targets;
 mod prefixes;
 mod rates;
--- a/src/event.rs
+++ b/src/event.rs
@@ -118,6 +118,9 @@
     517 Warning ConnectionRefused "connection-refused" "A caller's connection was closed, or a request on it answered 503, before its request was read to its end, since requests on other connections take the memory or the descriptors; it did not run.";
     518 Warning DescriptorsUnknown "descriptors-unknown" "The number of descriptors that the process may open can't be read; the number of callers' connections is bounded by their memory only.";
     520 Info ClaimSettled "claim-settled" "An operator settled the outcome of a claim.";
+    530 Info HedgeSent "hedge-sent" "A second dispatch of a slow request was sent to another worker.";
+    531 Info HedgeEnded "hedge-ended" "A second dispatch of a slow request ended: its answer was relayed (won), it was cancelled for the first dispatch (lost) or with the request (cancelled), or it brought no usable answer (failed).";
+    532 Info HedgeRefused "hedge-refused" "No second dispatch of a slow request was sent, for the given reason.";
     600 Info WorkerLeaving "worker-leaving" "A worker is leaving and is assigned no new work.";
     601 Warning WorkerFailed "worker-failed" "A worker failed while it ran a request, or no longer accepted connections afterwards.";
     602 Warning WorkerEntryUnusable "worker-entry-unusable" "The stored row of a worker can't be read and the worker is treated as absent.";
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -14,14 +14,15 @@
 use super::plan::PlannedCall;
 use super::plan::first_u64;
 use super::relay::BeginReport;
-use super::trace;
 use super::worker::AnswerFraming;
 use super::worker::WorkerConnection;
 use super::worker::WorkerEndpoint;
+use crate::event::LogEvent;
 use crate::kernel::name::WorkerName;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::poison::CrashedRequest;
 use crate::kernel::prompt::PartDigest;
+use crate::log_event;
 
 /// The time for which a worker must keep a connection open to count as alive.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
@@ -159,7 +160,7 @@
 ) {
     let cleared = host.crashes.record_answer(began_at.elapsed(), candidates);
     if !cleared.is_empty() {
-        trace::crashes_cleared(host, attempt_id, &cleared);
+        log_cleared(host, attempt_id, &cleared);
     }
 }
 
@@ -177,9 +178,9 @@
         confirmed,
     });
     if confirmed {
-        trace::worker_crashed(host, planned, evidence);
+        log_crash(host, planned, evidence);
     } else {
-        trace::crash_unconfirmed(host, planned, &evidence.worker);
+        log_unconfirmed(host, planned, &evidence.worker);
     }
 }
 
@@ -239,3 +240,33 @@
     hasher.update(&request.body);
     PartDigest(first_u64(hasher.finalize()))
 }
+
+/// Logs that a worker crashed while it ran a request.
+fn log_crash(host: &GatewayHost, planned: &PlannedCall, evidence: &DispatchEvidence) {
+    log_event!(host.log, LogEvent::WorkerCrashed,
+        "request" => planned.attempt_id.clone(),
+        "worker" => evidence.worker.as_str(),
+        "candidates" => digest_list(&planned.crash_candidates),
+        "suspected" => digest_list(&evidence.suspected),
+        "crashes" => host.crashes.most_crashes(&planned.crash_candidates));
+}
+
+/// Logs that a worker may have crashed while it ran a request.
+fn log_unconfirmed(host: &GatewayHost, planned: &PlannedCall, worker: &WorkerName) {
+    log_event!(host.log, LogEvent::CrashUnconfirmed,
+        "request" => planned.attempt_id.clone(),
+        "worker" => worker.as_str(),
+        "candidates" => digest_list(&planned.crash_candidates),
+        "crashes" => host.crashes.most_crashes(&planned.crash_candidates));
+}
+
+/// Logs that a complete answer removed the crashes on record for some parts of prompts.
+fn log_cleared(host: &GatewayHost, attempt_id: &str, parts: &[PartDigest]) {
+    log_event!(host.log, LogEvent::CrashesCleared,
+        "request" => attempt_id.to_owned(), "parts" => digest_list(parts));
+}
+
+fn digest_list(parts: &[PartDigest]) -> String {
+    let digests: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    digests.join(" ")
+}
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -1,4 +1,4 @@
-//! One dispatch of a request: sends it to a worker, checks the answer and relays it to the caller.
+//! One dispatch of a request: checks the answer of the worker and relays it to the caller.
 
 use std::time::Duration;
 
@@ -7,30 +7,25 @@
 
 use super::call_error::CallError;
 use super::caller::CallerWriter;
-use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
 use super::dialect::DispatchMetadata;
 use super::exchange::CallExchange;
 use super::exchange::ExchangeError;
+use super::pending::AwaitedAnswer;
+use super::pending::PendingDispatch;
 use super::relay::AnsweringWorker;
 use super::relay::RelayEnd;
 use super::worker::AnswerError;
 use super::worker::WorkerAnswer;
-use super::worker::WorkerConnection;
 use super::worker::WorkerRequest;
-use crate::cell::SlotLease;
 use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
 use crate::kernel::attempt::RunStatement;
 use crate::kernel::clock::ClockTime;
+use crate::kernel::lifecycle::DispatchedState;
+use crate::kernel::lifecycle::RequestLife;
 use crate::kernel::name::WorkerName;
 
-/// Time past the deadline for which the worker's answer is still awaited.
-const ANSWER_GRACE: Duration = Duration::from_millis(150);
-
-/// Upper bound on the answers to other attempts that are skipped on one connection.
-const MAX_FOREIGN_ANSWERS: usize = 2;
-
 /// Time limit for reading the rest of an answer before its connection is reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -80,30 +75,23 @@
         }
     }
 
-    /// Sends the request and relays the answer if it can be used.
+    /// Relays the answer of a dispatch if it can be used.
     ///
     /// An unsigned success and a status that would state that the request did not run count as a
     /// lost answer.
-    pub(super) async fn send_and_relay(
+    pub(super) async fn relay_awaited(
         &mut self,
-        connection: WorkerConnection,
-        request: WorkerRequest,
-        evidence: &DispatchEvidence,
-        lease: &mut SlotLease,
-        dispatched_at: ClockTime,
+        dispatch: &mut PendingDispatch<'_>,
+        awaited: AwaitedAnswer,
         caller: &mut CallerWriter<'_>,
     ) -> Result<DispatchEnd, ExchangeError> {
-        let worker = &evidence.worker;
-        let time_left = self.planned.deadline.since(dispatched_at) + ANSWER_GRACE;
-        let limit = tokio::time::Instant::now() + time_left;
-        let connected_at = connection.opened_at();
-        let answering = self.matching_answer(connection, request);
-        let Ok(answer) = tokio::time::timeout_at(limit, answering).await else {
+        let (limit, dispatched_at) = (dispatch.limit, dispatch.dispatched_at);
+        let Some(answer) = awaited else {
             let error = CallError::TimedOut;
             return Ok(DispatchEnd::Broken { error, lost: None });
         };
         let (answer, metadata) = match answer {
-            Ok(answer) => answer,
+            Ok(matched) => (matched.answer, matched.metadata),
             Err(error) => {
                 return Ok(DispatchEnd::Broken {
                     error: CallError::Lost,
@@ -111,21 +99,8 @@
                 });
             }
         };
-        if lease.observe_rate(dispatched_at, metadata.rate) {
-            self.trace.rate_changed(worker, metadata.rate);
-        }
-        if metadata.leaving {
-            lease.leaving_named();
-            let is_new = self.host.mark_leaving(worker, Some(connected_at));
-            self.trace.leaving_stated(worker, is_new);
-        }
-        if let Some(rest) = metadata.rest {
-            let now = self.host.clock.now();
-            self.host.rests.borrow_mut().record(now, worker, rest);
-        }
-        if let Some(tolerance) = metadata.tolerance {
-            lease.tolerance_named(tolerance);
-        }
+        self.observe_head(dispatch, &metadata);
+        let worker = &dispatch.evidence.worker;
         let statement = RunStatement {
             not_run: metadata.not_run,
             names_request: metadata.attempt_id.is_some(),
@@ -138,7 +113,8 @@
             return Ok(DispatchEnd::NotRun { proof, rest });
         }
         if metadata.not_run {
-            self.trace.answer_unused(answer.head().status, &metadata);
+            self.trace
+                .answer_unused(worker, answer.head().status, &metadata);
         }
         if !metadata.signed && answer.head().status.is_success() {
             let error = CallError::Lost;
@@ -170,8 +146,9 @@
         let time_to_head = self.host.clock.now().since(dispatched_at);
         let answering = AnsweringWorker {
             host: self.host,
-            evidence,
+            evidence: &dispatch.evidence,
         };
+        let lease = &mut dispatch.lease;
         let relaying = self
             .relay
             .relay_answer(answer, caller, lease, time_to_head, &answering);
@@ -193,39 +170,57 @@
         }
     }
 
-    /// Sends the request and reads the head of the answer to the caller's attempt.
+    /// Records what the head of an answer says of its worker.
+    pub(super) fn observe_head(
+        &self,
+        dispatch: &mut PendingDispatch<'_>,
+        metadata: &AnswerMetadata,
+    ) {
+        let (lease, worker) = (&dispatch.lease, &dispatch.evidence.worker);
+        if lease.observe_rate(dispatch.dispatched_at, metadata.rate) {
+            self.trace.rate_changed(worker, metadata.rate);
+        }
+        if metadata.leaving {
+            lease.leaving_named();
+            let is_new = self.host.mark_leaving(worker, Some(dispatch.connected_at));
+            self.trace.leaving_stated(worker, is_new);
+        }
+        if let Some(rest) = metadata.rest {
+            let now = self.host.clock.now();
+            self.host.rests.borrow_mut().record(now, worker, rest);
+        }
+        if let Some(tolerance) = metadata.tolerance {
+            lease.tolerance_named(tolerance);
+        }
+    }
+
+    /// Ends a dispatch whose answer was late, missing, truncated or can't be used; returns the life of
+    /// the request.
     ///
-    /// Answers with the identifier of another attempt are skipped. One without any is accepted only as
-    /// the first answer of a connection, which can be an answer to nothing else.
-    async fn matching_answer(
+    /// `lost` is the failure to read the answer, if that is what failed.
+    pub(super) async fn end_broken(
         &self,
-        connection: WorkerConnection,
-        request: WorkerRequest,
-    ) -> Result<(WorkerAnswer, AnswerMetadata), AnswerError> {
-        let mut may_be_anonymous = !connection.was_used();
-        let mut answer = connection.exchange(request).await?;
-        for _ in 0..=MAX_FOREIGN_ANSWERS {
-            let head = answer.head();
-            let status = head.status.as_u16();
-            let metadata = self.host.dialect.answer_metadata(status, head.headers());
-            let is_own = metadata
-                .attempt_id
-                .as_ref()
-                .map_or(may_be_anonymous, |attempt_id| {
-                    *attempt_id == self.planned.attempt_id
-                });
-            if is_own {
-                return Ok((answer, metadata));
-            }
-            self.trace.answer_unused(head.status, &metadata);
-            may_be_anonymous = false;
-            answer = answer.next_answer().await?;
+        dispatch: PendingDispatch<'_>,
+        error: &CallError,
+        lost: Option<AnswerError>,
+    ) -> RequestLife<DispatchedState> {
+        let worker = &dispatch.evidence.worker;
+        self.trace.failed(worker, error, lost.as_ref());
+        self.host.pool.close_connections(worker);
+        if lost.is_some() {
+            self.check_crash(&dispatch.evidence, None).await;
+        }
+        if dispatch.is_direct {
+            dispatch.lease.failed();
+        } else {
+            // The host in between may have failed instead of the worker.
+            drop(dispatch.lease);
         }
-        Err(AnswerError::Closed)
+        dispatch.life
     }
 
     /// Reads the rest of an answer and returns its connection to the pool if it can be reused.
-    async fn return_to_pool(
+    pub(super) async fn return_to_pool(
         &self,
         worker: &WorkerName,
         mut answer: WorkerAnswer,
@@ -245,7 +240,7 @@
 }
 
 /// Returns whether callers take a status to mean that the request did not run and will not run.
-const fn implies_not_run(status: StatusCode) -> bool {
+pub(super) const fn implies_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,15 +7,14 @@
 
 use actix_http::HttpMessage;
 use thiserror::Error;
-use tokio::time::Instant;
 
 use super::call_error::CallError;
 use super::caller::CallerWriter;
-use super::crash::DispatchEvidence;
 use super::delivery::DispatchEnd;
 use super::dialect::CallMetadata;
 use super::frontend::CallerRequest;
 use super::host::GatewayHost;
+use super::pending::PendingDispatch;
 use super::plan;
 use super::plan::PlannedCall;
 use super::relay::AnswerRelay;
@@ -124,6 +123,7 @@
         used_connections: Vec::new(),
         relay: AnswerRelay::new(planned.route.kind, planned.event_tokens),
         is_suspect: false,
+        is_hedged: false,
         required_version: None,
         origin: None,
         planned,
@@ -147,6 +147,8 @@
     pub(super) relay: AnswerRelay,
     /// Whether the last slot was asked for as a suspect.
     pub(super) is_suspect: bool,
+    /// Whether a hedge was sent.
+    pub(super) is_hedged: bool,
     /// The only version of a worker at which the stream may continue; `None` if any may run the
     /// request.
     pub(super) required_version: Option<WorkerVersion>,
@@ -154,7 +156,7 @@
     pub(super) origin: Option<OriginEvidence>,
 }
 
-impl CallExchange<'_> {
+impl<'a> CallExchange<'a> {
     /// Finds the version at which the stream that the caller resumes may continue.
     async fn find_version(&mut self) -> Result<(), CallError> {
         let stream = self.planned.stream_key();
@@ -230,58 +232,52 @@
         connection: WorkerConnection,
         caller: &mut CallerWriter<'_>,
     ) -> Result<Option<RequestLife<WaitingState>>, ExchangeError> {
-        let DispatchedCall {
-            life,
-            mut lease,
-            worker,
-            endpoint,
-            suspected,
-            version,
-            dispatched_at,
-        } = dispatched;
-        let evidence = DispatchEvidence {
-            worker: worker.clone(),
-            endpoint,
-            suspected,
-        };
-        let is_direct = connection.tunnel().is_none();
-        let sent_at = Instant::now();
-        let first_event = self.first_event_report(version.as_ref());
+        let first_event = self.first_event_report(dispatched.version.as_ref());
         self.relay.start_dispatch(first_event, self.begin_report());
-        let request = self.worker_request(&worker, dispatched_at);
-        let end = self
-            .send_and_relay(
-                connection,
-                request,
-                &evidence,
-                &mut lease,
-                dispatched_at,
-                caller,
-            )
-            .await?;
+        let first = self.begin_dispatch(dispatched, connection);
+        let (mut dispatch, answer) = self.await_answer(first, caller).await;
+        if dispatch.lease.grant().request != self.planned.id {
+            // The answer is that of the hedge.
+            let first_event = self.first_event_report(dispatch.version.as_ref());
+            self.relay.start_dispatch(first_event, self.begin_report());
+        }
+        let end = self.relay_awaited(&mut dispatch, answer, caller).await?;
+        self.finish_dispatch(dispatch, end, caller).await
+    }
+
+    /// Ends a dispatch; returns the same as [`Self::send_dispatched`].
+    async fn finish_dispatch(
+        &mut self,
+        dispatch: PendingDispatch<'a>,
+        end: DispatchEnd,
+        caller: &CallerWriter<'_>,
+    ) -> Result<Option<RequestLife<WaitingState>>, ExchangeError> {
         match end {
             DispatchEnd::Answered { status } if status.is_server_error() => {
-                lease.erred();
+                dispatch.lease.erred();
                 Ok(None)
             }
             DispatchEnd::Answered { status } => {
+                let (evidence, dispatched_at) = (&dispatch.evidence, dispatch.dispatched_at);
                 self.trace
-                    .answered(&self.planned, &self.relay, &worker, dispatched_at);
+                    .answered(&self.planned, &self.relay, &evidence.worker, dispatched_at);
                 if status.is_success() {
-                    self.record_completion(&evidence, sent_at).await;
+                    self.record_completion(evidence, dispatch.sent_at).await;
                 }
-                lease.finished(self.relay.tokens(), self.relay.token_gap());
+                dispatch
+                    .lease
+                    .finished(self.relay.tokens(), self.relay.token_gap());
                 Ok(None)
             }
             DispatchEnd::Erred(permit) => {
-                lease.erred();
-                Ok(Some(life.retry(permit)))
+                dispatch.lease.erred();
+                Ok(Some(dispatch.life.retry(permit)))
             }
             DispatchEnd::NotRun { proof, rest } => {
-                lease.rejected(rest);
+                dispatch.lease.rejected(rest);
                 let permit = self.dispatches.permit_after_rejection(&proof);
                 match permit {
-                    Some(permit) if self.take_retry() => Ok(Some(life.retry(permit))),
+                    Some(permit) if self.take_retry() => Ok(Some(dispatch.life.retry(permit))),
                     _ => {
                         let error =
                             refusal_error("the worker had no free slot", DEFAULT_RETRY_AFTER);
@@ -290,17 +286,8 @@
                 }
             }
             DispatchEnd::Broken { error, lost } => {
-                self.trace.failed(&worker, &error, lost.as_ref());
-                self.host.pool.close_connections(&worker);
-                if lost.is_some() {
-                    self.check_crash(&evidence, None).await;
-                }
-                if is_direct {
-                    lease.failed();
-                } else {
-                    // The host in between may have failed instead of the worker.
-                    drop(lease);
-                }
+                let version = dispatch.version.clone();
+                let life = self.end_broken(dispatch, &error, lost).await;
                 if self.relay.has_begun() {
                     self.required_version = self.required_version.take().or(version);
                 }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -33,6 +33,7 @@
 use crate::crashes::SharedPartRegister;
 use crate::event::LogEvent;
 use crate::kernel::clock::ClockTime;
+use crate::kernel::hedge::HedgePlanner;
 use crate::kernel::name::RequestId;
 use crate::kernel::name::ServiceName;
 use crate::kernel::name::WorkspaceName;
@@ -90,6 +91,8 @@
     pub(super) connector: ConnectorState,
     /// The rests that workers asked this host for.
     pub(super) rests: RefCell<RestTable>,
+    /// Which requests are hedged.
+    pub(super) hedges: RefCell<HedgePlanner>,
     /// The versions of streams and of workers.
     pub(super) streams: StreamState,
     /// The exchange of reports of the use of quotas.
@@ -156,6 +159,7 @@
             usage: UsageExchange::new(parts.settings.host.clone()),
             connections: Rc::new(ConnectionMemory::new(budget, Rc::clone(&bodies))),
             bodies,
+            hedges: RefCell::new(HedgePlanner::new(parts.settings.hedging)),
             settings: parts.settings,
             crashes: SharedPartRegister::start(&parts.links, scope, parts.clock),
             clock: parts.clock,
@@ -284,8 +288,9 @@
         self.members.alive_count()
     }
 
-    /// Records a request to a service in its retry budget.
+    /// Records a request to a service in its retry budget and in that of its hedges.
     pub fn count_request(&self, now: ClockTime, service: &ServiceName) {
+        self.hedges.borrow_mut().record_request(service);
         self.with_retry_budget(service, |budget| budget.record_request(now));
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,7 +25,7 @@
 use crate::sse::EventBuffer;
 
 /// Upper bound on the buffered part of an answer in bytes; a longer answer is relayed as it arrives.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
+pub(super) const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// Time after its first event from which an answer is past its beginning.
 const ESTABLISHED_TIME: Duration = Duration::from_secs(1);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -13,6 +13,8 @@
 use thiserror::Error;
 
 use crate::kernel::connection::ConnectionBudget;
+use crate::kernel::hedge::DEFAULT_QUANTILE;
+use crate::kernel::hedge::HedgeBounds;
 use crate::kernel::location::CellSpan;
 use crate::kernel::membership::HostClass;
 use crate::kernel::memory::BodyBudget;
@@ -94,6 +96,21 @@
     pub direct_hosts: usize,
     /// The limits set by the operators of the deployment.
     pub bounds: GatewayBounds,
+    /// The bounds on hedged requests; none are sent by default.
+    #[serde(default, deserialize_with = "hedge_bounds")]
+    pub hedging: HedgeBounds,
+}
+
+/// The table `hedging` before it is checked.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HedgingTable {
+    /// The hedges for each request to a service, as a fraction, over all hosts; 0 for none.
+    #[serde(default)]
+    ratio: f64,
+    /// The quantile of the times of a class of requests after which one of them is hedged.
+    #[serde(default = "default_quantile")]
+    quantile: f64,
 }
 
 /// The limits set by the operators of the deployment.
@@ -131,6 +148,17 @@
     Ok(seconds.map_err(invalid)?.as_secs())
 }
 
+/// Reads and checks the bounds on hedged requests.
+fn hedge_bounds<'a, D: Deserializer<'a>>(deserializer: D) -> Result<HedgeBounds, D::Error> {
+    let table = HedgingTable::deserialize(deserializer)?;
+    HedgeBounds::new(table.ratio, table.quantile)
+        .map_err(|error| de::Error::custom(format!("hedging.{error}")))
+}
+
+const fn default_quantile() -> f64 {
+    DEFAULT_QUANTILE
+}
+
 const fn default_processor_cores() -> f64 {
     1.0
 }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -105,6 +105,7 @@
                 Ok((life.granted(grant, received), lease))
             }
             Some(SlotAnswer::Refused(refusal)) => {
+                self.record_refusal(refusal.reason);
                 Err(self.fail_unsent(Self::broker_error(&refusal)))
             }
             None => {
@@ -226,6 +227,8 @@
             resume_after: self.relay.last_event_id(),
             connection: connection.number(),
             reused: is_reused,
+            // The grant of a hedge bears an identifier of its own.
+            hedge: lease.grant().request != self.planned.id,
             tunnel: connection.tunnel(),
             dispatched_at: now,
         };
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -7,7 +7,6 @@
 use actix_http::StatusCode;
 
 use super::call_error::CallError;
-use super::crash::DispatchEvidence;
 use super::dialect::AnswerMetadata;
 use super::host::GatewayHost;
 use super::metering;
@@ -25,7 +24,6 @@
 use crate::kernel::name::WorkerVersion;
 use crate::kernel::name::WorkspaceName;
 use crate::kernel::pace::RateStatement;
-use crate::kernel::prompt::PartDigest;
 use crate::kernel::quota::QuotaShortage;
 use crate::log_event;
 use crate::metrics::RequestLabels;
@@ -39,8 +37,8 @@
     attempt_id: String,
     arrival: ClockTime,
     labels: OnceCell<RequestLabels>,
-    /// The last dispatch; `None` before the first.
-    last_dispatch: RefCell<Option<LoggedDispatch>>,
+    /// The dispatches so far, in their order.
+    dispatches: RefCell<Vec<LoggedDispatch>>,
     ended: bool,
 }
 
@@ -74,6 +72,8 @@
     pub connection: ConnectionNumber,
     /// Whether the connection was taken from the pool.
     pub reused: bool,
+    /// Whether the dispatch is a hedge of another one that goes on.
+    pub hedge: bool,
     /// The tunnel that carries the connection; `None` if it is direct.
     pub tunnel: Option<&'a ConnectionTunnel>,
     pub dispatched_at: ClockTime,
@@ -86,7 +86,7 @@
             attempt_id,
             arrival,
             labels: OnceCell::new(),
-            last_dispatch: RefCell::new(None),
+            dispatches: RefCell::new(Vec::new()),
             ended: false,
         }
     }
@@ -179,7 +179,7 @@
 
     /// Logs that the request is sent to a worker, and records its wait.
     pub(super) fn sent(&self, planned: &PlannedCall, call: &SentCall<'_>) {
-        *self.last_dispatch.borrow_mut() = Some(LoggedDispatch {
+        self.dispatches.borrow_mut().push(LoggedDispatch {
             worker: call.worker.clone(),
             connection: call.connection,
             via: call.tunnel.map(|tunnel| tunnel.host.clone()),
@@ -204,6 +204,7 @@
             "choice" => call.choice.to_owned(),
             "connection" => call.connection.0,
             "kept" => call.reused,
+            "hedge" => call.hedge,
             "via" => call.tunnel.map(|tunnel| tunnel.host.as_str()),
             "tier" => planned.tier.0,
             "wait_us" => micros(call.dispatched_at.since(self.arrival)),
@@ -225,14 +226,21 @@
 
     /// Returns the number of dispatches so far.
     fn dispatch_count(&self) -> u32 {
-        let dispatch = self.last_dispatch.borrow();
-        dispatch.as_ref().map_or(0, |dispatch| dispatch.number)
+        let dispatches = self.dispatches.borrow();
+        dispatches.last().map_or(0, |dispatch| dispatch.number)
     }
 
-    /// Returns the number of the connection that carried the last dispatch; `None` before the first.
-    fn connection(&self) -> Option<u64> {
-        let dispatch = self.last_dispatch.borrow();
-        dispatch.as_ref().map(|dispatch| dispatch.connection.0)
+    /// Returns the last dispatch to a worker.
+    fn dispatch_to(&self, worker: &WorkerName) -> Option<LoggedDispatch> {
+        let dispatches = self.dispatches.borrow();
+        let mut latest = dispatches.iter().rev();
+        latest.find(|dispatch| dispatch.worker == *worker).cloned()
+    }
+
+    /// Returns the number of the connection that carried the last dispatch to a worker.
+    fn connection(&self, worker: &WorkerName) -> Option<u64> {
+        let dispatch = self.dispatch_to(worker);
+        dispatch.map(|dispatch| dispatch.connection.0)
     }
 
     /// Logs that a worker turned the request away without running it.
@@ -244,19 +252,22 @@
     ) {
         log_event!(self.host.log, LogEvent::RequestTurnedAway,
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
-            "connection" => self.connection(),
+            "connection" => self.connection(worker),
             "status" => status.as_u16(),
             "rest_ms" => answer.rest.map(millis),
             "tolerated" => answer.tolerance.map(|tolerance| tolerance.0));
     }
 
-    /// Logs that an answer is not used, since it may not be the one to the last dispatch.
-    pub(super) fn answer_unused(&self, status: StatusCode, answer: &AnswerMetadata) {
-        let dispatch = self.last_dispatch.borrow();
-        let worker = dispatch.as_ref().map(|dispatch| dispatch.worker.as_str());
+    /// Logs that an answer is not used, since it may not be the one to the dispatch.
+    pub(super) fn answer_unused(
+        &self,
+        worker: &WorkerName,
+        status: StatusCode,
+        answer: &AnswerMetadata,
+    ) {
         log_event!(self.host.log, LogEvent::AnswerUnused,
-            "request" => self.attempt_id.clone(), "worker" => worker,
-            "connection" => self.connection(),
+            "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
+            "connection" => self.connection(worker),
             "status" => status.as_u16(),
             "answers" => answer.attempt_id.clone());
     }
@@ -264,11 +275,11 @@
     /// Logs that a worker stated in an answer that it is leaving, and what is known of it.
     pub(super) fn leaving_stated(&self, worker: &WorkerName, is_new: bool) {
         let roster = self.host.state.roster.borrow();
-        let dispatch = self.last_dispatch.borrow();
+        let dispatch = self.dispatch_to(worker);
         let via = dispatch.as_ref().and_then(|dispatch| dispatch.via.as_ref());
         log_event!(self.host.log, LogEvent::WorkerLeaving,
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
-            "connection" => self.connection(),
+            "connection" => self.connection(worker),
             "via" => via.map(HostName::as_str),
             "registered" => roster.contains(worker),
             "started_ms" => roster.registered_start(worker).and_then(|start| start.0),
@@ -296,7 +307,7 @@
         }
         log_event!(self.host.log, LogEvent::WorkerFailed,
             "request" => self.attempt_id.clone(), "worker" => worker.as_str(),
-            "connection" => self.connection(),
+            "connection" => self.connection(worker),
             "reason" => reason.to_string(),
             "cause" => lost.map(ToString::to_string));
     }
@@ -325,7 +336,7 @@
         log_event!(self.host.log, LogEvent::RequestAnswered,
             "request" => self.attempt_id.clone(),
             "worker" => worker.as_str(),
-            "connection" => self.connection(),
+            "connection" => self.connection(worker),
             "tier" => planned.tier.0,
             "prompt_tokens" => usage.map_or(0, |usage| usage.prompt),
             "most_tokens" => usage.map_or(0, |usage| usage.answer),
@@ -346,8 +357,8 @@
         if !self.ended {
             self.count(RequestOutcome::CallerLeft, 0);
             let now = self.host.clock.now();
-            let dispatch = self.last_dispatch.borrow();
-            let dispatch = dispatch.as_ref();
+            let dispatches = self.dispatches.borrow();
+            let dispatch = dispatches.last();
             log_event!(self.host.log, LogEvent::CallerLeft,
                 "request" => self.attempt_id.clone(),
                 "worker" => dispatch.map(|dispatch| dispatch.worker.to_string()),
@@ -357,40 +368,6 @@
     }
 }
 
-/// Logs that a worker crashed while it ran a request.
-pub(super) fn worker_crashed(
-    host: &GatewayHost,
-    planned: &PlannedCall,
-    evidence: &DispatchEvidence,
-) {
-    log_event!(host.log, LogEvent::WorkerCrashed,
-        "request" => planned.attempt_id.clone(),
-        "worker" => evidence.worker.as_str(),
-        "candidates" => digest_list(&planned.crash_candidates),
-        "suspected" => digest_list(&evidence.suspected),
-        "crashes" => host.crashes.most_crashes(&planned.crash_candidates));
-}
-
-/// Logs that a worker may have crashed while it ran a request.
-pub(super) fn crash_unconfirmed(host: &GatewayHost, planned: &PlannedCall, worker: &WorkerName) {
-    log_event!(host.log, LogEvent::CrashUnconfirmed,
-        "request" => planned.attempt_id.clone(),
-        "worker" => worker.as_str(),
-        "candidates" => digest_list(&planned.crash_candidates),
-        "crashes" => host.crashes.most_crashes(&planned.crash_candidates));
-}
-
-/// Logs that a complete answer removed the crashes on record for some parts of prompts.
-pub(super) fn crashes_cleared(host: &GatewayHost, attempt_id: &str, parts: &[PartDigest]) {
-    log_event!(host.log, LogEvent::CrashesCleared,
-        "request" => attempt_id.to_owned(), "parts" => digest_list(parts));
-}
-
-fn digest_list(parts: &[PartDigest]) -> String {
-    let digests: Vec<String> = parts.iter().map(ToString::to_string).collect();
-    digests.join(" ")
-}
-
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/src/gateway/worker/answer.rs
+++ b/src/gateway/worker/answer.rs
@@ -1,5 +1,6 @@
 //! Answers of workers and how they end.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::io;
 
@@ -121,6 +122,10 @@
     /// What the connection can be used for after this answer.
     further_use: FurtherUse,
     to_head_request: bool,
+    /// The parts of the body that were read ahead and not taken yet.
+    ahead: VecDeque<Bytes>,
+    /// The failure that ended the reading ahead.
+    failure: Option<AnswerError>,
 }
 
 impl fmt::Debug for WorkerAnswer {
@@ -162,6 +167,8 @@
             done: framing == AnswerFraming::Empty,
             further_use,
             to_head_request,
+            ahead: VecDeque::new(),
+            failure: None,
         }
     }
 
@@ -200,12 +207,51 @@
         self.to_head_request
     }
 
-    /// Reads the next bytes of the body; returns `None` at its end.
+    /// Returns the next bytes of the body, or `None` at its end.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection fails or closes before the end of the body.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        if let Some(bytes) = self.ahead.pop_front() {
+            return Ok(Some(bytes));
+        }
+        match self.failure.take() {
+            Some(error) => Err(error),
+            None => self.receive_chunk().await,
+        }
+    }
+
+    /// Reads the beginning of the body, which [`Self::next_chunk`] returns later: until `is_enough`
+    /// returns true for the bytes that arrived, the body ends or its reading fails.
+    pub async fn read_ahead(&mut self, mut is_enough: impl FnMut(&Bytes) -> bool) {
+        while self.failure.is_none() {
+            match self.receive_chunk().await {
+                Ok(Some(bytes)) => {
+                    let stops = is_enough(&bytes);
+                    self.ahead.push_back(bytes);
+                    if stops {
+                        return;
+                    }
+                }
+                Ok(None) => return,
+                Err(error) => self.failure = Some(error),
+            }
+        }
+    }
+
+    /// Returns whether reading ahead has failed.
+    #[must_use]
+    pub const fn has_failed(&self) -> bool {
+        self.failure.is_some()
+    }
+
+    /// Takes the failure of the reading ahead.
+    pub const fn take_failure(&mut self) -> Option<AnswerError> {
+        self.failure.take()
+    }
+
+    async fn receive_chunk(&mut self) -> Result<Option<Bytes>, AnswerError> {
         if self.framing == AnswerFraming::UntilClose {
             return self.next_unframed_chunk().await;
         }
@@ -245,6 +291,7 @@
     #[must_use]
     pub fn into_connection(self) -> Option<WorkerConnection> {
         let reusable = self.done
+            && self.ahead.is_empty()
             && self.further_use == FurtherUse::Requests
             && self.connection.received.is_empty();
         reusable.then_some(self.connection)
@@ -284,6 +331,8 @@
             done: framing == AnswerFraming::Empty,
             further_use,
             to_head_request: self.to_head_request,
+            ahead: VecDeque::new(),
+            failure: None,
         })
     }
 }
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -85,6 +85,10 @@
         "Requests whose complete answer arrived within the deadline; divided by all valid requests that ended, the goodput.";
     GOODPUT_TOKENS Counter "borageladder_goodput_tokens" ["service" "tier"]
         "Tokens of complete answers that arrived within the deadline.";
+    HEDGE_REFUSALS Counter "borageladder_hedge_refusals" ["reason" "service"]
+        "Slow requests for which no second dispatch was sent, by reason.";
+    HEDGES Counter "borageladder_hedges" ["outcome" "service"]
+        "Second dispatches of slow requests: sent, and of these relayed (won), cancelled for the first one (lost), ended without a usable answer (failed) and cancelled with the request (cancelled).";
     LINK_HANDSHAKES Counter "borageladder_link_handshakes" ["outcome"]
         "Handshakes of links that were begun, failed, or were delayed since too many were in progress.";
     LINK_MESSAGES Counter "borageladder_link_messages" ["direction" "kind"]
--- a/src/metrics/label.rs
+++ b/src/metrics/label.rs
@@ -61,6 +61,20 @@
         Delayed "delayed",
     }
 
+    /// What became of a hedge, the second dispatch of a slow request.
+    HedgeLabel {
+        /// It was sent.
+        Sent "sent",
+        /// Its answer was relayed.
+        Won "won",
+        /// It was cancelled, since the first dispatch was answered.
+        Lost "lost",
+        /// It ended without an answer that can be relayed.
+        Failed "failed",
+        /// It was cancelled with the request, since the caller disconnected.
+        Cancelled "cancelled",
+    }
+
     /// Why the prefill of a prompt was wasted.
     WasteCause {
         /// The answer was incomplete.
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -23,6 +23,7 @@
 use crate::wire::WireRevision;
 
 pub mod catalogue;
+mod hedges;
 mod instrument;
 mod label;
 
@@ -33,6 +34,7 @@
 pub use label::CallOutcome;
 pub use label::ClaimAttemptLabel;
 pub use label::HandshakeLabel;
+pub use label::HedgeLabel;
 pub use label::RequestLabels;
 pub use label::RequestOutcome;
 pub use label::TrafficCarrier;
@@ -66,6 +68,8 @@
     first_token: Histogram<f64>,
     goodput_requests: Counter<u64>,
     goodput_tokens: Counter<u64>,
+    hedge_refusals: Counter<u64>,
+    hedges: Counter<u64>,
     link_handshakes: Counter<u64>,
     link_messages: Counter<u64>,
     link_pings: Counter<u64>,
@@ -139,6 +143,8 @@
             first_token: histogram(&meter, &catalogue::FIRST_TOKEN),
             goodput_requests: counter(&meter, &catalogue::GOODPUT_REQUESTS),
             goodput_tokens: counter(&meter, &catalogue::GOODPUT_TOKENS),
+            hedge_refusals: counter(&meter, &catalogue::HEDGE_REFUSALS),
+            hedges: counter(&meter, &catalogue::HEDGES),
             link_handshakes: counter(&meter, &catalogue::LINK_HANDSHAKES),
             link_messages: counter(&meter, &catalogue::LINK_MESSAGES),
             link_pings: counter(&meter, &catalogue::LINK_PINGS),
--- a/standin/src/experiment/entry.rs
+++ b/standin/src/experiment/entry.rs
@@ -84,6 +84,7 @@
             hinted_tokens: None,
             prefix: request.blocks[..blocks].to_vec(),
             suspect: self.verdict(record) == QuarantineVerdict::Suspect,
+            hedged_worker: None,
         };
         let host = self.names.hosts[record.host].clone();
         self.send_broker(BrokerEvent::Asked { host, ask });
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -9,6 +9,7 @@
 use borageladder::kernel::ask::RefusalReason;
 use borageladder::kernel::clock::ClockTime;
 use borageladder::kernel::configuration::ConfigVersion;
+use borageladder::kernel::hedge::HedgeRefusal;
 use borageladder::kernel::name::ServiceName;
 use borageladder::kernel::quota::QuotaBounds;
 use borageladder::kernel::quota::QuotaBucket;
@@ -16,6 +17,7 @@
 use borageladder::metrics::CallOutcome;
 use borageladder::metrics::ClaimAttemptLabel;
 use borageladder::metrics::HandshakeLabel;
+use borageladder::metrics::HedgeLabel;
 use borageladder::metrics::MetricSet;
 use borageladder::metrics::RequestLabels;
 use borageladder::metrics::RequestOutcome;
@@ -75,6 +77,8 @@
     );
     metrics.platform_called("transact", CallOutcome::Answered);
     metrics.worker_failed(&service);
+    metrics.hedge(&service, HedgeLabel::Won);
+    metrics.hedge_refused(&service, HedgeRefusal::Budget);
     metrics.lines_dropped(LogEvent::RequestSent, 7);
     metrics.set_state_age(second);
     let bucket = QuotaBucket::new(
