--- a/kernel/src/broker/mod.rs
+++ b/kernel/src/broker/mod.rs
@@ -18,6 +18,7 @@
 mod granting;
 mod grants;
 mod health;
+mod hedges;
 mod lanes;
 mod late;
 mod pushback;
@@ -123,6 +124,7 @@
 ///     hinted_tokens: None,
 ///     prefix: Vec::new(),
 ///     suspect: false,
+///     hedged_worker: None,
 /// };
 /// let host = "sapporo-1".parse()?;
 /// let actions = broker.handle(now, BrokerEvent::Asked { host, ask });
--- a/kernel/tests/broker/main.rs
+++ b/kernel/tests/broker/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod grants;
 mod harness;
+mod hedges;
 mod late_work;
 mod latency_targets;
 mod load_run;
--- a/src/gateway/call_facts.rs
+++ b/src/gateway/call_facts.rs
@@ -54,6 +54,8 @@
     pub connection: ConnectionNumber,
     /// Whether the connection was taken from the pool.
     pub reused: bool,
+    /// Whether the dispatch is a hedge of another one that goes on.
+    pub hedge: bool,
     /// The tunnel that carries the connection; `None` if it is direct.
     pub tunnel: Option<&'a ConnectionTunnel>,
     pub dispatched_at: ClockTime,
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -89,6 +89,10 @@
         "Late requests that waited at the brokers of the host and were granted a slot (started) or refused (refused).";
     LATE_WAITING Gauge "borageladder_late_waiting_requests" ["service"]
         "Late requests that wait at the brokers of the host.";
+    HEDGE_REFUSALS Counter "borageladder_hedge_refusals" ["reason" "service"]
+        "Slow requests for which no second dispatch was sent, by reason.";
+    HEDGES Counter "borageladder_hedges" ["outcome" "service"]
+        "Second dispatches of slow requests: sent, and of these relayed (won), cancelled for the first one (lost), ended without a usable answer (failed) and cancelled with the request (cancelled).";
     LINK_HANDSHAKES Counter "borageladder_link_handshakes" ["outcome"]
         "Handshakes of links that were begun, failed, or were delayed since too many were in progress.";
     LINK_MESSAGES Counter "borageladder_link_messages" ["direction" "kind"]
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -24,6 +24,7 @@
 
 mod broker;
 pub mod catalogue;
+mod hedges;
 mod instrument;
 mod label;
 mod release;
@@ -36,6 +37,7 @@
 pub use label::CallOutcome;
 pub use label::ClaimAttemptLabel;
 pub use label::HandshakeLabel;
+pub use label::HedgeLabel;
 pub use label::ReleaseOutcome;
 pub use label::ReleaseSide;
 pub use label::RequestLabels;
@@ -73,6 +75,8 @@
     goodput_tokens: Counter<u64>,
     late_requests: Counter<u64>,
     late_waiting: Gauge<u64>,
+    hedge_refusals: Counter<u64>,
+    hedges: Counter<u64>,
     link_handshakes: Counter<u64>,
     link_messages: Counter<u64>,
     link_pings: Counter<u64>,
@@ -153,6 +157,8 @@
             goodput_tokens: counter(&meter, &catalogue::GOODPUT_TOKENS),
             late_requests: counter(&meter, &catalogue::LATE_REQUESTS),
             late_waiting: gauge(&meter, &catalogue::LATE_WAITING),
+            hedge_refusals: counter(&meter, &catalogue::HEDGE_REFUSALS),
+            hedges: counter(&meter, &catalogue::HEDGES),
             link_handshakes: counter(&meter, &catalogue::LINK_HANDSHAKES),
             link_messages: counter(&meter, &catalogue::LINK_MESSAGES),
             link_pings: counter(&meter, &catalogue::LINK_PINGS),
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -75,6 +75,7 @@
 const USAGE_BUNDLE: u8 = 48;
 const RELEASE_EVIDENCE: u8 = 49;
 const WORKSPACES: u8 = 50;
+const HEDGE_ASK: u8 = 51;
 
 fn write<T: Serialize>(frame: &mut Vec<u8>, kind: u8, row: &T) -> Result<(), CodecError> {
     frame.push(kind);
@@ -156,6 +157,7 @@
             LinkMessage::ClassedMembers(list) => {
                 write(frame, CLASSED_MEMBERS, &host::classed_row(list))
             }
+            LinkMessage::Ask(ask) if ask.hedged_worker.is_some() => write(frame, HEDGE_ASK, ask),
             LinkMessage::Ask(ask) => match &ask.version {
                 None => write(frame, ASK, &state.encode_ask(ask)),
                 Some(version) => {
@@ -305,6 +307,7 @@
                     ..ask
                 }))
             }
+            HEDGE_ASK => LinkMessage::Ask(Box::new(read(rest, limit)?)),
             WITHDRAW => {
                 let (service, request) = state.decode_withdrawal(read(rest, limit)?)?;
                 LinkMessage::Withdraw { service, request }
--- a/src/wire/revision.rs
+++ b/src/wire/revision.rs
@@ -59,6 +59,8 @@
     pub const RELEASES: Self = Self(7);
     /// The revision from which on hosts take declarations of the workspaces of running work.
     pub const DECLARED_WORKSPACES: Self = Self(7);
+    /// The revision from which on brokers grant slots for hedges.
+    pub const HEDGES: Self = Self(7);
 
     /// The revision from which on member lists tell the classes of hosts, so that hosts need no links
     /// with all others.
@@ -96,6 +98,7 @@
     pub const fn revision(&self) -> WireRevision {
         match self {
             Self::Report { report, .. } => ProgressKind::of(report.progress).revision(),
+            Self::Ask(ask) if ask.hedged_worker.is_some() => WireRevision::HEDGES,
             Self::ClassedMembers(_) => WireRevision::CLASSED_MEMBERS,
             Self::BegunStreams(_) | Self::StreamBegun { .. } => WireRevision::BEGUN_STREAMS,
             Self::SoundAnswer { .. } => WireRevision::SOUND_ANSWERS,
--- a/tests/link_support/samples.rs
+++ b/tests/link_support/samples.rs
@@ -114,6 +114,7 @@
             BlockDigest(!own),
         ],
         suspect: false,
+        hedged_worker: None,
     }
 }
 
@@ -443,7 +444,7 @@
     messages.extend(crash_messages());
     messages.extend(stream_messages());
     messages.extend([rates_message(), sum_message(), workspaces_message()]);
-    messages.extend([classed_members(), bundle_message()]);
+    messages.extend([classed_members(), bundle_message(), hedge_ask()]);
     messages.extend(release_messages());
     messages.extend(reports(70));
     for progress in [
@@ -466,6 +467,13 @@
     messages
 }
 
+fn hedge_ask() -> LinkMessage {
+    LinkMessage::Ask(Box::new(Ask {
+        hedged_worker: Some(name("drafter-worker-1")),
+        ..ask(73)
+    }))
+}
+
 fn classed_members() -> LinkMessage {
     LinkMessage::ClassedMembers(MemberList {
         datacenter: name("sapporo-a"),
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -12,6 +12,7 @@
 use borageladder::kernel::broker::WorkspaceUsage;
 use borageladder::kernel::clock::ClockTime;
 use borageladder::kernel::configuration::ConfigVersion;
+use borageladder::kernel::hedge::HedgeRefusal;
 use borageladder::kernel::name::ServiceName;
 use borageladder::kernel::quota::QuotaBounds;
 use borageladder::kernel::quota::QuotaBucket;
@@ -19,6 +20,7 @@
 use borageladder::metrics::CallOutcome;
 use borageladder::metrics::ClaimAttemptLabel;
 use borageladder::metrics::HandshakeLabel;
+use borageladder::metrics::HedgeLabel;
 use borageladder::metrics::MetricSet;
 use borageladder::metrics::ReleaseOutcome;
 use borageladder::metrics::ReleaseSide;
@@ -98,6 +100,8 @@
     metrics.release_request(&service, ReleaseSide::Target);
     metrics.release_answer(&service, ReleaseSide::Target, ReleaseOutcome::Failed);
     metrics.set_release_share(&service, 0.04);
+    metrics.hedge(&service, HedgeLabel::Won);
+    metrics.hedge_refused(&service, HedgeRefusal::Budget);
     metrics.lines_dropped(LogEvent::RequestSent, 7);
     metrics.set_state_age(second);
     let bucket = QuotaBucket::new(
