--- a/src/gateway/release/mod.rs
+++ b/src/gateway/release/mod.rs
@@ -17,6 +17,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -30,6 +31,7 @@
 use crate::kernel::release::KnownRelease;
 use crate::kernel::release::ReleaseBounds;
 use crate::kernel::release::ReleaseOrder;
+use crate::kernel::release::ReleasePhase;
 use crate::kernel::release::ReleaseState;
 use crate::kernel::roster::StoreEra;
 
@@ -114,6 +116,14 @@
         orders.keys().chain(unfinished).cloned().collect()
     }
 
+    /// Returns the interval at which changed evidence is reported.
+    fn evidence_interval(&self) -> Duration {
+        let known = self.known.borrow();
+        let phases = known.values().map(|known| known.state().phase);
+        let shortest = phases.map(ReleasePhase::evidence_interval).min();
+        shortest.unwrap_or_else(|| ReleasePhase::Canary.evidence_interval())
+    }
+
     /// Records whether the host's source of the state sends releases.
     pub(super) fn set_source_knows(&self, knows: bool) {
         self.source_knows.set(knows);
--- a/src/gateway/release/report.rs
+++ b/src/gateway/release/report.rs
@@ -4,7 +4,6 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use super::super::host::GatewayHost;
 use super::super::sync;
@@ -14,9 +13,6 @@
 use crate::wire::EvidenceReport;
 use crate::wire::LinkMessage;
 
-/// The interval at which changed evidence is reported.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-
 /// The number of reports of which one holds all evidence, in case one was lost.
 const FULL_REPORT_PERIOD: u32 = 8;
 
@@ -59,7 +55,7 @@
         return;
     }
     for turn in (0..FULL_REPORT_PERIOD).cycle() {
-        actix_rt::time::sleep(REPORT_INTERVAL).await;
+        actix_rt::time::sleep(host.releases.evidence_interval()).await;
         host.send_evidence(turn == 0);
     }
 }
