--- a/src/gateway/pending.rs
+++ b/src/gateway/pending.rs
@@ -112,8 +112,8 @@
             endpoint,
             suspected,
             version,
-            to_target: _,
             dispatched_at,
+            ..
         } = dispatched;
         let request = self.worker_request(&worker, dispatched_at);
         let time_left = self.planned.deadline.since(dispatched_at) + ANSWER_GRACE;
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -196,20 +196,8 @@
             }
         };
         let now = self.host.clock.now();
-        match plan::replan_request(self.host, self.request, &self.planned, now) {
-            Ok(None) => (),
-            Ok(Some(planned)) if planned.service == self.planned.service => self.planned = planned,
-            Ok(Some(planned)) => {
-                self.planned = planned;
-                return Err((SlotError::WorkerGone, granted.release_grant()));
-            }
-            Err(error) => return Err((error.into(), granted.release_grant())),
-        }
-        if let Err(error) = crash::check_quarantine(self.host, &self.planned) {
-            return Err((error.into(), granted.release_grant()));
-        }
-        if !self.is_suspect && crash::is_suspect(self.host, &self.planned) {
-            return Err((SlotError::Suspect, granted.release_grant()));
+        if let Err(error) = self.check_plan(now) {
+            return Err((error, granted.release_grant()));
         }
         let record = match self.check_worker(&worker, connection.endpoint()) {
             Ok(record) => record,
@@ -264,6 +252,22 @@
         Ok((dispatched, connection))
     }
 
+    /// Plans the request again, and checks whether it may still use a slot that it was granted.
+    fn check_plan(&mut self, now: ClockTime) -> Result<(), SlotError> {
+        if let Some(planned) = plan::replan_request(self.host, self.request, &self.planned, now)? {
+            let is_moved = planned.service != self.planned.service;
+            self.planned = planned;
+            if is_moved {
+                return Err(SlotError::WorkerGone);
+            }
+        }
+        crash::check_quarantine(self.host, &self.planned)?;
+        if !self.is_suspect && crash::is_suspect(self.host, &self.planned) {
+            return Err(SlotError::Suspect);
+        }
+        Ok(())
+    }
+
     /// Returns the registration of a granted worker if the request may be sent to it on a connection to
     /// the process.
     fn check_worker(
