Count only answers with a final status, and none that ends during its upload

Cause: a status of 600 to 999 and 101 reached callers as the worker's answer on both paths (199 also in the daemon), and 600 with X-Not-Executed was taken for proof that the request did not run. An answer without a length whose worker closed its side during an upload of 3 MiB was relayed as complete, since the kernel had taken the whole upload and the gateway no longer wrote once it had read the head. A caller of the gateway that sent Expect: 100-continue got 408 after the idle time.

Change: kernel::attempt::is_final_status is checked where answers are classified (gateway, daemon, store, health checks). The rest of a request is written while the body of its answer is read; an unframed answer that ends before that is lost. Connections to workers set TCP_NOTSENT_LOWAT to 128 KiB, so that what is written is near what was sent. The gateway answers 100 Continue once memory for the body is reserved.

--- a/kernel/src/attempt.rs
+++ b/kernel/src/attempt.rs
@@ -41,6 +41,22 @@
     }
 }
 
+/// Returns whether a worker's or the store's answer with a status counts. Any other status than one of
+/// a final answer (RFC 9110, section 15) is treated like an answer that was lost.
+///
+/// # Examples
+///
+/// ```
+/// use borageladder_kernel::attempt::is_final_status;
+///
+/// assert!(is_final_status(200) && is_final_status(599));
+/// assert!(!is_final_status(101) && !is_final_status(600));
+/// ```
+#[must_use]
+pub const fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..=599)
+}
+
 /// The proof that work may run again, created by [`WorkKind::retryable`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Retryable(());
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -27,6 +27,7 @@
 use awc::Connector;
 use awc::http::Uri;
 use nix::errno::Errno;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -35,6 +36,10 @@
 /// The timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Upper bound on the bytes of a request that the kernel takes and has not sent yet. Without it, the kernel
+/// took an upload of 3 MiB whole while the worker read none of it, so the upload counted as written.
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
+
 /// The reason why a connection could not be opened; nothing was written to the upstream.
 #[derive(Debug, Error)]
 pub enum OpenError {
@@ -94,8 +99,10 @@
             return Err(OpenError::TimedOut { address });
         };
         let stream = opened.map_err(|source| OpenError::Refused { address, source })?;
-        stream
-            .set_nodelay(true)
+        let options = SockRef::from(&stream);
+        options
+            .set_tcp_nodelay(true)
+            .and_then(|()| options.set_tcp_notsent_lowat(MAX_UNSENT_BYTES))
             .map_err(|source| OpenError::Refused { address, source })?;
         Ok(Self { stream })
     }
--- a/src/execution.rs
+++ b/src/execution.rs
@@ -13,6 +13,7 @@
 use crate::context::HostContext;
 use crate::kernel::ask::Refusal;
 use crate::kernel::ask::RefusalReason;
+use crate::kernel::attempt::is_final_status;
 use crate::kernel::lifecycle::DispatchError;
 use crate::kernel::lifecycle::DispatchedState;
 use crate::kernel::lifecycle::GrantedState;
@@ -39,7 +40,8 @@
     pub lease: SlotLease,
     /// The address of the worker.
     pub address: SocketAddr,
-    /// The answer, of which the head has arrived; `None` if the connection failed or timed out first.
+    /// The answer, of which the head has arrived; `None` if the connection failed or timed out first, or
+    /// the status is not that of a final answer.
     pub answer: Option<UpstreamAnswer>,
 }
 
@@ -204,7 +206,14 @@
         limit
     };
     match tokio::time::timeout(limit, sending).await {
-        Ok(Ok(answer)) => Some(answer),
+        Ok(Ok(answer)) if is_final_status(answer.status().as_u16()) => Some(answer),
+        Ok(Ok(answer)) => {
+            active.step(format!(
+                "the answer has status {}",
+                answer.status().as_u16()
+            ));
+            None
+        }
         Ok(Err(error)) => {
             active.step(format!("the connection ended before an answer: {error}"));
             None
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -18,6 +18,7 @@
 use super::worker::WorkerEndpoint;
 use super::worker::WorkerRequest;
 use crate::event::LogEvent;
+use crate::kernel::attempt::is_final_status;
 use crate::kernel::departure::HealthCheck;
 use crate::kernel::departure::HealthOutcome;
 use crate::kernel::name::WorkerName;
@@ -96,6 +97,9 @@
         return HealthOutcome::Undecided;
     };
     let status = answer.head().status;
+    if !is_final_status(status.as_u16()) {
+        return HealthOutcome::Undecided;
+    }
     let metadata = host
         .dialect
         .answer_metadata(status.as_u16(), answer.head().headers());
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -22,6 +22,7 @@
 use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
 use crate::kernel::attempt::RunStatement;
+use crate::kernel::attempt::is_final_status;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::name::WorkerName;
 
@@ -111,6 +112,12 @@
                 });
             }
         };
+        if !is_final_status(answer.head().status.as_u16()) {
+            // Nothing that the answer says counts, a statement that the request did not run included.
+            self.trace.answer_unused(answer.head().status, &metadata);
+            let error = CallError::Lost;
+            return Ok(DispatchEnd::Broken { error, lost: None });
+        }
         if lease.observe_rate(dispatched_at, metadata.rate) {
             self.trace.rate_changed(worker, metadata.rate);
         }
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -10,6 +10,7 @@
 use actix_codec::Decoder;
 use actix_http::HttpMessage;
 use actix_http::Request;
+use actix_http::Version;
 use actix_http::error::ParseError;
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
@@ -60,6 +61,10 @@
 /// caller has not read yet.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// The expectation of a caller that waits before it sends the body, and the interim answer to it.
+const CONTINUE_TOKEN: &[u8] = b"100-continue";
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// A caller's request with its complete body.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -185,6 +190,9 @@
         let mut capacity = stated.unwrap_or(short).min(limits.body_bytes);
         let longest = self.host.bodies.longest(limits.body_bytes);
         let mut reservation = self.reserve(head, capacity).await?;
+        if expects_continue(head) && self.received.is_empty() {
+            self.stream.write_all(CONTINUE).await?;
+        }
         let mut body = BytesMut::with_capacity(stated.map_or(0, |_| capacity));
         while !self.read_body(head, &mut body, capacity, limits).await? {
             if capacity >= longest {
@@ -373,6 +381,14 @@
     }
 }
 
+/// Returns whether the caller waits for an interim answer before it sends the body.
+fn expects_continue(head: &Request) -> bool {
+    let expectation = head.headers().get(header::EXPECT);
+    let expects =
+        expectation.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(CONTINUE_TOKEN));
+    expects && head.version() >= Version::HTTP_11
+}
+
 /// Returns the length of the body that the head states, if it does.
 fn stated_length(head: &Request) -> Option<usize> {
     let value = head.headers().get(header::CONTENT_LENGTH)?;
--- a/src/gateway/worker/answer.rs
+++ b/src/gateway/worker/answer.rs
@@ -221,12 +221,15 @@
         Ok(None)
     }
 
-    /// Reads the next bytes of a body that ends with the connection; a reset is an error.
+    /// Reads the next bytes of a body that ends with the connection; a reset is an error, and so is an end
+    /// before the whole request was written: the worker can't have answered what it has not read.
     async fn next_unframed_chunk(&mut self) -> Result<Option<Bytes>, AnswerError> {
         while !self.done && self.connection.received.is_empty() {
             match self.connection.read_more().await {
                 Ok(()) => (),
-                Err(AnswerError::Closed) => self.end_answer(),
+                Err(AnswerError::Closed) if !self.connection.unsent.has_remaining() => {
+                    self.end_answer();
+                }
                 Err(error) => return Err(error),
             }
         }
--- a/src/gateway/worker/mod.rs
+++ b/src/gateway/worker/mod.rs
@@ -107,6 +107,8 @@
     received: BytesMut,
     /// The rest of the request that has not been written yet: of its head, and of its body.
     unsent: Chain<Bytes, Bytes>,
+    /// Whether writing the rest of the request failed; what has arrived of the answer is still read.
+    has_write_failed: bool,
     was_used: bool,
     /// Whether a request was sent whose answer has not been read to its end.
     awaits_answer: bool,
@@ -137,6 +139,7 @@
             config,
             received: BytesMut::new(),
             unsent: Bytes::new().chain(Bytes::new()),
+            has_write_failed: false,
             was_used: false,
             awaits_answer: false,
         }
@@ -194,10 +197,7 @@
         Ok(WorkerAnswer::first(self, codec, head, to_head_request))
     }
 
-    /// Reads the head of an answer, and writes what is left of the request meanwhile: a worker may
-    /// answer before it has read the whole request.
-    ///
-    /// Interim answers, which the final one follows, are skipped.
+    /// Reads the head of an answer. Interim answers, which the final one follows, are skipped.
     async fn read_head(&mut self, codec: &mut ClientCodec) -> Result<ResponseHead, AnswerError> {
         loop {
             if let Some(head) = codec.decode(&mut self.received)? {
@@ -207,40 +207,45 @@
                 }
                 return Ok(head);
             }
-            if !self.unsent.has_remaining() {
-                self.read_more().await?;
-                continue;
-            }
+            self.read_more().await?;
+        }
+    }
+
+    /// Reads further bytes of an answer, and writes what is left of the request meanwhile: a worker may
+    /// answer before it has read the whole request.
+    async fn read_more(&mut self) -> Result<(), AnswerError> {
+        self.received.reserve(READ_BYTES);
+        while self.unsent.has_remaining() && !self.has_write_failed {
             tokio::select! {
-                written = self.stream.writable() => {
-                    written?;
-                    match self.stream.try_write(self.unsent.chunk()) {
-                        Ok(count) => self.unsent.advance(count),
-                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
-                        Err(error) => return Err(error.into()),
-                    }
+                writable = self.stream.writable() => {
+                    writable?;
+                    self.write_unsent();
                 }
                 readable = self.stream.readable() => {
                     readable?;
-                    self.received.reserve(READ_BYTES);
                     match self.stream.try_read_buf(&mut self.received) {
                         Ok(0) => return Err(AnswerError::Closed),
-                        Ok(_) => (),
+                        Ok(_) => return Ok(()),
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
                         Err(error) => return Err(error.into()),
                     }
                 }
             }
         }
-    }
-
-    async fn read_more(&mut self) -> Result<(), AnswerError> {
-        self.received.reserve(READ_BYTES);
         match self.stream.read_buf(&mut self.received).await? {
             0 => Err(AnswerError::Closed),
             _ => Ok(()),
         }
     }
+
+    fn write_unsent(&mut self) {
+        match self.stream.try_write(self.unsent.chunk()) {
+            Ok(count) => self.unsent.advance(count),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
+            // The worker may have answered before it ended the connection.
+            Err(_) => self.has_write_failed = true,
+        }
+    }
 }
 
 /// Returns whether another answer to the same request follows one with the status.
--- a/tests/harness/deployment.rs
+++ b/tests/harness/deployment.rs
@@ -50,6 +50,8 @@
     pub script: String,
     /// Whether links and platform connections go through relays, so that tests can interrupt them.
     pub relayed: bool,
+    /// The length of the longest body that the hosts accept, in bytes.
+    pub max_body_bytes: usize,
 }
 
 impl Default for DeploymentPlan {
@@ -60,6 +62,7 @@
             plain: vec!["sapporo-a"],
             script: String::new(),
             relayed: false,
+            max_body_bytes: 1 << 20,
         }
     }
 }
@@ -107,6 +110,7 @@
     pub hosts: Vec<TestHost>,
     folder: PathBuf,
     relayed: bool,
+    max_body_bytes: usize,
 }
 
 impl TestHost {
@@ -156,6 +160,7 @@
             hosts: Vec::new(),
             folder,
             relayed: plan.relayed,
+            max_body_bytes: plan.max_body_bytes,
         };
         deployment.add_hosts(&plan.hosts);
         let script = deployment.script(plan);
@@ -373,7 +378,7 @@
              link_advertise = \"{}\"\n\
              peers = [{}]\nplatform = \"{}\"\nshared_key_file = \"shared.key\"\n\
              [[operators]]\nname = \"tester\"\ntoken_digest = \"{}\"\n\
-             [limits]\nmax_body_bytes = 1048576\n[log]\nformat = \"json\"\nlevel = \"info\"\n",
+             [limits]\nmax_body_bytes = {}\n[log]\nformat = \"json\"\nlevel = \"info\"\n",
             region(datacenter),
             host.entry,
             host.operator,
@@ -384,6 +389,7 @@
                 .as_ref()
                 .map_or(self.platform.address, TestRelay::address),
             blake3::hash(TOKEN.as_bytes()).to_hex(),
+            self.max_body_bytes,
         )
     }
 
