--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -21,6 +21,7 @@
 use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RetryPermit;
 use crate::kernel::attempt::RunStatement;
+use crate::kernel::attempt::is_final_status;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchedState;
 use crate::kernel::lifecycle::RequestLife;
@@ -99,6 +100,14 @@
                 });
             }
         };
+        if !is_final_status(answer.head().status.as_u16()) {
+            // Nothing that the answer says counts, a statement that the request did not run included.
+            let worker = &dispatch.evidence.worker;
+            self.trace
+                .answer_unused(worker, answer.head().status, &metadata);
+            let error = CallError::Lost;
+            return Ok(DispatchEnd::Broken { error, lost: None });
+        }
         self.observe_head(dispatch, &metadata);
         let worker = &dispatch.evidence.worker;
         let statement = RunStatement {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -26,6 +26,7 @@
 use crate::kernel::ask::RefusalReason;
 use crate::kernel::attempt::NotRunProof;
 use crate::kernel::attempt::RunStatement;
+use crate::kernel::attempt::is_final_status;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::hedge::HedgeCandidate;
 use crate::kernel::hedge::HedgeRefusal;
@@ -294,9 +295,14 @@
                 return;
             }
         };
-        self.observe_head(&mut ended, &matched.metadata);
         let worker = ended.evidence.worker.clone();
         let status = matched.answer.head().status;
+        if !is_final_status(status.as_u16()) {
+            self.trace.answer_unused(&worker, status, &matched.metadata);
+            self.end_broken(ended, &CallError::Lost, None).await;
+            return;
+        }
+        self.observe_head(&mut ended, &matched.metadata);
         let statement = RunStatement {
             not_run: matched.metadata.not_run,
             names_request: matched.metadata.attempt_id.is_some(),
--- a/src/gateway/pending.rs
+++ b/src/gateway/pending.rs
@@ -23,6 +23,7 @@
 use super::worker::WorkerRequest;
 use crate::cell::SlotLease;
 use crate::kernel::attempt::WorkKind;
+use crate::kernel::attempt::is_final_status;
 use crate::kernel::clock::ClockTime;
 use crate::kernel::lifecycle::DispatchedState;
 use crate::kernel::lifecycle::RequestLife;
@@ -50,7 +51,8 @@
     /// Returns whether the answer can be relayed to the caller as it is.
     pub(super) fn is_usable(&self) -> bool {
         let status = self.answer.head().status;
-        let is_relayed = !status.is_server_error() && !implies_not_run(status);
+        let is_final = is_final_status(status.as_u16());
+        let is_relayed = is_final && !status.is_server_error() && !implies_not_run(status);
         let is_signed = self.metadata.signed || !status.is_success();
         let is_sound = self.has_begun && !self.answer.has_failed();
         is_relayed && is_signed && is_sound && !self.metadata.not_run
