Read an answer on while its caller reads slowly, and cut off one that takes nothing

Cause: the gateway wrote to the caller inline, so a caller that read slowly stopped the reading of its worker's answer, kept the worker's slot, and lost a complete answer at the deadline; one that read nothing was never reset.

The held-back beginning of a plain answer is charged as well. The slot and the memory of the request's body are given back when the answer is complete; the rest is written afterwards, past the deadline while the caller takes bytes. A request is written to a worker before its answer is read where both are possible.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod ask;
 pub mod attempt;
+pub mod backlog;
 pub mod broker;
 pub mod change;
 pub mod claim;
--- a/kernel/src/memory.rs
+++ b/kernel/src/memory.rs
@@ -1,4 +1,4 @@
-//! The bytes of request bodies that one host holds, and which body is read next.
+//! The bytes of request bodies and of unread answers that one host holds, and which body is read next.
 //!
 //! A body is claimed before it is read, with its whole length if that is stated, so that such bodies
 //! never wait for each other once they are being read. Long bodies leave a part of the memory to
@@ -25,6 +25,9 @@
 /// The part of those bytes that long bodies may take, in percent.
 const LONG_PERCENT: u64 = 75;
 
+/// The part of those bytes that answers may take which their callers have not read, in percent.
+const ANSWER_PERCENT: u64 = 25;
+
 /// Returns a part, in percent, of the memory of a host that the process itself doesn't take, in bytes.
 pub(crate) const fn rest_of_memory(memory: u64, percent: u64) -> u64 {
     memory.saturating_sub(BASE_BYTES) / 100 * percent
@@ -120,6 +123,8 @@
     budget: BodyBudget,
     held: u64,
     held_long: u64,
+    /// The bytes of answers, which are part of `held`.
+    held_answers: u64,
     lent: u64,
     held_by: BTreeMap<Option<WorkspaceName>, u64>,
     waiting: BTreeMap<ClaimNumber, BodyClaim>,
@@ -134,6 +139,7 @@
             budget,
             held: 0,
             held_long: 0,
+            held_answers: 0,
             lent: 0,
             held_by: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -141,7 +147,7 @@
         }
     }
 
-    /// Returns the bytes of the bodies that are held.
+    /// Returns the bytes of the bodies and of the unread answers that are held.
     #[must_use]
     pub const fn held(&self) -> u64 {
         self.held
@@ -202,6 +208,23 @@
         Some(self.grant())
     }
 
+    /// Changes the bytes of an answer that its caller has not read; returns the claims that are granted now,
+    /// or `None` if it would take more than there is for answers, or than bodies that wait leave.
+    pub fn resize_answer(&mut self, before: u64, bytes: u64) -> Option<Vec<ClaimNumber>> {
+        let (held, answers) = (
+            self.held - before + bytes,
+            self.held_answers - before + bytes,
+        );
+        let fits = held + self.lent <= self.budget.total
+            && answers <= self.budget.total / 100 * ANSWER_PERCENT
+            && self.waiting.is_empty();
+        if bytes > before && !fits {
+            return None;
+        }
+        (self.held, self.held_answers) = (held, answers);
+        Some(self.grant())
+    }
+
     /// Returns the bytes of the budget that bodies don't take, whether they are lent or not.
     #[must_use]
     pub const fn lendable(&self) -> u64 {
--- a/src/event.rs
+++ b/src/event.rs
@@ -117,6 +117,7 @@
     516 Warning BodyRefused "body-refused" "A request was refused before its body was read to its end, since the host has no memory for it; it did not run.";
     517 Warning ConnectionRefused "connection-refused" "A caller's connection was closed, or a request on it answered 503, before its request was read to its end, since requests on other connections take the memory or the descriptors; it did not run.";
     518 Warning DescriptorsUnknown "descriptors-unknown" "The number of descriptors that the process may open can't be read; the number of callers' connections is bounded by their memory only.";
+    519 Warning CallerCutOff "caller-cut-off" "A caller took nothing of its answer for too long; its connection was reset and its request cancelled.";
     520 Info ClaimSettled "claim-settled" "An operator settled the outcome of a claim.";
     600 Info WorkerLeaving "worker-leaving" "A worker is leaving and is assigned no new work.";
     601 Warning WorkerFailed "worker-failed" "A worker failed while it ran a request, or no longer accepted connections afterwards.";
--- a/src/gateway/bodies.rs
+++ b/src/gateway/bodies.rs
@@ -1,4 +1,4 @@
-//! Memory for the bodies of callers' requests.
+//! Memory for the bodies of callers' requests, and for what callers have not read of their answers.
 //!
 //! [`crate::kernel::memory`] decides which body is read; a request that has to wait for too long is
 //! refused before its body is read.
@@ -77,6 +77,15 @@
         self.notify(&granted);
     }
 
+    /// Returns what is held of an answer, none at first.
+    #[must_use]
+    pub fn answer(self: &Rc<Self>) -> AnswerReservation {
+        AnswerReservation {
+            memory: Rc::clone(self),
+            bytes: 0,
+        }
+    }
+
     /// Returns the greatest length of a body whose length is not stated, where the configuration allows
     /// `limit` bytes.
     #[must_use]
@@ -185,3 +194,31 @@
         self.memory.release(&self.claim);
     }
 }
+
+/// Memory reserved for what the caller of an answer has not read, until it is dropped.
+#[derive(Debug)]
+pub struct AnswerReservation {
+    memory: Rc<BodyMemory>,
+    bytes: u64,
+}
+
+impl AnswerReservation {
+    /// Changes the bytes that are reserved; returns whether there is memory for them. If not, what was
+    /// reserved stays so.
+    pub fn resize(&mut self, bytes: u64) -> bool {
+        let mut ledger = self.memory.ledger.borrow_mut();
+        let Some(granted) = ledger.resize_answer(self.bytes, bytes) else {
+            return false;
+        };
+        drop(ledger);
+        self.bytes = bytes;
+        self.memory.notify(&granted);
+        true
+    }
+}
+
+impl Drop for AnswerReservation {
+    fn drop(&mut self) {
+        self.resize(0);
+    }
+}
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -118,21 +118,13 @@
             let error = CallError::Lost;
             return Ok(DispatchEnd::Broken { error, lost: None });
         }
-        if lease.observe_rate(dispatched_at, metadata.rate) {
-            self.trace.rate_changed(worker, metadata.rate);
-        }
-        if metadata.leaving {
-            lease.leaving_named();
-            let is_new = self.host.mark_leaving(worker, Some(connected_at));
-            self.trace.leaving_stated(worker, is_new);
-        }
-        if let Some(rest) = metadata.rest {
-            let now = self.host.clock.now();
-            self.host.rests.borrow_mut().record(now, worker, rest);
-        }
-        if let Some(tolerance) = metadata.tolerance {
-            lease.tolerance_named(tolerance);
-        }
+        self.record_statements(
+            &evidence.worker,
+            &metadata,
+            lease,
+            dispatched_at,
+            connected_at,
+        );
         let statement = RunStatement {
             not_run: metadata.not_run,
             names_request: metadata.attempt_id.is_some(),
@@ -231,6 +223,32 @@
         Err(AnswerError::Closed)
     }
 
+    /// Records what the head of an answer says of its worker.
+    fn record_statements(
+        &self,
+        worker: &WorkerName,
+        metadata: &AnswerMetadata,
+        lease: &mut SlotLease,
+        dispatched_at: ClockTime,
+        connected_at: ClockTime,
+    ) {
+        if lease.observe_rate(dispatched_at, metadata.rate) {
+            self.trace.rate_changed(worker, metadata.rate);
+        }
+        if metadata.leaving {
+            lease.leaving_named();
+            let is_new = self.host.mark_leaving(worker, Some(connected_at));
+            self.trace.leaving_stated(worker, is_new);
+        }
+        if let Some(rest) = metadata.rest {
+            let now = self.host.clock.now();
+            self.host.rests.borrow_mut().record(now, worker, rest);
+        }
+        if let Some(tolerance) = metadata.tolerance {
+            lease.tolerance_named(tolerance);
+        }
+    }
+
     /// Reads the rest of an answer and returns its connection to the pool if it can be reused.
     async fn return_to_pool(
         &self,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -81,13 +81,19 @@
     let metadata = host.dialect.call_metadata(request.head.headers());
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
     let mut trace = CallTrace::new(host, attempt_id, arrival);
+    let deadline = arrival + metadata.timeout.unwrap_or_default();
     let outcome = run(host, &request, metadata, caller, &trace, arrival).await;
+    // A caller that reads its answer slowly doesn't need the memory of its request.
+    let CallerRequest {
+        body, reservation, ..
+    } = request;
+    drop((body, reservation));
     if matches!(outcome, Err(ExchangeError::CallerLeft)) {
         return false;
     }
     trace.mark_ended();
     match outcome {
-        Ok(()) => true,
+        Ok(()) => caller.flush(deadline).await.is_ok(),
         Err(ExchangeError::Call(error)) if !caller.has_started() => {
             trace.answered_with_error(&error);
             let retry_after = error.retry_after();
@@ -101,6 +107,10 @@
         }
         Err(error) => {
             trace.truncated(&error);
+            if !matches!(error, ExchangeError::Caller(_)) {
+                // What was relayed belongs to the caller; the answer stays recognisably truncated.
+                let _ = caller.flush(deadline).await;
+            }
             false
         }
     }
--- a/src/gateway/frontend.rs
+++ b/src/gateway/frontend.rs
@@ -10,7 +10,6 @@
 use actix_codec::Decoder;
 use actix_http::HttpMessage;
 use actix_http::Request;
-use actix_http::Version;
 use actix_http::error::ParseError;
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
@@ -18,6 +17,7 @@
 use actix_http::header;
 use bytes::Bytes;
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -30,6 +30,8 @@
 use super::connections::ConnectionLease;
 use super::document::CallerLimits;
 use super::exchange;
+use super::expectation::CONTINUE;
+use super::expectation::expects_continue;
 use super::host::GatewayHost;
 use super::plan;
 use super::read_ahead::READ_BYTES;
@@ -55,16 +57,16 @@
 /// The time limit for reading a long body of a caller that does not say how long it waits.
 const MAX_BODY_TIME: Duration = Duration::from_mins(1);
 
+/// Upper bound on the bytes of an answer that the kernel takes and has not sent yet. With it, the kernel takes
+/// more as soon as the caller has taken some bytes, and not only once much of its buffer is free.
+const MAX_UNSENT_BYTES: u32 = 1 << 20;
+
 /// Time for which the host keeps reading after it has shut down its side of a connection.
 ///
 /// Closing a socket with unread data resets the connection, which can discard an answer that the
 /// caller has not read yet.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
-/// The expectation of a caller that waits before it sends the body, and the interim answer to it.
-const CONTINUE_TOKEN: &[u8] = b"100-continue";
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
 /// A caller's request with its complete body.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -72,6 +74,8 @@
     pub head: Request,
     /// The body without its transfer encoding; empty if the request has none.
     pub body: Bytes,
+    /// The memory reserved for the body; `None` if the request has none.
+    pub reservation: Option<BodyReservation>,
 }
 
 /// Accepts and serves caller connections until the host stops accepting requests.
@@ -94,8 +98,9 @@
 }
 
 async fn serve_connection(host: Rc<GatewayHost>, stream: TcpStream, lease: ConnectionLease) {
-    // If the option can't be set, answers are merely delayed.
+    // If the options can't be set, answers are merely delayed, or the kernel holds more of them.
     let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let mut connection = CallerConnection {
         codec: Codec::new(host.http.clone()),
         host,
@@ -117,7 +122,7 @@
 impl CallerConnection {
     async fn run(&mut self) {
         loop {
-            let (request, _reservation) = match self.read_next_request().await {
+            let request = match self.read_next_request().await {
                 Ok(read) => read,
                 // A request that arrives during the close stays unread, so the connection is reset
                 // without an answer and the caller can conclude that the request did not run.
@@ -137,14 +142,12 @@
         self.linger().await;
     }
 
-    /// Reads the next request; also returns the memory reserved for its body, if it has one.
+    /// Reads the next request.
     ///
     /// The head must be complete within a fixed time after its first bytes, or after this call if
     /// they were received before it. The body only has to keep arriving: its time limit applies to
     /// each read.
-    async fn read_next_request(
-        &mut self,
-    ) -> Result<(CallerRequest, Option<BodyReservation>), ReadError> {
+    async fn read_next_request(&mut self) -> Result<CallerRequest, ReadError> {
         let limits = self.host.limits();
         if self.received.is_empty() {
             self.lease.rest();
@@ -170,7 +173,11 @@
                 (body, Some(reservation))
             }
         };
-        Ok((CallerRequest { head, body }, reservation))
+        Ok(CallerRequest {
+            head,
+            body,
+            reservation,
+        })
     }
 
     /// Reserves memory for a body and reads it.
@@ -331,7 +338,7 @@
     async fn serve_request(&mut self, request: CallerRequest) -> ConnectionUse {
         let (mut reader, writer) = self.stream.split();
         let version = request.head.version();
-        let caller = CallerWriter::new(writer, &mut self.codec, &self.host.stopping);
+        let caller = CallerWriter::new(writer, &mut self.codec, &self.host);
         let mut caller = caller.with_version(version);
         // On the heap, so that a connection that waits for a request doesn't hold its space.
         let exchange = Box::pin(exchange::serve(&self.host, request, &mut caller));
@@ -348,7 +355,7 @@
     async fn reject(&mut self, error: &ReadError) {
         let Some(status) = error.status() else { return };
         let (_, writer) = self.stream.split();
-        let mut caller = CallerWriter::new(writer, &mut self.codec, &self.host.stopping);
+        let mut caller = CallerWriter::new(writer, &mut self.codec, &self.host);
         let retry_after = error.retry_after();
         let retry_after = retry_after.map(|time| self.host.dialect.retry_after(time));
         // The connection is closed next, so a failed write needs no handling.
@@ -381,14 +388,6 @@
     }
 }
 
-/// Returns whether the caller waits for an interim answer before it sends the body.
-fn expects_continue(head: &Request) -> bool {
-    let expectation = head.headers().get(header::EXPECT);
-    let expects =
-        expectation.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(CONTINUE_TOKEN));
-    expects && head.version() >= Version::HTTP_11
-}
-
 /// Returns the length of the body that the head states, if it does.
 fn stated_length(head: &Request) -> Option<usize> {
     let value = head.headers().get(header::CONTENT_LENGTH)?;
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -47,7 +47,7 @@
                     (true, false) => StatusCode::SERVICE_UNAVAILABLE,
                 };
                 let (_, writer) = stream.split();
-                let mut caller = CallerWriter::new(writer, &mut codec, &host.stopping);
+                let mut caller = CallerWriter::new(writer, &mut codec, &host);
                 let reason = status.canonical_reason().unwrap_or_default();
                 let answered = caller.write_local_answer(status, None, reason).await;
                 if answered.is_err() || !caller.keep_alive() {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -257,7 +257,7 @@
     ) -> Result<RelayEnd, RelayEnd> {
         let head_at = Instant::now();
         let mut has_event = false;
-        while let Some(bytes) = answer.next_chunk().await? {
+        while let Some(bytes) = caller.run_while(answer.next_chunk()).await?? {
             self.events.push(&bytes);
             let taken = self.events.take();
             if self.events.is_oversized() {
@@ -284,8 +284,8 @@
                 report.0(began_at);
             }
             self.last_event_at = Some(now);
-            self.relay_stream_head(&answer, caller).await?;
-            caller.write_body(events).await?;
+            self.relay_stream_head(&answer, caller)?;
+            caller.write_body(events)?;
         }
         self.partial_bytes = self.events.partial_bytes();
         if self.events.is_within_event() {
@@ -299,37 +299,39 @@
                 return Err(AnswerError::WorkerEnded.into());
             }
         }
-        self.relay_stream_head(&answer, caller).await?;
+        self.relay_stream_head(&answer, caller)?;
         let rest = self.events.take_rest();
         if !rest.is_empty() {
-            caller.write_body(rest).await?;
+            caller.write_body(rest)?;
         }
-        caller.finish_body().await?;
+        caller.finish_body()?;
         Ok(RelayEnd::Complete(Box::new(answer)))
     }
 
-    async fn relay_stream_head(
+    fn relay_stream_head(
         &mut self,
         answer: &WorkerAnswer,
         caller: &mut CallerWriter<'_>,
     ) -> Result<(), RelayEnd> {
         if !caller.has_started() {
             self.streaming = true;
-            caller.relay_head(answer.head(), None).await?;
+            caller.relay_head(answer.head(), None)?;
         }
         Ok(())
     }
 }
 
-/// Relays an answer once it is complete, or as it arrives if it exceeds [`MAX_BUFFERED_BYTES`].
+/// Relays an answer once it is complete, or as it arrives if it exceeds [`MAX_BUFFERED_BYTES`] or the memory
+/// for answers.
 async fn relay_buffered(
     mut answer: WorkerAnswer,
     caller: &mut CallerWriter<'_>,
 ) -> Result<RelayEnd, RelayEnd> {
     let mut buffered = BytesMut::new();
-    while let Some(bytes) = answer.next_chunk().await? {
+    while let Some(bytes) = caller.run_while(answer.next_chunk()).await?? {
         buffered.extend_from_slice(&bytes);
-        if buffered.len() > MAX_BUFFERED_BYTES {
+        let has_memory = caller.reserve_beginning(buffered.capacity());
+        if buffered.len() > MAX_BUFFERED_BYTES || !has_memory {
             return relay_long(answer, buffered.freeze(), caller).await;
         }
     }
@@ -338,9 +340,9 @@
     } else {
         Some(buffered.len() as u64)
     };
-    caller.relay_head(answer.head(), length).await?;
+    caller.relay_head(answer.head(), length)?;
     if !buffered.is_empty() {
-        caller.write_body(buffered.freeze()).await?;
+        caller.write_body(buffered.freeze())?;
     }
     Ok(RelayEnd::Complete(Box::new(answer)))
 }
@@ -352,13 +354,13 @@
     caller: &mut CallerWriter<'_>,
 ) -> Result<RelayEnd, RelayEnd> {
     let length = answer.declared_length();
-    caller.relay_head(answer.head(), length).await?;
-    caller.write_body(buffered).await?;
-    while let Some(bytes) = answer.next_chunk().await? {
-        caller.write_body(bytes).await?;
+    caller.relay_head(answer.head(), length)?;
+    caller.write_body(buffered)?;
+    while let Some(bytes) = caller.run_while(answer.next_chunk()).await?? {
+        caller.write_body(bytes)?;
     }
     if length.is_none() {
-        caller.finish_body().await?;
+        caller.finish_body()?;
     }
     Ok(RelayEnd::Complete(Box::new(answer)))
 }
--- a/src/gateway/worker/mod.rs
+++ b/src/gateway/worker/mod.rs
@@ -216,7 +216,9 @@
     async fn read_more(&mut self) -> Result<(), AnswerError> {
         self.received.reserve(READ_BYTES);
         while self.unsent.has_remaining() && !self.has_write_failed {
+            // The request is written first, so that what a worker wrote before it read is not its answer.
             tokio::select! {
+                biased;
                 writable = self.stream.writable() => {
                     writable?;
                     self.write_unsent();
--- a/src/metrics/catalogue.rs
+++ b/src/metrics/catalogue.rs
@@ -68,9 +68,11 @@
     ANSWER_TOKENS Counter "borageladder_answer_tokens" ["outcome" "service" "tier"]
         "Tokens that workers generated, by the outcome of their request.";
     BODY_BYTES Gauge "borageladder_body_bytes" ["state"]
-        "Bytes of the request bodies that the host holds (held) and may hold (limit).";
+        "Bytes of the request bodies and unread answers that the host holds (held) and may hold (limit).";
     BODY_REFUSALS Counter "borageladder_body_refusals" []
         "Requests refused before their bodies were read to the end, for want of memory.";
+    CALLER_CUT_OFFS Counter "borageladder_caller_cut_offs" []
+        "Callers whose connections were reset since they took nothing of their answers for too long.";
     CLAIMS Counter "borageladder_claims" ["outcome"]
         "Attempts to claim an idempotency key, by outcome.";
     CONFIGURATION_VERSION Gauge "borageladder_configuration_version" ["state"]
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -59,6 +59,7 @@
     answer_tokens: Counter<u64>,
     body_bytes: Gauge<u64>,
     body_refusals: Counter<u64>,
+    caller_cut_offs: Counter<u64>,
     connection_bytes: Gauge<u64>,
     connection_refusals: Counter<u64>,
     claims: Counter<u64>,
@@ -132,6 +133,7 @@
             answer_tokens: counter(&meter, &catalogue::ANSWER_TOKENS),
             body_bytes: gauge(&meter, &catalogue::BODY_BYTES),
             body_refusals: counter(&meter, &catalogue::BODY_REFUSALS),
+            caller_cut_offs: counter(&meter, &catalogue::CALLER_CUT_OFFS),
             connection_bytes: gauge(&meter, &catalogue::CONNECTION_BYTES),
             connection_refusals: counter(&meter, &catalogue::CONNECTION_REFUSALS),
             claims: counter(&meter, &catalogue::CLAIMS),
@@ -247,6 +249,11 @@
         self.body_refusals.add(1, &[]);
     }
 
+    /// Counts a caller that was cut off since it took nothing of its answer.
+    pub fn caller_cut_off(&self) {
+        self.caller_cut_offs.add(1, &[]);
+    }
+
     /// Sets the bytes that the connections of callers take, and the most that they may take.
     pub fn set_connection_bytes(&self, held: u64, limit: u64) {
         for (state, bytes) in [("held", held), ("limit", limit)] {
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -52,6 +52,7 @@
     metrics.set_waiting_bytes(4_096);
     metrics.set_body_bytes(4_096, 8_192);
     metrics.body_refused();
+    metrics.caller_cut_off();
     metrics.set_connection_bytes(4_096, 8_192);
     metrics.connection_refused();
     metrics.set_running(&labels, 4);
