--- a/src/event.rs
+++ b/src/event.rs
@@ -122,6 +122,7 @@
     516 Warning BodyRefused "body-refused" "A request was refused before its body was read to its end, since the host has no memory for it; it did not run.";
     517 Warning ConnectionRefused "connection-refused" "A caller's connection was closed, or a request on it answered 503, before its request was read to its end, since requests on other connections take the memory or the descriptors; it did not run.";
     518 Warning DescriptorsUnknown "descriptors-unknown" "The number of descriptors that the process may open can't be read; the number of callers' connections is bounded by their memory only.";
+    519 Warning CallerCutOff "caller-cut-off" "A caller took nothing of its answer for too long; its connection was reset and its request cancelled.";
     520 Info ClaimSettled "claim-settled" "An operator settled the outcome of a claim.";
     530 Info HedgeSent "hedge-sent" "A second dispatch of a slow request was sent to another worker.";
     531 Info HedgeEnded "hedge-ended" "A second dispatch of a slow request ended: its answer was relayed (won), it was cancelled for the first dispatch (lost) or with the request (cancelled), or it brought no usable answer (failed).";
