--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -114,7 +114,9 @@
     }
 
     fn expect(&mut self, text: &str) -> Option<()> {
-        self.bytes[self.at..].starts_with(text.as_bytes()).then(|| self.at += text.len())
+        self.bytes[self.at..]
+            .starts_with(text.as_bytes())
+            .then(|| self.at += text.len())
     }
 
     fn value(&mut self) -> Option<Json> {
@@ -152,7 +154,11 @@
             }
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -225,7 +231,10 @@
 
 impl Head {
     fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -243,7 +252,10 @@
 impl Wire {
     fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, bytes: Vec::new() }
+        Self {
+            stream,
+            bytes: Vec::new(),
+        }
     }
 
     /// Reads more bytes; `Ok(0)` is an orderly close.
@@ -277,7 +289,10 @@
         if self.bytes.is_empty() && self.more()? == 0 {
             return Ok(None);
         }
-        let mut head = Head { first: self.line()?, fields: Vec::new() };
+        let mut head = Head {
+            first: self.line()?,
+            fields: Vec::new(),
+        };
         loop {
             let line = self.line()?;
             if line.is_empty() {
@@ -397,7 +412,14 @@
         let mut state = self.state.0.lock().unwrap();
         state.version += 1;
         let version = state.version;
-        write_row(&mut state, table, "", key, &base64(value.as_bytes()), version);
+        write_row(
+            &mut state,
+            table,
+            "",
+            key,
+            &base64(value.as_bytes()),
+            version,
+        );
         self.state.1.notify_all();
     }
 
@@ -484,8 +506,15 @@
                 if present.is_none() {
                     let (table, part, key) = name(check);
                     violated.push(
-                        Row { table, part, key, data: String::new(), version: 0, deleted: true }
-                            .json(),
+                        Row {
+                            table,
+                            part,
+                            key,
+                            data: String::new(),
+                            version: 0,
+                            deleted: true,
+                        }
+                        .json(),
                     );
                 }
             }
@@ -513,7 +542,10 @@
         }
         self.state.1.notify_all();
         let time = self.started.elapsed().as_millis();
-        ("200 OK", format!("{{\"row_version\":{version},\"server_time_ms\":{time}}}"))
+        (
+            "200 OK",
+            format!("{{\"row_version\":{version},\"server_time_ms\":{time}}}"),
+        )
     }
 }
 
@@ -556,7 +588,8 @@
 fn deploy_value(name: &str) -> Option<String> {
     let text = fs::read_to_string("deploy/system.toml").unwrap_or_default();
     let line = text.lines().find(|line| {
-        line.strip_prefix(name).is_some_and(|rest| rest.trim_start().starts_with('='))
+        line.strip_prefix(name)
+            .is_some_and(|rest| rest.trim_start().starts_with('='))
     })?;
     let value = line.split_once('=')?.1.trim();
     Some(value.trim_matches('"').to_owned())
@@ -589,7 +622,9 @@
             format!("[{}]", list.join(","))
         }
         Json::Table(fields) => {
-            let fields = fields.iter().map(|(name, v)| format!("{}:{}", quoted(name), json_text(v)));
+            let fields = fields
+                .iter()
+                .map(|(name, v)| format!("{}:{}", quoted(name), json_text(v)));
             format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
         }
     }
@@ -601,13 +636,17 @@
     let mut rest = template;
     while let Some((before, after)) = rest.split_once("{{") {
         out.push_str(before);
-        let Some((tag, after)) = after.split_once("}}") else { break };
+        let Some((tag, after)) = after.split_once("}}") else {
+            break;
+        };
         rest = after;
         let sign = tag.chars().next().unwrap_or(' ');
         if sign == '#' || sign == '^' {
             let name = &tag[1..];
             let end = format!("{{{{/{name}}}}}");
-            let Some((inner, after)) = rest.split_once(&end) else { break };
+            let Some((inner, after)) = rest.split_once(&end) else {
+                break;
+            };
             rest = after;
             let value = find(scopes, name);
             let is_set = !matches!(value, None | Some(Json::Null | Json::Bool(false)));
@@ -803,7 +842,8 @@
         let attempt = head.field("x-attempt-id").unwrap_or("").to_owned();
         let expected = head.field("x-expect-instance").unwrap_or(id).to_owned();
         if head.word(1).starts_with("/healthz") {
-            let answer = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
             wire.stream.write_all(answer.as_bytes())?;
             continue;
         }
@@ -815,6 +855,7 @@
             wire.stream.write_all(answer.as_bytes())?;
             continue;
         }
+        println!("{} got {attempt}", now_ms());
         {
             let mut running = busy.0.lock().unwrap();
             while *running >= slots {
@@ -826,7 +867,11 @@
         let answered = answer_request(&mut wire, &head, &attempt);
         *busy.0.lock().unwrap() -= 1;
         busy.1.notify_all();
-        println!("{} end {attempt} {}", now_ms(), if answered.is_ok() { "whole" } else { "cut" });
+        println!(
+            "{} end {attempt} {}",
+            now_ms(),
+            if answered.is_ok() { "whole" } else { "cut" }
+        );
         if !answered? {
             return Ok(());
         }
@@ -836,17 +881,27 @@
 
 /// Answers a request; returns whether the connection serves further ones.
 fn answer_request(wire: &mut Wire, head: &Head, attempt: &str) -> io::Result<bool> {
-    let query = head.word(1).split_once('?').map_or("", |(_, query)| query).to_owned();
+    let query = head
+        .word(1)
+        .split_once('?')
+        .map_or("", |(_, query)| query)
+        .to_owned();
     let value = |name: &str| {
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+        pairs
+            .filter(|(key, _)| *key == name)
+            .map(|(_, value)| value.to_owned())
+            .next()
     };
     let number = |name: &str, other: u64| value(name).and_then(|v| v.parse().ok()).unwrap_or(other);
     thread::sleep(Duration::from_millis(number("work", 60)));
     if let Some(events) = value("events").and_then(|text| text.parse::<u64>().ok()) {
         return stream_events(wire, head, attempt, events, number("gap", 0));
     }
-    let (bytes, parts) = (number("bytes", 800) as usize, number("parts", 1).max(1) as usize);
+    let (bytes, parts) = (
+        number("bytes", 800) as usize,
+        number("parts", 1).max(1) as usize,
+    );
     let gap = Duration::from_millis(number("gap", 0));
     let frame = value("frame").unwrap_or("length".to_owned());
     let framing = match frame.as_str() {
@@ -864,7 +919,8 @@
             thread::sleep(gap);
         }
         if frame == "chunked" {
-            wire.stream.write_all(format!("{:x}\r\n", part.len()).as_bytes())?;
+            wire.stream
+                .write_all(format!("{:x}\r\n", part.len()).as_bytes())?;
         }
         wire.stream.write_all(part)?;
         if frame == "chunked" {
@@ -885,9 +941,16 @@
     events: u64,
     gap: u64,
 ) -> io::Result<bool> {
-    let after = head.field("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let after = head
+        .field("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
     let is_chunked = !head.word(1).contains("frame=close");
-    let framing = if is_chunked { "Transfer-Encoding: chunked" } else { "Connection: close" };
+    let framing = if is_chunked {
+        "Transfer-Encoding: chunked"
+    } else {
+        "Connection: close"
+    };
     let answer = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: s.{attempt}\r\n\
         Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
@@ -941,7 +1004,12 @@
             .stdin(Stdio::null())
             .stdout(File::create(&log)?)
             .spawn()?;
-        let worker = Self { process: Process(child), id: id.to_owned(), address, log };
+        let worker = Self {
+            process: Process(child),
+            id: id.to_owned(),
+            address,
+            log,
+        };
         for _ in 0..200 {
             if TcpStream::connect(address).is_ok() {
                 return Ok(worker);
@@ -990,11 +1058,19 @@
             self.sent_ms,
             self.attempt,
             self.ended_ms.saturating_sub(self.sent_ms),
-            if self.status.is_empty() { "none" } else { &self.status },
+            if self.status.is_empty() {
+                "none"
+            } else {
+                &self.status
+            },
             if self.signed { "signed" } else { "unsigned" },
             self.body.len(),
             if self.whole { "whole" } else { "not whole" },
-            if self.end.is_empty() { String::new() } else { format!(", {}", self.end) },
+            if self.end.is_empty() {
+                String::new()
+            } else {
+                format!(", {}", self.end)
+            },
         )
     }
 }
@@ -1010,7 +1086,11 @@
 
 /// Sends one request on a new connection and reads its answer until `limit`.
 fn call(address: SocketAddr, target: &str, attempt: &str, deadline: u64, limit: Duration) -> Seen {
-    let mut seen = Seen { attempt: attempt.to_owned(), sent_ms: now_ms(), ..Seen::default() };
+    let mut seen = Seen {
+        attempt: attempt.to_owned(),
+        sent_ms: now_ms(),
+        ..Seen::default()
+    };
     let mut exchange = || -> io::Result<()> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_read_timeout(Some(limit))?;
@@ -1090,7 +1170,10 @@
     store.put("op", "config", &configuration(1));
     let mut worker = Worker::start(&case.folder, "i-7f3a91c2", 6)?;
     worker.register(&store, "casebook", 6, BORN);
-    let plan = GatewayPlan { name: "edge-1", folder: case.folder.clone() };
+    let plan = GatewayPlan {
+        name: "edge-1",
+        folder: case.folder.clone(),
+    };
     let gateway = Gateway::start(&plan, &store)?;
     if !gateway.wait_ready() {
         return Err(io::Error::other("the daemon is not ready"));
@@ -1099,7 +1182,11 @@
     let bytes = 800;
     let mut calls = Vec::new();
     for number in 0..6 {
-        let path = if number % 2 == 0 { "/file/2f" } else { "/look/2f" };
+        let path = if number % 2 == 0 {
+            "/file/2f"
+        } else {
+            "/look/2f"
+        };
         let target = format!("{path}?frame=close&bytes={bytes}&parts=2&gap=600&work=60");
         let attempt = format!("9c41d07be2a35f{number:02x}");
         calls.push(thread::spawn(move || {
@@ -1117,7 +1204,11 @@
         let expected = body_of(&seen.attempt, bytes);
         let is_whole = seen.body == expected;
         let breaks = seen.status == "200" && seen.whole && !is_whole;
-        case.note(&format!("{}{}", seen.line(), if breaks { " BROKEN" } else { "" }));
+        case.note(&format!(
+            "{}{}",
+            seen.line(),
+            if breaks { " BROKEN" } else { "" }
+        ));
         held &= !breaks;
         if !case.trouble {
             held &= seen.status == "200" && is_whole;
@@ -1166,7 +1257,10 @@
     let names = ["edge-sapporo-a-1", "edge-sapporo-a-2", "edge-sapporo-a-3"];
     let mut gateways = Vec::new();
     for name in names {
-        let plan = GatewayPlan { name, folder: case.folder.clone() };
+        let plan = GatewayPlan {
+            name,
+            folder: case.folder.clone(),
+        };
         gateways.push(Gateway::start(&plan, &store)?);
     }
     if !gateways.iter().all(Gateway::wait_ready) {
@@ -1182,10 +1276,15 @@
             let attempt = format!("9c41d07be2a3{number:04x}");
             let target = format!("/draft/2f?events={events}&gap=200&work=80");
             let limit = Duration::from_millis(LETTER_MS + 2_000);
-            calls.push(thread::spawn(move || call(address, &target, &attempt, LETTER_MS, limit)));
+            calls.push(thread::spawn(move || {
+                call(address, &target, &attempt, LETTER_MS, limit)
+            }));
         };
         for place in 0..20 {
-            send(gateways[(stopped + 1 + place % 2) % names.len()].callers, 60);
+            send(
+                gateways[(stopped + 1 + place % 2) % names.len()].callers,
+                60,
+            );
             thread::sleep(Duration::from_millis(10));
         }
         thread::sleep(Duration::from_millis(500));
@@ -1200,15 +1299,18 @@
             send(gateways[stopped].callers, 20);
             thread::sleep(Duration::from_millis(50));
         }
-        let seen: Vec<Seen> = calls.into_iter().filter_map(|call| call.join().ok()).collect();
+        let seen: Vec<Seen> = calls
+            .into_iter()
+            .filter_map(|call| call.join().ok())
+            .collect();
         let record: String = workers.iter().map(Worker::record).collect();
         for (place, seen) in seen.iter().enumerate() {
-            let ran = record.contains(&format!("run {} ", seen.attempt));
+            let has_reached = record.contains(&format!("got {}\n", seen.attempt));
             let waited = seen.ended_ms.saturating_sub(seen.sent_ms);
             // An orderly close shows that the request was read: unread bytes would reset the connection.
             let is_lost = place >= 20
                 && seen.end == CLOSED
-                && !ran
+                && !has_reached
                 && waited > SLACK_MS
                 && waited < u128::from(LETTER_MS)
                 && seen.ended_ms < stopped_ms + STOP_MS;
@@ -1216,15 +1318,26 @@
             case.note(&format!(
                 "{}; {}{}",
                 seen.line(),
-                if ran { "it ran" } else { "it never reached a worker" },
+                if has_reached {
+                    "it reached a worker"
+                } else {
+                    "it never reached a worker"
+                },
                 if is_lost { " BROKEN" } else { "" }
             ));
             held &= !is_lost && (case.trouble || is_answered);
         }
         if case.trouble {
             let ended = gateways[stopped].process.ended(Duration::from_secs(9));
-            case.note(&format!("{} the daemon {}", now_ms(), if ended { "has ended" } else { "runs" }));
-            let plan = GatewayPlan { name: names[stopped], folder: case.folder.clone() };
+            case.note(&format!(
+                "{} the daemon {}",
+                now_ms(),
+                if ended { "has ended" } else { "runs" }
+            ));
+            let plan = GatewayPlan {
+                name: names[stopped],
+                folder: case.folder.clone(),
+            };
             gateways[stopped] = Gateway::start(&plan, &store)?;
             gateways[stopped].wait_ready();
             thread::sleep(Duration::from_secs(1));
@@ -1240,7 +1353,10 @@
     let id = "i-7f3a91c2";
     let mut worker = Worker::start(&case.folder, id, 10)?;
     worker.register(&store, "drafter", 10, BORN);
-    let plan = GatewayPlan { name: "edge-sapporo-a-1", folder: case.folder.clone() };
+    let plan = GatewayPlan {
+        name: "edge-sapporo-a-1",
+        folder: case.folder.clone(),
+    };
     let gateway = Gateway::start(&plan, &store)?;
     if !gateway.wait_ready() {
         return Err(io::Error::other("the daemon is not ready"));
@@ -1256,7 +1372,10 @@
     }
     thread::sleep(Duration::from_millis(1_000));
     if case.trouble {
-        case.note(&format!("{} the machine of the daemon stands still", now_ms()));
+        case.note(&format!(
+            "{} the machine of the daemon stands still",
+            now_ms()
+        ));
         gateway.process.signal("STOP");
         thread::sleep(Duration::from_millis(200));
         case.note(&format!("{} the worker crashes", now_ms()));
@@ -1277,7 +1396,11 @@
         let whole: String = (1..=events).map(|id| event_of(&seen.attempt, id)).collect();
         let is_whole = seen.body == whole.as_bytes();
         let breaks = seen.status == "200" && seen.whole && !is_whole;
-        case.note(&format!("{}{}", seen.line(), if breaks { " BROKEN" } else { "" }));
+        case.note(&format!(
+            "{}{}",
+            seen.line(),
+            if breaks { " BROKEN" } else { "" }
+        ));
         held &= !breaks && (case.trouble || is_whole);
     }
     case.note(&worker.record());
@@ -1301,10 +1424,15 @@
 /// Plays a case; 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 fn play(name: &str, folder: &Path) -> i32 {
     let temporary = env::temp_dir().join(format!("standins-2-{name}-{}", process::id()));
-    let prepared = fs::create_dir_all(&temporary).and_then(|()| File::create(folder.join("record.txt")));
+    let prepared =
+        fs::create_dir_all(&temporary).and_then(|()| File::create(folder.join("record.txt")));
     let Ok(record) = prepared else { return 2 };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let mut case = Case { folder: temporary.clone(), record, trouble };
+    let mut case = Case {
+        folder: temporary.clone(),
+        record,
+        trouble,
+    };
     let played = run_case(name, &mut case);
     let (code, text) = match &played {
         Ok(true) => (0, "the rule held".to_owned()),
