Log the answers that a host cuts when it ends, and what is in flight at a stop

The log of that host had a line "caller-left" for each of them, the same as for callers that disconnect, so that it did not tell a caller that gave up from a request that the host dropped, nor where the request was.

Cause: the trace of a request is dropped with its task, which is the case for a disconnected caller and for all tasks when the process ends.

Change: a host that has stopped logs "request-cut" with the worker and the time since the dispatch, if there was one; "stop-requested" and "stop-finished" say what is in flight.

--- a/src/event.rs
+++ b/src/event.rs
@@ -74,7 +74,7 @@
     101 Info HostReady "host-ready" "The host has a configuration in force and accepts requests.";
     102 Warning HostStale "host-stale" "The host has received nothing from members or the platform for too long and accepts no new work.";
     103 Info StopRequested "stop-requested" "The host was asked to stop and reports that it is not ready; it still accepts requests for a few seconds.";
-    104 Info StopFinished "stop-finished" "The last request ended, or the time limit for stopping was reached, and the host exits.";
+    104 Info StopFinished "stop-finished" "The last request ended, or the time limit for stopping was reached, and the host exits; a gateway host says what is still in flight.";
     105 Critical StartFailed "start-failed" "The host can't start.";
     106 Critical TaskFailed "task-failed" "A task panicked and its work was dropped.";
     107 Warning AddressUnavailable "address-unavailable" "An address can't be listened on; the host tries again until it can, and meanwhile serves nothing at this address.";
@@ -124,6 +124,7 @@
     518 Warning DescriptorsUnknown "descriptors-unknown" "The number of descriptors that the process may open can't be read; the number of callers' connections is bounded by their memory only.";
     519 Warning CallerCutOff "caller-cut-off" "A caller took nothing of its answer for too long; its connection was reset and its request cancelled.";
     520 Info ClaimSettled "claim-settled" "An operator settled the outcome of a claim.";
+    521 Warning RequestCut "request-cut" "The host ended before the answer to a request was complete; without a worker, the request had not been sent to one.";
     530 Info HedgeSent "hedge-sent" "A second dispatch of a slow request was sent to another worker.";
     531 Info HedgeEnded "hedge-ended" "A second dispatch of a slow request ended: its answer was relayed (won), it was cancelled for the first dispatch (lost) or with the request (cancelled), or it brought no usable answer (failed).";
     532 Info HedgeRefused "hedge-refused" "No second dispatch of a slow request was sent, for the given reason.";
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -82,6 +82,8 @@
     pub stopping: StopSignal,
     /// Set when a stopping host closes idle connections and accepts no further requests.
     pub closing: StopSignal,
+    /// Whether the host has stopped and drops what is in flight.
+    has_ended: Cell<bool>,
     /// Wakes the task that logs changes of the host's state.
     pub(super) changed: Notify,
     /// Wakes the task that checks workers which may be leaving or at rest.
@@ -179,6 +181,7 @@
             pool: ConnectionPool::default(),
             stopping: StopSignal::default(),
             closing: StopSignal::default(),
+            has_ended: Cell::default(),
             changed: Notify::default(),
             unconfirmed: Notify::default(),
             sync: SyncState::default(),
@@ -238,6 +241,17 @@
         self.in_flight.get()
     }
 
+    /// Records that the host has stopped, so that what is in flight is dropped next.
+    pub fn end(&self) {
+        self.has_ended.set(true);
+    }
+
+    /// Returns whether the host has stopped.
+    #[must_use]
+    pub const fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+
     /// Returns the random number that distinguishes this run of the process from earlier ones.
     #[must_use]
     pub const fn incarnation(&self) -> u64 {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -399,7 +399,7 @@
 /// idle connections and accepts no further requests. It exits once no request is in flight and no
 /// tunnel is open, or shortly before the process is killed.
 async fn stop(host: &GatewayHost) {
-    log_event!(host.log, LogEvent::StopRequested);
+    log_event!(host.log, LogEvent::StopRequested, "in_flight" => host.in_flight());
     let requested = host.clock.now();
     let limit = host
         .settings
@@ -421,5 +421,9 @@
         }
     }
     host.links.stop();
-    log_event!(host.log, LogEvent::StopFinished);
+    host.end();
+    log_event!(host.log, LogEvent::StopFinished,
+        "in_flight" => host.in_flight(),
+        "tunnels" => host.served_tunnels(),
+        "stop_ms" => host.clock.now().since(requested).as_secs_f64() * 1_000.0);
 }
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -31,7 +31,7 @@
 use crate::metrics::RequestOutcome;
 
 /// Logs and counts the events of one request. If dropped before [`Self::mark_ended`] is called, it
-/// logs that the caller has disconnected.
+/// logs that the caller has disconnected, or that the host has ended.
 #[derive(Debug)]
 pub(super) struct CallTrace<'a> {
     host: &'a GatewayHost,
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Marks the request as ended, so that the drop does not count a disconnected caller.
+    /// Marks the request as ended, so that the drop does not count it as cancelled or cut.
     pub(super) const fn mark_ended(&mut self) {
         self.ended = true;
     }
@@ -340,16 +340,28 @@
 
 impl Drop for CallTrace<'_> {
     fn drop(&mut self) {
-        if !self.ended {
+        if self.ended {
+            return;
+        }
+        let now = self.host.clock.now();
+        let dispatches = self.dispatches.borrow();
+        let dispatch = dispatches.last();
+        // `log_event!` requires a constant event.
+        macro_rules! log_end {
+            ($event:expr) => {
+                log_event!(self.host.log, $event,
+                    "request" => self.attempt_id.clone(),
+                    "worker" => dispatch.map(|dispatch| dispatch.worker.to_string()),
+                    "sent_us" => dispatch.map(|dispatch| micros(now.since(dispatch.sent_at))),
+                    "total_us" => micros(now.since(self.arrival)))
+            };
+        }
+        if self.host.has_ended() {
+            self.count(RequestOutcome::Cut, 0);
+            log_end!(LogEvent::RequestCut);
+        } else {
             self.count(RequestOutcome::CallerLeft, 0);
-            let now = self.host.clock.now();
-            let dispatches = self.dispatches.borrow();
-            let dispatch = dispatches.last();
-            log_event!(self.host.log, LogEvent::CallerLeft,
-                "request" => self.attempt_id.clone(),
-                "worker" => dispatch.map(|dispatch| dispatch.worker.to_string()),
-                "sent_us" => dispatch.map(|dispatch| micros(now.since(dispatch.sent_at))),
-                "total_us" => micros(now.since(self.arrival)));
+            log_end!(LogEvent::CallerLeft);
         }
     }
 }
