Refuse requests that wait for a slot at a stopping host before it ends

Cause: an ask for a slot carries the time to the caller's deadline, also at a host that ends before it. The broker let such a request wait, or would have granted it a slot moments before the exit, and the stop waited for it until the end.

Ruled out: a balancer that still sends connections is part of the contract, and the requests before the signal were lost too; a broker that moved with the stop still had the asks, since the host had sent them again, and its refusals came too late rather than not at all.

Change: a stopping host moves the deadline of its asks to a time before its exit and sends those that wait again; a broker that gets a repeated ask with less time moves the deadline forward and keeps the place in the queue, so that the estimates refuse a request that can't be served by then, and the host refuses what still waits 0.8 s before its exit. The refusal names 0.2 s as the time to the next attempt if another host serves, 1 s if none does. Nothing on the links changes; a broker of an earlier build ignores the repeated ask. The stop of a host moves to a file of its own.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -46,7 +46,11 @@
         ask: Ask,
         actions: &mut Vec<BrokerAction>,
     ) {
-        if self.waiting.get(ask.request).is_some() || self.answer_repeated_ask(now, &ask, actions) {
+        if self.waiting.get(ask.request).is_some() {
+            self.shorten_deadline(now, &ask);
+            return;
+        }
+        if self.answer_repeated_ask(now, &ask, actions) {
             return;
         }
         let any_version = LaneKey {
@@ -130,6 +134,19 @@
         true
     }
 
+    /// Moves the deadline of a waiting request to the one of a repeated ask if that is earlier, as it is
+    /// when the host of the request has to end before. The request keeps its place in the queue.
+    fn shorten_deadline(&mut self, now: ClockTime, ask: &Ask) {
+        let deadline = now + ask.budget;
+        let Some(record) = self.waiting.get_mut(ask.request) else {
+            return;
+        };
+        if deadline < record.deadline {
+            record.deadline = deadline;
+            self.update_latest_start(ask.request);
+        }
+    }
+
     fn admit(
         &mut self,
         now: ClockTime,
--- a/kernel/src/broker/late.rs
+++ b/kernel/src/broker/late.rs
@@ -147,7 +147,7 @@
 
     /// Returns the time after which a start of the request is of no use: the caller would have given
     /// up, or the answer would be predicted to miss its deadline.
-    fn latest_useful_start(&self, record: &WaitingRecord) -> ClockTime {
+    pub(super) fn latest_useful_start(&self, record: &WaitingRecord) -> ClockTime {
         let quickest = self.service_estimate(record.lane, &record.ask).quickest;
         let run = record.work.max(quickest);
         let budget = record.deadline.since(record.arrived_at);
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -93,13 +93,17 @@
     }
 
     /// Recomputes the latest start of a waiting request from the current estimates.
-    fn update_latest_start(&mut self, request: RequestId) {
+    pub(super) fn update_latest_start(&mut self, request: RequestId) {
         let Some(record) = self.waiting.get(request) else {
             return;
         };
-        let quickest = self.service_estimate(record.lane, &record.ask).quickest;
-        let budget = record.deadline.since(record.arrived_at);
-        let latest_start = record.arrived_at + self.max_wait(&record.ask, budget, quickest);
+        let latest_start = if record.key.is_late() {
+            self.latest_useful_start(record)
+        } else {
+            let quickest = self.service_estimate(record.lane, &record.ask).quickest;
+            let budget = record.deadline.since(record.arrived_at);
+            record.arrived_at + self.max_wait(&record.ask, budget, quickest)
+        };
         self.waiting.set_latest_start(request, latest_start);
     }
 
--- a/kernel/tests/broker/shedding.rs
+++ b/kernel/tests/broker/shedding.rs
@@ -93,3 +93,29 @@
     );
     assert_eq!(harness.running("a"), 1);
 }
+
+// Guards against a request that waits beyond the end of its host, since its broker knows only the deadline
+// that the ask had at first.
+#[test]
+fn a_repeated_ask_with_less_time_moves_the_deadline_forward() {
+    let mut harness = BrokerHarness::with_workers(&[("drafter-1", 1)]);
+    let running = only_grant(&harness.submit(0, 60));
+    let mut ask = harness.ask(0, Duration::from_secs(30));
+    assert_eq!(harness.send(&ask), []);
+    let next = harness.submit(0, 30);
+    assert_eq!(next, []);
+    ask.budget = Duration::from_secs(10);
+    assert_eq!(harness.send(&ask), []);
+    // One with more time changes nothing.
+    ask.budget = Duration::from_secs(30);
+    assert_eq!(harness.send(&ask), []);
+    let actions = harness.advance(Duration::from_secs(10));
+    let refusal = only_refusal(&actions);
+    assert_eq!(
+        (refusal.request, refusal.reason),
+        (ask.request, RefusalReason::Deadline)
+    );
+    // The other request still waits.
+    let granted = only_grant(&harness.finish(&running, 5));
+    assert_ne!(granted.request, ask.request);
+}
--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -54,6 +54,8 @@
     sent: Option<SentAsk>,
     /// The deputy that got the ask as well since then.
     deputy: Option<HostName>,
+    /// Whether the deadline was moved since the ask was last sent.
+    is_changed: bool,
     sender: oneshot::Sender<SlotAnswer>,
 }
 
@@ -107,6 +109,8 @@
     held: BTreeMap<RequestId, HeldSlot>,
     /// The brokers that count as unresponsive, and until when.
     unresponsive: BTreeMap<HostName, ClockTime>,
+    /// The time until which asks may wait; `None` unless the host is stopping.
+    wait_until: Option<ClockTime>,
 }
 
 impl AskTable {
@@ -119,6 +123,9 @@
     ) -> oneshot::Receiver<SlotAnswer> {
         let (sender, receiver) = oneshot::channel();
         let visited = vec![cell.datacenter.clone()];
+        let deadline = self
+            .wait_until
+            .map_or(deadline, |until| until.min(deadline));
         let pending = PendingAsk {
             ask,
             cell,
@@ -126,6 +133,7 @@
             deadline,
             sent: None,
             deputy: None,
+            is_changed: false,
             sender,
         };
         self.pending.insert(pending.ask.request, pending);
@@ -145,10 +153,21 @@
         pending.map_or_else(Vec::new, |pending| pending.withdrawals(None))
     }
 
+    /// Moves the deadlines of all asks, later ones included, to a time if they are after it.
+    pub fn limit_wait(&mut self, until: ClockTime) {
+        self.wait_until = Some(until);
+        for pending in self.pending.values_mut() {
+            if until < pending.deadline {
+                pending.deadline = until;
+                pending.is_changed = true;
+            }
+        }
+    }
+
     /// Returns the asks to send now.
     ///
-    /// The broker gets asks that were not sent yet, were sent to another broker or were last sent
-    /// `ASK_RETRY_INTERVAL` ago. A broker that does not respond to an ask within
+    /// The broker gets asks that were not sent yet, were sent to another broker, have another
+    /// deadline than when they were sent, or were last sent `ASK_RETRY_INTERVAL` ago. A broker that does not respond to an ask within
     /// `BROKER_RESPONSE_TIMEOUT` counts as unresponsive, and while it does, its deputy gets every
     /// ask that the broker has not acknowledged.
     pub fn due<F>(&mut self, now: ClockTime, brokers_of: F) -> Vec<OutgoingAsk>
@@ -170,6 +189,7 @@
                 };
                 pending.sent = Some(sent);
                 pending.deputy = None;
+                pending.is_changed = false;
                 outgoing.push(pending.outgoing(now, &broker));
             }
             if pending.has_timed_out(now) {
@@ -342,7 +362,9 @@
 impl PendingAsk {
     fn is_due(&self, now: ClockTime, host: &HostName) -> bool {
         match &self.sent {
-            Some(sent) => sent.host != *host || now.since(sent.at) >= ASK_RETRY_INTERVAL,
+            Some(sent) => {
+                self.is_changed || sent.host != *host || now.since(sent.at) >= ASK_RETRY_INTERVAL
+            }
             None => true,
         }
     }
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -117,6 +117,13 @@
         self.send_withdrawals(request, closed);
     }
 
+    /// Moves the deadlines of all asks, later ones included, to a time if they are after it, and tells
+    /// the brokers of those that wait.
+    pub fn limit_wait(&self, until: ClockTime) {
+        self.asks.borrow_mut().limit_wait(until);
+        self.send_due();
+    }
+
     fn send_withdrawals(&self, request: RequestId, withdrawals: Vec<OutgoingWithdrawal>) {
         for withdrawal in withdrawals {
             let service = withdrawal.cell.service;
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -22,6 +22,7 @@
 use super::release::ReleaseTable;
 use super::settings::GatewaySettings;
 use super::state::GatewayState;
+use super::stop::StopSchedule;
 use super::store::FleetStore;
 use super::streams::StreamState;
 use super::sync::SyncState;
@@ -82,6 +83,7 @@
     pub stopping: StopSignal,
     /// Set when a stopping host closes idle connections and accepts no further requests.
     pub closing: StopSignal,
+    stop_schedule: Cell<Option<StopSchedule>>,
     /// Whether the host has stopped and drops what is in flight.
     has_ended: Cell<bool>,
     /// Wakes the task that logs changes of the host's state.
@@ -181,6 +183,7 @@
             pool: ConnectionPool::default(),
             stopping: StopSignal::default(),
             closing: StopSignal::default(),
+            stop_schedule: Cell::default(),
             has_ended: Cell::default(),
             changed: Notify::default(),
             unconfirmed: Notify::default(),
@@ -241,6 +244,20 @@
         self.in_flight.get()
     }
 
+    /// Begins to stop: the host reports that it is not ready, and its answers close their connections.
+    pub fn begin_stop(&self, schedule: StopSchedule) {
+        self.stop_schedule.set(Some(schedule));
+        self.stopping.stop();
+    }
+
+    /// Returns whether the host has to stop before a request's deadline, so that the request may wait
+    /// for a slot for a shorter time.
+    #[must_use]
+    pub fn stops_before(&self, deadline: ClockTime) -> bool {
+        let schedule = self.stop_schedule.get();
+        schedule.is_some_and(|schedule| schedule.wait_until < deadline)
+    }
+
     /// Records that the host has stopped, so that what is in flight is dropped next.
     pub fn end(&self) {
         self.has_ended.set(true);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,4 +1,4 @@
-//! Startup and shutdown of a gateway host.
+//! Startup of a gateway host.
 
 use std::cell::OnceCell;
 use std::io;
@@ -28,6 +28,7 @@
 use super::settings::GatewaySettings;
 use super::snapshot;
 use super::state::GatewayState;
+use super::stop;
 use super::store::FleetStore;
 use super::stream_log;
 use super::sync;
@@ -72,16 +73,6 @@
 /// The number of usage reports of which one covers all workspaces, for hosts that missed a report.
 const FULL_REPORT_PERIOD: u32 = 8;
 
-/// The time for which a stopping host still accepts requests. It covers two readiness probes of the
-/// load balancer, which are a second apart.
-const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
-
-/// The time before the kill at which a stopping host exits with requests still in flight.
-const STOP_RESERVE: Duration = Duration::from_millis(200);
-
-/// The interval at which a stopping host checks for requests in flight.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// The number of registered hosts up to which a starting host dials all of them at once.
 const MAX_SEEDS: usize = 16;
 
@@ -173,7 +164,7 @@
         }
     };
     stop_requests.received().await;
-    stop(&host).await;
+    stop::stop(&host).await;
     Ok(())
 }
 
@@ -393,37 +384,3 @@
         host.pass_usage_on();
     }
 }
-
-/// Stops the host. At first it reports itself as not ready to the load balancer and as stopping to
-/// the other hosts, and its answers close their connections. After [`STOP_ACCEPT_TIME`] it closes
-/// idle connections and accepts no further requests. It exits once no request is in flight and no
-/// tunnel is open, or shortly before the process is killed.
-async fn stop(host: &GatewayHost) {
-    log_event!(host.log, LogEvent::StopRequested, "in_flight" => host.in_flight());
-    let requested = host.clock.now();
-    let limit = host
-        .settings
-        .bounds
-        .stop_time()
-        .saturating_sub(STOP_RESERVE);
-    host.stopping.stop();
-    host.members.set_stopping(true);
-    loop {
-        actix_rt::time::sleep(STOP_CHECK_INTERVAL).await;
-        let elapsed = host.clock.now().since(requested);
-        let accept_time_over = elapsed >= STOP_ACCEPT_TIME;
-        if accept_time_over {
-            host.closing.stop();
-        }
-        let is_idle = host.in_flight() == 0 && host.served_tunnels() == 0;
-        if (accept_time_over && is_idle) || elapsed >= limit {
-            break;
-        }
-    }
-    host.links.stop();
-    host.end();
-    log_event!(host.log, LogEvent::StopFinished,
-        "in_flight" => host.in_flight(),
-        "tunnels" => host.served_tunnels(),
-        "stop_ms" => host.clock.now().since(requested).as_secs_f64() * 1_000.0);
-}
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -11,10 +11,10 @@
 use super::connector::ConnectError;
 use super::crash;
 use super::exchange::CallExchange;
-use super::exchange::DEFAULT_RETRY_AFTER;
 use super::exchange::refusal_error;
 use super::plan;
 use super::release::DispatchCount;
+use super::stop;
 use super::worker::WorkerConnection;
 use super::worker::WorkerEndpoint;
 use crate::cell::SlotAnswer;
@@ -112,11 +112,9 @@
             }
             Some(SlotAnswer::Refused(refusal)) => {
                 self.record_refusal(refusal.reason);
-                Err(self.fail_unsent(Self::broker_error(&refusal)))
-            }
-            None => {
-                Err(self.fail_unsent(refusal_error("the host is stopping", DEFAULT_RETRY_AFTER)))
+                Err(self.fail_unsent(self.slot_error(&refusal)))
             }
+            None => Err(self.fail_unsent(stop::stopping_error(self.host))),
         }
     }
 
@@ -313,6 +311,19 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
+    /// Returns the error for a refused ask.
+    ///
+    /// The broker of a stopping host's request judges it by the time of the host's exit; another host's
+    /// ask for it is judged by the caller's deadline.
+    fn slot_error(&self, refusal: &Refusal) -> CallError {
+        let is_late = refusal.reason == RefusalReason::Deadline;
+        if is_late && self.host.stops_before(self.planned.deadline) {
+            stop::stopping_error(self.host)
+        } else {
+            Self::broker_error(refusal)
+        }
+    }
+
     /// Returns the error for a refusal by the broker.
     fn broker_error(refusal: &Refusal) -> CallError {
         let reason = match refusal.reason {
