Answer requests that are at a worker, or wait for anything else, when a stopping host ends

Callers saw: a request that was at a worker when its stopping host ended, and whose answer had not begun, got no answer. An unsafe request's caller was not told that it may have run.

Cause: the same as for requests that wait for a slot, on the other paths of a request that was read whole: at a worker, between unused slots, after a rejection or a crash, during the lookup of a stream's version. The stop waits for them until the exit, which drops them.

Change: 0.3 s before the exit a stopping host ends each request whose answer has not begun. One that was never sent to a worker, or only to workers that rejected it, is refused with 503; all others get 502 and a text that says that they may have run. An answer that has begun goes on until the exit, and stays recognisably cut.

--- a/src/gateway/call_error.rs
+++ b/src/gateway/call_error.rs
@@ -58,6 +58,9 @@
     /// No usable answer of the worker was received, and the request may have run.
     #[error("the worker's answer was lost; the request may have run")]
     Lost,
+    /// The host stopped before a worker had answered, and the request may have run.
+    #[error("the host stopped before the worker answered; the request may have run")]
+    Interrupted,
     /// The worker did not answer before the deadline, and the request may have run.
     #[error("the worker did not answer before the deadline; the request may have run")]
     TimedOut,
@@ -76,7 +79,7 @@
             | Self::Refused { .. }
             | Self::Quarantined { .. }
             | Self::PartQuarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Lost | Self::Interrupted => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -90,9 +93,12 @@
             Self::Refused { retry_after, .. }
             | Self::Quarantined { retry_after }
             | Self::PartQuarantined { retry_after } => Some(*retry_after),
-            Self::NoIdentifier | Self::NoRoute | Self::UnknownKey | Self::Lost | Self::TimedOut => {
-                None
-            }
+            Self::NoIdentifier
+            | Self::NoRoute
+            | Self::UnknownKey
+            | Self::Lost
+            | Self::Interrupted
+            | Self::TimedOut => None,
         }
     }
 }
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,7 +1,9 @@
 //! Writes answers to caller connections.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::pin;
+use std::rc::Rc;
 
 use actix_codec::Encoder;
 use actix_http::ConnectionType;
@@ -63,7 +65,7 @@
     codec: &'a mut Codec,
     host: &'a GatewayHost,
     version: Version,
-    started: bool,
+    started: Rc<Cell<bool>>,
     end: AnswerEnd,
 }
 
@@ -78,7 +80,7 @@
             codec,
             host,
             version: Version::HTTP_11,
-            started: false,
+            started: Rc::default(),
             end: AnswerEnd::Framed,
         }
     }
@@ -93,8 +95,14 @@
 
     /// Returns whether writing the answer has begun.
     #[must_use]
-    pub const fn has_started(&self) -> bool {
-        self.started
+    pub fn has_started(&self) -> bool {
+        self.started.get()
+    }
+
+    /// Returns a value that is true once writing the answer has begun.
+    #[must_use]
+    pub fn start_flag(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.started)
     }
 
     /// Returns whether the caller has closed the connection, as far as the kernel knows.
@@ -303,7 +311,7 @@
         let mut out = BytesMut::with_capacity(512);
         self.codec
             .encode(Message::Item((response, size)), &mut out)?;
-        self.started = true;
+        self.started.set(true);
         self.unread.push(&out)
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -22,6 +22,7 @@
 use super::release::VersionDemand;
 use super::slot::DispatchedCall;
 use super::slot::SlotError;
+use super::stop;
 use super::streams;
 use super::streams::OriginEvidence;
 use super::streams::StreamOrigin;
@@ -141,10 +142,12 @@
         origin: None,
         planned,
     };
-    if exchange.planned.continues_stream() {
-        exchange.find_version().await?;
+    let has_begun = caller.start_flag();
+    tokio::select! {
+        biased;
+        ended = exchange.run(caller) => ended,
+        () = stop::wait_for_final_answer(host, &has_begun) => Err(exchange.interrupted().into()),
     }
-    exchange.run(caller).await
 }
 
 /// State of one planned request over all of its dispatches.
@@ -194,6 +197,9 @@
 
     /// Requests slots and dispatches until a dispatch ends the request.
     async fn run(&mut self, caller: &mut CallerWriter<'_>) -> Result<(), ExchangeError> {
+        if self.planned.continues_stream() {
+            self.find_version().await?;
+        }
         let planned = &self.planned;
         let mut life = RequestLife::waiting(planned.id, planned.tier, planned.deadline);
         let mut unused = 0;
@@ -343,6 +349,14 @@
         self.host.take_retry(now, &self.planned.service)
     }
 
+    /// Returns the error of a request that a stopping host answers before a worker has.
+    fn interrupted(&self) -> CallError {
+        match self.fail_unsent(stop::stopping_error(self.host)) {
+            CallError::Lost => CallError::Interrupted,
+            error => error,
+        }
+    }
+
     /// Returns the error of a request that is not sent, or not sent again.
     ///
     /// Refunds the quota if the request was never dispatched.
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -83,6 +83,8 @@
     pub stopping: StopSignal,
     /// Set when a stopping host closes idle connections and accepts no further requests.
     pub closing: StopSignal,
+    /// Set when a stopping host answers the requests whose answers have not begun.
+    pub answering: StopSignal,
     stop_schedule: Cell<Option<StopSchedule>>,
     /// Whether the host has stopped and drops what is in flight.
     has_ended: Cell<bool>,
@@ -183,6 +185,7 @@
             pool: ConnectionPool::default(),
             stopping: StopSignal::default(),
             closing: StopSignal::default(),
+            answering: StopSignal::default(),
             stop_schedule: Cell::default(),
             has_ended: Cell::default(),
             changed: Notify::default(),
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,5 +1,7 @@
 //! Shutdown of a gateway host.
 
+use std::cell::Cell;
+use std::future;
 use std::time::Duration;
 
 use super::call_error::CallError;
@@ -17,8 +19,11 @@
 /// The time before the kill at which a stopping host exits with requests still in flight.
 const EXIT_RESERVE: Duration = Duration::from_millis(200);
 
-/// The time before the exit at which requests stop waiting for a slot.
-const SLOT_RESERVE: Duration = Duration::from_millis(800);
+/// The time before the exit at which the requests are answered whose answers have not begun.
+const ANSWER_RESERVE: Duration = Duration::from_millis(300);
+
+/// The time before these answers at which requests stop waiting for a slot.
+const SLOT_RESERVE: Duration = Duration::from_millis(500);
 
 /// The interval at which a stopping host checks for requests in flight.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -33,6 +38,8 @@
     pub accept_until: ClockTime,
     /// Until then, requests wait for a slot.
     pub wait_until: ClockTime,
+    /// The requests whose answers have not begun are answered then.
+    pub answer_at: ClockTime,
     /// The process exits then, whatever is in flight.
     pub exit_at: ClockTime,
 }
@@ -50,15 +57,17 @@
     ///
     /// let schedule = StopSchedule::new(ClockTime::ZERO, Duration::from_secs(8));
     /// assert!(schedule.accept_until < schedule.wait_until);
-    /// assert!(schedule.wait_until < schedule.exit_at);
+    /// assert!(schedule.wait_until < schedule.answer_at);
     /// assert_eq!(schedule.exit_at, ClockTime::from_millis(7_800));
     /// ```
     #[must_use]
     pub fn new(begin: ClockTime, kill_after: Duration) -> Self {
         let exit_after = kill_after.saturating_sub(EXIT_RESERVE);
+        let answer_after = exit_after.saturating_sub(ANSWER_RESERVE);
         Self {
             accept_until: begin + ACCEPT_TIME.min(exit_after),
-            wait_until: begin + exit_after.saturating_sub(SLOT_RESERVE),
+            wait_until: begin + answer_after.saturating_sub(SLOT_RESERVE),
+            answer_at: begin + answer_after,
             exit_at: begin + exit_after,
         }
     }
@@ -83,6 +92,9 @@
         if is_closing {
             host.closing.stop();
         }
+        if now >= schedule.answer_at {
+            host.answering.stop();
+        }
         let is_idle = host.in_flight() == 0 && host.served_tunnels() == 0;
         if (is_closing && is_idle) || now >= schedule.exit_at {
             break;
@@ -96,6 +108,14 @@
         "stop_ms" => host.clock.now().since(begin).as_secs_f64() * 1_000.0);
 }
 
+/// Waits until a stopping host has to answer a request itself; forever if its answer has begun by then.
+pub(super) async fn wait_for_final_answer(host: &GatewayHost, has_begun: &Cell<bool>) {
+    host.answering.stopped().await;
+    if has_begun.get() {
+        future::pending::<()>().await;
+    }
+}
+
 /// Returns the error of a request that has not run and is refused because its host is stopping.
 pub(super) fn stopping_error(host: &GatewayHost) -> CallError {
     let retry_after = if host.members.serving_peers().is_empty() {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -92,7 +92,9 @@
     /// Logs and counts a request that the gateway answers with an error of its own.
     pub(super) fn answered_with_error(&self, error: &CallError) {
         let outcome = match error {
-            CallError::Lost | CallError::TimedOut => RequestOutcome::Unknown,
+            CallError::Lost | CallError::Interrupted | CallError::TimedOut => {
+                RequestOutcome::Unknown
+            }
             _ => RequestOutcome::Refused,
         };
         self.count(outcome, 0);
@@ -119,7 +121,9 @@
         }
         match error {
             CallError::Refused { .. } => log_refusal!(LogEvent::RequestRefused),
-            CallError::Lost | CallError::TimedOut => log_refusal!(LogEvent::OutcomeUnknown),
+            CallError::Lost | CallError::Interrupted | CallError::TimedOut => {
+                log_refusal!(LogEvent::OutcomeUnknown);
+            }
             CallError::Quarantined { .. } | CallError::PartQuarantined { .. } => {
                 log_refusal!(LogEvent::RequestQuarantined);
             }
