Bound the wait at a broker that has measured no speeds by the latency target

A host that stops or starts again moves the role of the broker, and so does every loss of one.

Cause: `max_wait` let a request wait until its deadline while no answer had ended at the broker, since the default speeds are too uncertain to predict a wait from them. The latency target needs no prediction: once it has passed, the request has missed it. So for as long as the streams last that hold the slots, a new broker promised what no other one does.

Change: the target bounds the wait itself in any case. A predicted wait is still compared with the deadline only until speeds are measured, so that a wrong guess refuses no request that gets a slot within its target.

What a wrong guess costs: with the default speeds, a request would be refused at once that gets a slot in time; without a bound, one that can't be in time holds its caller until its deadline. A request that would be served after its target is now refused as it is at a broker that has measured, with a time to come back.

The second test shows that a broker refuses a request in its next check once the ask of a stopping host leaves no time for it.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -35,6 +35,15 @@
     pub quickest: Duration,
 }
 
+/// The limits on the wait of a request for a slot, from its arrival.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WaitLimits {
+    /// The time after which the request is refused.
+    pub actual: Duration,
+    /// The longest predicted wait with which the request is not refused.
+    pub predicted: Duration,
+}
+
 /// The minimum share of the slots that a tier is assumed to get under any load of higher tiers.
 const MIN_SLOT_SHARE: f64 = 0.05;
 
@@ -158,14 +167,14 @@
         self.arrivals += 1;
         let deadline = now + ask.budget;
         let estimate = self.service_estimate(lane, &ask);
-        let max_wait = self.max_wait(&ask, ask.budget, estimate.quickest);
+        let limits = self.wait_limits(&ask, ask.budget, estimate.quickest);
         let mut record = WaitingRecord {
             host,
             lane,
             key: self.queue_key(lane, &ask, deadline, self.arrivals),
             arrived_at: now,
             deadline,
-            latest_start: now + max_wait,
+            latest_start: now + limits.actual,
             work: estimate.work,
             queue: if ask.suspect {
                 QueueKind::Exclusive
@@ -181,12 +190,12 @@
             let wait = self.predicted_wait(now, lane, &record.key)
                 + self.release_wait(lane).div_f64(slots);
             let wait = wait.max(self.share_wait(now, &record));
-            let too_late = wait > max_wait && !self.can_start_now(now, &record);
+            let too_late = wait > limits.predicted && !self.can_start_now(now, &record);
             if (too_late || estimate.quickest > record.ask.budget)
                 && !self.make_late(now, &mut record)
             {
                 let ask = &record.ask;
-                let excess = wait.saturating_sub(max_wait);
+                let excess = wait.saturating_sub(limits.predicted);
                 let retry_after = self.retry_after_for(now, lane, ask, ask.budget, excess);
                 let reason = RefusalReason::Deadline;
                 self.count_refused(&record.ask.workspace, reason);
@@ -242,19 +251,30 @@
     /// deadline.
     ///
     /// If the policy refuses early, the wait must leave the time `quickest` for the service. Under
-    /// policies with a maximum wait, the first-token target bounds it too, once the lane's speeds
-    /// are measured.
-    pub(super) fn max_wait(&self, ask: &Ask, budget: Duration, quickest: Duration) -> Duration {
+    /// policies with a maximum wait, the first-token target bounds it too. While the lane's speeds are
+    /// not measured, predicted waits are compared with the deadline only.
+    pub(super) fn wait_limits(
+        &self,
+        ask: &Ask,
+        budget: Duration,
+        quickest: Duration,
+    ) -> WaitLimits {
         if !self.policy.refuses_early() {
-            return budget;
+            return WaitLimits {
+                actual: budget,
+                predicted: budget,
+            };
         }
         let by_deadline = budget.saturating_sub(quickest);
-        if !self.has_measured_speeds(ask) {
-            return by_deadline;
-        }
         let target = ask.first_token_target.zip(self.policy.max_wait_percent());
         let by_target = target.map(|(target, percent)| target * percent / 100);
-        by_target.map_or(by_deadline, |by_target| by_target.min(by_deadline))
+        let actual = by_target.map_or(by_deadline, |by_target| by_target.min(by_deadline));
+        let predicted = if self.has_measured_speeds(ask) {
+            actual
+        } else {
+            by_deadline
+        };
+        WaitLimits { actual, predicted }
     }
 
     /// Returns whether at least one worker of the lane may get new requests.
--- a/kernel/src/broker/shedding.rs
+++ b/kernel/src/broker/shedding.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::CellBroker;
+use super::asks::WaitLimits;
 use super::waiting::WaitingRecord;
 use crate::ask::Ask;
 use crate::ask::BrokerAction;
@@ -86,7 +87,7 @@
                 continue;
             }
             self.update_latest_start(entry.request);
-            if self.slack(now, entry.request) < 0 {
+            if self.is_predicted_late(now, entry.request) {
                 self.refuse_or_demote(now, entry.request, actions);
             }
         }
@@ -100,13 +101,26 @@
         let latest_start = if record.key.is_late() {
             self.latest_useful_start(record)
         } else {
-            let quickest = self.service_estimate(record.lane, &record.ask).quickest;
-            let budget = record.deadline.since(record.arrived_at);
-            record.arrived_at + self.max_wait(&record.ask, budget, quickest)
+            record.arrived_at + self.limits_of(record).actual
         };
         self.waiting.set_latest_start(request, latest_start);
     }
 
+    /// Returns whether a waiting request is predicted to start too late.
+    fn is_predicted_late(&self, now: ClockTime, request: RequestId) -> bool {
+        self.waiting.get(request).is_some_and(|record| {
+            let start = now + self.remaining_wait(now, record);
+            start > record.arrived_at + self.limits_of(record).predicted
+        })
+    }
+
+    /// Returns the limits on the wait of a waiting request by the current estimates.
+    fn limits_of(&self, record: &WaitingRecord) -> WaitLimits {
+        let quickest = self.service_estimate(record.lane, &record.ask).quickest;
+        let budget = record.deadline.since(record.arrived_at);
+        self.wait_limits(&record.ask, budget, quickest)
+    }
+
     /// Refuses the waiting requests of lanes without a worker that may get new requests.
     pub(super) fn refuse_unserved(&mut self, now: ClockTime, actions: &mut Vec<BrokerAction>) {
         let unserved: Vec<RequestId> = self
--- a/kernel/tests/broker/latency_targets.rs
+++ b/kernel/tests/broker/latency_targets.rs
@@ -301,3 +301,48 @@
     assert!(finish(&plain).is_some());
     assert_eq!(finish(&hinted), finish(&plain));
 }
+
+// Guards against a broker that has just taken over and lets requests wait until their deadlines, since no
+// answer has ended at it.
+#[test]
+fn requests_wait_no_longer_than_their_latency_target_before_a_speed_is_measured() {
+    let mut harness = TargetHarness::new(vec![worker("a", "d1")]);
+    for _ in 0..SLOTS {
+        assert!(harness.granted(0, 1_000, 100).is_some());
+    }
+    // The default speeds are no reason to refuse requests that may still get a slot in time.
+    for _ in 0..2 * SLOTS {
+        let ask = harness.ask(0, 1_000, 100);
+        assert_eq!(harness.asked(ask), []);
+    }
+    harness.now = harness.now + TARGET / 2;
+    assert_eq!(harness.broker.tick(harness.now), []);
+    harness.now = harness.now + TARGET / 2 + Duration::from_millis(1);
+    let refused = harness.broker.tick(harness.now);
+    let is_refusal = |action: &BrokerAction| matches!(action, BrokerAction::Refuse { .. });
+    assert!(refused.iter().all(is_refusal), "{refused:?}");
+    assert_eq!(refused.len(), 2 * SLOTS as usize);
+}
+
+// Guards against a stopping host whose requests wait for slots that can't be used to the end.
+#[test]
+fn a_waiting_request_is_refused_as_soon_as_its_host_can_not_serve_it_before_it_ends() {
+    let mut harness = fast_and_slow_worker();
+    for _ in 0..2 * SLOTS {
+        assert!(harness.granted(0, 1_000, 100).is_some());
+    }
+    let mut ask = harness.ask(0, 1_000, 300);
+    ask.first_token_target = None;
+    assert_eq!(harness.asked(ask.clone()), []);
+    harness.now = harness.now + Duration::from_millis(100);
+    assert_eq!(harness.broker.tick(harness.now), []);
+    // The fast worker needs 3 ms for a token, and a hint is off by a factor of two at most.
+    ask.budget = Duration::from_millis(300);
+    harness.asked(ask);
+    harness.now = harness.now + Duration::from_millis(100);
+    let refused = harness.broker.tick(harness.now);
+    assert!(
+        matches!(refused.as_slice(), [BrokerAction::Refuse { .. }]),
+        "{refused:?}"
+    );
+}
