--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -167,9 +167,9 @@
     /// Returns the asks to send now.
     ///
     /// The broker gets asks that were not sent yet, were sent to another broker, have another
-    /// deadline than when they were sent, or were last sent `ASK_RETRY_INTERVAL` ago. A broker that does not respond to an ask within
-    /// `BROKER_RESPONSE_TIMEOUT` counts as unresponsive, and while it does, its deputy gets every
-    /// ask that the broker has not acknowledged.
+    /// deadline than when they were sent, or were last sent `ASK_RETRY_INTERVAL` ago. A broker that
+    /// does not respond to an ask within `BROKER_RESPONSE_TIMEOUT` counts as unresponsive, and while
+    /// it does, its deputy gets every ask that the broker has not acknowledged.
     pub fn due<F>(&mut self, now: ClockTime, brokers_of: F) -> Vec<OutgoingAsk>
     where
         F: Fn(&CellId) -> CellBrokers,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -146,7 +146,7 @@
     tokio::select! {
         biased;
         ended = exchange.run(caller) => ended,
-        () = stop::wait_for_final_answer(host, &has_begun) => Err(exchange.interrupted().into()),
+        () = stop::wait_for_final_answer(host, &has_begun) => Err(exchange.interruption_error().into()),
     }
 }
 
@@ -350,8 +350,8 @@
     }
 
     /// Returns the error of a request that a stopping host answers before a worker has.
-    fn interrupted(&self) -> CallError {
-        match self.fail_unsent(stop::stopping_error(self.host)) {
+    fn interruption_error(&self) -> CallError {
+        match self.fail_unsent(stop::stop_refusal(self.host)) {
             CallError::Lost => CallError::Interrupted,
             error => error,
         }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -85,6 +85,7 @@
     pub closing: StopSignal,
     /// Set when a stopping host answers the requests whose answers have not begun.
     pub answering: StopSignal,
+    /// The steps of the shutdown; `None` unless the host is stopping.
     stop_schedule: Cell<Option<StopSchedule>>,
     /// Whether the host has stopped and drops what is in flight.
     has_ended: Cell<bool>,
@@ -262,7 +263,7 @@
     }
 
     /// Records that the host has stopped, so that what is in flight is dropped next.
-    pub fn end(&self) {
+    pub fn mark_ended(&self) {
         self.has_ended.set(true);
     }
 
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -114,7 +114,7 @@
                 self.record_refusal(refusal.reason);
                 Err(self.fail_unsent(self.slot_error(&refusal)))
             }
-            None => Err(self.fail_unsent(stop::stopping_error(self.host))),
+            None => Err(self.fail_unsent(stop::stop_refusal(self.host))),
         }
     }
 
@@ -318,7 +318,7 @@
     fn slot_error(&self, refusal: &Refusal) -> CallError {
         let is_late = refusal.reason == RefusalReason::Deadline;
         if is_late && self.host.stops_before(self.planned.deadline) {
-            stop::stopping_error(self.host)
+            stop::stop_refusal(self.host)
         } else {
             Self::broker_error(refusal)
         }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -101,7 +101,7 @@
         }
     }
     host.links.stop();
-    host.end();
+    host.mark_ended();
     log_event!(host.log, LogEvent::StopFinished,
         "in_flight" => host.in_flight(),
         "tunnels" => host.served_tunnels(),
@@ -117,7 +117,7 @@
 }
 
 /// Returns the error of a request that has not run and is refused because its host is stopping.
-pub(super) fn stopping_error(host: &GatewayHost) -> CallError {
+pub(super) fn stop_refusal(host: &GatewayHost) -> CallError {
     let retry_after = if host.members.serving_peers().is_empty() {
         DEFAULT_RETRY_AFTER
     } else {
