Correct statements about planned stops and reword comments of the shutdown

Found by reading the change once more. No behaviour changes.

Comments use one word each for the begin of an answer, the shutdown and its end.

--- a/kernel/src/broker/asks.rs
+++ b/kernel/src/broker/asks.rs
@@ -143,8 +143,8 @@
         true
     }
 
-    /// Moves the deadline of a waiting request to the one of a repeated ask if that is earlier, as it is
-    /// when the host of the request has to end before. The request keeps its place in the queue.
+    /// Takes over the deadline of a repeated ask if it is earlier; a stopping host shortens the time of
+    /// its asks. The request keeps its place in the queue.
     fn shorten_deadline(&mut self, now: ClockTime, ask: &Ask) {
         let deadline = now + ask.budget;
         let Some(record) = self.waiting.get_mut(ask.request) else {
--- a/kernel/tests/broker/latency_targets.rs
+++ b/kernel/tests/broker/latency_targets.rs
@@ -336,7 +336,7 @@
     assert_eq!(harness.asked(ask.clone()), []);
     harness.now = harness.now + Duration::from_millis(100);
     assert_eq!(harness.broker.tick(harness.now), []);
-    // The fast worker needs 3 ms for a token, and a hint is off by a factor of two at most.
+    // The low estimate of the answer is half of the hint: 150 tokens of 3 ms at the fast worker.
     ask.budget = Duration::from_millis(300);
     harness.asked(ask);
     harness.now = harness.now + Duration::from_millis(100);
--- a/src/cell/asks.rs
+++ b/src/cell/asks.rs
@@ -54,7 +54,7 @@
     sent: Option<SentAsk>,
     /// The deputy that got the ask as well since then.
     deputy: Option<HostName>,
-    /// Whether the deadline was moved since the ask was last sent.
+    /// Whether the deadline has changed since the ask was last sent.
     is_changed: bool,
     sender: oneshot::Sender<SlotAnswer>,
 }
@@ -153,7 +153,7 @@
         pending.map_or_else(Vec::new, |pending| pending.withdrawals(None))
     }
 
-    /// Moves the deadlines of all asks, later ones included, to a time if they are after it.
+    /// Limits the deadlines of all present and future asks to a time.
     pub fn limit_wait(&mut self, until: ClockTime) {
         self.wait_until = Some(until);
         for pending in self.pending.values_mut() {
--- a/src/cell/service.rs
+++ b/src/cell/service.rs
@@ -117,8 +117,8 @@
         self.send_withdrawals(request, closed);
     }
 
-    /// Moves the deadlines of all asks, later ones included, to a time if they are after it, and tells
-    /// the brokers of those that wait.
+    /// Limits the deadlines of all present and future asks to a time, and sends those again whose
+    /// deadline has changed.
     pub fn limit_wait(&self, until: ClockTime) {
         self.asks.borrow_mut().limit_wait(until);
         self.send_due();
--- a/src/event.rs
+++ b/src/event.rs
@@ -124,7 +124,7 @@
     518 Warning DescriptorsUnknown "descriptors-unknown" "The number of descriptors that the process may open can't be read; the number of callers' connections is bounded by their memory only.";
     519 Warning CallerCutOff "caller-cut-off" "A caller took nothing of its answer for too long; its connection was reset and its request cancelled.";
     520 Info ClaimSettled "claim-settled" "An operator settled the outcome of a claim.";
-    521 Warning RequestCut "request-cut" "The host ended before the answer to a request was complete; without a worker, the request had not been sent to one.";
+    521 Warning RequestCut "request-cut" "The host ended before the answer to a request was complete; if the line names no worker, the request was not sent to one.";
     530 Info HedgeSent "hedge-sent" "A second dispatch of a slow request was sent to another worker.";
     531 Info HedgeEnded "hedge-ended" "A second dispatch of a slow request ended: its answer was relayed (won), it was cancelled for the first dispatch (lost) or with the request (cancelled), or it brought no usable answer (failed).";
     532 Info HedgeRefused "hedge-refused" "No second dispatch of a slow request was sent, for the given reason.";
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -142,11 +142,11 @@
         origin: None,
         planned,
     };
-    let has_begun = caller.start_flag();
+    let has_started = caller.start_flag();
     tokio::select! {
         biased;
         ended = exchange.run(caller) => ended,
-        () = stop::wait_for_final_answer(host, &has_begun) => Err(exchange.interruption_error().into()),
+        () = stop::wait_for_final_answer(host, &has_started) => Err(exchange.interruption_error().into()),
     }
 }
 
@@ -349,7 +349,7 @@
         self.host.take_retry(now, &self.planned.service)
     }
 
-    /// Returns the error of a request that a stopping host answers before a worker has.
+    /// Returns the error of a request that a stopping host answers itself.
     fn interruption_error(&self) -> CallError {
         match self.fail_unsent(stop::stop_refusal(self.host)) {
             CallError::Lost => CallError::Interrupted,
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -83,11 +83,11 @@
     pub stopping: StopSignal,
     /// Set when a stopping host closes idle connections and accepts no further requests.
     pub closing: StopSignal,
-    /// Set when a stopping host answers the requests whose answers have not begun.
+    /// Set when a stopping host itself answers each request whose answer has not begun.
     pub answering: StopSignal,
     /// The steps of the shutdown; `None` unless the host is stopping.
     stop_schedule: Cell<Option<StopSchedule>>,
-    /// Whether the host has stopped and drops what is in flight.
+    /// Whether the shutdown has ended, so that what is in flight is dropped.
     has_ended: Cell<bool>,
     /// Wakes the task that logs changes of the host's state.
     pub(super) changed: Notify,
@@ -254,20 +254,19 @@
         self.stopping.stop();
     }
 
-    /// Returns whether the host has to stop before a request's deadline, so that the request may wait
-    /// for a slot for a shorter time.
+    /// Returns whether the host is stopping and requests may not wait for a slot until the deadline.
     #[must_use]
     pub fn stops_before(&self, deadline: ClockTime) -> bool {
         let schedule = self.stop_schedule.get();
         schedule.is_some_and(|schedule| schedule.wait_until < deadline)
     }
 
-    /// Records that the host has stopped, so that what is in flight is dropped next.
+    /// Records that the shutdown has ended, so that what is in flight is dropped next.
     pub fn mark_ended(&self) {
         self.has_ended.set(true);
     }
 
-    /// Returns whether the host has stopped.
+    /// Returns whether the shutdown has ended.
     #[must_use]
     pub const fn has_ended(&self) -> bool {
         self.has_ended.get()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -140,7 +140,7 @@
     /// Returns whether the answer can be continued with that of another dispatch: if nothing was
     /// relayed yet, or if events of a stream were.
     #[must_use]
-    pub(super) fn can_continue(&self, caller: &CallerWriter<'_>) -> bool {
+    pub fn can_continue(&self, caller: &CallerWriter<'_>) -> bool {
         self.streaming || !caller.has_started()
     }
 
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -313,11 +313,11 @@
 
     /// Returns the error for a refused ask.
     ///
-    /// The broker of a stopping host's request judges it by the time of the host's exit; another host's
-    /// ask for it is judged by the caller's deadline.
+    /// A refusal for lack of time at a stopping host does not hold at other hosts, whose asks may wait
+    /// until the caller's deadline.
     fn slot_error(&self, refusal: &Refusal) -> CallError {
-        let is_late = refusal.reason == RefusalReason::Deadline;
-        if is_late && self.host.stops_before(self.planned.deadline) {
+        let lacks_time = refusal.reason == RefusalReason::Deadline;
+        if lacks_time && self.host.stops_before(self.planned.deadline) {
             stop::stop_refusal(self.host)
         } else {
             Self::broker_error(refusal)
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -19,10 +19,10 @@
 /// The time before the kill at which a stopping host exits with requests still in flight.
 const EXIT_RESERVE: Duration = Duration::from_millis(200);
 
-/// The time before the exit at which the requests are answered whose answers have not begun.
+/// The time before the exit at which the host itself answers each request whose answer has not begun.
 const ANSWER_RESERVE: Duration = Duration::from_millis(300);
 
-/// The time before these answers at which requests stop waiting for a slot.
+/// The time before these answers until which requests may wait for a slot.
 const SLOT_RESERVE: Duration = Duration::from_millis(500);
 
 /// The interval at which a stopping host checks for requests in flight.
@@ -38,14 +38,15 @@
     pub accept_until: ClockTime,
     /// Until then, requests wait for a slot.
     pub wait_until: ClockTime,
-    /// The requests whose answers have not begun are answered then.
+    /// Then the host itself answers each request whose answer has not begun.
     pub answer_at: ClockTime,
-    /// The process exits then, whatever is in flight.
+    /// Then the process exits, whatever is in flight.
     pub exit_at: ClockTime,
 }
 
 impl StopSchedule {
-    /// Returns the schedule of a shutdown that begins at a time and after which the process is killed.
+    /// Returns the schedule of a shutdown; `kill_after` is the time from its begin until the process is
+    /// killed.
     ///
     /// # Examples
     ///
@@ -108,15 +109,16 @@
         "stop_ms" => host.clock.now().since(begin).as_secs_f64() * 1_000.0);
 }
 
-/// Waits until a stopping host has to answer a request itself; forever if its answer has begun by then.
-pub(super) async fn wait_for_final_answer(host: &GatewayHost, has_begun: &Cell<bool>) {
+/// Waits until a stopping host has to answer a request itself; forever if writing an answer has begun by
+/// then.
+pub(super) async fn wait_for_final_answer(host: &GatewayHost, has_started: &Cell<bool>) {
     host.answering.stopped().await;
-    if has_begun.get() {
+    if has_started.get() {
         future::pending::<()>().await;
     }
 }
 
-/// Returns the error of a request that has not run and is refused because its host is stopping.
+/// Returns the error of a request that has not run and that a stopping host refuses.
 pub(super) fn stop_refusal(host: &GatewayHost) -> CallError {
     let retry_after = if host.members.serving_peers().is_empty() {
         DEFAULT_RETRY_AFTER
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -31,7 +31,7 @@
 use crate::metrics::RequestOutcome;
 
 /// Logs and counts the events of one request. If dropped before [`Self::mark_ended`] is called, it
-/// logs that the caller has disconnected, or that the host has ended.
+/// logs that the caller has disconnected, or that the host has ended before it answered.
 #[derive(Debug)]
 pub(super) struct CallTrace<'a> {
     host: &'a GatewayHost,
